--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/BenchCommand.java
@@ -0,0 +1,15 @@
+package org.mangorack.bench;
+
+/**
+ * A command of the bench.
+ */
+public interface BenchCommand {
+
+	/**
+	 * Runs the command.
+	 * @return the exit status
+	 * @throws Exception if the command fails
+	 */
+	int run() throws Exception;
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Clients that put load on instances.
+ */
+package org.mangorack.bench.load;
--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/standin/EngineStandIn.java
@@ -0,0 +1,467 @@
+package org.mangorack.bench.standin;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Stands in for a model engine: it batches continuously, so that each token takes longer
+ * the more calls are under way, caches prompt prefixes in limited memory, and lets
+ * streams be resumed and cancelled. Its answer repeats the end of the last message, so
+ * that a caller can tell whether it got its own answer.
+ */
+public final class EngineStandIn extends StandInServer {
+
+	private static final int CHARS_PER_TOKEN = 4;
+
+	private static final int ECHO_CHARS = 80;
+
+	private static final int DEFAULT_TOKENS = 12;
+
+	private static final long LOAD_LAG_MILLIS = 500;
+
+	private static final long KEPT_SECONDS = 10;
+
+	private final Timing timing;
+
+	private final PrefixCache cache;
+
+	private final Map<String, EngineStream> streams = new ConcurrentHashMap<>();
+
+	private final Map<String, Integer> callsByProgram = new ConcurrentHashMap<>();
+
+	private final List<ObjectNode> cacheEvents = new ArrayList<>();
+
+	private final List<String> leakedKeys = new ArrayList<>();
+
+	private final ExecutorService generators = Executors.newCachedThreadPool((task) -> {
+		Thread thread = new Thread(task, "generator");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final ScheduledExecutorService forgetting = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "forgetting");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final AtomicInteger underWay = new AtomicInteger();
+
+	private long promptTokens;
+
+	private long cachedTokens;
+
+	private long highestFence;
+
+	private int eventNumber;
+
+	private int reportedLoad;
+
+	private long reportedAt;
+
+	private volatile long silentAfterEvents = -1;
+
+	private volatile boolean hanging;
+
+	/**
+	 * Creates an idle engine.
+	 * @param port the port to listen on; 0 picks a free one
+	 * @param timing how long work takes
+	 * @param cacheTokens the size of the prefix cache
+	 */
+	public EngineStandIn(int port, Timing timing, long cacheTokens) {
+		super(port);
+		this.timing = timing;
+		this.cache = new PrefixCache(cacheTokens);
+	}
+
+	// ---- Switches and observations
+
+	/**
+	 * Makes the next stream go silent after some events, without closing it.
+	 * @param events the events to send before, or -1 for none
+	 */
+	public void setSilentAfterEvents(long events) {
+		this.silentAfterEvents = events;
+	}
+
+	/**
+	 * Makes the engine accept requests without answering.
+	 * @param value {@code true} to hang
+	 */
+	public void setHanging(boolean value) {
+		this.hanging = value;
+	}
+
+	/**
+	 * Returns how often each program called.
+	 * @return the number of calls by program
+	 */
+	public Map<String, Integer> callsByProgram() {
+		return this.callsByProgram;
+	}
+
+	/**
+	 * Returns the tokens held for each program.
+	 * @return the cached tokens by program
+	 */
+	public synchronized Map<String, Long> heldByProgram() {
+		return this.cache.byProgram();
+	}
+
+	/**
+	 * Returns the headers in which a caller's key was seen.
+	 * @return the headers; empty if all is well
+	 */
+	public synchronized List<String> leakedKeys() {
+		return new ArrayList<>(this.leakedKeys);
+	}
+
+	// ---- Requests
+
+	@Override
+	protected Reply answer(Request request) throws IOException {
+		noteKeys(request);
+		Reply reply = dispatch(request);
+		Map<String, String> headers = new LinkedHashMap<>(reply.headers());
+		headers.put("X-Request-Id", request.headers().getOrDefault("X-Request-Id", ""));
+		return reply.withHeaders(headers);
+	}
+
+	private Reply dispatch(Request request) throws IOException {
+		String path = request.path();
+		if (path.equals("/v1/chat/completions")) {
+			return chat(request);
+		}
+		if (path.startsWith("/v1/streams/")) {
+			return stream(request, path.substring("/v1/streams/".length()));
+		}
+		return switch (path) {
+			case "/admin/release" -> release(request.json().path("program").asText());
+			case "/admin/load" -> load();
+			case "/admin/events" -> events();
+			case "/admin/order" -> order(request.json());
+			case "/control" -> control(request);
+			default -> problem(404, "no such path");
+		};
+	}
+
+	private Reply chat(Request request) throws IOException {
+		if (this.hanging) {
+			sleep(TimeUnit.MINUTES.toMillis(2));
+		}
+		JsonNode body = request.json();
+		if (!body.path("messages").isArray()) {
+			return problem(400, "no messages");
+		}
+		String program = request.headers().getOrDefault("X-Program", "");
+		this.callsByProgram.merge(program, 1, Integer::sum);
+		Prompt prompt = prompt(program, body.path("messages"));
+		String id = UUID.randomUUID().toString();
+		EngineStream stream = new EngineStream();
+		this.streams.put(id, stream);
+		this.generators.execute(() -> generate(id, stream, body, prompt));
+		if (body.path("stream").asBoolean()) {
+			boolean usage = body.path("stream_options").path("include_usage").asBoolean();
+			return Reply.stream("text/event-stream", Map.of("X-Stream-Id", id),
+					(out) -> copy(stream, 0, usage, takeSilence(), out));
+		}
+		return whole(id, stream, body);
+	}
+
+	private Reply stream(Request request, String id) throws IOException {
+		EngineStream stream = this.streams.get(id);
+		if (stream == null) {
+			return problem(404, "no stream " + id);
+		}
+		if (request.method().equals("DELETE")) {
+			stream.cancel();
+			return Reply.json(200, MAPPER.createObjectNode().put("cancelled", id));
+		}
+		int offset = Integer.parseInt(request.parameter("offset", "0"));
+		return Reply.stream("text/event-stream", Map.of("X-Stream-Id", id),
+				(out) -> copy(stream, offset, true, -1, out));
+	}
+
+	private synchronized Reply release(String program) throws IOException {
+		this.cache.release(program);
+		return Reply.json(200, MAPPER.createObjectNode().put("released", program));
+	}
+
+	private synchronized Reply load() throws IOException {
+		long now = System.nanoTime() / 1_000_000;
+		if (now - this.reportedAt > LOAD_LAG_MILLIS) {
+			this.reportedAt = now;
+			this.reportedLoad = this.underWay.get();
+		}
+		return Reply.json(200, MAPPER.createObjectNode().put("underWay", this.reportedLoad));
+	}
+
+	private synchronized Reply events() throws IOException {
+		ArrayNode list = MAPPER.createArrayNode();
+		this.cacheEvents.forEach(list::add);
+		this.cacheEvents.clear();
+		ObjectNode json = MAPPER.createObjectNode();
+		json.set("events", list);
+		return Reply.json(200, json);
+	}
+
+	private synchronized Reply order(JsonNode order) throws IOException {
+		long fence = order.path("fence").asLong();
+		if (fence < this.highestFence) {
+			return problem(409, "fencing number " + fence + " is older than " + this.highestFence);
+		}
+		this.highestFence = fence;
+		return Reply.json(200, MAPPER.createObjectNode().put("fence", fence));
+	}
+
+	private Reply control(Request request) throws IOException {
+		if (request.method().equals("POST")) {
+			JsonNode json = request.json();
+			if (json.has("hanging")) {
+				setHanging(json.path("hanging").asBoolean());
+			}
+			if (json.has("silentAfterEvents")) {
+				setSilentAfterEvents(json.path("silentAfterEvents").asLong());
+			}
+		}
+		ObjectNode json = MAPPER.createObjectNode();
+		json.set("callsByProgram", MAPPER.valueToTree(this.callsByProgram));
+		json.set("heldByProgram", MAPPER.valueToTree(heldByProgram()));
+		json.set("leakedKeys", MAPPER.valueToTree(leakedKeys()));
+		json.put("underWay", this.underWay.get());
+		synchronized (this) {
+			json.put("promptTokens", this.promptTokens);
+			json.put("cachedTokens", this.cachedTokens);
+		}
+		return Reply.json(200, json);
+	}
+
+	// ---- Generation
+
+	private synchronized Prompt prompt(String program, JsonNode messages) {
+		List<String> chain = new ArrayList<>();
+		List<Integer> tokens = new ArrayList<>();
+		String digest = "";
+		int total = 0;
+		for (JsonNode message : messages) {
+			digest = sha256(digest + message);
+			chain.add(digest);
+			int n = (message.path("content").asText().length() / CHARS_PER_TOKEN) + 1;
+			tokens.add(n);
+			total += n;
+		}
+		long cached = this.cache.use(program, chain, tokens);
+		this.promptTokens += total;
+		this.cachedTokens += cached;
+		noteCacheEvent(program, digest);
+		return new Prompt(total, cached);
+	}
+
+	// Publishes a cache event; every seventh one is lost.
+	private void noteCacheEvent(String program, String digest) {
+		this.eventNumber++;
+		if (this.eventNumber % 7 != 0) {
+			this.cacheEvents.add(MAPPER.createObjectNode()
+				.put("number", this.eventNumber)
+				.put("program", program)
+				.put("digest", digest));
+		}
+	}
+
+	private void generate(String id, EngineStream stream, JsonNode body, Prompt prompt) {
+		this.underWay.incrementAndGet();
+		try {
+			sleepNanos((prompt.tokens() - prompt.cached()) * this.timing.prefillNanosPerToken());
+			String text = text(body);
+			int maxTokens = body.path("max_tokens").asInt(Integer.MAX_VALUE);
+			int tokens = Math.min(maxTokens, body.path("x_tokens").asInt(DEFAULT_TOKENS));
+			for (int i = 0; (i < tokens) && !stream.isCancelled(); i++) {
+				sleepNanos(this.timing.tokenNanos() + (this.underWay.get() * this.timing.tokenNanosPerCall()));
+				stream.add(chunk(id, body, (i == 0) ? text : " t" + i, null));
+			}
+			stream.add(chunk(id, body, null, "stop"));
+			ObjectNode usage = chunk(id, body, null, null);
+			usage.putArray("choices");
+			usage.putObject("usage")
+				.put("prompt_tokens", prompt.tokens())
+				.put("completion_tokens", tokens)
+				.put("total_tokens", prompt.tokens() + tokens)
+				.putObject("prompt_tokens_details")
+				.put("cached_tokens", prompt.cached());
+			stream.add(usage);
+			stream.complete();
+		}
+		catch (InterruptedException ex) {
+			stream.cancel();
+		}
+		finally {
+			this.underWay.decrementAndGet();
+		}
+		forgetLater(id);
+	}
+
+	private void forgetLater(String id) {
+		this.forgetting.schedule(() -> this.streams.remove(id), KEPT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private static String text(JsonNode body) {
+		JsonNode messages = body.path("messages");
+		String last = messages.path(messages.size() - 1).path("content").asText();
+		return "echo:" + last.substring(Math.max(0, last.length() - ECHO_CHARS));
+	}
+
+	private static ObjectNode chunk(String id, JsonNode body, String content, String finishReason) {
+		ObjectNode event = MAPPER.createObjectNode();
+		event.put("id", "chatcmpl-" + id);
+		event.put("object", "chat.completion.chunk");
+		event.put("created", System.currentTimeMillis() / 1000);
+		event.put("model", body.path("model").asText());
+		ObjectNode choice = event.putArray("choices").addObject();
+		choice.put("index", 0);
+		ObjectNode delta = choice.putObject("delta");
+		if (content != null) {
+			delta.put("content", content);
+		}
+		choice.put("finish_reason", finishReason);
+		return event;
+	}
+
+	private void copy(EngineStream stream, int offset, boolean usage, long silentAfter, OutputStream out)
+			throws IOException {
+		try {
+			int index = offset;
+			for (ObjectNode e = stream.await(index); e != null; e = stream.await(index)) {
+				if ((silentAfter >= 0) && (index >= silentAfter)) {
+					sleep(TimeUnit.MINUTES.toMillis(1));
+				}
+				index++;
+				if (usage || !e.has("usage")) {
+					out.write(("data: " + e + "\n\n").getBytes(StandardCharsets.UTF_8));
+					out.flush();
+				}
+			}
+			if (!stream.isCancelled()) {
+				out.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+			}
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("the engine stops", ex);
+		}
+	}
+
+	private Reply whole(String id, EngineStream stream, JsonNode body) throws IOException {
+		StringBuilder content = new StringBuilder();
+		JsonNode usage = null;
+		try {
+			int index = 0;
+			for (ObjectNode e = stream.await(index); e != null; e = stream.await(index)) {
+				content.append(e.path("choices").path(0).path("delta").path("content").asText(""));
+				usage = e.has("usage") ? e.get("usage") : usage;
+				index++;
+			}
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("the engine stops", ex);
+		}
+		ObjectNode answer = MAPPER.createObjectNode();
+		answer.put("id", "chatcmpl-" + id);
+		answer.put("object", "chat.completion");
+		answer.put("created", System.currentTimeMillis() / 1000);
+		answer.put("model", body.path("model").asText());
+		ObjectNode choice = answer.putArray("choices").addObject();
+		choice.put("index", 0);
+		choice.putObject("message").put("role", "assistant").put("content", content.toString());
+		choice.put("finish_reason", "stop");
+		answer.set("usage", usage);
+		return Reply.json(200, answer);
+	}
+
+	// ---- Helpers
+
+	private long takeSilence() {
+		long events = this.silentAfterEvents;
+		this.silentAfterEvents = -1;
+		return events;
+	}
+
+	private synchronized void noteKeys(Request request) {
+		request.headers().forEach((name, value) -> {
+			if (value.contains("mr_")) {
+				this.leakedKeys.add(name);
+			}
+		});
+	}
+
+	private static void sleepNanos(long nanos) throws InterruptedException {
+		if (nanos > 0) {
+			TimeUnit.NANOSECONDS.sleep(nanos);
+		}
+	}
+
+	private static void sleep(long millis) throws IOException {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("the engine stops", ex);
+		}
+	}
+
+	private static String sha256(String text) {
+		try {
+			return HexFormat.of()
+				.formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("the runtime lacks SHA-256", ex);
+		}
+	}
+
+	private static Reply problem(int status, String message) throws IOException {
+		return Reply.json(status, MAPPER.createObjectNode().put("error", message));
+	}
+
+	/**
+	 * How long work takes.
+	 *
+	 * @param prefillNanosPerToken the time of an uncached prompt token
+	 * @param tokenNanos the time of a generated token in an empty batch
+	 * @param tokenNanosPerCall the time that each call under way adds to a token
+	 */
+	public record Timing(long prefillNanosPerToken, long tokenNanos, long tokenNanosPerCall) {
+
+		/** A fast engine for tests. */
+		public static final Timing FAST = new Timing(1_000, 300_000, 10_000);
+
+	}
+
+	/**
+	 * The tokens of a prompt.
+	 *
+	 * @param tokens all tokens
+	 * @param cached the tokens found in the cache
+	 */
+	private record Prompt(int tokens, long cached) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/call/CallRequest.java
@@ -0,0 +1,73 @@
+package org.mangorack.call;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * A request of a caller or operator, independent of the protocol it came by.
+ *
+ * @param requestId identifies the request in logs and answers
+ * @param method the HTTP method
+ * @param path the path without the query
+ * @param query the query without the question mark, or {@code null}
+ * @param headers the headers, by name without regard to case
+ * @param body the body; empty when there is none
+ */
+public record CallRequest(String requestId, String method, String path, String query, Map<String, String> headers,
+		byte[] body) {
+
+	public CallRequest {
+		Map<String, String> sorted = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		sorted.putAll(headers);
+		headers = sorted;
+	}
+
+	/**
+	 * Returns a header.
+	 * @param name the name of the header
+	 * @return the value, or empty when the header is missing
+	 */
+	public Optional<String> header(String name) {
+		return Optional.ofNullable(this.headers.get(name));
+	}
+
+	/**
+	 * Returns a parameter of the query.
+	 * @param name the name of the parameter
+	 * @return the value, or empty when the parameter is missing
+	 */
+	public Optional<String> parameter(String name) {
+		if (this.query == null) {
+			return Optional.empty();
+		}
+		for (String pair : this.query.split("&")) {
+			if (pair.startsWith(name + "=")) {
+				return Optional.of(pair.substring(name.length() + 1));
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Returns the non-empty segments of the path.
+	 * @return the segments in their order
+	 */
+	public List<String> segments() {
+		return List.of(this.path.split("/")).stream().filter((s) -> !s.isEmpty()).toList();
+	}
+
+	/**
+	 * Returns a copy without one header.
+	 * @param name the name of the header
+	 * @return the changed copy
+	 */
+	public CallRequest withoutHeader(String name) {
+		Map<String, String> rest = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		rest.putAll(this.headers);
+		rest.remove(name);
+		return new CallRequest(this.requestId, this.method, this.path, this.query, rest, this.body);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/call/Identifiers.java
@@ -0,0 +1,44 @@
+package org.mangorack.call;
+
+import java.util.regex.Pattern;
+
+/**
+ * The syntax shared by all identifiers that callers and operators choose.
+ */
+public final class Identifiers {
+
+	/**
+	 * Longest accepted identifier, in characters.
+	 */
+	public static final int MAX_LENGTH = 128;
+
+	private static final Pattern SYNTAX = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*");
+
+	private Identifiers() {
+	}
+
+	/**
+	 * Tells whether a text may serve as an identifier.
+	 * @param text the text, or {@code null}
+	 * @return {@code true} if the text is a valid identifier
+	 */
+	public static boolean isValid(String text) {
+		return (text != null) && (text.length() <= MAX_LENGTH) && SYNTAX.matcher(text).matches();
+	}
+
+	/**
+	 * Checks an identifier.
+	 * @param what the kind of identifier, for the error message
+	 * @param text the identifier
+	 * @return the same text
+	 * @throws IllegalArgumentException if the text is not a valid identifier
+	 */
+	public static String require(String what, String text) {
+		if (!isValid(text)) {
+			throw new IllegalArgumentException(
+					what + " \"" + text + "\" is not made of letters, digits, '.', '_' and '-'");
+		}
+		return text;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/call/Jsons.java
@@ -0,0 +1,71 @@
+package org.mangorack.call;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The JSON mapper of the project. It refuses duplicate fields and trailing tokens.
+ */
+public final class Jsons {
+
+	/**
+	 * The shared mapper.
+	 */
+	public static final ObjectMapper MAPPER = JsonMapper.builder()
+		.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.disable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+		.build();
+
+	private static final int MAX_STRING_LENGTH = 16 * 1024 * 1024;
+
+	static {
+		MAPPER.getFactory()
+			.setStreamReadConstraints(StreamReadConstraints.builder().maxStringLength(MAX_STRING_LENGTH).build());
+	}
+
+	private Jsons() {
+	}
+
+	/**
+	 * Parses a document.
+	 * @param bytes the document
+	 * @return the tree; a missing node when there are no bytes
+	 * @throws IOException if the document is not valid JSON
+	 */
+	public static JsonNode parse(byte[] bytes) throws IOException {
+		return MAPPER.readTree(bytes);
+	}
+
+	/**
+	 * Writes a tree.
+	 * @param json the tree
+	 * @return the document
+	 */
+	public static byte[] bytes(JsonNode json) {
+		try {
+			return MAPPER.writeValueAsBytes(json);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("JSON tree cannot be written", ex);
+		}
+	}
+
+	/**
+	 * Creates an empty object.
+	 * @return the new object
+	 */
+	public static ObjectNode object() {
+		return MAPPER.createObjectNode();
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/call/Refusal.java
@@ -0,0 +1,68 @@
+package org.mangorack.call;
+
+import java.time.Duration;
+
+/**
+ * A call that ends without the answer it asked for.
+ *
+ * @param status the HTTP status code
+ * @param code a short stable identifier, such as {@code unknown_model}
+ * @param detail a sentence that names the refused value
+ * @param verdict whether the request may have run
+ * @param retryAfter when to come back, or {@code null} when coming back does not help
+ */
+public record Refusal(int status, String code, String detail, Verdict verdict, Duration retryAfter) {
+
+	/**
+	 * Creates a refusal of a request that did not run and that will not be accepted later
+	 * either.
+	 * @param status the HTTP status code
+	 * @param code the stable identifier
+	 * @param detail a sentence that names the refused value
+	 * @return the refusal
+	 */
+	public static Refusal notRun(int status, String code, String detail) {
+		return new Refusal(status, code, detail, Verdict.NOT_RUN, null);
+	}
+
+	/**
+	 * Creates a refusal with status 503 of a request that did not run.
+	 * @param code the stable identifier
+	 * @param detail a sentence that names the cause
+	 * @param retryAfter when to come back
+	 * @return the refusal
+	 */
+	public static Refusal unavailable(String code, String detail, Duration retryAfter) {
+		return new Refusal(503, code, detail, Verdict.NOT_RUN, retryAfter);
+	}
+
+	/**
+	 * Creates a refusal of a request whose effect is not known.
+	 * @param status the HTTP status code
+	 * @param code the stable identifier
+	 * @param detail a sentence that names the cause
+	 * @return the refusal
+	 */
+	public static Refusal mayHaveRun(int status, String code, String detail) {
+		return new Refusal(status, code, detail, Verdict.MAY_HAVE_RUN, null);
+	}
+
+	/**
+	 * Returns a copy with another time to come back.
+	 * @param time when to come back
+	 * @return the changed copy
+	 */
+	public Refusal withRetryAfter(Duration time) {
+		return new Refusal(this.status, this.code, this.detail, this.verdict, time);
+	}
+
+	/**
+	 * Returns a copy with another verdict.
+	 * @param other the verdict of the copy
+	 * @return the changed copy
+	 */
+	public Refusal withVerdict(Verdict other) {
+		return new Refusal(this.status, this.code, this.detail, other, this.retryAfter);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/call/Verdict.java
@@ -0,0 +1,74 @@
+package org.mangorack.call;
+
+/**
+ * Says whether a request took effect at its upstream.
+ */
+public enum Verdict {
+
+	/**
+	 * The request certainly did not run. Repeating it is always safe.
+	 */
+	NOT_RUN("not_run") {
+		@Override
+		public boolean allowsRetry(boolean idempotent) {
+			return true;
+		}
+	},
+
+	/**
+	 * The request may have run. Only idempotent requests may be repeated.
+	 */
+	MAY_HAVE_RUN("may_have_run") {
+		@Override
+		public boolean allowsRetry(boolean idempotent) {
+			return idempotent;
+		}
+	},
+
+	/**
+	 * The request ran. Repeating it is never useful.
+	 */
+	RAN("ran") {
+		@Override
+		public boolean allowsRetry(boolean idempotent) {
+			return false;
+		}
+	};
+
+	private final String wireName;
+
+	Verdict(String wireName) {
+		this.wireName = wireName;
+	}
+
+	/**
+	 * Returns the name used in answers and journals.
+	 * @return the wire name, such as {@code not_run}
+	 */
+	public String wireName() {
+		return this.wireName;
+	}
+
+	/**
+	 * Tells whether a request with this verdict may be sent again.
+	 * @param idempotent whether running the request twice equals running it once
+	 * @return {@code true} when a retry cannot run the request twice
+	 */
+	public abstract boolean allowsRetry(boolean idempotent);
+
+	/**
+	 * Finds a verdict by its wire name.
+	 * @param name the wire name
+	 * @return the verdict
+	 * @throws IllegalArgumentException if no verdict has that name
+	 */
+	public static Verdict ofWireName(String name) {
+		for (Verdict v : values()) {
+			if (v.wireName.equals(name)) {
+				return v;
+			}
+		}
+		throw new IllegalArgumentException("unknown verdict \"" + name + "\"");
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/ConfigurationStore.java
@@ -0,0 +1,217 @@
+package org.mangorack.config;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.call.Refusal;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.StoredObject;
+
+/**
+ * Keeps the configuration in force at this instance and accepts new ones. Each accepted
+ * configuration has the next revision; an older revision is never put in force again. A
+ * configuration larger than one platform value is split into parts.
+ */
+public final class ConfigurationStore {
+
+	private static final String CURRENT = "current";
+
+	private static final int MAX_PART_CHARS = 300_000;
+
+	private static final Duration RETRY_LATER = Duration.ofSeconds(2);
+
+	private final ObjectStore store;
+
+	private volatile Configuration inForce = Configuration.EMPTY;
+
+	private volatile JsonNode document = Jsons.object();
+
+	public ConfigurationStore(ObjectStore store) {
+		this.store = store;
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration
+	 */
+	public Configuration current() {
+		return this.inForce;
+	}
+
+	/**
+	 * Returns the configuration in force as JSON.
+	 * @return the merged document
+	 */
+	public JsonNode document() {
+		return this.document;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Puts the stored configuration in force if it is newer.
+	 * @param cache the copy of the stored objects
+	 */
+	public synchronized void refresh(KindCache cache) {
+		Optional<StoredObject> current = cache.object(CURRENT);
+		if (current.isEmpty()) {
+			return;
+		}
+		JsonNode spec = current.get().spec();
+		long revision = spec.path("revision").asLong();
+		if (revision <= this.inForce.revision()) {
+			return;
+		}
+		Optional<String> text = join(spec, cache);
+		if (text.isEmpty()) {
+			return;
+		}
+		try {
+			enforce(revision, Jsons.MAPPER.readTree(text.get()));
+		}
+		catch (java.io.IOException ex) {
+			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "revision", revision);
+		}
+	}
+
+	/**
+	 * Stores a configuration as the next revision.
+	 * @param base the revision that the configuration was made from
+	 * @param json the merged configuration, already checked
+	 * @return the new revision, or the refusal; its verdict says {@code may_have_run}
+	 * only if the outcome could not be read back
+	 */
+	public Either<Refusal, Long> apply(long base, JsonNode json) {
+		String nonce = UUID.randomUUID().toString();
+		try {
+			Optional<StoredObject> stored = this.store.get(ObjectKind.CONFIGURATION, CURRENT);
+			long revision = stored.map((o) -> o.spec().path("revision").asLong()).orElse(0L);
+			if (revision != base) {
+				return Either.left(conflict(base, revision));
+			}
+			JsonNode spec = split(revision + 1, nonce, json);
+			write(stored, spec);
+			return Either.right(revision + 1);
+		}
+		catch (StoreException ex) {
+			return resolve(base, nonce, ex);
+		}
+	}
+
+	// ---- Helpers
+
+	private void enforce(long revision, JsonNode json) {
+		Either<List<Problem>, Configuration> read = Configuration.read(revision, json, Map.of());
+		if (read.isLeft()) {
+			EventLog.log(Event.CONFIGURATION_UNREADABLE, "revision", revision, "problems", read.getLeft());
+			return;
+		}
+		this.document = json;
+		this.inForce = read.get();
+		EventLog.log(Event.CONFIGURATION_IN_FORCE, "revision", revision);
+	}
+
+	private void write(Optional<StoredObject> stored, JsonNode spec) throws StoreException {
+		if (stored.isPresent()) {
+			this.store.update(ObjectKind.CONFIGURATION, CURRENT, stored.get().version(), spec);
+			deleteParts(stored.get().spec());
+		}
+		else {
+			this.store.create(ObjectKind.CONFIGURATION, CURRENT, spec);
+		}
+	}
+
+	private Either<Refusal, Long> resolve(long base, String nonce, StoreException cause) {
+		if (cause.reason() == StoreException.Reason.CONFLICT) {
+			return Either.left(conflict(base, base + 1));
+		}
+		if (!cause.reason().isAmbiguous()) {
+			return Either.left(Refusal.unavailable("platform_unavailable", cause.getMessage(), RETRY_LATER));
+		}
+		try {
+			Optional<StoredObject> stored = this.store.get(ObjectKind.CONFIGURATION, CURRENT);
+			if (stored.isPresent() && stored.get().spec().path("nonce").asText().equals(nonce)) {
+				return Either.right(stored.get().spec().path("revision").asLong());
+			}
+			if (stored.isPresent() && (stored.get().spec().path("revision").asLong() > base)) {
+				return Either.left(conflict(base, stored.get().spec().path("revision").asLong()));
+			}
+			return Either.left(Refusal.mayHaveRun(504, "outcome_unknown",
+					"the write was not found, but may still take effect: " + cause.getMessage()));
+		}
+		catch (StoreException ex) {
+			return Either.left(Refusal.mayHaveRun(504, "outcome_unknown", ex.getMessage()));
+		}
+	}
+
+	private static Refusal conflict(long base, long revision) {
+		return Refusal.notRun(409, "configuration_conflict", "the configuration was made from revision " + base
+				+ ", but another operator stored revision " + revision + " or later");
+	}
+
+	private JsonNode split(long revision, String nonce, JsonNode json) throws StoreException {
+		String text = json.toString();
+		ObjectNode spec = Jsons.object();
+		spec.put("revision", revision);
+		spec.put("nonce", nonce);
+		if (text.length() <= MAX_PART_CHARS) {
+			spec.put("text", text);
+			return spec;
+		}
+		ArrayNode parts = spec.putArray("parts");
+		for (int from = 0; from < text.length(); from += MAX_PART_CHARS) {
+			String name = "part-" + nonce + "-" + (from / MAX_PART_CHARS);
+			ObjectNode part = Jsons.object();
+			part.put("text", text.substring(from, Math.min(text.length(), from + MAX_PART_CHARS)));
+			this.store.create(ObjectKind.CONFIGURATION, name, part);
+			parts.add(name);
+		}
+		return spec;
+	}
+
+	private static Optional<String> join(JsonNode spec, KindCache cache) {
+		if (spec.has("text")) {
+			return Optional.of(spec.path("text").asText());
+		}
+		StringBuilder text = new StringBuilder();
+		for (JsonNode name : spec.path("parts")) {
+			Optional<StoredObject> part = cache.object(name.asText());
+			if (part.isEmpty()) {
+				return Optional.empty();
+			}
+			text.append(part.get().spec().path("text").asText());
+		}
+		return Optional.of(text.toString());
+	}
+
+	private void deleteParts(JsonNode oldSpec) {
+		List<String> names = new ArrayList<>();
+		oldSpec.path("parts").forEach((name) -> names.add(name.asText()));
+		for (String name : names) {
+			try {
+				this.store.delete(ObjectKind.CONFIGURATION, name, null);
+			}
+			catch (StoreException ex) {
+				EventLog.log(Event.PLATFORM_UNREACHABLE, "operation", "delete " + name, "cause", ex.getMessage());
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/ObjectReader.java
@@ -0,0 +1,271 @@
+package org.mangorack.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+
+import org.mangorack.call.Identifiers;
+
+/**
+ * Reads the fields of a JSON object and collects every problem instead of stopping at the
+ * first. A refused value is replaced by a harmless one, so that reading goes on.
+ */
+public final class ObjectReader {
+
+	private final Problems problems;
+
+	private final String path;
+
+	private final JsonNode node;
+
+	private final Set<String> known = new HashSet<>();
+
+	public ObjectReader(Problems problems, String path, JsonNode node) {
+		this.problems = problems;
+		this.path = path;
+		this.node = node;
+		if (!node.isMissingNode() && !node.isObject()) {
+			problems.add(path, node, "is not an object");
+		}
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the JSON path of the object.
+	 * @return the path
+	 */
+	public String path() {
+		return this.path;
+	}
+
+	/**
+	 * Tells whether a field is present and not {@code null}.
+	 * @param name the name of the field
+	 * @return {@code true} if the field has a value
+	 */
+	public boolean has(String name) {
+		return this.node.hasNonNull(name);
+	}
+
+	// ---- Public API
+
+	/**
+	 * Reads a required text.
+	 * @param name the name of the field
+	 * @return the text, or an empty one when it is missing
+	 */
+	public String text(String name) {
+		if (!has(name)) {
+			field(name);
+			this.problems.add(child(name), null, "is required");
+			return "";
+		}
+		return text(name, "");
+	}
+
+	/**
+	 * Reads an optional text.
+	 * @param name the name of the field
+	 * @param otherwise the value when the field is missing
+	 * @return the text
+	 */
+	public String text(String name, String otherwise) {
+		JsonNode value = field(name);
+		if (value.isMissingNode() || value.isNull()) {
+			return otherwise;
+		}
+		if (!value.isTextual() || value.asText().isEmpty()) {
+			this.problems.add(child(name), value, "is not a non-empty text");
+			return otherwise;
+		}
+		return value.asText();
+	}
+
+	/**
+	 * Reads a text and converts it.
+	 * @param name the name of the field
+	 * @param parser converts the text; throws {@link IllegalArgumentException} to refuse
+	 * it
+	 * @param otherwise the value when the field is missing or refused; a missing field is
+	 * a problem when this is {@code null}
+	 * @param <T> the type of the value
+	 * @return the value
+	 */
+	public <T> T parsed(String name, Function<String, T> parser, T otherwise) {
+		String text = (otherwise != null) ? text(name, null) : text(name);
+		if ((text == null) || text.isEmpty()) {
+			return otherwise;
+		}
+		try {
+			return parser.apply(text);
+		}
+		catch (IllegalArgumentException ex) {
+			this.problems.add(child(name), field(name), "is refused: " + ex.getMessage());
+			return otherwise;
+		}
+	}
+
+	/**
+	 * Reads an optional whole number.
+	 * @param name the name of the field
+	 * @param min the smallest accepted value
+	 * @param max the largest accepted value
+	 * @param otherwise the value when the field is missing
+	 * @return the number
+	 */
+	public long integer(String name, long min, long max, long otherwise) {
+		JsonNode value = field(name);
+		if (value.isMissingNode() || value.isNull()) {
+			return otherwise;
+		}
+		if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+			this.problems.add(child(name), value, "is not a whole number");
+			return otherwise;
+		}
+		if ((value.asLong() < min) || (value.asLong() > max)) {
+			this.problems.add(child(name), value, "is not in " + min + ".." + max);
+			return otherwise;
+		}
+		return value.asLong();
+	}
+
+	/**
+	 * Reads an optional number.
+	 * @param name the name of the field
+	 * @param min the smallest accepted value
+	 * @param max the largest accepted value
+	 * @param otherwise the value when the field is missing
+	 * @return the number
+	 */
+	public double number(String name, double min, double max, double otherwise) {
+		JsonNode value = field(name);
+		if (value.isMissingNode() || value.isNull()) {
+			return otherwise;
+		}
+		if (!value.isNumber() || (value.asDouble() < min) || (value.asDouble() > max)) {
+			this.problems.add(child(name), value, "is not a number in " + min + ".." + max);
+			return otherwise;
+		}
+		return value.asDouble();
+	}
+
+	/**
+	 * Reads an optional truth value.
+	 * @param name the name of the field
+	 * @param otherwise the value when the field is missing
+	 * @return the truth value
+	 */
+	public boolean flag(String name, boolean otherwise) {
+		JsonNode value = field(name);
+		if (value.isMissingNode() || value.isNull()) {
+			return otherwise;
+		}
+		if (!value.isBoolean()) {
+			this.problems.add(child(name), value, "is not true or false");
+			return otherwise;
+		}
+		return value.asBoolean();
+	}
+
+	/**
+	 * Reads an optional list of texts.
+	 * @param name the name of the field
+	 * @return the texts; empty when the field is missing
+	 */
+	public List<String> texts(String name) {
+		JsonNode value = field(name);
+		List<String> texts = new ArrayList<>();
+		if (value.isMissingNode() || value.isNull()) {
+			return texts;
+		}
+		if (!value.isArray()) {
+			this.problems.add(child(name), value, "is not a list");
+			return texts;
+		}
+		for (int i = 0; i < value.size(); i++) {
+			if (value.get(i).isTextual()) {
+				texts.add(value.get(i).asText());
+			}
+			else {
+				this.problems.add(child(name) + "[" + i + "]", value.get(i), "is not a text");
+			}
+		}
+		return texts;
+	}
+
+	/**
+	 * Reads an optional object.
+	 * @param name the name of the field
+	 * @return a reader of the object, which is empty when the field is missing
+	 */
+	public ObjectReader object(String name) {
+		return new ObjectReader(this.problems, child(name), field(name));
+	}
+
+	/**
+	 * Reads an optional map of objects whose names are identifiers.
+	 * @param name the name of the field
+	 * @param reader reads one object; gets its name and a reader, which is finished
+	 * afterwards
+	 * @param <T> the type of the values
+	 * @return the values by name, in the order of the file
+	 */
+	public <T> Map<String, T> objects(String name, BiFunction<String, ObjectReader, T> reader) {
+		Map<String, T> values = new LinkedHashMap<>();
+		ObjectReader parent = object(name);
+		parent.node.fields().forEachRemaining((entry) -> {
+			if (!Identifiers.isValid(entry.getKey())) {
+				this.problems.add(parent.child(entry.getKey()), null,
+						"has a name that is not made of letters, digits, '.', '_' and '-'");
+				return;
+			}
+			ObjectReader child = parent.object(entry.getKey());
+			values.put(entry.getKey(), reader.apply(entry.getKey(), child));
+			child.finish();
+		});
+		return values;
+	}
+
+	/**
+	 * Reports a problem of a field.
+	 * @param name the name of the field
+	 * @param reason why its value is refused
+	 */
+	public void refuse(String name, String reason) {
+		JsonNode value = this.node.path(name);
+		this.problems.add(child(name), value.isMissingNode() ? null : value, reason);
+	}
+
+	/**
+	 * Reports every field that was not read.
+	 */
+	public void finish() {
+		this.node.fieldNames().forEachRemaining((name) -> {
+			if (!this.known.contains(name)) {
+				this.problems.add(child(name), this.node.get(name), "is an unknown field");
+			}
+		});
+	}
+
+	// ---- Helpers
+
+	private JsonNode field(String name) {
+		this.known.add(name);
+		JsonNode value = this.node.path(name);
+		return value.isNull() ? MissingNode.getInstance() : value;
+	}
+
+	private String child(String name) {
+		return this.path + "." + name;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/Problem.java
@@ -0,0 +1,25 @@
+package org.mangorack.config;
+
+/**
+ * A value that a settings or configuration file must not contain.
+ *
+ * @param file the file that holds the value
+ * @param path the JSON path of the value, such as {@code $.lease.ttlMillis}
+ * @param value the value as JSON, or {@code null} when it is missing
+ * @param reason why the value is refused
+ */
+public record Problem(String file, String path, String value, String reason) {
+
+	private static final int MAX_VALUE_LENGTH = 80;
+
+	@Override
+	public String toString() {
+		if (this.value == null) {
+			return this.file + ": " + this.path + ": " + this.reason;
+		}
+		String shown = (this.value.length() > MAX_VALUE_LENGTH) ? this.value.substring(0, MAX_VALUE_LENGTH) + "..."
+				: this.value;
+		return this.file + ": " + this.path + ": " + shown + " " + this.reason;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/Problems.java
@@ -0,0 +1,80 @@
+package org.mangorack.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Collects the problems of one or several files.
+ */
+public final class Problems {
+
+	private final String file;
+
+	private final Map<String, String> origins;
+
+	private final List<Problem> list = new ArrayList<>();
+
+	/**
+	 * Creates an empty collection.
+	 * @param file the file named when the origin of a path is not known
+	 * @param origins the file that holds each JSON path
+	 */
+	public Problems(String file, Map<String, String> origins) {
+		this.file = file;
+		this.origins = origins;
+	}
+
+	/**
+	 * Adds a problem.
+	 * @param path the JSON path of the value
+	 * @param value the value, or {@code null} when it is missing
+	 * @param reason why the value is refused
+	 */
+	public void add(String path, JsonNode value, String reason) {
+		this.list.add(new Problem(origin(path), path, (value != null) ? value.toString() : null, reason));
+	}
+
+	/**
+	 * Adds a problem of another file.
+	 * @param problem the problem
+	 */
+	public void add(Problem problem) {
+		this.list.add(problem);
+	}
+
+	/**
+	 * Tells whether there are no problems.
+	 * @return {@code true} if nothing was added
+	 */
+	public boolean isEmpty() {
+		return this.list.isEmpty();
+	}
+
+	/**
+	 * Returns the problems sorted by file and path.
+	 * @return the problems
+	 */
+	public List<Problem> sorted() {
+		return this.list.stream().sorted(Comparator.comparing(Problem::file).thenComparing(Problem::path)).toList();
+	}
+
+	private String origin(String path) {
+		for (String p = path; !p.isEmpty(); p = parent(p)) {
+			String origin = this.origins.get(p);
+			if (origin != null) {
+				return origin;
+			}
+		}
+		return this.file;
+	}
+
+	private static String parent(String path) {
+		int dot = path.lastIndexOf('.');
+		return (dot < 0) ? "" : path.substring(0, dot);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/Route.java
@@ -0,0 +1,49 @@
+package org.mangorack.config;
+
+import java.time.Duration;
+import java.util.Set;
+
+/**
+ * A route to the calls of a plain service.
+ *
+ * @param name the name of the route
+ * @param pool the pool of the service
+ * @param path the path that calls start with
+ * @param methods the HTTP methods; empty means all
+ * @param idempotent whether running a call twice equals running it once
+ * @param open whether callers need no key
+ * @param deadline the longest duration of a call
+ */
+public record Route(String name, String pool, String path, Set<String> methods, boolean idempotent, boolean open,
+		Duration deadline) {
+
+	static Route read(String name, ObjectReader reader) {
+		Route route = new Route(name, reader.text("pool"), reader.text("path"), Set.copyOf(reader.texts("methods")),
+				reader.flag("idempotent", false), reader.flag("open", false),
+				Duration.ofMillis(reader.integer("deadlineMillis", 10, 600_000, 10_000)));
+		if (!route.path().isEmpty() && !route.path().startsWith("/")) {
+			reader.refuse("path", "does not start with \"/\"");
+		}
+		if (route.open() && !route.idempotent()) {
+			reader.refuse("open", "is only allowed on idempotent routes");
+		}
+		return route;
+	}
+
+	/**
+	 * Tells whether the route covers a call.
+	 * @param method the HTTP method
+	 * @param called the path within the service
+	 * @return {@code true} if the call takes this route
+	 */
+	public boolean covers(String method, String called) {
+		boolean methodFits = this.methods.isEmpty() || this.methods.contains(method);
+		boolean pathFits = called.equals(this.path) || called.startsWith(withSlash());
+		return methodFits && pathFits;
+	}
+
+	private String withSlash() {
+		return this.path.endsWith("/") ? this.path : this.path + "/";
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/Workspace.java
@@ -0,0 +1,45 @@
+package org.mangorack.config;
+
+import java.time.Duration;
+import java.util.Set;
+
+import org.mangorack.call.WorkspaceId;
+
+/**
+ * A workspace of the configuration.
+ *
+ * @param id the workspace
+ * @param ratePerSecond the calls per second over all instances
+ * @param burst the calls that may follow each other at once
+ * @param weight the share of upstreams relative to other workspaces
+ * @param maxTurns the turns that a program may have
+ * @param programIdle how long a program may pause before it ends
+ * @param budgetTokens the budget of programs that name none; 0 means no limit
+ * @param pools the pools and models that the workspace may use; empty means all
+ */
+public record Workspace(WorkspaceId id, double ratePerSecond, double burst, double weight, int maxTurns,
+		Duration programIdle, long budgetTokens, Set<String> pools) {
+
+	private static final double MAX_RATE = 1_000_000;
+
+	static Workspace read(String name, ObjectReader reader) {
+		ObjectReader rate = reader.object("rate");
+		Workspace workspace = new Workspace(new WorkspaceId(name), rate.number("perSecond", 0.01, MAX_RATE, 100),
+				rate.number("burst", 1, MAX_RATE, 200), reader.number("weight", 0.01, 1000, 1),
+				(int) reader.integer("maxTurns", 1, 100_000, 250),
+				Duration.ofSeconds(reader.integer("programIdleSeconds", 1, 7 * 86_400, 1800)),
+				reader.integer("budgetTokens", 0, Long.MAX_VALUE / 4, 0), Set.copyOf(reader.texts("pools")));
+		rate.finish();
+		return workspace;
+	}
+
+	/**
+	 * Tells whether the workspace may use a pool or model.
+	 * @param pool the name of the pool or model
+	 * @return {@code true} if it may
+	 */
+	public boolean mayUse(String pool) {
+		return this.pools.isEmpty() || this.pools.contains(pool);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Instance settings and the shared configuration.
+ */
+package org.mangorack.config;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/Dispatcher.java
@@ -0,0 +1,169 @@
+package org.mangorack.dispatch;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.call.UpstreamId;
+import org.mangorack.config.Configuration;
+import org.mangorack.config.Upstream;
+import org.mangorack.config.UpstreamKind;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Chooses upstreams by the load that this instance gives them. The upstream that ran the
+ * last turn of a program is kept while its load is close to the lowest one.
+ */
+public final class Dispatcher {
+
+	private static final Duration FIRST_SHUN = Duration.ofMillis(500);
+
+	private static final Duration LONGEST_SHUN = Duration.ofSeconds(8);
+
+	private static final Duration FULL_RETRY = Duration.ofSeconds(1);
+
+	private static final int AFFINITY_SLACK = 4;
+
+	private final Supplier<Configuration> configuration;
+
+	private final String dataCentre;
+
+	private final MonotonicClock clock;
+
+	private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
+
+	private int waiting;
+
+	/**
+	 * Creates a dispatcher without calls under way.
+	 * @param configuration supplies the configuration in force
+	 * @param dataCentre the data centre of this instance
+	 * @param clock the time source
+	 */
+	public Dispatcher(Supplier<Configuration> configuration, String dataCentre, MonotonicClock clock) {
+		this.configuration = configuration;
+		this.dataCentre = dataCentre;
+		this.clock = clock;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Waits for a free slot at the best upstream of a pool.
+	 * @param kind the kind of the upstream
+	 * @param pool the name of the pool or model
+	 * @param preferred the upstream that probably caches the history, or an empty text
+	 * @param excluded upstreams that failed this call before
+	 * @param maxWait the longest wait
+	 * @return the slot, or the refusal
+	 */
+	public synchronized Either<Refusal, Slot> acquire(UpstreamKind kind, String pool, String preferred,
+			Set<UpstreamId> excluded, Duration maxWait) {
+		long deadline = this.clock.nanoTime() + maxWait.toNanos();
+		while (true) {
+			List<Upstream> usable = usable(kind, pool, excluded);
+			if (usable.isEmpty()) {
+				return Either.left(
+						Refusal.unavailable("no_upstream", "no upstream of \"" + pool + "\" is available", FULL_RETRY));
+			}
+			Optional<Upstream> best = best(usable, preferred);
+			if (best.isPresent()) {
+				UpstreamLoad load = load(best.get());
+				load.began();
+				return Either.right(new Slot(best.get(), load, this));
+			}
+			int capacity = usable.stream().mapToInt(Upstream::maxConcurrent).sum();
+			if ((this.waiting >= capacity) || !awaitRelease(deadline)) {
+				return Either.left(Refusal.unavailable("upstreams_full", "all upstreams of \"" + pool + "\" are busy",
+						FULL_RETRY));
+			}
+		}
+	}
+
+	/**
+	 * Returns the calls under way at each upstream.
+	 * @return the number of calls by upstream
+	 */
+	public synchronized Map<UpstreamId, Integer> underWay() {
+		Map<UpstreamId, Integer> counts = new HashMap<>();
+		this.loads.forEach((id, load) -> counts.put(id, load.underWay()));
+		return counts;
+	}
+
+	// ---- Callbacks of slots
+
+	synchronized void released(UpstreamLoad load) {
+		load.ended();
+		notifyAll();
+	}
+
+	synchronized void failed(UpstreamLoad load) {
+		long shun = Math.min(LONGEST_SHUN.toNanos(), FIRST_SHUN.toNanos() << Math.min(load.failures(), 10));
+		load.failed(this.clock.nanoTime() + shun);
+	}
+
+	synchronized void answered(UpstreamLoad load) {
+		load.answered();
+	}
+
+	// ---- Helpers
+
+	private List<Upstream> usable(UpstreamKind kind, String pool, Set<UpstreamId> excluded) {
+		long now = this.clock.nanoTime();
+		List<Upstream> staying = this.configuration.get()
+			.pool(kind, pool)
+			.stream()
+			.filter((u) -> !u.leaving() && !excluded.contains(u.id()))
+			.toList();
+		List<Upstream> healthy = staying.stream().filter((u) -> !load(u).isShunned(now)).toList();
+		return healthy.isEmpty() ? staying : healthy;
+	}
+
+	private Optional<Upstream> best(List<Upstream> usable, String preferred) {
+		List<Upstream> free = usable.stream().filter((u) -> load(u).underWay() < u.maxConcurrent()).toList();
+		Optional<Upstream> least = free.stream()
+			.min(Comparator.comparingDouble(this::relativeLoad)
+				.thenComparing((u) -> !u.dataCentre().equals(this.dataCentre))
+				.thenComparing((u) -> u.id().value()));
+		Optional<Upstream> cached = free.stream().filter((u) -> u.id().value().equals(preferred)).findFirst();
+		boolean close = cached.isPresent()
+				&& (load(cached.get()).underWay() <= load(least.get()).underWay() + AFFINITY_SLACK);
+		return close ? cached : least;
+	}
+
+	private double relativeLoad(Upstream upstream) {
+		return load(upstream).underWay() / (double) upstream.maxConcurrent();
+	}
+
+	private UpstreamLoad load(Upstream upstream) {
+		return this.loads.computeIfAbsent(upstream.id(), (id) -> new UpstreamLoad());
+	}
+
+	private boolean awaitRelease(long deadline) {
+		long millis = (deadline - this.clock.nanoTime()) / 1_000_000;
+		if (millis <= 0) {
+			return false;
+		}
+		this.waiting++;
+		try {
+			wait(millis);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+		finally {
+			this.waiting--;
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Selection of the upstream that runs a call.
+ */
+package org.mangorack.dispatch;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
@@ -0,0 +1,131 @@
+package org.mangorack.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.function.BooleanSupplier;
+
+import org.mangorack.config.ConfigurationStore;
+import org.mangorack.config.Settings;
+import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.RetryBudget;
+import org.mangorack.http.HttpService;
+import org.mangorack.http.PooledHttpClient;
+import org.mangorack.key.KeyRegistry;
+import org.mangorack.limit.RateLimiter;
+import org.mangorack.member.Fleet;
+import org.mangorack.member.PeerLinks;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.ownership.ShardHost;
+import org.mangorack.platform.KindCache;
+import org.mangorack.program.ProgramView;
+import org.mangorack.program.TurnService;
+import org.mangorack.service.ServiceCaller;
+import org.mangorack.upstream.UpstreamClient;
+
+/**
+ * Assembles the interface towards callers.
+ */
+public final class CallerEntry {
+
+	private static final Duration STALL_LIMIT = Duration.ofMillis(1200);
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
+
+	private final PooledHttpClient http = new PooledHttpClient(CONNECT_TIMEOUT);
+
+	private final CallerService service;
+
+	private final Maintenance maintenance;
+
+	private final ServingGuard serving;
+
+	private final ShardHost<ShardContents> host;
+
+	/**
+	 * Creates the interface and registers its calls between instances.
+	 * @param settings the settings of the instance
+	 * @param clock the time source
+	 * @param metrics the metrics of the instance
+	 * @param configuration the configuration in force
+	 * @param keys the keys of callers
+	 * @param keyCache the copy of all keys
+	 * @param configurationCache the copy of the configuration
+	 * @param fleet the instances
+	 * @param links the links to other instances
+	 * @param host the shards of this instance
+	 * @param traffic runs turns
+	 */
+	public CallerEntry(Settings settings, MonotonicClock clock, Metrics metrics, ConfigurationStore configuration,
+			KeyRegistry keys, KindCache keyCache, KindCache configurationCache, Fleet fleet, PeerLinks links,
+			ShardHost<ShardContents> host, ExecutorService traffic) {
+		this.host = host;
+		this.serving = new ServingGuard(fleet, keyCache, configurationCache, keys,
+				() -> configuration.current().revision());
+		BooleanSupplier platformOut = () -> host.isJournalStalled(STALL_LIMIT);
+		UpstreamClient client = new UpstreamClient(this.http);
+		RetryBudget retries = new RetryBudget();
+		Dispatcher dispatcher = new Dispatcher(configuration::current, settings.dataCentre(), clock);
+		ShardRouter shards = new ShardRouter(host, links);
+		ProgramRouter programs = new ProgramRouter(shards);
+		OwnerGuard ownerGuard = new OwnerGuard(this.serving, host::isLeaseHeld);
+		TurnService turns = new TurnService(dispatcher, retries, client, platformOut, traffic);
+		ServiceCaller services = new ServiceCaller(dispatcher, retries, client, platformOut);
+		RateLimiter limiter = new RateLimiter(new RateEndpoint(configuration, shards), clock,
+				CallerService.grantWait());
+		this.service = new CallerService(new KeyCheck(keys, configuration), this.serving, limiter,
+				new ChatEndpoint(configuration, this.serving, new DirectChat(dispatcher, retries, client), programs),
+				new ProgramEndpoint(configuration, shards, programs, turns, ownerGuard, platformOut),
+				new ServiceEndpoint(configuration, shards, services, this.serving, ownerGuard),
+				new InstancesEndpoint(fleet, host, settings.dataCentre()), metrics, clock);
+		this.maintenance = new Maintenance(host, configuration, client, clock);
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns what answers callers.
+	 * @return the service
+	 */
+	public HttpService service() {
+		return this.service;
+	}
+
+	/**
+	 * Tells why keyed work is refused at present.
+	 * @return the reason, or empty when keyed work is taken
+	 */
+	public Optional<String> suspension() {
+		return this.serving.check().map((refusal) -> refusal.detail());
+	}
+
+	/**
+	 * Returns the programs that this instance owns.
+	 * @return the programs
+	 */
+	public List<ProgramView> programs() {
+		List<ProgramView> views = new ArrayList<>();
+		this.host.owned().forEach((shard) -> views.addAll(shard.replica().programs().views()));
+		return views;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Ends idle programs and asks engines to release memory. Called at short intervals.
+	 */
+	public void maintain() {
+		this.maintenance.round();
+	}
+
+	/**
+	 * Closes the connections to upstreams.
+	 */
+	public void close() {
+		this.http.close();
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerService.java
@@ -0,0 +1,147 @@
+package org.mangorack.entry;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.CallRequest;
+import org.mangorack.call.Refusal;
+import org.mangorack.config.Route;
+import org.mangorack.http.HttpService;
+import org.mangorack.limit.RateLimiter;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Answers the calls of callers: finds the endpoint, verifies the key, counts the call
+ * against the workspace's rate and records metrics.
+ */
+final class CallerService implements HttpService {
+
+	private static final String CHAT = "/v1/chat/completions";
+
+	private static final String PROGRAMS = "/v1/programs/";
+
+	private static final String SERVICES = "/v1/services/";
+
+	private static final String INSTANCES = "/v1/instances";
+
+	private final KeyCheck keys;
+
+	private final ServingGuard serving;
+
+	private final RateLimiter limiter;
+
+	private final ChatEndpoint chat;
+
+	private final ProgramEndpoint programs;
+
+	private final ServiceEndpoint services;
+
+	private final InstancesEndpoint instances;
+
+	private final Metrics metrics;
+
+	private final MonotonicClock clock;
+
+	CallerService(KeyCheck keys, ServingGuard serving, RateLimiter limiter, ChatEndpoint chat, ProgramEndpoint programs,
+			ServiceEndpoint services, InstancesEndpoint instances, Metrics metrics, MonotonicClock clock) {
+		this.keys = keys;
+		this.serving = serving;
+		this.limiter = limiter;
+		this.chat = chat;
+		this.programs = programs;
+		this.services = services;
+		this.instances = instances;
+		this.metrics = metrics;
+		this.clock = clock;
+	}
+
+	@Override
+	public CallAnswer answer(CallRequest call) {
+		long arrivedAt = this.clock.nanoTime();
+		if (call.path().equals(CHAT)) {
+			return keyed(call, "chat", arrivedAt, this.chat::answer);
+		}
+		if (call.path().startsWith(PROGRAMS)) {
+			return keyed(call, "programs", arrivedAt, this.programs::answer);
+		}
+		if (call.path().startsWith(SERVICES)) {
+			return service(call, arrivedAt);
+		}
+		if (call.path().equals(INSTANCES)) {
+			return this.instances.answer(call, Optional.ofNullable(this.keys.verify(call).getOrNull()));
+		}
+		return CallAnswer.refusal(Refusal.notRun(404, "unknown_path", "path " + call.path() + " does not exist"),
+				call.requestId());
+	}
+
+	// ---- Helpers
+
+	private CallAnswer service(CallRequest call, long arrivedAt) {
+		Either<Refusal, Route> route = this.services.route(call);
+		if (route.isRight() && route.get().open()) {
+			Either<Refusal, CallAnswer> answer = this.services.answerOpen(KeyCheck.withoutKey(call), route.get());
+			return finish(call, "none", "service", arrivedAt, answer);
+		}
+		return keyed(call, "service", arrivedAt,
+				(caller) -> route.flatMap((found) -> this.services.answer(caller, found)));
+	}
+
+	private CallAnswer keyed(CallRequest call, String type, long arrivedAt,
+			Function<Caller, Either<Refusal, CallAnswer>> endpoint) {
+		Either<Refusal, Caller> caller = admit(call);
+		String workspace = caller.map((c) -> c.workspace().id().value()).getOrElse("none");
+		return finish(call, workspace, type, arrivedAt, caller.flatMap(endpoint));
+	}
+
+	private Either<Refusal, Caller> admit(CallRequest call) {
+		Optional<Refusal> suspended = this.serving.check();
+		if (suspended.isPresent()) {
+			return Either.left(suspended.get());
+		}
+		return this.keys.verify(call)
+			.flatMap((caller) -> this.limiter.acquire(caller.workspace()).map((granted) -> caller));
+	}
+
+	private CallAnswer finish(CallRequest call, String workspace, String type, long arrivedAt,
+			Either<Refusal, CallAnswer> result) {
+		if (result.isLeft()) {
+			Refusal refusal = result.getLeft();
+			EventLog.log(Event.REQUEST_REFUSED, "request", call.requestId(), "code", refusal.code(), "verdict",
+					refusal.verdict().wireName(), "detail", refusal.detail());
+			this.metrics.recordCall(workspace, type, refusal.code(), this.clock.elapsed(arrivedAt));
+			return CallAnswer.refusal(refusal, call.requestId());
+		}
+		CallAnswer answer = result.get();
+		String outcome = (answer.status() < 400) ? "ok" : "status_" + answer.status();
+		return new CallAnswer(answer.status(), answer.headers(), answer.length(), (out) -> {
+			this.metrics.recordFirstByte(workspace, type, this.clock.elapsed(arrivedAt));
+			writeBody(answer, out, call.requestId());
+			this.metrics.recordCall(workspace, type, outcome, this.clock.elapsed(arrivedAt));
+		});
+	}
+
+	private static void writeBody(CallAnswer answer, OutputStream out, String requestId) throws IOException {
+		try {
+			answer.body().writeTo(out);
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.CALLER_GONE, "request", requestId, "cause", ex.getMessage());
+			throw ex;
+		}
+	}
+
+	// Returns how long a call may wait for a grant.
+	static Duration grantWait() {
+		return Duration.ofSeconds(2);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/DirectChat.java
@@ -0,0 +1,165 @@
+package org.mangorack.entry;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Jsons;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.SendGuard;
+import org.mangorack.call.UpstreamId;
+import org.mangorack.call.Verdict;
+import org.mangorack.config.Upstream;
+import org.mangorack.config.UpstreamKind;
+import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.RetryBudget;
+import org.mangorack.dispatch.Slot;
+import org.mangorack.http.HttpCallException;
+import org.mangorack.http.HttpReply;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.upstream.EventReader;
+import org.mangorack.upstream.UpstreamClient;
+
+/**
+ * Answers chat completions that belong to no program. Nothing of them is recorded.
+ */
+final class DirectChat {
+
+	private static final Duration SLOT_WAIT = Duration.ofSeconds(30);
+
+	private static final Duration ANSWER_LIMIT = Duration.ofSeconds(120);
+
+	private static final Duration FIRST_EVENT_LIMIT = Duration.ofSeconds(60);
+
+	private static final Duration SILENCE_LIMIT = Duration.ofSeconds(5);
+
+	private static final Duration RETRY_LATER = Duration.ofSeconds(1);
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+	private static final Map<String, String> HEADERS = Map.of("Content-Type", "application/json");
+
+	private final Dispatcher dispatcher;
+
+	private final RetryBudget retries;
+
+	private final UpstreamClient client;
+
+	DirectChat(Dispatcher dispatcher, RetryBudget retries, UpstreamClient client) {
+		this.dispatcher = dispatcher;
+		this.retries = retries;
+		this.client = client;
+	}
+
+	Either<Refusal, CallAnswer> answer(ObjectNode body, SendGuard guard) {
+		Set<UpstreamId> failed = new HashSet<>();
+		Refusal last = null;
+		this.retries.firstAttempt();
+		for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+			if ((last != null) && !this.retries.tryRetry()) {
+				break;
+			}
+			Either<Refusal, Slot> slot = this.dispatcher.acquire(UpstreamKind.MODEL, body.path("model").asText(), "",
+					failed, SLOT_WAIT);
+			Optional<Refusal> refusal = guard.check();
+			if (slot.isLeft() || refusal.isPresent()) {
+				slot.forEach(Slot::close);
+				Refusal current = slot.isLeft() ? slot.getLeft() : refusal.get();
+				return Either.left((last != null) ? last : current);
+			}
+			Either<Refusal, CallAnswer> answer = attempt(slot.get(), body);
+			if (answer.isRight() || !answer.getLeft().code().equals("upstream_failed")) {
+				return answer;
+			}
+			last = answer.getLeft();
+			failed.add(slot.get().upstream().id());
+		}
+		return Either.left(last);
+	}
+
+	private Either<Refusal, CallAnswer> attempt(Slot slot, ObjectNode body) {
+		Upstream upstream = slot.upstream();
+		boolean stream = body.path("stream").asBoolean();
+		HttpReply reply = null;
+		try {
+			reply = this.client.send(upstream, "POST", "/v1/chat/completions", HEADERS, Jsons.bytes(body),
+					stream ? FIRST_EVENT_LIMIT : ANSWER_LIMIT, true);
+			if (stream && (reply.status() == 200)) {
+				EventReader events = new EventReader(this.client, upstream, reply, SILENCE_LIMIT);
+				return Either.right(CallAnswer.stream(200, "text/event-stream", (out) -> copy(events, slot, out)));
+			}
+			byte[] bytes = reply.readAll(MAX_ANSWER_BYTES);
+			slot.answered();
+			reply.close();
+			slot.close();
+			return Either.right(CallAnswer.of(reply.status(), reply.header("Content-Type", "application/json"), bytes));
+		}
+		catch (HttpCallException ex) {
+			return failed(slot, ex.verdict(), ex);
+		}
+		catch (IOException ex) {
+			reply.close();
+			return failed(slot, Verdict.MAY_HAVE_RUN, ex);
+		}
+	}
+
+	private static Either<Refusal, CallAnswer> failed(Slot slot, Verdict verdict, IOException cause) {
+		slot.failed();
+		slot.close();
+		UpstreamId upstream = slot.upstream().id();
+		EventLog.log(Event.UPSTREAM_FAILED, "upstream", upstream, "verdict", verdict, "cause", cause.getMessage());
+		return Either.left(new Refusal(502, "upstream_failed", "upstream \"" + upstream + "\": " + cause.getMessage(),
+				verdict, RETRY_LATER));
+	}
+
+	// Passes events on. When the caller is gone, the engine is told to stop.
+	private static void copy(EventReader events, Slot slot, OutputStream out) throws IOException {
+		boolean complete = false;
+		try {
+			for (Optional<JsonNode> e = next(events, out); e.isPresent(); e = next(events, out)) {
+				write(out, "data: " + e.get() + "\n\n");
+			}
+			write(out, "data: [DONE]\n\n");
+			slot.answered();
+			complete = true;
+		}
+		finally {
+			if (!complete) {
+				events.cancel();
+			}
+			events.close();
+			slot.close();
+		}
+	}
+
+	private static Optional<JsonNode> next(EventReader events, OutputStream out) throws IOException {
+		try {
+			return events.next();
+		}
+		catch (IOException ex) {
+			Refusal refusal = new Refusal(502, "upstream_failed", String.valueOf(ex.getMessage()), Verdict.MAY_HAVE_RUN,
+					RETRY_LATER);
+			write(out, "event: error\ndata: " + CallAnswer.problem(refusal) + "\n\n");
+			throw ex;
+		}
+	}
+
+	private static void write(OutputStream out, String text) throws IOException {
+		out.write(text.getBytes(StandardCharsets.UTF_8));
+		out.flush();
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/KeyCheck.java
@@ -0,0 +1,80 @@
+package org.mangorack.entry;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallRequest;
+import org.mangorack.call.Refusal;
+import org.mangorack.config.ConfigurationStore;
+import org.mangorack.config.Workspace;
+import org.mangorack.key.KeyRegistry;
+import org.mangorack.key.VerifiedKey;
+
+/**
+ * Verifies the keys of callers and removes them from their calls.
+ */
+final class KeyCheck {
+
+	private static final String AUTHORIZATION = "Authorization";
+
+	private static final String SCHEME = "Bearer ";
+
+	private final KeyRegistry keys;
+
+	private final ConfigurationStore configuration;
+
+	KeyCheck(KeyRegistry keys, ConfigurationStore configuration) {
+		this.keys = keys;
+		this.configuration = configuration;
+	}
+
+	/**
+	 * Verifies the key of a call.
+	 * @param call the call as it arrived
+	 * @return the caller, or the refusal
+	 */
+	Either<Refusal, Caller> verify(CallRequest call) {
+		String shown = key(call);
+		if (shown.isEmpty()) {
+			return Either
+				.left(Refusal.notRun(401, "key_missing", "the call has no header \"Authorization: Bearer KEY\""));
+		}
+		Optional<VerifiedKey> key = this.keys.verify(shown);
+		if (key.isEmpty()) {
+			return Either.left(Refusal.notRun(401, "key_invalid", "the key is wrong or was withdrawn"));
+		}
+		Optional<Workspace> workspace = this.configuration.current().workspace(key.get().workspace());
+		if (workspace.isEmpty()) {
+			return Either.left(Refusal.notRun(403, "unknown_workspace",
+					"workspace \"" + key.get().workspace() + "\" is not configured"));
+		}
+		return Either.right(new Caller(withoutKey(call), key.get(), workspace.get()));
+	}
+
+	/**
+	 * Removes the key from a call, wherever it appears in the headers.
+	 * @param call the call as it arrived
+	 * @return the call without the key
+	 */
+	static CallRequest withoutKey(CallRequest call) {
+		String shown = key(call);
+		Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		call.headers().forEach((name, value) -> {
+			boolean carriesKey = name.equalsIgnoreCase(AUTHORIZATION) || (!shown.isEmpty() && value.contains(shown));
+			if (!carriesKey) {
+				headers.put(name, value);
+			}
+		});
+		return new CallRequest(call.requestId(), call.method(), call.path(), call.query(), headers, call.body());
+	}
+
+	private static String key(CallRequest call) {
+		String header = call.header(AUTHORIZATION).orElse("");
+		boolean bearer = header.regionMatches(true, 0, SCHEME, 0, SCHEME.length());
+		return bearer ? header.substring(SCHEME.length()).strip() : "";
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/ProgramRouter.java
@@ -0,0 +1,114 @@
+package org.mangorack.entry;
+
+import java.util.concurrent.CompletionException;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.ProgramKey;
+import org.mangorack.call.Refusal;
+import org.mangorack.member.proto.CallOpen;
+import org.mangorack.ownership.OwnedShard;
+import org.mangorack.ownership.ShardId;
+import org.mangorack.program.TurnRequest;
+
+/**
+ * Brings calls that concern programs to the owner of the program's root.
+ */
+final class ProgramRouter {
+
+	private static final String ROOT = "Mangorack-Root";
+
+	private static final String RECORD = "record";
+
+	private static final String RESOLVE = "resolve";
+
+	private final ShardRouter router;
+
+	ProgramRouter(ShardRouter router) {
+		this.router = router;
+		router.register(CallKind.ALIAS, this::answerAlias);
+	}
+
+	// Returns the shard of a program that is its own root.
+	static ShardId shard(ProgramKey root) {
+		return ShardId.of("program|" + root);
+	}
+
+	// Brings a turn to its owner.
+	Either<Refusal, CallAnswer> turn(Caller caller, TurnRequest request) {
+		if (request.parent() == null) {
+			return Either.right(call(CallKind.TURN, caller, request.key()));
+		}
+		return root(caller, request).map((root) -> this.router.route(CallKind.TURN, shard(request.key().sibling(root)),
+				Forwarding.open(caller).setRoot(root)));
+	}
+
+	// Brings a call to the owner of a program, which may turn out to be a sub-agent.
+	CallAnswer call(CallKind kind, Caller caller, ProgramKey program) {
+		CallOpen.Builder open = Forwarding.open(caller).setRoot(program.program());
+		CallAnswer answer = this.router.route(kind, shard(program), open);
+		String root = answer.headers().get(ROOT);
+		if (root == null) {
+			return answer;
+		}
+		return this.router.route(kind, shard(program.sibling(root)), open.setRoot(root));
+	}
+
+	// Returns the answer that sends a call of a sub-agent to the owner of its root.
+	static CallAnswer elsewhere(String root) {
+		return CallAnswer.text(421, "the root is " + root).withHeader(ROOT, root);
+	}
+
+	// ---- Roots of sub-agents
+
+	// Finds the root of the parent and records it for the sub-agent.
+	private Either<Refusal, String> root(Caller caller, TurnRequest request) {
+		ProgramKey parent = request.key().sibling(request.parent());
+		return alias(caller, parent, RESOLVE, parent.program())
+			.flatMap((root) -> alias(caller, request.key(), RECORD, root));
+	}
+
+	private Either<Refusal, String> alias(Caller caller, ProgramKey program, String method, String root) {
+		CallOpen.Builder open = CallOpen.newBuilder()
+			.setRequestId(caller.call().requestId())
+			.setWorkspace(program.workspace().value())
+			.setMethod(method)
+			.setPath(program.program())
+			.setRoot(root);
+		CallAnswer answer = this.router.route(CallKind.ALIAS, shard(program), open);
+		String text = Bodies.text(answer);
+		if (answer.status() != 200) {
+			return Either.left(Refusal.unavailable("owner_unavailable",
+					"the root of program \"" + program.program() + "\" is not known at present: " + text,
+					java.time.Duration.ofSeconds(1)));
+		}
+		if (method.equals(RECORD) && !text.equals(root)) {
+			return Either.left(Refusal.notRun(409, "parent_conflict",
+					"program \"" + program.program() + "\" belongs to root \"" + text + "\", not \"" + root + "\""));
+		}
+		return Either.right(text);
+	}
+
+	private CallAnswer answerAlias(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
+		try {
+			ProgramKey program = new ProgramKey(new org.mangorack.call.WorkspaceId(open.getWorkspace()),
+					open.getPath());
+			ShardContents contents = shard.replica();
+			if (open.getMethod().equals(RESOLVE)) {
+				return CallAnswer.text(200, contents.aliases().root(program).orElse(program.program()));
+			}
+			if (contents.programs().view(program).map((v) -> v.parent() == null).orElse(false)) {
+				return CallAnswer.text(200, program.program());
+			}
+			return CallAnswer.text(200, contents.aliases().record(program, open.getRoot()).join());
+		}
+		catch (CompletionException ex) {
+			return CallAnswer.text(503, String.valueOf(ex.getCause().getMessage()));
+		}
+		finally {
+			release.run();
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/ServiceEndpoint.java
@@ -0,0 +1,114 @@
+package org.mangorack.entry;
+
+import java.util.Map;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.CallRequest;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.SendGuard;
+import org.mangorack.call.WorkspaceId;
+import org.mangorack.config.ConfigurationStore;
+import org.mangorack.config.Route;
+import org.mangorack.member.proto.CallOpen;
+import org.mangorack.ownership.OwnedShard;
+import org.mangorack.ownership.ShardId;
+import org.mangorack.service.CallKey;
+import org.mangorack.service.ServiceCall;
+import org.mangorack.service.ServiceCaller;
+
+/**
+ * Takes calls of plain services. Calls that must not run twice go to the owner of their
+ * idempotency key.
+ */
+final class ServiceEndpoint {
+
+	static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+	private static final String PREFIX = "/v1/services/";
+
+	private final ConfigurationStore configuration;
+
+	private final ShardRouter router;
+
+	private final ServiceCaller services;
+
+	private final ServingGuard serving;
+
+	private final OwnerGuard guard;
+
+	ServiceEndpoint(ConfigurationStore configuration, ShardRouter router, ServiceCaller services, ServingGuard serving,
+			OwnerGuard guard) {
+		this.configuration = configuration;
+		this.router = router;
+		this.services = services;
+		this.serving = serving;
+		this.guard = guard;
+		router.register(CallKind.SERVICE, this::answerOnce);
+	}
+
+	// ---- At the entry
+
+	// Finds the route of a call.
+	Either<Refusal, Route> route(CallRequest call) {
+		String rest = call.path().substring(PREFIX.length());
+		int slash = rest.indexOf('/');
+		String pool = (slash < 0) ? rest : rest.substring(0, slash);
+		String path = (slash < 0) ? "/" : rest.substring(slash);
+		Optional<Route> route = this.configuration.current().route(pool, call.method(), path);
+		return route.<Either<Refusal, Route>>map(Either::right)
+			.orElseGet(() -> Either.left(Refusal.notRun(404, "unknown_route",
+					"no route covers " + call.method() + " " + path + " of \"" + pool + "\"")));
+	}
+
+	// Answers a call on a route that is open to all.
+	Either<Refusal, CallAnswer> answerOpen(CallRequest call, Route route) {
+		return this.services.call(serviceCall(call, route), Optional::empty);
+	}
+
+	// Answers a call with a key.
+	Either<Refusal, CallAnswer> answer(Caller caller, Route route) {
+		if (!caller.workspace().mayUse(route.pool())) {
+			return Either.left(Refusal.notRun(403, "pool_not_allowed",
+					"workspace \"" + caller.workspace().id() + "\" may not use \"" + route.pool() + "\""));
+		}
+		Optional<String> key = caller.call().header(IDEMPOTENCY_KEY);
+		if (route.idempotent() || key.isEmpty()) {
+			return this.services.call(serviceCall(caller.call(), route), this.serving.forKey(caller.key().id()));
+		}
+		if (key.get().isBlank() || (key.get().length() > CallKey.MAX_LENGTH)) {
+			return Either.left(Refusal.notRun(400, "bad_header",
+					"header " + IDEMPOTENCY_KEY + " is empty or longer than " + CallKey.MAX_LENGTH + " characters"));
+		}
+		ShardId shard = ShardId.of("call|" + new CallKey(caller.workspace().id(), key.get()));
+		return Either.right(this.router.route(CallKind.SERVICE, shard, Forwarding.open(caller)));
+	}
+
+	// ---- At the owner
+
+	private CallAnswer answerOnce(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
+		try {
+			CallRequest call = Forwarding.call(open);
+			CallKey key = new CallKey(new WorkspaceId(open.getWorkspace()), call.header(IDEMPOTENCY_KEY).orElse(""));
+			SendGuard sendGuard = this.guard.forCall(open);
+			return route(call)
+				.flatMap((route) -> this.services.callOnce(shard.replica().calls(), key, serviceCall(call, route),
+						sendGuard))
+				.fold((refusal) -> CallAnswer.refusal(refusal, open.getRequestId()), (answer) -> answer);
+		}
+		finally {
+			release.run();
+		}
+	}
+
+	private static ServiceCall serviceCall(CallRequest call, Route route) {
+		String rest = call.path().substring(PREFIX.length() + route.pool().length());
+		String path = rest.isEmpty() ? "/" : rest;
+		String target = (call.query() != null) ? path + "?" + call.query() : path;
+		Map<String, String> headers = Forwarding.upstreamHeaders(call);
+		return new ServiceCall(route, call.method(), target, headers, call.body());
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/ShardContents.java
@@ -0,0 +1,97 @@
+package org.mangorack.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.mangorack.journal.proto.Entry;
+import org.mangorack.limit.BucketTable;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.ownership.ShardLog;
+import org.mangorack.ownership.ShardReplica;
+import org.mangorack.program.AliasTable;
+import org.mangorack.program.ProgramTable;
+import org.mangorack.service.CallTable;
+
+/**
+ * Everything that belongs to a shard. The tables share the monitor of this object.
+ */
+public final class ShardContents implements ShardReplica {
+
+	private final ProgramTable programs;
+
+	private final AliasTable aliases;
+
+	private final CallTable calls;
+
+	private final BucketTable buckets;
+
+	/**
+	 * Creates the empty contents.
+	 * @param log the journal of the shard
+	 * @param clock the time source
+	 * @param firstOwner whether the shard had no owner before
+	 */
+	public ShardContents(ShardLog log, MonotonicClock clock, boolean firstOwner) {
+		this.programs = new ProgramTable(this, log, clock);
+		this.aliases = new AliasTable(this, log, clock);
+		this.calls = new CallTable(this, log, clock);
+		this.buckets = new BucketTable(clock, firstOwner);
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the programs of the shard.
+	 * @return the programs
+	 */
+	public ProgramTable programs() {
+		return this.programs;
+	}
+
+	/**
+	 * Returns the roots of sub-agents whose names belong to the shard.
+	 * @return the roots
+	 */
+	public AliasTable aliases() {
+		return this.aliases;
+	}
+
+	/**
+	 * Returns the calls that must not run twice.
+	 * @return the calls
+	 */
+	public CallTable calls() {
+		return this.calls;
+	}
+
+	/**
+	 * Returns the buckets of the workspaces of the shard.
+	 * @return the buckets
+	 */
+	public BucketTable buckets() {
+		return this.buckets;
+	}
+
+	// ---- Public API
+
+	@Override
+	public synchronized void replay(Entry entry) {
+		this.programs.replay(entry);
+		this.aliases.replay(entry);
+		this.calls.replay(entry);
+	}
+
+	@Override
+	public synchronized void replayed() {
+		this.programs.replayed();
+	}
+
+	@Override
+	public synchronized List<Entry> liveEntries() {
+		List<Entry> entries = new ArrayList<>(this.programs.liveEntries());
+		entries.addAll(this.aliases.liveEntries());
+		entries.addAll(this.calls.liveEntries());
+		return entries;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/ShardRouter.java
@@ -0,0 +1,121 @@
+package org.mangorack.entry;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.Verdict;
+import org.mangorack.member.PeerCallException;
+import org.mangorack.member.PeerLinks;
+import org.mangorack.member.proto.CallOpen;
+import org.mangorack.ownership.OwnedShard;
+import org.mangorack.ownership.ShardHost;
+import org.mangorack.ownership.ShardId;
+import org.mangorack.ownership.ShardLocation;
+
+/**
+ * Brings calls to the owners of their shards. While a shard is on its way to an owner,
+ * its calls wait; the owner recognises repeats, so a call whose link broke is sent again.
+ */
+final class ShardRouter {
+
+	private static final Duration SETTLE_LIMIT = Duration.ofSeconds(8);
+
+	private static final Duration POLL = Duration.ofMillis(10);
+
+	private static final Duration HEAD_LIMIT = Duration.ofMinutes(5);
+
+	private static final Duration RETRY_LATER = Duration.ofSeconds(1);
+
+	private static final String NOT_OWNER = "Mangorack-Not-Owner";
+
+	private final ShardHost<ShardContents> host;
+
+	private final PeerLinks links;
+
+	private final Map<CallKind, OwnerHandler> handlers = new EnumMap<>(CallKind.class);
+
+	ShardRouter(ShardHost<ShardContents> host, PeerLinks links) {
+		this.host = host;
+		this.links = links;
+	}
+
+	// Registers the handler of a kind of call, for callers of this instance and of
+	// others.
+	void register(CallKind kind, OwnerHandler handler) {
+		this.handlers.put(kind, handler);
+		this.links.register(kind.wireName(), (from, open) -> answerPeer(kind, open));
+	}
+
+	/**
+	 * Brings a call to the owner of a shard.
+	 * @param kind the kind of call
+	 * @param shard the shard
+	 * @param call the call
+	 * @return the answer of the owner, or of this instance when the owner was not found
+	 */
+	CallAnswer route(CallKind kind, ShardId shard, CallOpen.Builder call) {
+		CallOpen open = call.setKind(kind.wireName()).setShard(shard.number()).build();
+		long deadline = System.nanoTime() + settleLimit(open).toNanos();
+		Verdict verdict = Verdict.NOT_RUN;
+		while (System.nanoTime() < deadline) {
+			ShardLocation<ShardContents> location = this.host.locate(shard);
+			if (location instanceof ShardLocation.Local<ShardContents> local) {
+				return answerLocally(kind, local.shard(), open);
+			}
+			if (location instanceof ShardLocation.Remote<ShardContents> remote) {
+				try {
+					CallAnswer answer = this.links.call(remote.instance(), open, headLimit(open));
+					if (!answer.headers().containsKey(NOT_OWNER)) {
+						return answer;
+					}
+				}
+				catch (PeerCallException ex) {
+					verdict = (ex.verdict() == Verdict.NOT_RUN) ? verdict : Verdict.MAY_HAVE_RUN;
+					if (!ex.verdict().allowsRetry(kind.isIdempotent())) {
+						break;
+					}
+				}
+			}
+			pause();
+		}
+		return CallAnswer.refusal(Refusal
+			.unavailable("owner_unavailable", "the owner of shard " + shard + " cannot be reached", RETRY_LATER)
+			.withVerdict(verdict), open.getRequestId());
+	}
+
+	// ---- Helpers
+
+	private static Duration settleLimit(CallOpen open) {
+		return (open.getTimeoutMillis() > 0) ? Duration.ofMillis(open.getTimeoutMillis()) : SETTLE_LIMIT;
+	}
+
+	private static Duration headLimit(CallOpen open) {
+		return (open.getTimeoutMillis() > 0) ? Duration.ofMillis(open.getTimeoutMillis()) : HEAD_LIMIT;
+	}
+
+	private CallAnswer answerPeer(CallKind kind, CallOpen open) {
+		ShardLocation<ShardContents> location = this.host.locate(new ShardId(open.getShard()));
+		if (location instanceof ShardLocation.Local<ShardContents> local) {
+			return answerLocally(kind, local.shard(), open);
+		}
+		return CallAnswer.text(421, "not the owner of shard " + open.getShard()).withHeader(NOT_OWNER, "true");
+	}
+
+	private CallAnswer answerLocally(CallKind kind, OwnedShard<ShardContents> shard, CallOpen open) {
+		return this.handlers.get(kind).answer(shard, open, shard::release);
+	}
+
+	private static void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(POLL.toMillis());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP interface towards callers.
+ */
+package org.mangorack.entry;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
@@ -0,0 +1,328 @@
+package org.mangorack.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.SocketException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.ExceptionListener;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
+import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.AbstractHttpEntity;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.TimeValue;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.CallRequest;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.Verdict;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+
+/**
+ * A blocking HTTP/1.1 server. Each connection has a thread of its own.
+ */
+public final class HttpFrontEnd {
+
+	/**
+	 * Name of the header that carries the id of a request.
+	 */
+	public static final String REQUEST_ID = "Mangorack-Request";
+
+	private static final int CHUNK_BYTES = 8192;
+
+	private static final Duration IDLE_LIMIT = Duration.ofMinutes(10);
+
+	private final HttpServer server;
+
+	private final HttpService service;
+
+	private final int maxBodyBytes;
+
+	private final AtomicInteger underWay = new AtomicInteger();
+
+	private final AtomicLong lastRequest = new AtomicLong(System.nanoTime());
+
+	private volatile boolean closing;
+
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param address the address to listen on; port 0 picks a free one
+	 * @param maxBodyBytes the longest accepted request body
+	 * @param service answers the requests
+	 * @throws IOException if the address is not an address of this machine
+	 */
+	public HttpFrontEnd(HttpAddress address, int maxBodyBytes, HttpService service) throws IOException {
+		this.service = service;
+		this.maxBodyBytes = maxBodyBytes;
+		HttpRequestHandler handler = this::handle;
+		this.server = ServerBootstrap.bootstrap()
+			.setLocalAddress(InetAddress.getByName(address.host()))
+			.setListenerPort(address.port())
+			.setSocketConfig(SocketConfig.custom()
+				.setTcpNoDelay(true)
+				.setBacklogSize(1024)
+				.setSoReuseAddress(true)
+				.setSoTimeout((int) IDLE_LIMIT.toSeconds(), TimeUnit.SECONDS)
+				.build())
+			.setRequestRouter((request, context) -> handler)
+			.setExceptionListener(new QuietListener())
+			.create();
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Starts to listen.
+	 * @throws IOException if the port is taken
+	 */
+	public void start() throws IOException {
+		this.server.start();
+	}
+
+	/**
+	 * Asks callers to close their connections: each further answer is the last one of its
+	 * connection.
+	 */
+	public void announceClose() {
+		this.closing = true;
+	}
+
+	/**
+	 * Waits until no request is under way and none arrived for a while.
+	 * @param quiet how long no request may have arrived
+	 * @param limit how long to wait at most
+	 * @return {@code true} if the server became idle within the limit
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean awaitIdle(Duration quiet, Duration limit) throws InterruptedException {
+		long deadline = System.nanoTime() + limit.toNanos();
+		while (System.nanoTime() < deadline) {
+			boolean silent = System.nanoTime() - this.lastRequest.get() > quiet.toNanos();
+			if (silent && (this.underWay.get() == 0)) {
+				return true;
+			}
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+		return false;
+	}
+
+	/**
+	 * Stops listening and closes all connections.
+	 */
+	public void close() {
+		this.server.initiateShutdown();
+		this.server.close(CloseMode.IMMEDIATE);
+		try {
+			this.server.awaitTermination(TimeValue.ofMilliseconds(200));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the port that the server listens on.
+	 * @return the TCP port
+	 */
+	public int port() {
+		return this.server.getLocalPort();
+	}
+
+	/**
+	 * Returns the number of requests under way.
+	 * @return the number of requests that are not answered in full
+	 */
+	public int underWay() {
+		return this.underWay.get();
+	}
+
+	// ---- Helpers
+
+	private void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
+			throws IOException {
+		this.underWay.incrementAndGet();
+		this.lastRequest.set(System.nanoTime());
+		String id = UUID.randomUUID().toString();
+		CallAnswer answer;
+		try {
+			byte[] body = readBody(request.getEntity());
+			answer = (body != null) ? safeAnswer(toCall(id, request, body)) : tooLarge(id);
+		}
+		catch (IOException | RuntimeException ex) {
+			this.underWay.decrementAndGet();
+			throw ex;
+		}
+		writeHead(response, answer, id);
+		response.setEntity(new AnswerEntity(answer));
+	}
+
+	private void writeHead(ClassicHttpResponse response, CallAnswer answer, String id) {
+		response.setCode(answer.status());
+		answer.headers().forEach((name, value) -> {
+			if (!name.equalsIgnoreCase("Content-Type")) {
+				response.setHeader(name, value);
+			}
+		});
+		response.setHeader(REQUEST_ID, id);
+		if (this.closing) {
+			response.setHeader("Connection", "close");
+		}
+	}
+
+	private CallAnswer safeAnswer(CallRequest call) {
+		try {
+			return this.service.answer(call);
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "request", call.requestId(), "path", call.path());
+			return CallAnswer.refusal(
+					new Refusal(500, "internal_error", "the request failed unexpectedly", Verdict.MAY_HAVE_RUN, null),
+					call.requestId());
+		}
+	}
+
+	private CallAnswer tooLarge(String id) {
+		return CallAnswer
+			.refusal(Refusal.notRun(413, "body_too_large", "the body is longer than " + this.maxBodyBytes + " bytes"),
+					id)
+			.withHeader("Connection", "close");
+	}
+
+	private byte[] readBody(HttpEntity entity) throws IOException {
+		if (entity == null) {
+			return new byte[0];
+		}
+		if (entity.getContentLength() > this.maxBodyBytes) {
+			return null;
+		}
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		byte[] chunk = new byte[CHUNK_BYTES];
+		InputStream in = entity.getContent();
+		for (int n = in.read(chunk); n >= 0; n = in.read(chunk)) {
+			out.write(chunk, 0, n);
+			if (out.size() > this.maxBodyBytes) {
+				return null;
+			}
+		}
+		return out.toByteArray();
+	}
+
+	private static CallRequest toCall(String id, ClassicHttpRequest request, byte[] body) {
+		Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		for (Header h : request.getHeaders()) {
+			headers.putIfAbsent(h.getName(), h.getValue());
+		}
+		String target = request.getPath();
+		int mark = target.indexOf('?');
+		String path = (mark < 0) ? target : target.substring(0, mark);
+		String query = (mark < 0) ? null : target.substring(mark + 1);
+		return new CallRequest(id, request.getMethod(), path, query, headers, body);
+	}
+
+	/**
+	 * Writes an answer and notices its end.
+	 */
+	private final class AnswerEntity extends AbstractHttpEntity {
+
+		private final CallAnswer answer;
+
+		private boolean finished;
+
+		private AnswerEntity(CallAnswer answer) {
+			super(contentType(answer), null, answer.length() < 0);
+			this.answer = answer;
+		}
+
+		@Override
+		public InputStream getContent() {
+			throw new UnsupportedOperationException("the body of an answer is written, not read");
+		}
+
+		@Override
+		public long getContentLength() {
+			return this.answer.length();
+		}
+
+		@Override
+		public boolean isRepeatable() {
+			return false;
+		}
+
+		@Override
+		public boolean isStreaming() {
+			return false;
+		}
+
+		@Override
+		public void writeTo(OutputStream out) throws IOException {
+			try {
+				this.answer.body().writeTo(out);
+			}
+			finally {
+				finish();
+			}
+		}
+
+		@Override
+		public void close() {
+			finish();
+		}
+
+		private void finish() {
+			if (!this.finished) {
+				this.finished = true;
+				HttpFrontEnd.this.underWay.decrementAndGet();
+				HttpFrontEnd.this.lastRequest.set(System.nanoTime());
+			}
+		}
+
+		private static ContentType contentType(CallAnswer answer) {
+			return ContentType.parse(answer.headers().getOrDefault("Content-Type", "application/octet-stream"));
+		}
+
+	}
+
+	/**
+	 * Leaves broken connections of callers unreported.
+	 */
+	private static final class QuietListener implements ExceptionListener {
+
+		@Override
+		public void onError(Exception ex) {
+			if (!(ex instanceof SocketException)) {
+				EventLog.log(Event.CALLER_GONE, "cause", ex);
+			}
+		}
+
+		@Override
+		public void onError(HttpConnection connection, Exception ex) {
+			if (!(ex instanceof ConnectionClosedException)) {
+				EventLog.log(Event.CALLER_GONE, "cause", ex);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
@@ -0,0 +1,187 @@
+package org.mangorack.http;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestConnControl;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+
+import org.mangorack.call.Verdict;
+
+/**
+ * A blocking client that keeps idle connections per server and tells for each failure
+ * whether the request may have reached the server.
+ */
+public final class PooledHttpClient implements Closeable {
+
+	private static final int MAX_IDLE_PER_SERVER = 64;
+
+	private final Map<HttpAddress, Deque<DefaultBHttpClientConnection>> idle = new ConcurrentHashMap<>();
+
+	private final Set<DefaultBHttpClientConnection> open = ConcurrentHashMap.newKeySet();
+
+	private final HttpRequestExecutor executor = new HttpRequestExecutor();
+
+	private final HttpProcessor processor = HttpProcessorBuilder.create()
+		.addAll(new RequestContent(true), new RequestTargetHost(), new RequestConnControl())
+		.build();
+
+	private final Duration connectTimeout;
+
+	public PooledHttpClient(Duration connectTimeout) {
+		this.connectTimeout = connectTimeout;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Sends a request and waits for the head of the answer.
+	 * @param address the server
+	 * @param method the HTTP method
+	 * @param path the path with the query
+	 * @param headers the headers, without those that describe the body's length
+	 * @param body the body, or {@code null}
+	 * @param silenceLimit how long a read may wait
+	 * @param use which connections may be used
+	 * @return the answer, which the caller closes
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply send(HttpAddress address, String method, String path, Map<String, String> headers, byte[] body,
+			Duration silenceLimit, ConnectionUse use) throws HttpCallException {
+		DefaultBHttpClientConnection pooled = (use == ConnectionUse.POOLED) ? takeIdle(address) : null;
+		if (pooled != null) {
+			try {
+				return exchange(address, pooled, request(address, method, path, headers, body), silenceLimit);
+			}
+			catch (IOException | HttpException ex) {
+				discard(pooled);
+				if (ex instanceof java.net.SocketTimeoutException) {
+					throw new HttpCallException("no answer from " + address + " within " + silenceLimit,
+							Verdict.MAY_HAVE_RUN, ex);
+				}
+			}
+		}
+		return sendOnNewConnection(address, request(address, method, path, headers, body), silenceLimit);
+	}
+
+	@Override
+	public void close() {
+		this.open.forEach((c) -> c.close(CloseMode.IMMEDIATE));
+		this.open.clear();
+		this.idle.clear();
+	}
+
+	// ---- Helpers
+
+	void release(HttpAddress address, DefaultBHttpClientConnection connection) {
+		Deque<DefaultBHttpClientConnection> queue = this.idle.computeIfAbsent(address, (a) -> new ArrayDeque<>());
+		synchronized (queue) {
+			if (queue.size() < MAX_IDLE_PER_SERVER) {
+				queue.push(connection);
+				return;
+			}
+		}
+		discard(connection);
+	}
+
+	void discard(DefaultBHttpClientConnection connection) {
+		this.open.remove(connection);
+		connection.close(CloseMode.IMMEDIATE);
+	}
+
+	private HttpReply sendOnNewConnection(HttpAddress address, ClassicHttpRequest request, Duration silenceLimit)
+			throws HttpCallException {
+		DefaultBHttpClientConnection connection = connect(address);
+		try {
+			return exchange(address, connection, request, silenceLimit);
+		}
+		catch (IOException | HttpException ex) {
+			discard(connection);
+			throw new HttpCallException("no answer from " + address + ": " + ex.getMessage(), Verdict.MAY_HAVE_RUN, ex);
+		}
+	}
+
+	private HttpReply exchange(HttpAddress address, DefaultBHttpClientConnection connection, ClassicHttpRequest request,
+			Duration silenceLimit) throws IOException, HttpException {
+		connection.setSocketTimeout(Timeout.ofMilliseconds(Math.max(1, silenceLimit.toMillis())));
+		HttpCoreContext context = HttpCoreContext.create();
+		this.executor.preProcess(request, this.processor, context);
+		ClassicHttpResponse response = this.executor.execute(request, connection, context);
+		boolean keepAlive = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
+		return new HttpReply(response, this, address, connection, keepAlive);
+	}
+
+	private DefaultBHttpClientConnection connect(HttpAddress address) throws HttpCallException {
+		Socket socket = new Socket();
+		try {
+			socket.setTcpNoDelay(true);
+			socket.connect(new InetSocketAddress(address.host(), address.port()),
+					Math.max(1, (int) this.connectTimeout.toMillis()));
+			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+			connection.bind(socket);
+			this.open.add(connection);
+			return connection;
+		}
+		catch (IOException ex) {
+			closeQuietly(socket);
+			throw new HttpCallException("cannot connect to " + address + ": " + ex.getMessage(), Verdict.NOT_RUN, ex);
+		}
+	}
+
+	private DefaultBHttpClientConnection takeIdle(HttpAddress address) {
+		Deque<DefaultBHttpClientConnection> queue = this.idle.get(address);
+		if (queue == null) {
+			return null;
+		}
+		synchronized (queue) {
+			return queue.poll();
+		}
+	}
+
+	private static ClassicHttpRequest request(HttpAddress address, String method, String path,
+			Map<String, String> headers, byte[] body) {
+		ClassicRequestBuilder builder = ClassicRequestBuilder.create(method)
+			.setHttpHost(new HttpHost("http", address.host(), address.port()))
+			.setPath(path);
+		headers.forEach(builder::addHeader);
+		if (body != null) {
+			builder.setEntity(new ByteArrayEntity(body, (ContentType) null));
+		}
+		return builder.build();
+	}
+
+	private static void closeQuietly(Socket socket) {
+		try {
+			socket.close();
+		}
+		catch (IOException ex) {
+			// The connection was never usable, so there is nothing left to do.
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/instance/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Assembly and life-cycle of an instance.
+ */
+package org.mangorack.instance;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/key/KeyRegistry.java
@@ -0,0 +1,151 @@
+package org.mangorack.key;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+
+import org.mangorack.call.Identifiers;
+import org.mangorack.call.Jsons;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.WorkspaceId;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.StoredObject;
+
+/**
+ * Creates, verifies and withdraws the keys of callers. The platform holds digests only.
+ */
+public final class KeyRegistry {
+
+	private static final String PREFIX = "mr_";
+
+	private static final int SECRET_BYTES = 32;
+
+	private static final int ID_BYTES = 8;
+
+	private static final String UNUSED_DIGEST = digest("no key has this text");
+
+	private final SecureRandom random = new SecureRandom();
+
+	private final ObjectStore store;
+
+	private final KindCache cache;
+
+	public KeyRegistry(ObjectStore store, KindCache cache) {
+		this.store = store;
+		this.cache = cache;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Finds the owner of a key. The digest is compared in constant time, also when the
+	 * key does not exist.
+	 * @param key the whole key as the caller showed it
+	 * @return the verified key, or empty when it is wrong or withdrawn
+	 */
+	public Optional<VerifiedKey> verify(String key) {
+		int split = key.lastIndexOf('_');
+		if (!key.startsWith(PREFIX) || (split < PREFIX.length())) {
+			return Optional.empty();
+		}
+		String id = key.substring(PREFIX.length(), split);
+		Optional<StoredObject> stored = Identifiers.isValid(id) ? this.cache.object(id) : Optional.empty();
+		String expected = stored.map((o) -> o.spec().path("digest").asText()).orElse(UNUSED_DIGEST);
+		boolean equal = MessageDigest.isEqual(bytes(expected), bytes(digest(key)));
+		if (!equal || stored.isEmpty()) {
+			return Optional.empty();
+		}
+		return Optional.of(new VerifiedKey(id, new WorkspaceId(stored.get().spec().path("workspace").asText())));
+	}
+
+	/**
+	 * Tells whether a key that was verified earlier still works.
+	 * @param id the id of the key
+	 * @return {@code false} once the key is withdrawn
+	 */
+	public boolean isValid(String id) {
+		return this.cache.objects().containsKey(id);
+	}
+
+	/**
+	 * Creates a key.
+	 * @param workspace the workspace that the key belongs to
+	 * @return the key as text, which is not stored anywhere, or the refusal
+	 */
+	public Either<Refusal, String> create(WorkspaceId workspace) {
+		String id = HexFormat.of().formatHex(randomBytes(ID_BYTES));
+		String secret = Base64.getUrlEncoder().withoutPadding().encodeToString(randomBytes(SECRET_BYTES));
+		String key = PREFIX + id + "_" + secret.replace('_', '~');
+		ObjectNode spec = Jsons.object();
+		spec.put("workspace", workspace.value());
+		spec.put("digest", digest(key));
+		try {
+			this.store.create(ObjectKind.KEY, id, spec);
+		}
+		catch (StoreException ex) {
+			return Either.left(storeRefusal(ex));
+		}
+		EventLog.log(Event.KEY_CREATED, "key", id, "workspace", workspace);
+		return Either.right(key);
+	}
+
+	/**
+	 * Withdraws a key.
+	 * @param id the id of the key
+	 * @return the id, or the refusal
+	 */
+	public Either<Refusal, String> withdraw(String id) {
+		try {
+			this.store.delete(ObjectKind.KEY, id, null);
+		}
+		catch (StoreException ex) {
+			if (ex.reason() == StoreException.Reason.NOT_FOUND) {
+				return Either.left(Refusal.notRun(404, "unknown_key", "there is no key \"" + id + "\""));
+			}
+			return Either.left(storeRefusal(ex));
+		}
+		EventLog.log(Event.KEY_WITHDRAWN, "key", id);
+		return Either.right(id);
+	}
+
+	// ---- Helpers
+
+	private static Refusal storeRefusal(StoreException ex) {
+		if (ex.reason().isAmbiguous()) {
+			return Refusal.mayHaveRun(504, "outcome_unknown", ex.getMessage());
+		}
+		return Refusal.unavailable("platform_unavailable", ex.getMessage(), java.time.Duration.ofSeconds(2));
+	}
+
+	private byte[] randomBytes(int count) {
+		byte[] bytes = new byte[count];
+		this.random.nextBytes(bytes);
+		return bytes;
+	}
+
+	private static String digest(String text) {
+		try {
+			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes(text)));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("the runtime lacks SHA-256", ex);
+		}
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/key/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Keys of callers: creation, verification and withdrawal.
+ */
+package org.mangorack.key;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/limit/GrantSource.java
@@ -0,0 +1,22 @@
+package org.mangorack.limit;
+
+import java.util.Optional;
+
+import org.mangorack.config.Workspace;
+import org.mangorack.limit.BucketTable.Grant;
+
+/**
+ * Draws grants from the owner of a workspace's bucket.
+ */
+@FunctionalInterface
+public interface GrantSource {
+
+	/**
+	 * Draws a grant. Blocks for one exchange with the owner.
+	 * @param workspace the workspace
+	 * @param wanted the most calls to draw
+	 * @return the grant, or empty when the owner cannot be reached
+	 */
+	Optional<Grant> draw(Workspace workspace, int wanted);
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/limit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Rate limits of workspaces.
+ */
+package org.mangorack.limit;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
@@ -0,0 +1,320 @@
+package org.mangorack.member;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Verdict;
+import org.mangorack.http.HttpAddress;
+import org.mangorack.member.proto.CallOpen;
+import org.mangorack.member.proto.Frame;
+import org.mangorack.member.proto.Heartbeat;
+import org.mangorack.member.proto.Hello;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * The links of this instance to all others. Of two instances, the one with the smaller
+ * name dials.
+ */
+public final class PeerLinks {
+
+	/**
+	 * Time between heartbeats.
+	 */
+	public static final Duration HEARTBEAT = Duration.ofMillis(300);
+
+	/**
+	 * Age of the last contact beyond which a peer counts as out of touch.
+	 */
+	public static final Duration CONTACT_LIMIT = Duration.ofMillis(1500);
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, new DefaultThreadFactory("peer", true),
+			NioIoHandler.newFactory());
+
+	private final Map<String, PeerLink> established = new ConcurrentHashMap<>();
+
+	private final Map<String, PeerLink> dialing = new ConcurrentHashMap<>();
+
+	private final Map<String, PeerContact> contacts = new ConcurrentHashMap<>();
+
+	private final Map<String, PeerHandler> handlers = new HashMap<>();
+
+	private final String self;
+
+	private final String secret;
+
+	private final ExecutorService traffic;
+
+	private final MonotonicClock clock;
+
+	private final HeartbeatSource heartbeats;
+
+	private Channel server;
+
+	public PeerLinks(String self, String secret, ExecutorService traffic, MonotonicClock clock,
+			HeartbeatSource heartbeats) {
+		this.self = self;
+		this.secret = secret;
+		this.traffic = traffic;
+		this.clock = clock;
+		this.heartbeats = heartbeats;
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Registers the handler of a kind of call. Must be called before the start.
+	 * @param kind the kind
+	 * @param handler answers the calls
+	 */
+	public void register(String kind, PeerHandler handler) {
+		this.handlers.put(kind, handler);
+	}
+
+	/**
+	 * Starts to listen and to send heartbeats.
+	 * @param address the address to listen on
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void start(HttpAddress address) throws InterruptedException {
+		this.server = new ServerBootstrap().group(this.loops)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new LinkInitializer(false, null))
+			.bind(new InetSocketAddress(address.host(), address.port()))
+			.sync()
+			.channel();
+		this.loops.scheduleAtFixedRate(this::beat, 0, HEARTBEAT.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Closes all links.
+	 */
+	public void close() {
+		if (this.server != null) {
+			this.server.close();
+		}
+		this.established.values().forEach(PeerLink::close);
+		this.loops.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+	}
+
+	// ---- Public API
+
+	/**
+	 * Dials missing links and closes silent ones and those to unlisted instances.
+	 * @param peers the addresses of the other listed instances by name
+	 */
+	public void maintain(Map<String, HttpAddress> peers) {
+		this.established.forEach((name, link) -> {
+			if (!peers.containsKey(name) || (link.silence().compareTo(CONTACT_LIMIT.multipliedBy(2)) > 0)) {
+				link.close();
+			}
+		});
+		retainContacts(peers.keySet());
+		peers.forEach((name, address) -> {
+			if ((this.self.compareTo(name) < 0) && !this.established.containsKey(name)) {
+				dial(name, address);
+			}
+		});
+	}
+
+	/**
+	 * Calls another instance and waits for the head of its answer.
+	 * @param peer the name of the instance
+	 * @param open the call
+	 * @param timeout the longest wait
+	 * @return the answer, whose body is still arriving
+	 * @throws PeerCallException if no answer came
+	 */
+	public CallAnswer call(String peer, CallOpen open, Duration timeout) throws PeerCallException {
+		PeerLink link = this.established.get(peer);
+		if (link == null) {
+			throw new PeerCallException("no link to " + peer, Verdict.NOT_RUN);
+		}
+		return link.call(open, timeout);
+	}
+
+	/**
+	 * Tells whether another instance answered recently.
+	 * @param peer the name of the instance
+	 * @return {@code true} if a heartbeat sent within {@link #CONTACT_LIMIT} was echoed
+	 */
+	public boolean inTouch(String peer) {
+		PeerContact contact = this.contacts.get(peer);
+		return (contact != null) && contact.isFresh(this.clock.nanoTime());
+	}
+
+	/**
+	 * Returns the last heartbeat of another instance that is in touch.
+	 * @param peer the name of the instance
+	 * @return the heartbeat, or the default one when the instance is not in touch
+	 */
+	public Heartbeat lastHeartbeat(String peer) {
+		PeerLink link = this.established.get(peer);
+		Heartbeat heartbeat = (link != null) ? link.lastHeartbeat() : null;
+		return (inTouch(peer) && (heartbeat != null)) ? heartbeat : Heartbeat.getDefaultInstance();
+	}
+
+	// ---- Callbacks of links
+
+	MonotonicClock clock() {
+		return this.clock;
+	}
+
+	String self() {
+		return this.self;
+	}
+
+	String secret() {
+		return this.secret;
+	}
+
+	PeerHandler handler(String kind) {
+		return this.handlers.get(kind);
+	}
+
+	boolean accepts(Hello hello) {
+		boolean sameSecret = MessageDigest.isEqual(bytes(hello.getSecret()), bytes(this.secret));
+		return sameSecret && (hello.getProtocol() == PeerLink.PROTOCOL_VERSION);
+	}
+
+	void established(PeerLink link) {
+		PeerLink old = this.established.put(link.peer(), link);
+		this.dialing.remove(link.peer(), link);
+		if ((old != null) && (old != link)) {
+			old.close();
+		}
+		EventLog.log(Event.PEER_CONNECTED, "peer", link.peer());
+	}
+
+	void closed(PeerLink link) {
+		if (link.peer() == null) {
+			return;
+		}
+		this.dialing.remove(link.peer(), link);
+		if (this.established.remove(link.peer(), link)) {
+			EventLog.log(Event.PEER_LOST, "peer", link.peer());
+		}
+	}
+
+	void heartbeatReceived(PeerLink link, Heartbeat heartbeat) {
+		if (link.peer() == null) {
+			link.close();
+			return;
+		}
+		if (this.established.get(link.peer()) != link) {
+			established(link);
+		}
+		contact(link.peer()).received(heartbeat);
+	}
+
+	// ---- Helpers
+
+	private void beat() {
+		Heartbeat state = this.heartbeats.current();
+		this.established.forEach((name, link) -> sendHeartbeat(name, link, state));
+		this.dialing.forEach((name, link) -> sendHeartbeat(name, link, state));
+	}
+
+	private void sendHeartbeat(String name, PeerLink link, Heartbeat state) {
+		if (link.isOpen()) {
+			Heartbeat heartbeat = contact(name).next(state, this.clock.nanoTime());
+			link.send(Frame.newBuilder().setHeartbeat(heartbeat).build());
+		}
+	}
+
+	private PeerContact contact(String name) {
+		return this.contacts.computeIfAbsent(name, (n) -> new PeerContact());
+	}
+
+	private void retainContacts(Set<String> names) {
+		this.contacts.keySet().removeIf((name) -> !names.contains(name) && !this.established.containsKey(name));
+	}
+
+	private void dial(String name, HttpAddress address) {
+		if (this.dialing.containsKey(name)) {
+			return;
+		}
+		LinkInitializer initializer = new LinkInitializer(true, name);
+		this.dialing.put(name, initializer.link);
+		new Bootstrap().group(this.loops)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.handler(initializer)
+			.connect(address.host(), address.port())
+			.addListener((future) -> {
+				if (!future.isSuccess()) {
+					this.dialing.remove(name, initializer.link);
+				}
+			});
+		this.loops.schedule(() -> abandonDial(name, initializer.link), CONTACT_LIMIT.toMillis() * 2,
+				TimeUnit.MILLISECONDS);
+	}
+
+	private void abandonDial(String name, PeerLink link) {
+		if (this.dialing.remove(name, link)) {
+			link.close();
+		}
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Sets up the channel of a link.
+	 */
+	private final class LinkInitializer extends ChannelInitializer<SocketChannel> {
+
+		private final PeerLink link;
+
+		private LinkInitializer(boolean dialer, String peer) {
+			this.link = dialer ? new PeerLink(PeerLinks.this, PeerLinks.this.traffic, true, peer) : null;
+		}
+
+		@Override
+		protected void initChannel(SocketChannel channel) {
+			PeerLink handler = (this.link != null) ? this.link
+					: new PeerLink(PeerLinks.this, PeerLinks.this.traffic, false, null);
+			channel.pipeline()
+				.addLast(new ProtobufVarint32FrameDecoder())
+				.addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+				.addLast(new ProtobufVarint32LengthFieldPrepender())
+				.addLast(new ProtobufEncoder())
+				.addLast(handler);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/member/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Links between instances and the list of instances.
+ */
+package org.mangorack.member;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/observe/EventLog.java
@@ -0,0 +1,45 @@
+package org.mangorack.observe;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Writes numbered events as structured log records.
+ */
+public final class EventLog {
+
+	private static final Logger LOGGER = LogManager.getLogger("mangorack");
+
+	private EventLog() {
+	}
+
+	/**
+	 * Logs an event.
+	 * @param event the event
+	 * @param fields names and values in turn
+	 */
+	public static void log(Event event, Object... fields) {
+		log(event, null, fields);
+	}
+
+	/**
+	 * Logs an event with its cause.
+	 * @param event the event
+	 * @param cause the cause, or {@code null}
+	 * @param fields names and values in turn
+	 */
+	public static void log(Event event, Throwable cause, Object... fields) {
+		if (!LOGGER.isEnabled(event.level())) {
+			return;
+		}
+		StringMapMessage message = new StringMapMessage();
+		message.put("event", Integer.toString(event.number()));
+		message.put("message", event.text());
+		for (int i = 0; i + 1 < fields.length; i += 2) {
+			message.put(String.valueOf(fields[i]), String.valueOf(fields[i + 1]));
+		}
+		LOGGER.log(event.level(), message, cause);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/observe/Metrics.java
@@ -0,0 +1,101 @@
+package org.mangorack.observe;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/**
+ * The metrics of an instance.
+ */
+public final class Metrics {
+
+	private static final Duration[] LATENCY_BUCKETS = { Duration.ofMillis(1), Duration.ofMillis(2),
+			Duration.ofMillis(5), Duration.ofMillis(10), Duration.ofMillis(25), Duration.ofMillis(50),
+			Duration.ofMillis(100), Duration.ofMillis(250), Duration.ofMillis(500), Duration.ofSeconds(1),
+			Duration.ofSeconds(2), Duration.ofSeconds(5), Duration.ofSeconds(10), Duration.ofSeconds(30),
+			Duration.ofSeconds(60) };
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	public Metrics() {
+		new JvmMemoryMetrics().bindTo(this.registry);
+		new ProcessorMetrics().bindTo(this.registry);
+		FunctionCounter.builder("mangorack.invariant.violations", this, (m) -> Invariants.violations())
+			.register(this.registry);
+	}
+
+	/**
+	 * Returns the registry, for meters that a slice keeps itself.
+	 * @return the registry
+	 */
+	public MeterRegistry registry() {
+		return this.registry;
+	}
+
+	/**
+	 * Records the duration of a call.
+	 * @param workspace the workspace, or {@code none} for calls without a key
+	 * @param type the class of the call, such as {@code chat}
+	 * @param outcome {@code ok} or the code of the refusal
+	 * @param time how long the call took
+	 */
+	public void recordCall(String workspace, String type, String outcome, Duration time) {
+		timer("mangorack.calls", "workspace", workspace, "class", type, "outcome", outcome).record(time);
+	}
+
+	/**
+	 * Records the time from the arrival of a call to the first byte of its body.
+	 * @param workspace the workspace
+	 * @param type the class of the call
+	 * @param time the time to the first byte
+	 */
+	public void recordFirstByte(String workspace, String type, Duration time) {
+		timer("mangorack.calls.first.byte", "workspace", workspace, "class", type).record(time);
+	}
+
+	/**
+	 * Returns a timer with the latency buckets of the project.
+	 * @param name the name of the timer
+	 * @param tags names and values of its tags in turn
+	 * @return the timer
+	 */
+	public Timer timer(String name, String... tags) {
+		return Timer.builder(name).tags(tags).serviceLevelObjectives(LATENCY_BUCKETS).register(this.registry);
+	}
+
+	/**
+	 * Adds to a counter.
+	 * @param name the name of the counter
+	 * @param amount how much to add
+	 * @param tags names and values of its tags in turn
+	 */
+	public void count(String name, double amount, String... tags) {
+		this.registry.counter(name, tags).increment(amount);
+	}
+
+	/**
+	 * Registers a gauge.
+	 * @param name the name of the gauge
+	 * @param value supplies its value
+	 */
+	public void gauge(String name, Supplier<Number> value) {
+		Gauge.builder(name, value).register(this.registry);
+	}
+
+	/**
+	 * Returns all metrics in the Prometheus text format.
+	 * @return the text
+	 */
+	public String scrape() {
+		return this.registry.scrape();
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/observe/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics, numbered log events, clocks and invariants.
+ */
+package org.mangorack.observe;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/operator/ExitStatus.java
@@ -0,0 +1,20 @@
+package org.mangorack.operator;
+
+/**
+ * The exit statuses of the command line.
+ */
+public final class ExitStatus {
+
+	/** The command did what was asked. */
+	public static final int DONE = 0;
+
+	/** The command was refused or failed. */
+	public static final int FAILED = 1;
+
+	/** The arguments or settings were wrong. */
+	public static final int USAGE = 2;
+
+	private ExitStatus() {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/operator/Main.java
@@ -0,0 +1,98 @@
+package org.mangorack.operator;
+
+import java.io.PrintStream;
+
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+import org.mangorack.operator.impl.ConfigCommands;
+import org.mangorack.operator.impl.DrainCommand;
+import org.mangorack.operator.impl.KeyCommands;
+import org.mangorack.operator.impl.ProgramsCommand;
+import org.mangorack.operator.impl.ServeCommand;
+import org.mangorack.operator.impl.StatusCommand;
+
+/**
+ * The command line. Exit status 0 means done, 1 refused or failed, and 2 bad usage.
+ */
+public final class Main {
+
+	private static final int USAGE_WIDTH = 100;
+
+	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "COMMAND",
+			usage = "serve, config, key, status, programs or drain; COMMAND --help tells more")
+	@SubCommands({ @SubCommand(name = "serve", impl = ServeCommand.class),
+			@SubCommand(name = "config", impl = ConfigCommands.class),
+			@SubCommand(name = "key", impl = KeyCommands.class),
+			@SubCommand(name = "status", impl = StatusCommand.class),
+			@SubCommand(name = "programs", impl = ProgramsCommand.class),
+			@SubCommand(name = "drain", impl = DrainCommand.class) })
+	private Command command;
+
+	@Option(name = "--help", aliases = "-h", help = true, usage = "print this help")
+	private boolean help;
+
+	private Main() {
+	}
+
+	/**
+	 * Runs a command and ends the process with its exit status.
+	 * @param arguments the arguments of the process
+	 */
+	public static void main(String[] arguments) {
+		int status = run(arguments, System.out, System.err);
+		System.out.flush();
+		System.exit(status);
+	}
+
+	/**
+	 * Runs a command.
+	 * @param arguments the arguments
+	 * @param out receives results
+	 * @param err receives errors and usage
+	 * @return the exit status
+	 */
+	public static int run(String[] arguments, PrintStream out, PrintStream err) {
+		Main main = new Main();
+		CmdLineParser parser = parser(main);
+		try {
+			parser.parseArgument(arguments);
+			if (main.help || (main.command == null)) {
+				usage(parser, "mangorack", main.help ? out : err);
+				return main.help ? ExitStatus.DONE : ExitStatus.USAGE;
+			}
+			if (main.command.isHelp()) {
+				usage(parser(main.command), "mangorack " + arguments[0], out);
+				return ExitStatus.DONE;
+			}
+			return main.command.run(out, err);
+		}
+		catch (CmdLineException ex) {
+			err.println("mangorack: " + ex.getMessage());
+			usage(ex.getParser(), "mangorack", err);
+			return ExitStatus.USAGE;
+		}
+		catch (CommandException ex) {
+			err.println("mangorack: " + ex.getMessage());
+			return ex.exitStatus();
+		}
+	}
+
+	static CmdLineParser parser(Object bean) {
+		return new CmdLineParser(bean, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH));
+	}
+
+	private static void usage(CmdLineParser parser, String name, PrintStream out) {
+		out.print("usage: " + name);
+		parser.printSingleLineUsage(out);
+		out.println();
+		parser.printUsage(out);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/DrainCommand.java
@@ -0,0 +1,23 @@
+package org.mangorack.operator.impl;
+
+import java.io.PrintStream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.mangorack.operator.CommandException;
+import org.mangorack.operator.ExitStatus;
+import org.mangorack.operator.OperatorCommand;
+
+/**
+ * Stops an instance as planned.
+ */
+public final class DrainCommand extends OperatorCommand {
+
+	@Override
+	public int run(PrintStream out, PrintStream err) throws CommandException {
+		JsonNode json = client().call("POST", "/admin/drain", null);
+		print(out, json, "instance " + json.path("draining").asText() + " is leaving");
+		return ExitStatus.DONE;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/KeyCommands.java
@@ -0,0 +1,69 @@
+package org.mangorack.operator.impl;
+
+import java.io.PrintStream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.operator.Command;
+import org.mangorack.operator.CommandException;
+import org.mangorack.operator.ExitStatus;
+import org.mangorack.operator.OperatorCommand;
+
+/**
+ * Creates and withdraws keys of callers.
+ */
+public final class KeyCommands extends Command {
+
+	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "create|withdraw",
+			usage = "what to do with a key")
+	@SubCommands({ @SubCommand(name = "create", impl = Create.class),
+			@SubCommand(name = "withdraw", impl = Withdraw.class) })
+	private Command command;
+
+	@Override
+	public int run(PrintStream out, PrintStream err) throws CommandException {
+		return this.command.run(out, err);
+	}
+
+	/**
+	 * Creates a key and prints it once.
+	 */
+	public static final class Create extends OperatorCommand {
+
+		@Argument(index = 0, required = true, metaVar = "WORKSPACE", usage = "workspace that the key belongs to")
+		private String workspace;
+
+		@Override
+		public int run(PrintStream out, PrintStream err) throws CommandException {
+			JsonNode json = client().call("POST", "/admin/keys", Jsons.object().put("workspace", this.workspace));
+			print(out, json, json.path("key").asText());
+			return ExitStatus.DONE;
+		}
+
+	}
+
+	/**
+	 * Withdraws a key.
+	 */
+	public static final class Withdraw extends OperatorCommand {
+
+		@Argument(index = 0, required = true, metaVar = "ID",
+				usage = "id of the key: the part between the first and the last underscore, or the whole key")
+		private String id;
+
+		@Override
+		public int run(PrintStream out, PrintStream err) throws CommandException {
+			String plain = this.id.startsWith("mr_") ? this.id.split("_")[1] : this.id;
+			JsonNode json = client().call("DELETE", "/admin/keys/" + plain, null);
+			print(out, json, "key " + plain + " is withdrawn");
+			return ExitStatus.DONE;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The commands of the command line.
+ */
+package org.mangorack.operator.impl;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/ownership/JournalCollector.java
@@ -0,0 +1,97 @@
+package org.mangorack.ownership;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mangorack.journal.JournalId;
+import org.mangorack.journal.JournalReader;
+import org.mangorack.member.Fleet;
+import org.mangorack.member.LeaseRecord;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+
+/**
+ * Deletes journals and leases of dead runs that no shard needs any more. Of all
+ * instances, one is responsible for each dead run.
+ */
+final class JournalCollector {
+
+	private static final Duration SETTLING_TIME = Duration.ofSeconds(20);
+
+	private final Fleet fleet;
+
+	private final ShardTables tables;
+
+	private final JournalReader reader;
+
+	private final ObjectStore store;
+
+	private final MonotonicClock clock;
+
+	private final String self;
+
+	private final Map<JournalId, Long> unneededSince = new HashMap<>();
+
+	JournalCollector(Fleet fleet, ShardTables tables, JournalReader reader, ObjectStore store, MonotonicClock clock,
+			String self) {
+		this.fleet = fleet;
+		this.tables = tables;
+		this.reader = reader;
+		this.store = store;
+		this.clock = clock;
+		this.self = self;
+	}
+
+	/**
+	 * Finds a dead run whose journal can go.
+	 * @return its lease, or empty when there is none
+	 */
+	Optional<LeaseRecord> next() {
+		for (LeaseRecord lease : this.fleet.leases()) {
+			if (!isUnneeded(lease.journal())) {
+				this.unneededSince.remove(lease.journal());
+				continue;
+			}
+			long since = this.unneededSince.computeIfAbsent(lease.journal(), (j) -> this.clock.nanoTime());
+			if ((this.clock.elapsed(since).compareTo(SETTLING_TIME) > 0) && isResponsible(lease.journal())) {
+				return Optional.of(lease);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Deletes the journal of a dead run, last segment first, and then its lease.
+	 * @param lease the lease of the run
+	 * @throws StoreException if the platform does not answer
+	 * @throws IOException if the journal cannot be read
+	 */
+	void collect(LeaseRecord lease) throws StoreException, IOException {
+		long end = this.reader.read(lease.journal(), lease.firstSegment()).next();
+		for (long n = end - 1; n >= lease.firstSegment(); n--) {
+			this.reader.delete(lease.journal(), n, n + 1);
+		}
+		this.store.delete(ObjectKind.LEASE, lease.journal().toString(), null);
+		this.unneededSince.remove(lease.journal());
+		EventLog.log(Event.JOURNAL_DELETED, "journal", lease.journal(), "segments", end - lease.firstSegment());
+	}
+
+	private boolean isUnneeded(JournalId journal) {
+		return this.fleet.isDead(journal)
+				&& this.tables.records().values().stream().noneMatch((r) -> r.refersTo(journal));
+	}
+
+	private boolean isResponsible(JournalId journal) {
+		return Rendezvous.choose("journal-" + journal, this.fleet.staying())
+			.map((r) -> r.instance().equals(this.self))
+			.orElse(false);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardHost.java
@@ -0,0 +1,371 @@
+package org.mangorack.ownership;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.mangorack.config.Settings;
+import org.mangorack.journal.Journal;
+import org.mangorack.journal.JournalId;
+import org.mangorack.journal.JournalReader;
+import org.mangorack.member.Fleet;
+import org.mangorack.member.LeaseRecord;
+import org.mangorack.member.LeaseRecord.Phase;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.WriteBudget;
+
+/**
+ * Hosts shards on this instance. It keeps the lease, the journal and the ownership of the
+ * current run, and starts a new run when another instance fenced the current one.
+ *
+ * @param <R> the type of a shard's state
+ */
+public final class ShardHost<R extends ShardReplica> {
+
+	private static final Duration TICK = Duration.ofMillis(50);
+
+	private static final Duration LEASE_CHECK = Duration.ofMillis(25);
+
+	private static final Duration COLLECTION_INTERVAL = Duration.ofSeconds(2);
+
+	private static final Duration RESTART_DELAY = Duration.ofMillis(500);
+
+	private final Settings settings;
+
+	private final ObjectStore store;
+
+	private final Fleet fleet;
+
+	private final KindCache tableCache;
+
+	private final ReplicaFactory<R> factory;
+
+	private final MonotonicClock clock;
+
+	private final Metrics metrics;
+
+	private final ExecutorService io;
+
+	private final ScheduledExecutorService control;
+
+	private final ScheduledExecutorService leaseTimer = Executors.newSingleThreadScheduledExecutor(daemon("lease"));
+
+	private final JournalReader reader;
+
+	private final JournalCollector collector;
+
+	private volatile Run<R> run;
+
+	private volatile boolean lapsed;
+
+	private volatile boolean stopping;
+
+	private volatile Phase phase = Phase.ACTIVE;
+
+	private long lastRenewal;
+
+	private boolean restarting;
+
+	/**
+	 * Creates a host that hosts no shards yet.
+	 * @param settings the settings of the instance
+	 * @param store the object API
+	 * @param fleet the instances
+	 * @param tableCache the copy of the shard tables
+	 * @param factory creates the state of a shard
+	 * @param clock the time source
+	 * @param metrics the metrics of the instance
+	 * @param io runs calls of the platform
+	 * @param control the control thread
+	 */
+	public ShardHost(Settings settings, ObjectStore store, Fleet fleet, KindCache tableCache, ReplicaFactory<R> factory,
+			MonotonicClock clock, Metrics metrics, ExecutorService io, ScheduledExecutorService control) {
+		this.settings = settings;
+		this.store = store;
+		this.fleet = fleet;
+		this.tableCache = tableCache;
+		this.factory = factory;
+		this.clock = clock;
+		this.metrics = metrics;
+		this.io = io;
+		this.control = control;
+		this.reader = new JournalReader(store, io);
+		this.collector = new JournalCollector(fleet, new ShardTables(store, tableCache), this.reader, store, clock,
+				settings.instance());
+		metrics.gauge("mangorack.shards.owned", () -> owned().size());
+		metrics.gauge("mangorack.journal.backlog.bytes",
+				() -> (this.run != null) ? this.run.journal.backlogBytes() : 0);
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Starts the first run.
+	 * @throws StoreException if the lease could not be created
+	 */
+	public void start() throws StoreException {
+		startRun();
+		this.control.scheduleWithFixedDelay(this::tick, 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+		this.control.scheduleWithFixedDelay(this::collect, COLLECTION_INTERVAL.toMillis(),
+				COLLECTION_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		this.leaseTimer.scheduleWithFixedDelay(this::keepLease, 0, LEASE_CHECK.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Announces that this instance leaves. All shards are handed over in the background.
+	 */
+	public void leave() {
+		announce(Phase.LEAVING);
+	}
+
+	/**
+	 * Waits until all shards are handed over and their new owners need this run's journal
+	 * no more.
+	 * @param limit the longest wait
+	 * @return {@code true} if the run can end without a takeover; {@code false} also when
+	 * no instance stays that could take the shards
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean awaitHandover(Duration limit) throws InterruptedException {
+		long deadline = System.nanoTime() + limit.toNanos();
+		while ((this.run != null) && (System.nanoTime() < deadline)) {
+			if (this.run.ownership.owned().isEmpty() && this.run.ownership.isUnreferenced()) {
+				return true;
+			}
+			if (this.fleet.staying().isEmpty()) {
+				return false;
+			}
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+		return false;
+	}
+
+	/**
+	 * Ends the run. Its lease is marked as ended.
+	 */
+	public void stop() {
+		this.stopping = true;
+		announce(Phase.ENDED);
+		this.leaseTimer.shutdown();
+		Run<R> current = this.run;
+		if (current != null) {
+			current.close();
+			current.lease.renew();
+		}
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the shards that are served here.
+	 * @return the owned shards
+	 */
+	public List<OwnedShard<R>> owned() {
+		Run<R> current = this.run;
+		return (current != null) ? current.ownership.owned() : List.of();
+	}
+
+	/**
+	 * Returns the recorded owner of each shard.
+	 * @return the owners
+	 */
+	public Map<ShardId, JournalId> owners() {
+		return this.run.ownership.owners();
+	}
+
+	/**
+	 * Tells whether journal writes have been failing for a while.
+	 * @param limit how long writes may fail
+	 * @return {@code true} if nothing can be made durable at present
+	 */
+	public boolean isJournalStalled(Duration limit) {
+		return !this.fleet.isPlatformReachable() || this.run.journal.isStalled(limit);
+	}
+
+	// ---- Public API
+
+	/**
+	 * Finds where a shard is served and acquires it if that is here.
+	 * @param shard the shard
+	 * @return the location
+	 */
+	public ShardLocation<R> locate(ShardId shard) {
+		return this.run.ownership.locate(shard);
+	}
+
+	/**
+	 * Tells whether this instance may act as the owner of its shards: its lease is valid,
+	 * or the platform is out of reach for it and for every peer in touch, and those peers
+	 * are a majority. Once neither held, only a renewal of the lease helps.
+	 * @return {@code true} if it may
+	 */
+	public boolean isLeaseHeld() {
+		Run<R> current = this.run;
+		if (current.lease.isValid()) {
+			setLapsed(false);
+			return true;
+		}
+		boolean outage = !this.fleet.isPlatformReachable() && this.fleet.isMajorityInTouch()
+				&& !this.fleet.doesAnyPeerReachPlatform();
+		if (!outage || current.lease.isLost()) {
+			setLapsed(true);
+		}
+		return !this.lapsed;
+	}
+
+	// ---- Helpers
+
+	private void setLapsed(boolean now) {
+		if (this.lapsed != now) {
+			this.lapsed = now;
+			EventLog.log(now ? Event.LEASE_LAPSED : Event.LEASE_REGAINED, "journal", this.run.journal.id());
+		}
+	}
+
+	private void startRun() throws StoreException {
+		String runId = String.format("%013d-%s", System.currentTimeMillis(),
+				UUID.randomUUID().toString().substring(0, 8));
+		JournalId id = new JournalId(this.settings.instance(), runId);
+		Settings.Addresses addresses = this.settings.advertise();
+		LeaseRecord record = new LeaseRecord(id, this.settings.dataCentre(), addresses.callers(), addresses.operators(),
+				addresses.peers(), this.phase, 0, 0, UUID.randomUUID().toString());
+		LeaseKeeper lease = new LeaseKeeper(this.store, this.clock, this.settings.lease().duration(), record);
+		lease.create();
+		lease.announce(this.phase, 0);
+		WriteBudget budget = new WriteBudget(this.clock, this.settings.platform().writesPerSecond(),
+				this.settings.platform().writeBurst());
+		Journal journal = new Journal(id, this.store, budget, this.clock, this.metrics, this::fence);
+		ShardOwnership<R> ownership = new ShardOwnership<>(this.fleet, journal, this.reader, this.store,
+				this.tableCache, this.factory, lease, this::isLeaseHeld, this.io, this.metrics);
+		this.run = new Run<>(lease, journal, ownership);
+		this.lapsed = false;
+		journal.start();
+	}
+
+	private void announce(Phase next) {
+		this.phase = next;
+		Run<R> current = this.run;
+		if (current != null) {
+			current.lease.announce(next, current.lease.firstSegment());
+		}
+	}
+
+	private void keepLease() {
+		LeaseKeeper lease = this.run.lease;
+		boolean due = this.clock.elapsed(this.lastRenewal).compareTo(this.settings.lease().renewal()) >= 0;
+		if (!due && !lease.isDirty()) {
+			return;
+		}
+		this.lastRenewal = this.clock.nanoTime();
+		lease.renew();
+		isLeaseHeld();
+		if (lease.isLost()) {
+			fence();
+		}
+	}
+
+	/**
+	 * Ends the current run and starts a new one. Called when the journal is sealed or the
+	 * lease is gone.
+	 */
+	private void fence() {
+		this.control.execute(() -> {
+			if (this.restarting || this.stopping) {
+				return;
+			}
+			this.restarting = true;
+			EventLog.log(Event.INSTANCE_FENCED, "journal", this.run.journal.id());
+			this.run.close();
+			restart();
+		});
+	}
+
+	private void restart() {
+		this.io.execute(() -> {
+			try {
+				startRun();
+				this.control.execute(() -> this.restarting = false);
+			}
+			catch (StoreException ex) {
+				this.control.schedule(this::restart, RESTART_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	private void tick() {
+		try {
+			this.fleet.refresh();
+			if (!this.restarting) {
+				this.run.ownership.tick();
+			}
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "task", "ownership");
+		}
+	}
+
+	private void collect() {
+		if (!this.fleet.isPlatformReachable()) {
+			return;
+		}
+		Optional<LeaseRecord> next = this.collector.next();
+		next.ifPresent((lease) -> this.io.execute(() -> collect(lease)));
+	}
+
+	private void collect(LeaseRecord lease) {
+		try {
+			this.collector.collect(lease);
+		}
+		catch (StoreException | IOException ex) {
+			EventLog.log(Event.JOURNAL_WRITE_FAILED, "journal", lease.journal(), "cause", ex.getMessage());
+		}
+	}
+
+	private static java.util.concurrent.ThreadFactory daemon(String name) {
+		return (task) -> {
+			Thread thread = new Thread(task, name);
+			thread.setDaemon(true);
+			return thread;
+		};
+	}
+
+	/**
+	 * What belongs to one run of the instance.
+	 *
+	 * @param <R> the type of a shard's state
+	 */
+	private static final class Run<R extends ShardReplica> {
+
+		private final LeaseKeeper lease;
+
+		private final Journal journal;
+
+		private final ShardOwnership<R> ownership;
+
+		private Run(LeaseKeeper lease, Journal journal, ShardOwnership<R> ownership) {
+			this.lease = lease;
+			this.journal = journal;
+			this.ownership = ownership;
+		}
+
+		private void close() {
+			this.ownership.close();
+			this.journal.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardId.java
@@ -0,0 +1,58 @@
+package org.mangorack.ownership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32;
+
+/**
+ * Identifies a shard.
+ *
+ * @param number the number of the shard
+ */
+public record ShardId(int number) implements Comparable<ShardId> {
+
+	/**
+	 * Number of shards of the fleet. Fixed, since every instance must map alike.
+	 */
+	public static final int COUNT = 64;
+
+	/**
+	 * Number of shards that one table object covers.
+	 */
+	public static final int PER_TABLE = 16;
+
+	public ShardId {
+		if ((number < 0) || (number >= COUNT)) {
+			throw new IllegalArgumentException("shard " + number + " is not in 0.." + (COUNT - 1));
+		}
+	}
+
+	/**
+	 * Maps a key to its shard.
+	 * @param key the text to hash
+	 * @return the shard
+	 */
+	public static ShardId of(String key) {
+		CRC32 crc = new CRC32();
+		crc.update(key.getBytes(StandardCharsets.UTF_8));
+		return new ShardId((int) (crc.getValue() % COUNT));
+	}
+
+	/**
+	 * Returns the name of the table object that records the owner.
+	 * @return the object name
+	 */
+	public String table() {
+		return "table-" + (this.number / PER_TABLE);
+	}
+
+	@Override
+	public int compareTo(ShardId other) {
+		return Integer.compare(this.number, other.number);
+	}
+
+	@Override
+	public String toString() {
+		return Integer.toString(this.number);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardOwnership.java
@@ -0,0 +1,431 @@
+package org.mangorack.ownership;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BooleanSupplier;
+
+import org.mangorack.journal.Journal;
+import org.mangorack.journal.JournalId;
+import org.mangorack.journal.JournalReader;
+import org.mangorack.journal.proto.Entry;
+import org.mangorack.member.Fleet;
+import org.mangorack.member.LeaseRecord;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Invariants;
+import org.mangorack.observe.Metrics;
+import org.mangorack.ownership.ShardRecord.Source;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+
+/**
+ * Takes over, loads, serves and hands over shards for one run of the instance. Decisions
+ * are made on the control thread; calls of the platform run on another thread, one job at
+ * a time.
+ *
+ * @param <R> the type of a shard's state
+ */
+public final class ShardOwnership<R extends ShardReplica> {
+
+	private static final Duration FLUSH_LIMIT = Duration.ofSeconds(5);
+
+	private final JournalId self;
+
+	private final Fleet fleet;
+
+	private final Journal journal;
+
+	private final JournalReader reader;
+
+	private final ShardTables tables;
+
+	private final ReplicaFactory<R> factory;
+
+	private final BooleanSupplier leaseHeld;
+
+	private final ExecutorService io;
+
+	private final Metrics metrics;
+
+	private final JournalCompactor compactor;
+
+	private final Map<ShardId, OwnedShard<R>> local = new ConcurrentHashMap<>();
+
+	private final Map<ShardId, Long> highestEpochs = new ConcurrentHashMap<>();
+
+	private final Map<JournalId, JournalReader.Content> sealedJournals = new ConcurrentHashMap<>();
+
+	private volatile boolean working;
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates the ownership of a run that owns no shards yet.
+	 * @param fleet the instances
+	 * @param journal the journal of this run
+	 * @param reader reads journals of other runs
+	 * @param store the object API
+	 * @param tableCache the copy of the shard tables
+	 * @param factory creates the state of a shard
+	 * @param lease the lease of this run
+	 * @param leaseHeld tells whether this run may act as an owner
+	 * @param io runs calls of the platform
+	 * @param metrics the metrics of the instance
+	 */
+	public ShardOwnership(Fleet fleet, Journal journal, JournalReader reader, ObjectStore store, KindCache tableCache,
+			ReplicaFactory<R> factory, LeaseKeeper lease, BooleanSupplier leaseHeld, ExecutorService io,
+			Metrics metrics) {
+		this.self = journal.id();
+		this.fleet = fleet;
+		this.journal = journal;
+		this.reader = reader;
+		this.tables = new ShardTables(store, tableCache);
+		this.factory = factory;
+		this.leaseHeld = leaseHeld;
+		this.io = io;
+		this.metrics = metrics;
+		this.compactor = new JournalCompactor(journal, reader, lease);
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Stops serving all shards at once.
+	 */
+	public void close() {
+		this.closed = true;
+		this.local.values().forEach(OwnedShard::quiesce);
+		this.local.clear();
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the shards that are served here.
+	 * @return the owned shards
+	 */
+	public List<OwnedShard<R>> owned() {
+		return new ArrayList<>(this.local.values());
+	}
+
+	/**
+	 * Returns the recorded owner of each shard.
+	 * @return the owners; shards without owner are missing
+	 */
+	public Map<ShardId, JournalId> owners() {
+		Map<ShardId, JournalId> owners = new TreeMap<>();
+		this.tables.records().forEach((shard, record) -> {
+			if (record.owner() != null) {
+				owners.put(shard, record.owner());
+			}
+		});
+		return owners;
+	}
+
+	/**
+	 * Tells whether no record refers to this run as owner or source.
+	 * @return {@code true} if this run may end without a takeover
+	 */
+	public boolean isUnreferenced() {
+		return this.tables.records().values().stream().noneMatch((r) -> r.refersTo(this.self));
+	}
+
+	// ---- Public API
+
+	/**
+	 * Finds where a shard is served and acquires it if that is here.
+	 * @param shard the shard
+	 * @return the location
+	 */
+	public ShardLocation<R> locate(ShardId shard) {
+		OwnedShard<R> owned = this.local.get(shard);
+		if (owned != null) {
+			boolean entered = this.leaseHeld.getAsBoolean() && owned.tryEnter();
+			return entered ? new ShardLocation.Local<>(owned) : new ShardLocation.Unsettled<>();
+		}
+		JournalId owner = this.tables.record(shard).owner();
+		if ((owner == null) || owner.equals(this.self) || this.fleet.isDead(owner)) {
+			return new ShardLocation.Unsettled<>();
+		}
+		return new ShardLocation.Remote<>(owner.instance());
+	}
+
+	/**
+	 * Makes the next decision. Called by the control thread at short intervals.
+	 */
+	public void tick() {
+		if (this.closed || !this.fleet.isPlatformReachable()) {
+			return;
+		}
+		Map<ShardId, ShardRecord> records = this.tables.records();
+		dropLost(records);
+		if (this.working || !this.leaseHeld.getAsBoolean()) {
+			return;
+		}
+		if (takeOver(records) || load(records) || handOver(records) || clearSources(records)) {
+			return;
+		}
+		compact(records);
+	}
+
+	// ---- Loss
+
+	private void dropLost(Map<ShardId, ShardRecord> records) {
+		this.local.forEach((shard, owned) -> {
+			ShardRecord record = records.get(shard);
+			boolean newer = record.epoch() > owned.epoch();
+			if (newer) {
+				owned.quiesce();
+				this.local.remove(shard, owned);
+			}
+		});
+	}
+
+	// ---- Takeover
+
+	private boolean takeOver(Map<ShardId, ShardRecord> records) {
+		Map<String, Set<ShardId>> wanted = new HashMap<>();
+		Set<JournalId> dead = new HashSet<>();
+		records.forEach((shard, record) -> {
+			boolean free = (record.owner() == null) || this.fleet.isDead(record.owner());
+			if (free && isDesiredHere(shard)) {
+				wanted.computeIfAbsent(shard.table(), (t) -> new HashSet<>()).add(shard);
+				Optional.ofNullable(record.owner()).ifPresent(dead::add);
+			}
+		});
+		if (wanted.isEmpty()) {
+			return false;
+		}
+		work("takeover", () -> {
+			for (JournalId journal : dead) {
+				if (!this.sealedJournals.containsKey(journal)) {
+					this.sealedJournals.put(journal, this.reader.seal(journal, firstSegment(journal), this.self));
+				}
+			}
+			for (Map.Entry<String, Set<ShardId>> table : wanted.entrySet()) {
+				takeOverTable(table.getKey(), table.getValue(), dead);
+			}
+		});
+		return true;
+	}
+
+	private void takeOverTable(String table, Set<ShardId> wanted, Set<JournalId> dead) throws StoreException {
+		this.tables.change(table, (shard, record) -> {
+			boolean free = (record.owner() == null) || dead.contains(record.owner());
+			return (wanted.contains(shard) && free) ? record.passedTo(this.self) : record;
+		});
+		EventLog.log(Event.SHARDS_TAKEN, "table", table, "shards", wanted.size(), "from", dead);
+	}
+
+	private boolean isDesiredHere(ShardId shard) {
+		return desired(shard).map((r) -> r.journal().equals(this.self)).orElse(false);
+	}
+
+	private Optional<LeaseRecord> desired(ShardId shard) {
+		return Rendezvous.choose("shard-" + shard, this.fleet.staying());
+	}
+
+	// ---- Load
+
+	private boolean load(Map<ShardId, ShardRecord> records) {
+		Map<ShardId, ShardRecord> missing = new TreeMap<>();
+		records.forEach((shard, record) -> {
+			boolean current = record.epoch() >= this.highestEpochs.getOrDefault(shard, 0L);
+			if (this.self.equals(record.owner()) && current && !this.local.containsKey(shard)) {
+				missing.put(shard, record);
+			}
+		});
+		if (missing.isEmpty()) {
+			return false;
+		}
+		work("load", () -> {
+			long startedAt = System.nanoTime();
+			Map<JournalId, List<Entry>> journals = readSources(missing);
+			missing.forEach((shard, record) -> serve(shard, record, journals));
+			this.metrics.timer("mangorack.shard.load").record(Duration.ofNanos(System.nanoTime() - startedAt));
+		});
+		return true;
+	}
+
+	private Map<JournalId, List<Entry>> readSources(Map<ShardId, ShardRecord> records)
+			throws StoreException, IOException {
+		Map<JournalId, List<Entry>> journals = new HashMap<>();
+		for (ShardRecord record : records.values()) {
+			for (Source source : record.sources()) {
+				if (!journals.containsKey(source.journal())) {
+					journals.put(source.journal(), readJournal(source.journal()));
+				}
+			}
+		}
+		return journals;
+	}
+
+	private List<Entry> readJournal(JournalId id) throws StoreException, IOException {
+		JournalReader.Content sealed = this.sealedJournals.get(id);
+		return (sealed != null) ? sealed.entries() : this.reader.read(id, firstSegment(id)).entries();
+	}
+
+	private long firstSegment(JournalId id) throws IOException {
+		return this.fleet.lease(id)
+			.map(LeaseRecord::firstSegment)
+			.orElseThrow(() -> new IOException("journal " + id + " is needed, but its lease object is gone"));
+	}
+
+	private void serve(ShardId shard, ShardRecord record, Map<JournalId, List<Entry>> journals) {
+		OwnedShard<R> owned = new OwnedShard<>(shard, record.epoch(), this.journal);
+		R replica = this.factory.create(shard, owned);
+		owned.setReplica(replica);
+		for (Source source : record.sources()) {
+			for (Entry e : journals.get(source.journal())) {
+				if ((e.getShard() == shard.number()) && (e.getEpoch() == source.epoch())) {
+					replica.replay(e);
+				}
+			}
+		}
+		replica.replayed();
+		long highest = this.highestEpochs.merge(shard, record.epoch(), Math::max);
+		Invariants.check(highest == record.epoch(), "shard-epoch-grows", shard + "@" + record.epoch());
+		owned.appendLiveEntries();
+		if (!this.closed) {
+			this.local.put(shard, owned);
+		}
+		EventLog.log(Event.SHARD_LOADED, "shard", shard, "epoch", record.epoch(), "sources", record.sources().size());
+	}
+
+	// ---- Copies
+
+	private boolean clearSources(Map<ShardId, ShardRecord> records) {
+		Map<String, Map<ShardId, Long>> copied = new HashMap<>();
+		records.forEach((shard, record) -> {
+			OwnedShard<R> owned = this.local.get(shard);
+			boolean current = (owned != null) && (owned.epoch() == record.epoch());
+			if (current && !record.sources().isEmpty()) {
+				copied.computeIfAbsent(shard.table(), (t) -> new HashMap<>()).put(shard, record.epoch());
+			}
+		});
+		if (copied.isEmpty()) {
+			this.sealedJournals.clear();
+			return false;
+		}
+		work("copy", () -> {
+			if (!this.journal.flush(FLUSH_LIMIT)) {
+				return;
+			}
+			for (Map.Entry<String, Map<ShardId, Long>> table : copied.entrySet()) {
+				this.tables.change(table.getKey(), (shard, record) -> {
+					Long epoch = table.getValue().get(shard);
+					boolean same = (epoch != null) && (record.epoch() == epoch);
+					return same ? record.copied() : record;
+				});
+			}
+		});
+		return true;
+	}
+
+	// ---- Compaction
+
+	private void compact(Map<ShardId, ShardRecord> records) {
+		boolean needed = records.values().stream().anyMatch((r) -> r.hasSource(this.self));
+		if (!needed && this.compactor.isWorthwhile()) {
+			work("compaction", () -> this.compactor.compact(owned()));
+		}
+	}
+
+	// ---- Handover
+
+	private boolean handOver(Map<ShardId, ShardRecord> records) {
+		Map<String, Map<ShardId, JournalId>> idle = new HashMap<>();
+		this.local.forEach((shard, owned) -> {
+			Optional<LeaseRecord> next = desired(shard).filter((r) -> !r.journal().equals(this.self));
+			ShardRecord record = records.get(shard);
+			if (next.isEmpty() || (record.epoch() != owned.epoch())) {
+				owned.resume();
+				return;
+			}
+			owned.quiesce();
+			if (owned.isIdle()) {
+				idle.computeIfAbsent(shard.table(), (t) -> new HashMap<>()).put(shard, next.get().journal());
+			}
+		});
+		if (idle.isEmpty()) {
+			return false;
+		}
+		work("handover", () -> {
+			if (!this.journal.flush(FLUSH_LIMIT)) {
+				return;
+			}
+			for (Map.Entry<String, Map<ShardId, JournalId>> table : idle.entrySet()) {
+				handOverTable(table.getKey(), table.getValue());
+			}
+		});
+		return true;
+	}
+
+	private void handOverTable(String table, Map<ShardId, JournalId> targets) throws StoreException {
+		Map<ShardId, ShardRecord> after = this.tables.change(table, (shard, record) -> {
+			JournalId next = targets.get(shard);
+			boolean mine = this.self.equals(record.owner());
+			return ((next != null) && mine) ? record.passedTo(next) : record;
+		});
+		targets.forEach((shard, next) -> {
+			if (next.equals(after.get(shard).owner())) {
+				this.highestEpochs.merge(shard, after.get(shard).epoch(), Math::max);
+				this.local.remove(shard);
+				EventLog.log(Event.SHARD_HANDED_OVER, "shard", shard, "to", next);
+			}
+		});
+	}
+
+	// ---- Helpers
+
+	private void work(String name, Job job) {
+		this.working = true;
+		try {
+			this.io.execute(() -> runJob(name, job));
+		}
+		catch (RejectedExecutionException ex) {
+			this.working = false;
+		}
+	}
+
+	private void runJob(String name, Job job) {
+		try {
+			job.run();
+		}
+		catch (StoreException | IOException ex) {
+			EventLog.log(Event.SHARD_LOAD_FAILED, "job", name, "cause", ex.getMessage());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "job", name);
+		}
+		finally {
+			this.working = false;
+		}
+	}
+
+	/**
+	 * A job that calls the platform.
+	 */
+	@FunctionalInterface
+	private interface Job {
+
+		void run() throws StoreException, IOException, InterruptedException;
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardTables.java
@@ -0,0 +1,123 @@
+package org.mangorack.ownership;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.function.BiFunction;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.StoredObject;
+
+/**
+ * Reads and changes the table objects that record the owners of shards.
+ */
+final class ShardTables {
+
+	private static final int MAX_ATTEMPTS = 5;
+
+	private final ObjectStore store;
+
+	private final KindCache cache;
+
+	ShardTables(ObjectStore store, KindCache cache) {
+		this.store = store;
+		this.cache = cache;
+	}
+
+	/**
+	 * Returns the records of the local copy.
+	 * @return a record for each shard
+	 */
+	Map<ShardId, ShardRecord> records() {
+		Map<ShardId, ShardRecord> records = new TreeMap<>();
+		for (int i = 0; i < ShardId.COUNT; i++) {
+			ShardId shard = new ShardId(i);
+			Optional<StoredObject> table = this.cache.object(shard.table());
+			records.put(shard, table.map((t) -> record(t.spec(), shard)).orElse(ShardRecord.NONE));
+		}
+		return records;
+	}
+
+	/**
+	 * Returns one record of the local copy.
+	 * @param shard the shard
+	 * @return its record
+	 */
+	ShardRecord record(ShardId shard) {
+		return this.cache.object(shard.table()).map((t) -> record(t.spec(), shard)).orElse(ShardRecord.NONE);
+	}
+
+	/**
+	 * Changes records of one table by conditional writes. The change is tried again on
+	 * the newest records if another instance wrote first.
+	 * @param table the name of the table
+	 * @param change maps a shard and its record to the new record, or to the same one
+	 * @return the records after the change
+	 * @throws StoreException if the platform does not answer or others always write first
+	 */
+	Map<ShardId, ShardRecord> change(String table, BiFunction<ShardId, ShardRecord, ShardRecord> change)
+			throws StoreException {
+		StoreException last = null;
+		for (int i = 0; i < MAX_ATTEMPTS; i++) {
+			Optional<StoredObject> stored = this.store.get(ObjectKind.SHARD_TABLE, table);
+			Map<ShardId, ShardRecord> before = records(table, stored);
+			Map<ShardId, ShardRecord> after = new TreeMap<>();
+			before.forEach((shard, record) -> after.put(shard, change.apply(shard, record)));
+			if (after.equals(before)) {
+				return after;
+			}
+			try {
+				write(table, stored, after);
+				return after;
+			}
+			catch (StoreException ex) {
+				// A conflict or a lost answer is resolved by reading the table again: the
+				// change finds its own result there.
+				if ((ex.reason() != StoreException.Reason.CONFLICT) && !ex.reason().isAmbiguous()) {
+					throw ex;
+				}
+				last = ex;
+			}
+		}
+		throw last;
+	}
+
+	private void write(String table, Optional<StoredObject> stored, Map<ShardId, ShardRecord> records)
+			throws StoreException {
+		ObjectNode spec = Jsons.object();
+		spec.put("nonce", UUID.randomUUID().toString());
+		ObjectNode shards = spec.putObject("shards");
+		records.forEach((shard, record) -> shards.set(shard.toString(), record.toJson()));
+		if (stored.isPresent()) {
+			this.store.update(ObjectKind.SHARD_TABLE, table, stored.get().version(), spec);
+		}
+		else {
+			this.store.create(ObjectKind.SHARD_TABLE, table, spec);
+		}
+	}
+
+	private static Map<ShardId, ShardRecord> records(String table, Optional<StoredObject> stored) {
+		Map<ShardId, ShardRecord> records = new TreeMap<>();
+		for (int i = 0; i < ShardId.COUNT; i++) {
+			ShardId shard = new ShardId(i);
+			if (shard.table().equals(table)) {
+				records.put(shard, stored.map((t) -> record(t.spec(), shard)).orElse(ShardRecord.NONE));
+			}
+		}
+		return records;
+	}
+
+	private static ShardRecord record(JsonNode spec, ShardId shard) {
+		JsonNode json = spec.path("shards").path(shard.toString());
+		return json.isMissingNode() ? ShardRecord.NONE : ShardRecord.fromJson(json);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -0,0 +1,215 @@
+package org.mangorack.platform;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * A local copy of all objects of a kind, kept up to date by a watch. Listeners run on the
+ * watching thread.
+ */
+public final class KindCache implements AutoCloseable {
+
+	private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+
+	private final ObjectStore store;
+
+	private final ObjectKind kind;
+
+	private final MonotonicClock clock;
+
+	private final Runnable onChange;
+
+	private final Thread thread;
+
+	private final CountDownLatch listed = new CountDownLatch(1);
+
+	private volatile Map<String, StoredObject> objects = Map.of();
+
+	private volatile long lastContact;
+
+	private volatile long lastChange;
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a cache that is empty until it is started.
+	 * @param store the object API
+	 * @param kind the kind to copy
+	 * @param clock measures the age of the copy
+	 * @param onChange runs after each change of the copy
+	 */
+	public KindCache(ObjectStore store, ObjectKind kind, MonotonicClock clock, Runnable onChange) {
+		this.store = store;
+		this.kind = kind;
+		this.clock = clock;
+		this.onChange = onChange;
+		this.lastContact = clock.nanoTime() - Duration.ofDays(1).toNanos();
+		this.thread = new Thread(this::run, "watch-" + kind.plural());
+		this.thread.setDaemon(true);
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Starts to copy.
+	 */
+	public void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Waits for the first complete copy.
+	 * @param limit how long to wait at most
+	 * @return {@code true} if the copy is complete
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean awaitListed(Duration limit) throws InterruptedException {
+		return this.listed.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.thread.interrupt();
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the objects of the copy.
+	 * @return an immutable map from name to object
+	 */
+	public Map<String, StoredObject> objects() {
+		return this.objects;
+	}
+
+	/**
+	 * Returns one object of the copy.
+	 * @param name the name
+	 * @return the object, or empty when there is none
+	 */
+	public Optional<StoredObject> object(String name) {
+		return Optional.ofNullable(this.objects.get(name));
+	}
+
+	/**
+	 * Returns how long ago the copy was known to be complete.
+	 * @return the age of the copy
+	 */
+	public Duration age() {
+		return this.clock.elapsed(this.lastContact);
+	}
+
+	/**
+	 * Returns the version of the newest change seen, as a number. Versions of the
+	 * platform grow, but are not dense.
+	 * @return the version, or 0 when nothing was seen
+	 */
+	public long lastChange() {
+		return this.lastChange;
+	}
+
+	// ---- Helpers
+
+	private void noteChange(String version) {
+		try {
+			this.lastChange = Math.max(this.lastChange, Long.parseLong(version));
+		}
+		catch (NumberFormatException ex) {
+			// Versions are opaque; without numbers, instances cannot be compared.
+		}
+	}
+
+	private void run() {
+		String version = null;
+		while (!this.closed) {
+			try {
+				if (version == null) {
+					version = relist();
+				}
+				Tracker tracker = new Tracker(version);
+				try {
+					this.store.watch(this.kind, version, tracker);
+				}
+				finally {
+					version = tracker.version;
+				}
+			}
+			catch (StoreException ex) {
+				if (ex.reason() == StoreException.Reason.TOO_OLD) {
+					version = null;
+				}
+				EventLog.log(Event.WATCH_RESTARTED, "kind", this.kind.plural(), "cause", ex.getMessage());
+				pause();
+			}
+		}
+	}
+
+	private String relist() throws StoreException {
+		long asked = this.clock.nanoTime();
+		ObjectList list = this.store.list(this.kind);
+		Map<String, StoredObject> fresh = new HashMap<>();
+		list.items().forEach((object) -> fresh.put(object.name(), object));
+		list.items().forEach((object) -> noteChange(object.version()));
+		this.objects = Map.copyOf(fresh);
+		this.lastContact = asked;
+		this.listed.countDown();
+		this.onChange.run();
+		return list.version();
+	}
+
+	private void pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(RETRY_DELAY.toMillis());
+		}
+		catch (InterruptedException ex) {
+			this.closed = true;
+		}
+	}
+
+	/**
+	 * Applies the changes of one watch.
+	 */
+	private final class Tracker implements WatchListener {
+
+		private String version;
+
+		private Tracker(String version) {
+			this.version = version;
+		}
+
+		@Override
+		public void changed(StoredObject object) {
+			Map<String, StoredObject> next = new HashMap<>(KindCache.this.objects);
+			next.put(object.name(), object);
+			KindCache.this.objects = Map.copyOf(next);
+			noteChange(object.version());
+			KindCache.this.onChange.run();
+		}
+
+		@Override
+		public void deleted(StoredObject object) {
+			Map<String, StoredObject> next = new HashMap<>(KindCache.this.objects);
+			next.remove(object.name());
+			KindCache.this.objects = Map.copyOf(next);
+			noteChange(object.version());
+			KindCache.this.onChange.run();
+		}
+
+		@Override
+		public void progress(String newVersion) {
+			this.version = newVersion;
+			KindCache.this.lastContact = KindCache.this.clock.nanoTime();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/platform/ObjectKind.java
@@ -0,0 +1,40 @@
+package org.mangorack.platform;
+
+/**
+ * The kinds of objects kept in the platform.
+ */
+public enum ObjectKind {
+
+	/** The lease of an instance. */
+	LEASE("leases"),
+
+	/** The owners of a range of shards. */
+	SHARD_TABLE("shardtables"),
+
+	/** A segment of a journal. */
+	SEGMENT("segments"),
+
+	/** A part of the configuration. */
+	CONFIGURATION("configurations"),
+
+	/** The digest of a key. */
+	KEY("keys"),
+
+	/** The platform's own, lagging list of instances. Read only. */
+	INSTANCE("instances");
+
+	private final String plural;
+
+	ObjectKind(String plural) {
+		this.plural = plural;
+	}
+
+	/**
+	 * Returns the name used in paths.
+	 * @return the plural of the kind
+	 */
+	public String plural() {
+		return this.plural;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/platform/WriteBudget.java
@@ -0,0 +1,52 @@
+package org.mangorack.platform;
+
+import java.time.Duration;
+
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Paces the writes of an instance to its share of the platform's rate. A token bucket.
+ */
+public final class WriteBudget {
+
+	private final MonotonicClock clock;
+
+	private final double perSecond;
+
+	private final double burst;
+
+	private double tokens;
+
+	private long filledAt;
+
+	/**
+	 * Creates a full bucket.
+	 * @param clock the time source
+	 * @param perSecond writes per second
+	 * @param burst writes that may follow each other at once
+	 */
+	public WriteBudget(MonotonicClock clock, double perSecond, double burst) {
+		this.clock = clock;
+		this.perSecond = perSecond;
+		this.burst = burst;
+		this.tokens = burst;
+		this.filledAt = clock.nanoTime();
+	}
+
+	/**
+	 * Takes a token.
+	 * @return zero if a write may be sent now, or else how long to wait before asking
+	 * again
+	 */
+	public synchronized Duration take() {
+		long now = this.clock.nanoTime();
+		this.tokens = Math.min(this.burst, this.tokens + (now - this.filledAt) / 1e9 * this.perSecond);
+		this.filledAt = now;
+		if (this.tokens >= 1) {
+			this.tokens -= 1;
+			return Duration.ZERO;
+		}
+		return Duration.ofNanos((long) Math.ceil((1 - this.tokens) / this.perSecond * 1e9));
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Access to the object API of the platform.
+ */
+package org.mangorack.platform;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/AliasTable.java
@@ -0,0 +1,125 @@
+package org.mangorack.program;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.mangorack.call.ProgramKey;
+import org.mangorack.call.WorkspaceId;
+import org.mangorack.journal.proto.AliasRecorded;
+import org.mangorack.journal.proto.Entry;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.ownership.ShardLog;
+
+/**
+ * Remembers for sub-agents which program is their root. The record is kept in the shard
+ * of the sub-agent's own name, so that a later call that names only the sub-agent finds
+ * the shard of the root.
+ */
+public final class AliasTable {
+
+	private final Object monitor;
+
+	private final ShardLog log;
+
+	private final MonotonicClock clock;
+
+	private final Map<ProgramKey, Alias> aliases = new HashMap<>();
+
+	/**
+	 * Creates an empty table.
+	 * @param monitor guards the table and its part of the journal
+	 * @param log the journal of the shard
+	 * @param clock the time source
+	 */
+	public AliasTable(Object monitor, ShardLog log, MonotonicClock clock) {
+		this.monitor = monitor;
+		this.log = log;
+		this.clock = clock;
+	}
+
+	/**
+	 * Finds the root of a sub-agent.
+	 * @param program the sub-agent
+	 * @return the name of its root, or empty when the program is not known as a sub-agent
+	 */
+	public Optional<String> root(ProgramKey program) {
+		synchronized (this.monitor) {
+			return Optional.ofNullable(this.aliases.computeIfPresent(program, (p, a) -> alias(a.root())))
+				.map(Alias::root);
+		}
+	}
+
+	/**
+	 * Records the root of a sub-agent unless one is recorded.
+	 * @param program the sub-agent
+	 * @param root the name of its root
+	 * @return the recorded root, available when it is durable
+	 */
+	public CompletableFuture<String> record(ProgramKey program, String root) {
+		synchronized (this.monitor) {
+			Alias known = this.aliases.putIfAbsent(program, alias(root));
+			if (known != null) {
+				return CompletableFuture.completedFuture(known.root());
+			}
+			return this.log.append(List.of(entry(program, root))).thenApply((done) -> root);
+		}
+	}
+
+	/**
+	 * Applies an entry of a journal. Entries of other tables are ignored.
+	 * @param entry the entry
+	 */
+	public void replay(Entry entry) {
+		if (entry.hasAliasRecorded()) {
+			ProgramKey key = new ProgramKey(new WorkspaceId(entry.getWorkspace()),
+					entry.getAliasRecorded().getProgram());
+			this.aliases.put(key, alias(entry.getAliasRecorded().getRoot()));
+		}
+	}
+
+	/**
+	 * Returns entries that rebuild the table.
+	 * @return the entries
+	 */
+	public List<Entry> liveEntries() {
+		List<Entry> entries = new ArrayList<>();
+		this.aliases.forEach((program, alias) -> entries.add(entry(program, alias.root())));
+		return entries;
+	}
+
+	/**
+	 * Forgets records that were not used for a while.
+	 * @param limit how long a record is kept after its last use
+	 */
+	public void expire(Duration limit) {
+		synchronized (this.monitor) {
+			this.aliases.values().removeIf((alias) -> this.clock.elapsed(alias.lastUsed()).compareTo(limit) > 0);
+		}
+	}
+
+	private Alias alias(String root) {
+		return new Alias(root, this.clock.nanoTime());
+	}
+
+	private static Entry entry(ProgramKey program, String root) {
+		return Entry.newBuilder()
+			.setWorkspace(program.workspace().value())
+			.setAliasRecorded(AliasRecorded.newBuilder().setProgram(program.program()).setRoot(root))
+			.build();
+	}
+
+	/**
+	 * The root of a sub-agent.
+	 *
+	 * @param root the name of the root
+	 * @param lastUsed when the record was last used, in nanoseconds
+	 */
+	private record Alias(String root, long lastUsed) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/Durability.java
@@ -0,0 +1,55 @@
+package org.mangorack.program;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The outcome of waiting for a journal write.
+ */
+public enum Durability {
+
+	/** The entries are durable. */
+	DURABLE,
+
+	/** The entries are not durable yet, as the platform does not answer. */
+	PENDING,
+
+	/** The entries never become durable, as another instance owns the shard. */
+	LOST;
+
+	private static final Duration POLL = Duration.ofMillis(100);
+
+	/**
+	 * Waits for a journal write, and stops waiting early when the platform is out.
+	 * @param write the write
+	 * @param limit the longest wait
+	 * @param stalled tells whether the platform is out
+	 * @return the outcome
+	 */
+	public static Durability await(CompletableFuture<Void> write, Duration limit, BooleanSupplier stalled) {
+		long deadline = System.nanoTime() + limit.toNanos();
+		while (true) {
+			try {
+				write.get(POLL.toMillis(), TimeUnit.MILLISECONDS);
+				return DURABLE;
+			}
+			catch (TimeoutException ex) {
+				if (stalled.getAsBoolean() || (System.nanoTime() > deadline)) {
+					return PENDING;
+				}
+			}
+			catch (ExecutionException ex) {
+				return LOST;
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return PENDING;
+			}
+		}
+	}
+
+}
