--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
@@ -0,0 +1,658 @@
+package org.mangorack.program;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.call.ProgramKey;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.WorkspaceId;
+import org.mangorack.config.Workspace;
+import org.mangorack.journal.Journal;
+import org.mangorack.journal.proto.BudgetCharged;
+import org.mangorack.journal.proto.Entry;
+import org.mangorack.journal.proto.ProgramEnded;
+import org.mangorack.journal.proto.ProgramOpened;
+import org.mangorack.journal.proto.ReleaseConfirmed;
+import org.mangorack.journal.proto.TurnAbandoned;
+import org.mangorack.journal.proto.TurnFinished;
+import org.mangorack.journal.proto.TurnStarted;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Invariants;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.ownership.ShardLog;
+import org.mangorack.program.ProgramState.RunningTurn;
+
+/**
+ * The programs of a shard. Each change is applied to memory and appended to the journal
+ * in one step under the given monitor, so that replaying the entries in their order gives
+ * the same state.
+ */
+public final class ProgramTable {
+
+	private static final Duration ENDED_RETENTION = Duration.ofMinutes(10);
+
+	private static final Duration GAP_RETRY = Duration.ofSeconds(1);
+
+	private static final int TOKENS_PER_MESSAGE = 16;
+
+	private final Object monitor;
+
+	private final ShardLog log;
+
+	private final MonotonicClock clock;
+
+	private final Map<ProgramKey, ProgramState> programs = new HashMap<>();
+
+	/**
+	 * Creates an empty table.
+	 * @param monitor guards the table and its part of the journal
+	 * @param log the journal of the shard
+	 * @param clock the time source
+	 */
+	public ProgramTable(Object monitor, ShardLog log, MonotonicClock clock) {
+		this.monitor = monitor;
+		this.log = log;
+		this.clock = clock;
+	}
+
+	// ---- Turns
+
+	/**
+	 * Decides what has to be done for a turn. If it has to run, the program is marked as
+	 * running and tokens are reserved; the caller must call {@link #finish} or
+	 * {@link #abandon} exactly once.
+	 * @param request the request
+	 * @param root the name of the root program
+	 * @param workspace the workspace
+	 * @return what has to be done, or the refusal
+	 */
+	public Either<Refusal, TurnStart> begin(TurnRequest request, String root, Workspace workspace) {
+		synchronized (this.monitor) {
+			ProgramState program = this.programs.get(request.key());
+			if (program == null) {
+				return beginFirst(request, root, workspace);
+			}
+			program.touch(this.clock.nanoTime());
+			TurnFinished recorded = program.turns().get(request.turn());
+			if (recorded != null) {
+				return repeat(recorded, request);
+			}
+			if (program.isEnded()) {
+				return Either.left(Refusal.notRun(409, "program_ended",
+						"program \"" + request.key().program() + "\" ended: " + program.endReason()));
+			}
+			if (program.running() != null) {
+				return whileRunning(program, request);
+			}
+			if (request.turn() > program.lastTurn() + 1) {
+				return Either.left(gap(request, program.lastTurn()));
+			}
+			return run(program, request, workspace);
+		}
+	}
+
+	/**
+	 * Records that a turn is sent to an upstream.
+	 * @param run the turn
+	 * @param upstream the upstream
+	 * @return completes when the reservation is durable
+	 */
+	public CompletableFuture<Void> started(TurnStart.Run run, String upstream) {
+		synchronized (this.monitor) {
+			TurnRequest request = run.request();
+			TurnStarted entry = TurnStarted.newBuilder()
+				.setProgram(request.key().program())
+				.setTurn(request.turn())
+				.setRequestDigest(request.digest())
+				.setReserved(run.reserved())
+				.setUpstream(upstream)
+				.build();
+			apply(request.key(), entry);
+			return append(request.key().workspace(), (b) -> b.setTurnStarted(entry));
+		}
+	}
+
+	/**
+	 * Records the answer of a turn.
+	 * @param run the turn
+	 * @param answer the whole answer
+	 * @param message the message that the answer adds to the history
+	 * @param used the tokens that the turn used
+	 * @param upstream the upstream that ran it
+	 * @return completes when the answer is durable
+	 */
+	public CompletableFuture<Void> finish(TurnStart.Run run, JsonNode answer, JsonNode message, long used,
+			String upstream) {
+		synchronized (this.monitor) {
+			TurnRequest request = run.request();
+			ProgramState program = this.programs.get(request.key());
+			ArrayNode messages = Jsons.MAPPER.createArrayNode();
+			messages.addAll(run.newMessages());
+			messages.add(message);
+			TurnFinished entry = TurnFinished.newBuilder()
+				.setProgram(request.key().program())
+				.setTurn(request.turn())
+				.setRequestDigest(request.digest())
+				.setMessages(ByteString.copyFrom(Jsons.bytes(messages)))
+				.setAnswer(ByteString.copyFrom(Jsons.bytes(answer)))
+				.setHistoryDigest(Digests.extend(program.historyDigest(), messages))
+				.setCharged(used)
+				.setUpstream(upstream)
+				.build();
+			ProgramState root = rootOf(program);
+			Invariants.check(request.turn() == program.lastTurn() + 1, "turns-in-order", request.key());
+			apply(request.key(), entry);
+			Invariants.check((root.budget() == 0) || (root.charged() <= root.budget()), "budget-holds", root.key());
+			CompletableFuture<Void> durable = append(request.key().workspace(), (b) -> b.setTurnFinished(entry));
+			settle(program);
+			return durable;
+		}
+	}
+
+	/**
+	 * Records that a turn ended without an answer. It may be requested again.
+	 * @param run the turn
+	 * @param used the tokens that the turn used or may have used
+	 * @return completes when the charge is durable
+	 */
+	public CompletableFuture<Void> abandon(TurnStart.Run run, long used) {
+		synchronized (this.monitor) {
+			TurnRequest request = run.request();
+			TurnAbandoned entry = TurnAbandoned.newBuilder()
+				.setProgram(request.key().program())
+				.setTurn(request.turn())
+				.setCharged(used)
+				.build();
+			apply(request.key(), entry);
+			CompletableFuture<Void> durable = append(request.key().workspace(), (b) -> b.setTurnAbandoned(entry));
+			settle(this.programs.get(request.key()));
+			return durable;
+		}
+	}
+
+	// ---- Programs
+
+	/**
+	 * Ends a program and its sub-agents. Ending an ended program changes nothing.
+	 * @param key the program
+	 * @param reason why it ends
+	 * @return completes when the end is durable, or the refusal
+	 */
+	public Either<Refusal, CompletableFuture<Void>> end(ProgramKey key, String reason) {
+		synchronized (this.monitor) {
+			ProgramState program = this.programs.get(key);
+			if (program == null) {
+				return Either.left(unknown(key));
+			}
+			List<ProgramState> family = new ArrayList<>();
+			family.add(program);
+			this.programs.values().stream().filter((p) -> isDescendant(p, program)).forEach(family::add);
+			CompletableFuture<Void> last = CompletableFuture.completedFuture(null);
+			for (ProgramState member : family) {
+				if (!member.isEnded()) {
+					last = endOne(member, reason);
+				}
+			}
+			return Either.right(last);
+		}
+	}
+
+	/**
+	 * Describes a program.
+	 * @param key the program
+	 * @return the description, or empty when there is no such program
+	 */
+	public Optional<ProgramView> view(ProgramKey key) {
+		synchronized (this.monitor) {
+			return Optional.ofNullable(this.programs.get(key)).map(this::view);
+		}
+	}
+
+	/**
+	 * Describes all programs.
+	 * @return the descriptions
+	 */
+	public List<ProgramView> views() {
+		synchronized (this.monitor) {
+			return this.programs.values().stream().map(this::view).toList();
+		}
+	}
+
+	/**
+	 * Returns the history of a program.
+	 * @param key the program
+	 * @return the messages, or empty when there is no such program
+	 */
+	public Optional<List<JsonNode>> history(ProgramKey key) {
+		synchronized (this.monitor) {
+			return Optional.ofNullable(this.programs.get(key)).map(ProgramState::history);
+		}
+	}
+
+	/**
+	 * Ends idle programs and forgets those that ended long ago.
+	 * @param workspaces the configured workspaces
+	 */
+	public void expire(Collection<Workspace> workspaces) {
+		Map<WorkspaceId, Duration> limits = new HashMap<>();
+		workspaces.forEach((w) -> limits.put(w.id(), w.programIdle()));
+		synchronized (this.monitor) {
+			List<ProgramState> forgotten = new ArrayList<>();
+			for (ProgramState program : this.programs.values()) {
+				Duration idle = this.clock.elapsed(program.lastUsed());
+				Duration limit = limits.get(program.key().workspace());
+				if (program.isEnded()) {
+					if (program.unreleased().isEmpty() && (idle.compareTo(ENDED_RETENTION) > 0)) {
+						forgotten.add(program);
+					}
+				}
+				else if ((limit != null) && (program.running() == null) && (idle.compareTo(limit) > 0)) {
+					endOne(program, "expired after " + limit);
+				}
+			}
+			forgotten.forEach((program) -> this.programs.remove(program.key()));
+		}
+	}
+
+	/**
+	 * Returns the releases of engine memory that are not confirmed.
+	 * @return the programs and the upstreams that may hold memory for them
+	 */
+	public List<Release> unconfirmedReleases() {
+		synchronized (this.monitor) {
+			List<Release> releases = new ArrayList<>();
+			for (ProgramState program : this.programs.values()) {
+				program.unreleased().forEach((upstream) -> releases.add(new Release(program.key(), upstream)));
+			}
+			return releases;
+		}
+	}
+
+	/**
+	 * Records that an upstream released the memory of a program.
+	 * @param release the confirmed release
+	 */
+	public void released(Release release) {
+		synchronized (this.monitor) {
+			ReleaseConfirmed entry = ReleaseConfirmed.newBuilder()
+				.setProgram(release.program().program())
+				.setUpstream(release.upstream())
+				.build();
+			apply(release.program(), entry);
+			append(release.program().workspace(), (b) -> b.setReleaseConfirmed(entry));
+		}
+	}
+
+	// ---- Journal
+
+	/**
+	 * Applies an entry of a journal. Entries of other tables are ignored.
+	 * @param entry the entry
+	 */
+	public void replay(Entry entry) {
+		switch (entry.getBodyCase()) {
+			case PROGRAM_OPENED -> apply(key(entry, entry.getProgramOpened().getProgram()), entry.getProgramOpened());
+			case TURN_STARTED -> apply(key(entry, entry.getTurnStarted().getProgram()), entry.getTurnStarted());
+			case TURN_FINISHED -> apply(key(entry, entry.getTurnFinished().getProgram()), entry.getTurnFinished());
+			case TURN_ABANDONED -> apply(key(entry, entry.getTurnAbandoned().getProgram()), entry.getTurnAbandoned());
+			case PROGRAM_ENDED -> apply(key(entry, entry.getProgramEnded().getProgram()), entry.getProgramEnded());
+			case RELEASE_CONFIRMED ->
+				apply(key(entry, entry.getReleaseConfirmed().getProgram()), entry.getReleaseConfirmed());
+			case BUDGET_CHARGED -> {
+				ProgramState program = this.programs.get(key(entry, entry.getBudgetCharged().getProgram()));
+				if (program != null) {
+					program.setCharged(entry.getBudgetCharged().getCharged());
+				}
+			}
+			default -> {
+				// The entry belongs to another table.
+			}
+		}
+	}
+
+	/**
+	 * Charges the turns whose outcome the former owner did not record.
+	 */
+	public void replayed() {
+		for (ProgramState program : this.programs.values()) {
+			program.reservations().values().forEach((reserved) -> rootOf(program).charge(reserved));
+			program.reservations().clear();
+		}
+	}
+
+	/**
+	 * Returns entries that rebuild the table.
+	 * @return the entries, roots before their sub-agents
+	 */
+	public List<Entry> liveEntries() {
+		List<Entry> entries = new ArrayList<>();
+		List<ProgramState> ordered = new ArrayList<>(this.programs.values());
+		ordered.sort((a, b) -> Boolean.compare(b.isRoot(), a.isRoot()));
+		for (ProgramState program : ordered) {
+			addLiveEntries(program, entries);
+		}
+		return entries;
+	}
+
+	// ---- Helpers: turns
+
+	private Either<Refusal, TurnStart> beginFirst(TurnRequest request, String root, Workspace workspace) {
+		if (request.turn() != 1) {
+			return Either.left(gap(request, 0));
+		}
+		ProgramKey rootKey = request.key().sibling(root);
+		ProgramState rootState = this.programs.get(rootKey);
+		boolean isRoot = root.equals(request.key().program());
+		if (!isRoot && ((rootState == null) || rootState.isEnded())) {
+			return Either.left(Refusal.notRun(409, "parent_ended",
+					"parent \"" + request.parent() + "\" of program \"" + request.key().program() + "\" is not alive"));
+		}
+		long budget = 0;
+		if (isRoot) {
+			budget = (request.budget() > 0) ? request.budget() : workspace.budgetTokens();
+		}
+		ProgramOpened entry = ProgramOpened.newBuilder()
+			.setProgram(request.key().program())
+			.setRoot(root)
+			.setParent((request.parent() != null) ? request.parent() : "")
+			.setBudget(budget)
+			.build();
+		ProgramState program = newState(request.key(), entry);
+		this.programs.put(request.key(), program);
+		Either<Refusal, TurnStart> started = run(program, request, workspace);
+		if (started.isLeft()) {
+			this.programs.remove(request.key());
+			return started;
+		}
+		append(request.key().workspace(), (b) -> b.setProgramOpened(entry));
+		return started;
+	}
+
+	private Either<Refusal, TurnStart> repeat(TurnFinished recorded, TurnRequest request) {
+		if (!recorded.getRequestDigest().equals(request.digest())) {
+			return Either.left(Refusal.notRun(409, "turn_conflict", "turn " + request.turn() + " of program \""
+					+ request.key().program() + "\" is recorded with another request"));
+		}
+		return Either.right(new TurnStart.Recorded(recorded));
+	}
+
+	private Either<Refusal, TurnStart> whileRunning(ProgramState program, TurnRequest request) {
+		RunningTurn running = program.running();
+		if ((request.turn() == running.turn()) && !running.digest().equals(request.digest())) {
+			return Either.left(Refusal.notRun(409, "turn_conflict", "turn " + request.turn() + " of program \""
+					+ request.key().program() + "\" is under way with another request"));
+		}
+		if (request.turn() > running.turn() + 1) {
+			return Either.left(gap(request, program.lastTurn()));
+		}
+		return Either.right(new TurnStart.Pending(running.done()));
+	}
+
+	private Either<Refusal, TurnStart> run(ProgramState program, TurnRequest request, Workspace workspace) {
+		if (request.turn() > workspace.maxTurns()) {
+			return Either.left(Refusal.notRun(403, "too_many_turns", "turn " + request.turn() + " of program \""
+					+ request.key().program() + "\" exceeds the limit of " + workspace.maxTurns()));
+		}
+		Either<Refusal, List<JsonNode>> added = request.mode().newMessages(program, request.messages());
+		if (added.isLeft()) {
+			return Either.left(added.getLeft());
+		}
+		if (sizeOf(added.get()) > Journal.MAX_ENTRY_BYTES / 2) {
+			return Either.left(Refusal.notRun(413, "turn_too_large",
+					"the new messages of one turn are longer than " + Journal.MAX_ENTRY_BYTES / 2 + " bytes"));
+		}
+		List<JsonNode> prompt = program.history();
+		prompt.addAll(added.get());
+		return reserve(program, request, prompt).map((tokens) -> {
+			program.setRunning(new RunningTurn(request.turn(), request.digest(), new CompletableFuture<>()));
+			program.reservations().put(request.turn(), tokens.reserved());
+			return new TurnStart.Run(request, added.get(), prompt, tokens.maxTokens(), tokens.reserved(),
+					program.lastUpstream());
+		});
+	}
+
+	// Reserves the most that a turn can use. A token is at least one byte long, so the
+	// bytes of the prompt bound its tokens.
+	private Either<Refusal, Tokens> reserve(ProgramState program, TurnRequest request, List<JsonNode> prompt) {
+		ProgramState root = rootOf(program);
+		long asked = request.body().path("max_completion_tokens").asLong(request.body().path("max_tokens").asLong(0));
+		if (root.budget() == 0) {
+			return Either.right(new Tokens(asked, 0));
+		}
+		long left = root.budget() - root.charged() - reservedOf(root);
+		long promptBound = sizeOf(prompt) + ((long) TOKENS_PER_MESSAGE * prompt.size());
+		long most = left - promptBound;
+		if (most < 1) {
+			return Either.left(Refusal.notRun(403, "budget_exhausted",
+					"program \"" + root.key().program() + "\" has " + left + " of " + root.budget()
+							+ " tokens left, and turn " + request.turn() + " may need " + (promptBound + 1)));
+		}
+		long maxTokens = (asked > 0) ? Math.min(asked, most) : most;
+		return Either.right(new Tokens(maxTokens, promptBound + maxTokens));
+	}
+
+	private static long sizeOf(List<JsonNode> messages) {
+		long size = 0;
+		for (JsonNode message : messages) {
+			size += message.toString().getBytes(StandardCharsets.UTF_8).length;
+		}
+		return size;
+	}
+
+	private static Refusal gap(TurnRequest request, int lastTurn) {
+		return Refusal
+			.notRun(409, "turn_gap",
+					"turn " + request.turn() + " of program \"" + request.key().program()
+							+ "\" was requested, but the last finished turn is " + lastTurn)
+			.withRetryAfter(GAP_RETRY);
+	}
+
+	private void settle(ProgramState program) {
+		RunningTurn running = program.running();
+		program.setRunning(null);
+		touch(program);
+		if (running != null) {
+			running.done().complete(null);
+		}
+	}
+
+	// ---- Helpers: programs
+
+	private CompletableFuture<Void> endOne(ProgramState program, String reason) {
+		ProgramEnded entry = ProgramEnded.newBuilder()
+			.setProgram(program.key().program())
+			.setReason(reason)
+			.addAllUpstreams(program.upstreams())
+			.build();
+		apply(program.key(), entry);
+		touch(program);
+		EventLog.log(Event.PROGRAM_ENDED, "program", program.key(), "reason", reason);
+		return append(program.key().workspace(), (b) -> b.setProgramEnded(entry));
+	}
+
+	private void touch(ProgramState program) {
+		program.touch(this.clock.nanoTime());
+		rootOf(program).touch(this.clock.nanoTime());
+	}
+
+	private ProgramView view(ProgramState program) {
+		ProgramState root = rootOf(program);
+		String state = (program.running() != null) ? "running" : "idle";
+		return new ProgramView(program.key().workspace().value(), program.key().program(),
+				program.isEnded() ? "ended" : state, program.endReason(), program.lastTurn(), program.historyDigest(),
+				program.root(), program.parent(), root.budget(), root.charged(), reservedOf(root));
+	}
+
+	private ProgramState rootOf(ProgramState program) {
+		ProgramState root = this.programs.get(program.key().sibling(program.root()));
+		return (root != null) ? root : program;
+	}
+
+	private long reservedOf(ProgramState root) {
+		return this.programs.values()
+			.stream()
+			.filter((p) -> p.key().workspace().equals(root.key().workspace()) && p.root().equals(root.key().program()))
+			.flatMap((p) -> p.reservations().values().stream())
+			.mapToLong(Long::longValue)
+			.sum();
+	}
+
+	private boolean isDescendant(ProgramState candidate, ProgramState ancestor) {
+		ProgramState current = candidate;
+		for (int depth = 0; (depth < 100) && (current != null) && (current.parent() != null); depth++) {
+			current = this.programs.get(current.key().sibling(current.parent()));
+			if (current == ancestor) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static Refusal unknown(ProgramKey key) {
+		return Refusal.notRun(404, "unknown_program", "there is no program \"" + key.program() + "\"");
+	}
+
+	// ---- Helpers: entries
+
+	private void apply(ProgramKey key, ProgramOpened entry) {
+		this.programs.computeIfAbsent(key, (k) -> newState(k, entry)).upstreams().addAll(entry.getUpstreamsList());
+	}
+
+	private void apply(ProgramKey key, TurnStarted entry) {
+		ProgramState program = this.programs.get(key);
+		if ((program == null) || program.turns().containsKey(entry.getTurn())) {
+			return;
+		}
+		if (!entry.getUpstream().isEmpty()) {
+			program.upstreams().add(entry.getUpstream());
+		}
+		program.reservations().put(entry.getTurn(), entry.getReserved());
+	}
+
+	private void apply(ProgramKey key, TurnFinished entry) {
+		ProgramState program = this.programs.get(key);
+		if ((program == null) || program.turns().containsKey(entry.getTurn())) {
+			return;
+		}
+		program.reservations().remove(entry.getTurn());
+		program.upstreams().add(entry.getUpstream());
+		program.finish(entry);
+		rootOf(program).charge(entry.getCharged());
+		if (program.isEnded()) {
+			program.unreleased().add(entry.getUpstream());
+		}
+	}
+
+	private void apply(ProgramKey key, TurnAbandoned entry) {
+		ProgramState program = this.programs.get(key);
+		if (program == null) {
+			return;
+		}
+		program.reservations().remove(entry.getTurn());
+		rootOf(program).charge(entry.getCharged());
+		if (program.isEnded()) {
+			program.unreleased().addAll(program.upstreams());
+		}
+	}
+
+	private void apply(ProgramKey key, ProgramEnded entry) {
+		ProgramState program = this.programs.computeIfAbsent(key,
+				(k) -> new ProgramState(k, k.program(), null, 0, this.clock.nanoTime()));
+		program.end(entry.getReason(), entry.getUpstreamsList());
+	}
+
+	private void apply(ProgramKey key, ReleaseConfirmed entry) {
+		ProgramState program = this.programs.get(key);
+		if (program != null) {
+			program.unreleased().remove(entry.getUpstream());
+		}
+	}
+
+	private ProgramState newState(ProgramKey key, ProgramOpened entry) {
+		String parent = entry.getParent().isEmpty() ? null : entry.getParent();
+		return new ProgramState(key, entry.getRoot(), parent, entry.getBudget(), this.clock.nanoTime());
+	}
+
+	private void addLiveEntries(ProgramState program, List<Entry> entries) {
+		String name = program.key().program();
+		WorkspaceId workspace = program.key().workspace();
+		ProgramOpened opened = ProgramOpened.newBuilder()
+			.setProgram(name)
+			.setRoot(program.root())
+			.setParent((program.parent() != null) ? program.parent() : "")
+			.setBudget(program.budget())
+			.addAllUpstreams(program.upstreams())
+			.build();
+		entries.add(entry(workspace, (b) -> b.setProgramOpened(opened)));
+		BudgetCharged charged = BudgetCharged.newBuilder().setProgram(name).setCharged(program.charged()).build();
+		entries.add(entry(workspace, (b) -> b.setBudgetCharged(charged)));
+		program.turns().values().forEach((turn) -> {
+			TurnFinished copy = turn.toBuilder().setCharged(0).build();
+			entries.add(entry(workspace, (b) -> b.setTurnFinished(copy)));
+		});
+		program.reservations().forEach((turn, reserved) -> {
+			TurnStarted started = TurnStarted.newBuilder()
+				.setProgram(name)
+				.setTurn(turn)
+				.setReserved(reserved)
+				.setUpstream(program.lastUpstream())
+				.build();
+			entries.add(entry(workspace, (b) -> b.setTurnStarted(started)));
+		});
+		if (program.isEnded()) {
+			ProgramEnded ended = ProgramEnded.newBuilder()
+				.setProgram(name)
+				.setReason(program.endReason())
+				.addAllUpstreams(new TreeSet<>(program.unreleased()))
+				.build();
+			entries.add(entry(workspace, (b) -> b.setProgramEnded(ended)));
+		}
+	}
+
+	private CompletableFuture<Void> append(WorkspaceId workspace,
+			java.util.function.UnaryOperator<Entry.Builder> body) {
+		return this.log.append(List.of(entry(workspace, body)));
+	}
+
+	private static Entry entry(WorkspaceId workspace, java.util.function.UnaryOperator<Entry.Builder> body) {
+		return body.apply(Entry.newBuilder().setWorkspace(workspace.value())).build();
+	}
+
+	private static ProgramKey key(Entry entry, String program) {
+		return new ProgramKey(new WorkspaceId(entry.getWorkspace()), program);
+	}
+
+	/**
+	 * A release of engine memory.
+	 *
+	 * @param program the program whose memory is released
+	 * @param upstream the upstream that may hold it
+	 */
+	public record Release(ProgramKey program, String upstream) {
+	}
+
+	/**
+	 * The tokens of a turn.
+	 *
+	 * @param maxTokens the tokens that may be generated, or 0 when there is no bound
+	 * @param reserved the tokens reserved from the budget
+	 */
+	private record Tokens(long maxTokens, long reserved) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
@@ -0,0 +1,311 @@
+package org.mangorack.program;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.SendGuard;
+import org.mangorack.call.UpstreamId;
+import org.mangorack.call.Verdict;
+import org.mangorack.config.Upstream;
+import org.mangorack.config.UpstreamKind;
+import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.RetryBudget;
+import org.mangorack.dispatch.Slot;
+import org.mangorack.http.HttpCallException;
+import org.mangorack.http.HttpReply;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.upstream.AnswerAssembler;
+import org.mangorack.upstream.EventReader;
+import org.mangorack.upstream.UpstreamClient;
+
+/**
+ * Runs one turn: sends it to a model engine, passes the events on, and records the
+ * answer. Runs on a thread of its own, independent of the caller's connection.
+ */
+final class TurnExecution implements Runnable {
+
+	private static final Duration SLOT_WAIT = Duration.ofSeconds(30);
+
+	private static final Duration RESERVATION_LIMIT = Duration.ofSeconds(3);
+
+	private static final Duration RECORD_LIMIT = Duration.ofSeconds(10);
+
+	private static final Duration FIRST_EVENT_LIMIT = Duration.ofSeconds(60);
+
+	private static final Duration SILENCE_LIMIT = Duration.ofSeconds(5);
+
+	private static final Duration RETRY_LATER = Duration.ofSeconds(1);
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private static final int MAX_ANSWER_BYTES = 150 * 1024;
+
+	private final ProgramTable table;
+
+	private final TurnStart.Run run;
+
+	private final TurnOutput output;
+
+	private final Dispatcher dispatcher;
+
+	private final RetryBudget retries;
+
+	private final UpstreamClient client;
+
+	private final BooleanSupplier platformOut;
+
+	private final SendGuard guard;
+
+	private final Set<UpstreamId> failed = new HashSet<>();
+
+	private Refusal lastFailure;
+
+	/**
+	 * Creates the execution of a turn.
+	 * @param table records the turn
+	 * @param run the turn
+	 * @param output receives the events
+	 * @param tools what is needed to call upstreams
+	 * @param guard checked right before the turn is sent
+	 */
+	TurnExecution(ProgramTable table, TurnStart.Run run, TurnOutput output, Tools tools, SendGuard guard) {
+		this.table = table;
+		this.run = run;
+		this.output = output;
+		this.dispatcher = tools.dispatcher();
+		this.retries = tools.retries();
+		this.client = tools.client();
+		this.platformOut = tools.platformOut();
+		this.guard = guard;
+	}
+
+	@Override
+	public void run() {
+		try {
+			execute();
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "program", this.run.request().key());
+			giveUp(Refusal.mayHaveRun(500, "internal_error", "the turn failed unexpectedly"), this.run.reserved());
+		}
+	}
+
+	// ---- Attempts
+
+	private void execute() {
+		this.retries.firstAttempt();
+		for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+			Either<Refusal, Slot> slot = this.dispatcher.acquire(UpstreamKind.MODEL, model(), this.run.lastUpstream(),
+					this.failed, SLOT_WAIT);
+			if (slot.isLeft()) {
+				giveUp((this.lastFailure != null) ? this.lastFailure : slot.getLeft(), chargeOf(this.lastFailure));
+				return;
+			}
+			try (Slot taken = slot.get()) {
+				if (attempt(taken)) {
+					return;
+				}
+			}
+			boolean safe = this.lastFailure.verdict().allowsRetry(this.run.reserved() == 0);
+			if (!safe || !this.retries.tryRetry()) {
+				break;
+			}
+			EventLog.log(Event.CALL_RETRIED, "program", this.run.request().key(), "cause", this.lastFailure.detail());
+		}
+		giveUp(this.lastFailure, chargeOf(this.lastFailure));
+	}
+
+	// Makes one attempt.
+	// Returns true if the turn is over, false if it may be tried again.
+	private boolean attempt(Slot slot) {
+		Upstream upstream = slot.upstream();
+		CompletableFuture<Void> reserved = this.table.started(this.run, upstream.id().value());
+		if ((this.run.reserved() > 0)
+				&& (Durability.await(reserved, RESERVATION_LIMIT, this.platformOut) != Durability.DURABLE)) {
+			giveUp(Refusal.unavailable("platform_unavailable",
+					"the budget of program \"" + this.run.request().key().program() + "\" cannot be reserved",
+					RETRY_LATER), 0);
+			return true;
+		}
+		Optional<Refusal> refusal = this.guard.check();
+		if (refusal.isPresent()) {
+			giveUp(refusal.get(), 0);
+			return true;
+		}
+		return call(slot);
+	}
+
+	private boolean call(Slot slot) {
+		Upstream upstream = slot.upstream();
+		boolean begun = false;
+		try (HttpReply reply = this.client.send(upstream, "POST", "/v1/chat/completions", headers(),
+				Jsons.bytes(upstreamBody()), FIRST_EVENT_LIMIT, true)) {
+			if (reply.status() != 200) {
+				return rejected(slot, reply);
+			}
+			try (EventReader events = new EventReader(this.client, upstream, reply, SILENCE_LIMIT)) {
+				AnswerAssembler assembler = new AnswerAssembler();
+				JsonNode last = null;
+				for (Optional<JsonNode> e = events.next(); e.isPresent(); e = events.next()) {
+					assembler.add(e.get());
+					begun = true;
+					this.output.began();
+					last = pass(e.get(), last);
+				}
+				slot.answered();
+				record(upstream, assembler, last);
+				return true;
+			}
+		}
+		catch (HttpCallException ex) {
+			slot.failed();
+			return failed(upstream, ex.verdict(), ex.getMessage(), begun);
+		}
+		catch (IOException ex) {
+			slot.failed();
+			return failed(upstream, Verdict.MAY_HAVE_RUN, ex.getMessage(), begun);
+		}
+	}
+
+	private boolean rejected(Slot slot, HttpReply reply) throws IOException {
+		String text = new String(reply.readAll(MAX_ANSWER_BYTES), java.nio.charset.StandardCharsets.UTF_8);
+		if (reply.status() >= 500) {
+			slot.failed();
+			return failed(slot.upstream(), Verdict.MAY_HAVE_RUN, "status " + reply.status() + ": " + text, false);
+		}
+		Verdict verdict = (reply.status() == 429) ? Verdict.NOT_RUN : Verdict.RAN;
+		this.lastFailure = new Refusal(reply.status(), "upstream_refused", text, verdict, null);
+		giveUp(this.lastFailure, 0);
+		return true;
+	}
+
+	private boolean failed(Upstream upstream, Verdict verdict, String cause, boolean begun) {
+		EventLog.log(Event.UPSTREAM_FAILED, "upstream", upstream.id(), "verdict", verdict, "cause", cause);
+		this.failed.add(upstream.id());
+		this.lastFailure = new Refusal(502, "upstream_failed", "upstream \"" + upstream.id() + "\": " + cause, verdict,
+				RETRY_LATER);
+		if (begun) {
+			giveUp(this.lastFailure, chargeOf(this.lastFailure));
+		}
+		return begun;
+	}
+
+	// ---- Events
+
+	// Passes an event on. The event that finishes the answer, and those after it, are
+	// held back until the answer is recorded.
+	private JsonNode pass(JsonNode event, JsonNode held) {
+		boolean finishing = event.path("choices").path(0).hasNonNull("finish_reason");
+		if (finishing) {
+			return event;
+		}
+		boolean usageOnly = event.path("choices").isEmpty();
+		if (held == null && !usageOnly) {
+			this.output.event(event);
+		}
+		return held;
+	}
+
+	private void record(Upstream upstream, AnswerAssembler assembler, JsonNode finishing) {
+		ObjectNode answer = assembler.answer();
+		if (!assembler.isComplete() || (answer.toString().length() > MAX_ANSWER_BYTES)) {
+			giveUp(new Refusal(502, "unusable_answer",
+					"upstream \"" + upstream.id() + "\" gave an answer that is incomplete or longer than "
+							+ MAX_ANSWER_BYTES + " characters",
+					Verdict.RAN, null), Math.max(assembler.totalTokens(), this.run.reserved()));
+			return;
+		}
+		long used = (assembler.totalTokens() > 0) ? assembler.totalTokens() : this.run.reserved();
+		CompletableFuture<Void> write = this.table.finish(this.run, answer, assembler.message(), used,
+				upstream.id().value());
+		Durability durability = Durability.await(write, RECORD_LIMIT, this.platformOut);
+		if (durability == Durability.LOST) {
+			this.output.refused(Refusal
+				.mayHaveRun(503, "ownership_lost",
+						"the turn ran, but another instance took over the program before the answer was recorded")
+				.withRetryAfter(RETRY_LATER));
+			return;
+		}
+		ObjectNode note = TurnNotes.note(this.run.request(), durability == Durability.DURABLE);
+		this.output.event(((ObjectNode) finishing).set("mangorack", note));
+		if (this.run.request().body().path("stream_options").path("include_usage").asBoolean()) {
+			this.output.event(usageEvent(answer));
+		}
+		this.output.finished(answer.set("mangorack", note));
+	}
+
+	private static ObjectNode usageEvent(ObjectNode answer) {
+		ObjectNode event = Jsons.object();
+		event.put("id", answer.path("id").asText());
+		event.put("object", "chat.completion.chunk");
+		event.put("created", answer.path("created").asLong());
+		event.put("model", answer.path("model").asText());
+		event.putArray("choices");
+		event.set("usage", answer.path("usage"));
+		return event;
+	}
+
+	// ---- Helpers
+
+	private void giveUp(Refusal refusal, long used) {
+		this.table.abandon(this.run, used);
+		this.output.refused(refusal);
+	}
+
+	private long chargeOf(Refusal failure) {
+		boolean certain = (failure == null) || (failure.verdict() == Verdict.NOT_RUN);
+		return certain ? 0 : this.run.reserved();
+	}
+
+	private String model() {
+		return this.run.request().body().path("model").asText();
+	}
+
+	private Map<String, String> headers() {
+		Map<String, String> headers = new LinkedHashMap<>();
+		headers.put("Content-Type", "application/json");
+		headers.put("Accept", "text/event-stream");
+		headers.put(UpstreamClient.PROGRAM, this.run.request().key().toString());
+		return headers;
+	}
+
+	private ObjectNode upstreamBody() {
+		ObjectNode body = this.run.request().body().deepCopy();
+		ArrayNode messages = body.putArray("messages");
+		this.run.prompt().forEach(messages::add);
+		body.put("stream", true);
+		body.putObject("stream_options").put("include_usage", true);
+		if (this.run.maxTokens() > 0) {
+			body.remove("max_completion_tokens");
+			body.put("max_tokens", this.run.maxTokens());
+		}
+		return body;
+	}
+
+	/**
+	 * What is needed to call upstreams.
+	 *
+	 * @param dispatcher chooses upstreams
+	 * @param retries bounds retries
+	 * @param client sends calls
+	 * @param platformOut tells whether nothing can be made durable at present
+	 */
+	record Tools(Dispatcher dispatcher, RetryBudget retries, UpstreamClient client, BooleanSupplier platformOut) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/TurnNotes.java
@@ -0,0 +1,81 @@
+package org.mangorack.program;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Jsons;
+import org.mangorack.journal.proto.TurnFinished;
+
+/**
+ * Writes answers of recorded turns, with a note on their program.
+ */
+final class TurnNotes {
+
+	private static final String NOTE = "mangorack";
+
+	private TurnNotes() {
+	}
+
+	/**
+	 * Returns the note added to an answer.
+	 * @param request the request of the turn
+	 * @param durable whether the answer survives the loss of this instance
+	 * @return a new JSON object
+	 */
+	static ObjectNode note(TurnRequest request, boolean durable) {
+		ObjectNode note = Jsons.object();
+		note.put("program", request.key().program());
+		note.put("turn", request.turn());
+		note.put("durable", durable);
+		return note;
+	}
+
+	/**
+	 * Returns the answer of a recorded turn.
+	 * @param request the repeated request
+	 * @param recorded the recorded turn
+	 * @return the answer, as a stream if the request asked for one
+	 */
+	static CallAnswer recorded(TurnRequest request, TurnFinished recorded) {
+		JsonNode answer;
+		try {
+			answer = Jsons.parse(recorded.getAnswer().toByteArray());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("recorded answer of " + request.key() + " cannot be read", ex);
+		}
+		((ObjectNode) answer).set(NOTE, note(request, true).put("repeated", true));
+		if (!request.isStream()) {
+			return CallAnswer.json(200, answer);
+		}
+		return CallAnswer.stream(200, "text/event-stream", (out) -> writeEvents(answer, out));
+	}
+
+	private static void writeEvents(JsonNode answer, OutputStream out) throws IOException {
+		ObjectNode event = Jsons.object();
+		event.put("id", answer.path("id").asText());
+		event.put("object", "chat.completion.chunk");
+		event.put("created", answer.path("created").asLong());
+		event.put("model", answer.path("model").asText());
+		ObjectNode choice = event.putArray("choices").addObject();
+		choice.put("index", 0);
+		choice.set("delta", answer.path("choices").path(0).path("message"));
+		choice.putNull("finish_reason");
+		write(out, event.toString());
+		choice.putObject("delta");
+		choice.set("finish_reason", answer.path("choices").path(0).path("finish_reason"));
+		event.set(NOTE, answer.path(NOTE));
+		write(out, event.toString());
+		write(out, "[DONE]");
+	}
+
+	private static void write(OutputStream out, String data) throws IOException {
+		out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/TurnOutput.java
@@ -0,0 +1,118 @@
+package org.mangorack.program;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Refusal;
+
+/**
+ * Passes the events of a running turn to its caller. The turn goes on when the caller is
+ * gone, so that its answer can be asked for again.
+ */
+final class TurnOutput {
+
+	private static final Duration EVENT_LIMIT = Duration.ofMinutes(5);
+
+	private static final String END = "";
+
+	private final CompletableFuture<Either<Refusal, Void>> head = new CompletableFuture<>();
+
+	private final CompletableFuture<Either<Refusal, JsonNode>> answer = new CompletableFuture<>();
+
+	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+	/**
+	 * Reports that the upstream began to answer.
+	 */
+	void began() {
+		this.head.complete(Either.right(null));
+	}
+
+	/**
+	 * Passes an event.
+	 * @param event the event
+	 */
+	void event(JsonNode event) {
+		this.events.add(frame(event.toString()));
+	}
+
+	/**
+	 * Reports the end of the turn. For a stream, the last events were passed before.
+	 * @param whole the whole answer
+	 */
+	void finished(JsonNode whole) {
+		this.events.add(frame("[DONE]"));
+		this.events.add(END);
+		this.answer.complete(Either.right(whole));
+	}
+
+	/**
+	 * Reports that the turn has no answer.
+	 * @param refusal the refusal
+	 */
+	void refused(Refusal refusal) {
+		this.events.add("event: error\n" + frame(CallAnswer.problem(refusal).toString()));
+		this.events.add(END);
+		this.head.complete(Either.left(refusal));
+		this.answer.complete(Either.left(refusal));
+	}
+
+	/**
+	 * Waits until the upstream began to answer or the turn was refused.
+	 * @return the refusal, if there is one
+	 */
+	Either<Refusal, Void> awaitHead() {
+		return this.head.join();
+	}
+
+	/**
+	 * Waits for the whole answer.
+	 * @return the answer or the refusal
+	 */
+	Either<Refusal, JsonNode> awaitAnswer() {
+		return this.answer.join();
+	}
+
+	/**
+	 * Writes the events as they come.
+	 * @param out receives the events
+	 * @throws IOException if the receiver is gone
+	 */
+	void copyTo(OutputStream out) throws IOException {
+		for (String event = next(); !event.equals(END); event = next()) {
+			out.write(event.getBytes(StandardCharsets.UTF_8));
+			if (this.events.isEmpty()) {
+				out.flush();
+			}
+		}
+	}
+
+	private String next() throws IOException {
+		try {
+			String event = this.events.poll(EVENT_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+			if (event == null) {
+				throw new IOException("no event within " + EVENT_LIMIT);
+			}
+			return event;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted while waiting for an event", ex);
+		}
+	}
+
+	private static String frame(String data) {
+		return "data: " + data + "\n\n";
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/TurnRequest.java
@@ -0,0 +1,118 @@
+package org.mangorack.program;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallRequest;
+import org.mangorack.call.Identifiers;
+import org.mangorack.call.ProgramKey;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.WorkspaceId;
+
+/**
+ * A checked request for one turn of a program.
+ *
+ * @param key the program
+ * @param turn the number of the turn, from 1
+ * @param parent the name of the parent program, or {@code null} on a root
+ * @param budget the budget named by the request in tokens, or -1 when it names none
+ * @param mode how the messages relate to the recorded history
+ * @param body the body of the request
+ * @param messages the messages of the body
+ * @param digest the digest of everything that a repeat must have in common
+ */
+public record TurnRequest(ProgramKey key, int turn, String parent, long budget, HistoryMode mode, ObjectNode body,
+		List<JsonNode> messages, String digest) {
+
+	/**
+	 * Header that names the program.
+	 */
+	public static final String PROGRAM = "Mangorack-Program";
+
+	/**
+	 * Header that carries the number of the turn.
+	 */
+	public static final String TURN = "Mangorack-Turn";
+
+	/**
+	 * Header that names the parent of a sub-agent.
+	 */
+	public static final String PARENT = "Mangorack-Parent";
+
+	/**
+	 * Header that carries the budget, in tokens.
+	 */
+	public static final String BUDGET = "Mangorack-Budget";
+
+	/**
+	 * Header that tells how the messages relate to the recorded history.
+	 */
+	public static final String HISTORY = "Mangorack-History";
+
+	private static final String MESSAGES = "messages";
+
+	/**
+	 * Reads the headers and body of a call.
+	 * @param workspace the workspace of the caller
+	 * @param call the call, which names a program
+	 * @param body the parsed body, an object with a list of messages
+	 * @return the request, or the refusal
+	 */
+	public static Either<Refusal, TurnRequest> read(WorkspaceId workspace, CallRequest call, ObjectNode body) {
+		String program = call.header(PROGRAM).orElse("");
+		if (!Identifiers.isValid(program)) {
+			return refuse(PROGRAM, program, "is not an identifier");
+		}
+		long turn = number(call, TURN, -1);
+		if ((turn < 1) || (turn > Integer.MAX_VALUE)) {
+			return refuse(TURN, call.header(TURN).orElse(""), "is not a turn number from 1");
+		}
+		String parent = call.header(PARENT).orElse(null);
+		if ((parent != null) && (!Identifiers.isValid(parent) || parent.equals(program))) {
+			return refuse(PARENT, parent, "is not the identifier of another program");
+		}
+		long budget = number(call, BUDGET, -1);
+		if (call.header(BUDGET).isPresent() && (budget < 1)) {
+			return refuse(BUDGET, call.header(BUDGET).get(), "is not a positive number of tokens");
+		}
+		List<JsonNode> messages = new ArrayList<>();
+		body.path(MESSAGES).forEach(messages::add);
+		HistoryMode mode = HistoryMode.of(call.header(HISTORY).orElse(null));
+		return Either.right(new TurnRequest(new ProgramKey(workspace, program), (int) turn, parent, budget, mode, body,
+				messages, digest(body, mode)));
+	}
+
+	/**
+	 * Tells whether the caller asked for a stream.
+	 * @return {@code true} if the answer is sent as server-sent events
+	 */
+	public boolean isStream() {
+		return this.body.path("stream").asBoolean();
+	}
+
+	private static String digest(ObjectNode body, HistoryMode mode) {
+		ObjectNode compared = body.deepCopy();
+		compared.remove("stream");
+		compared.remove("stream_options");
+		compared.put("mangorack_history", mode.name());
+		return Digests.of(compared);
+	}
+
+	private static long number(CallRequest call, String header, long otherwise) {
+		try {
+			return call.header(header).map(Long::parseLong).orElse(otherwise);
+		}
+		catch (NumberFormatException ex) {
+			return -1;
+		}
+	}
+
+	private static Either<Refusal, TurnRequest> refuse(String header, String value, String why) {
+		return Either.left(Refusal.notRun(400, "bad_header", "header " + header + ": \"" + value + "\" " + why));
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Programs, their turns, budgets and histories.
+ */
+package org.mangorack.program;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/service/CallKey.java
@@ -0,0 +1,23 @@
+package org.mangorack.service;
+
+import org.mangorack.call.WorkspaceId;
+
+/**
+ * Identifies a call that must not run twice.
+ *
+ * @param workspace the workspace of the caller
+ * @param key the value of the {@code Idempotency-Key} header
+ */
+public record CallKey(WorkspaceId workspace, String key) {
+
+	/**
+	 * Longest accepted key, in characters.
+	 */
+	public static final int MAX_LENGTH = 255;
+
+	@Override
+	public String toString() {
+		return this.workspace + "/" + this.key;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
@@ -0,0 +1,271 @@
+package org.mangorack.service;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.SendGuard;
+import org.mangorack.call.UpstreamId;
+import org.mangorack.call.Verdict;
+import org.mangorack.config.Upstream;
+import org.mangorack.config.UpstreamKind;
+import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.RetryBudget;
+import org.mangorack.dispatch.Slot;
+import org.mangorack.http.HttpCallException;
+import org.mangorack.http.HttpReply;
+import org.mangorack.journal.proto.CallFinished;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.program.Digests;
+import org.mangorack.program.Durability;
+import org.mangorack.upstream.UpstreamClient;
+
+/**
+ * Sends calls to plain services. Calls that are not idempotent are sent again only if
+ * they certainly did not run.
+ */
+public final class ServiceCaller {
+
+	private static final Duration RECORD_LIMIT = Duration.ofSeconds(3);
+
+	private static final Duration RETRY_LATER = Duration.ofSeconds(2);
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+	private static final int MAX_RECORDED_BYTES = 512 * 1024;
+
+	private final Dispatcher dispatcher;
+
+	private final RetryBudget retries;
+
+	private final UpstreamClient client;
+
+	private final BooleanSupplier platformOut;
+
+	/**
+	 * Creates the caller.
+	 * @param dispatcher chooses upstreams
+	 * @param retries bounds retries
+	 * @param client sends calls
+	 * @param platformOut tells whether nothing can be made durable at present
+	 */
+	public ServiceCaller(Dispatcher dispatcher, RetryBudget retries, UpstreamClient client,
+			BooleanSupplier platformOut) {
+		this.dispatcher = dispatcher;
+		this.retries = retries;
+		this.client = client;
+		this.platformOut = platformOut;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Sends a call without a record. If its route is not idempotent, it reaches an
+	 * upstream at most once.
+	 * @param call the call
+	 * @param guard checked right before the call is sent
+	 * @return the answer, or the refusal
+	 */
+	public Either<Refusal, CallAnswer> call(ServiceCall call, SendGuard guard) {
+		long deadline = System.nanoTime() + call.route().deadline().toNanos();
+		Set<UpstreamId> failed = new HashSet<>();
+		this.retries.firstAttempt();
+		Refusal last = null;
+		for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+			Duration left = Duration.ofNanos(deadline - System.nanoTime());
+			if (left.isNegative() || ((last != null) && !this.retries.tryRetry())) {
+				break;
+			}
+			Either<Refusal, Slot> slot = this.dispatcher.acquire(UpstreamKind.SERVICE, call.route().pool(), "", failed,
+					left);
+			if (slot.isLeft()) {
+				return Either.left((last != null) ? last : slot.getLeft());
+			}
+			try (Slot taken = slot.get()) {
+				Either<Refusal, CallAnswer> answer = attempt(call, taken, guard, deadline);
+				if (answer.isRight() || !mayRetry(answer.getLeft(), call)) {
+					return answer;
+				}
+				last = answer.getLeft();
+				failed.add(taken.upstream().id());
+				EventLog.log(Event.CALL_RETRIED, "pool", call.route().pool(), "cause", last.detail());
+			}
+		}
+		return Either.left((last != null) ? last : deadlineExceeded(call));
+	}
+
+	/**
+	 * Sends a call that must not run twice, unless an earlier one with the same key was
+	 * sent.
+	 * @param table the calls of the shard
+	 * @param key identifies the call
+	 * @param call the call
+	 * @param guard checked right before the call is sent
+	 * @return the answer, or the refusal
+	 */
+	public Either<Refusal, CallAnswer> callOnce(CallTable table, CallKey key, ServiceCall call, SendGuard guard) {
+		String digest = digest(call);
+		long deadline = System.nanoTime() + call.route().deadline().toNanos();
+		while (true) {
+			Either<Refusal, CallStart> start = table.begin(key, digest, new UpstreamId(call.route().pool()));
+			if (start.isLeft()) {
+				return Either.left(start.getLeft());
+			}
+			if (start.get() instanceof CallStart.Recorded recorded) {
+				return replay(recorded.finished());
+			}
+			if (start.get() instanceof CallStart.Send send) {
+				return sendOnce(table, key, digest, call, guard, send.durable());
+			}
+			if (!await(((CallStart.Pending) start.get()).done(), deadline)) {
+				return Either.left(Refusal
+					.mayHaveRun(504, "call_under_way",
+							"the call with idempotency key \"" + key.key() + "\" is still under way")
+					.withRetryAfter(RETRY_LATER));
+			}
+		}
+	}
+
+	// ---- Helpers: at most once
+
+	private Either<Refusal, CallAnswer> sendOnce(CallTable table, CallKey key, String digest, ServiceCall call,
+			SendGuard guard, CompletableFuture<Void> intent) {
+		if (Durability.await(intent, RECORD_LIMIT, this.platformOut) != Durability.DURABLE) {
+			table.finish(key, outcome(key, digest, Verdict.NOT_RUN, null));
+			return Either.left(Refusal.unavailable("platform_unavailable",
+					"the intent of the call with idempotency key \"" + key.key() + "\" cannot be recorded",
+					RETRY_LATER));
+		}
+		Either<Refusal, CallAnswer> answer;
+		try {
+			answer = call(call, guard);
+		}
+		catch (RuntimeException ex) {
+			table.finish(key, outcome(key, digest, Verdict.MAY_HAVE_RUN, null));
+			throw ex;
+		}
+		if (answer.isLeft()) {
+			table.finish(key, outcome(key, digest, answer.getLeft().verdict(), null));
+			return answer;
+		}
+		byte[] body = bytes(answer.get());
+		CallFinished outcome = outcome(key, digest, Verdict.RAN, answer.get()).toBuilder()
+			.setBody(ByteString.copyFrom((body.length <= MAX_RECORDED_BYTES) ? body : new byte[0]))
+			.build();
+		Durability.await(table.finish(key, outcome), RECORD_LIMIT, this.platformOut);
+		return answer;
+	}
+
+	private static CallFinished outcome(CallKey key, String digest, Verdict verdict, CallAnswer answer) {
+		CallFinished.Builder outcome = CallFinished.newBuilder()
+			.setKey(key.key())
+			.setRequestDigest(digest)
+			.setVerdict(verdict.wireName());
+		if (answer != null) {
+			outcome.setStatus(answer.status())
+				.setContentType(answer.headers().getOrDefault("Content-Type", "application/octet-stream"));
+		}
+		return outcome.build();
+	}
+
+	private static Either<Refusal, CallAnswer> replay(CallFinished recorded) {
+		return Either
+			.right(CallAnswer.of(recorded.getStatus(), recorded.getContentType(), recorded.getBody().toByteArray())
+				.withHeader("Mangorack-Repeated", "true"));
+	}
+
+	private static String digest(ServiceCall call) {
+		byte[] head = (call.method() + " " + call.route().pool() + call.path() + "\n")
+			.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+		byte[] all = new byte[head.length + call.body().length];
+		System.arraycopy(head, 0, all, 0, head.length);
+		System.arraycopy(call.body(), 0, all, head.length, call.body().length);
+		return Digests.sha256(all);
+	}
+
+	private static boolean await(CompletableFuture<Void> done, long deadline) {
+		try {
+			done.get(Math.max(1, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
+			return true;
+		}
+		catch (ExecutionException ex) {
+			return true;
+		}
+		catch (TimeoutException ex) {
+			return false;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	// ---- Helpers: attempts
+
+	private boolean mayRetry(Refusal refusal, ServiceCall call) {
+		boolean upstreamFailure = refusal.code().equals("upstream_failed");
+		return upstreamFailure && refusal.verdict().allowsRetry(call.route().idempotent());
+	}
+
+	private Either<Refusal, CallAnswer> attempt(ServiceCall call, Slot slot, SendGuard guard, long deadline) {
+		Optional<Refusal> refusal = guard.check();
+		if (refusal.isPresent()) {
+			return Either.left(refusal.get());
+		}
+		Upstream upstream = slot.upstream();
+		Duration left = Duration.ofNanos(deadline - System.nanoTime());
+		try (HttpReply reply = this.client.send(upstream, call.method(), call.path(), call.headers(),
+				(call.body().length > 0) ? call.body() : null, left, call.route().idempotent())) {
+			byte[] body = reply.readAll(MAX_ANSWER_BYTES);
+			slot.answered();
+			return Either
+				.right(CallAnswer.of(reply.status(), reply.header("Content-Type", "application/octet-stream"), body));
+		}
+		catch (HttpCallException ex) {
+			slot.failed();
+			return Either.left(failure(upstream, ex.verdict(), ex.getMessage()));
+		}
+		catch (IOException ex) {
+			slot.failed();
+			return Either.left(failure(upstream, Verdict.MAY_HAVE_RUN, ex.getMessage()));
+		}
+	}
+
+	private static Refusal failure(Upstream upstream, Verdict verdict, String cause) {
+		EventLog.log(Event.UPSTREAM_FAILED, "upstream", upstream.id(), "verdict", verdict, "cause", cause);
+		return new Refusal(502, "upstream_failed", "upstream \"" + upstream.id() + "\": " + cause, verdict,
+				(verdict == Verdict.NOT_RUN) ? RETRY_LATER : null);
+	}
+
+	private static Refusal deadlineExceeded(ServiceCall call) {
+		return new Refusal(504, "deadline_exceeded", "the call was not sent within " + call.route().deadline(),
+				Verdict.NOT_RUN, RETRY_LATER);
+	}
+
+	private static byte[] bytes(CallAnswer answer) {
+		java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream();
+		try {
+			answer.body().writeTo(out);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("an answer cannot be written to memory", ex);
+		}
+		return out.toByteArray();
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls of plain services.
+ */
+package org.mangorack.service;
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/upstream/AnswerAssembler.java
@@ -0,0 +1,123 @@
+package org.mangorack.upstream;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.mangorack.call.Jsons;
+
+/**
+ * Builds the whole answer of a chat completion from the events of its stream.
+ */
+public final class AnswerAssembler {
+
+	private static final String TOOL_CALLS = "tool_calls";
+
+	private static final String FUNCTION = "function";
+
+	private final StringBuilder content = new StringBuilder();
+
+	private final Map<Integer, ObjectNode> toolCalls = new TreeMap<>();
+
+	private String id = "";
+
+	private String model = "";
+
+	private long created;
+
+	private String finishReason;
+
+	private JsonNode usage;
+
+	/**
+	 * Adds an event.
+	 * @param event the event
+	 */
+	public void add(JsonNode event) {
+		this.id = event.path("id").asText(this.id);
+		this.model = event.path("model").asText(this.model);
+		this.created = event.path("created").asLong(this.created);
+		if (event.hasNonNull("usage")) {
+			this.usage = event.get("usage");
+		}
+		JsonNode choice = event.path("choices").path(0);
+		JsonNode delta = choice.path("delta");
+		this.content.append(delta.path("content").asText(""));
+		delta.path(TOOL_CALLS).forEach(this::addToolCall);
+		if (choice.hasNonNull("finish_reason")) {
+			this.finishReason = choice.get("finish_reason").asText();
+		}
+	}
+
+	/**
+	 * Tells whether the stream said why it finished.
+	 * @return {@code true} if the answer is complete
+	 */
+	public boolean isComplete() {
+		return this.finishReason != null;
+	}
+
+	/**
+	 * Returns the tokens of prompt and answer.
+	 * @return the tokens that the engine reported, or 0 when it reported none
+	 */
+	public long totalTokens() {
+		return (this.usage != null) ? this.usage.path("total_tokens").asLong() : 0;
+	}
+
+	/**
+	 * Returns the message that the answer adds to the history.
+	 * @return a new JSON object
+	 */
+	public ObjectNode message() {
+		ObjectNode message = Jsons.object();
+		message.put("role", "assistant");
+		message.put("content", this.content.toString());
+		if (!this.toolCalls.isEmpty()) {
+			ArrayNode calls = message.putArray(TOOL_CALLS);
+			this.toolCalls.values().forEach(calls::add);
+		}
+		return message;
+	}
+
+	/**
+	 * Returns the whole answer.
+	 * @return a new JSON object
+	 */
+	public ObjectNode answer() {
+		ObjectNode answer = Jsons.object();
+		answer.put("id", this.id);
+		answer.put("object", "chat.completion");
+		answer.put("created", this.created);
+		answer.put("model", this.model);
+		ObjectNode choice = answer.putArray("choices").addObject();
+		choice.put("index", 0);
+		choice.set("message", message());
+		choice.put("finish_reason", this.finishReason);
+		if (this.usage != null) {
+			answer.set("usage", this.usage);
+		}
+		return answer;
+	}
+
+	private void addToolCall(JsonNode part) {
+		ObjectNode call = this.toolCalls.computeIfAbsent(part.path("index").asInt(), (i) -> Jsons.object());
+		ObjectNode function = call.has(FUNCTION) ? (ObjectNode) call.get(FUNCTION) : Jsons.object();
+		copyText(part, call, "id");
+		copyText(part, call, "type");
+		copyText(part.path(FUNCTION), function, "name");
+		function.put("arguments",
+				function.path("arguments").asText("") + part.path(FUNCTION).path("arguments").asText(""));
+		call.set(FUNCTION, function);
+	}
+
+	private static void copyText(JsonNode from, ObjectNode to, String field) {
+		if (from.hasNonNull(field)) {
+			to.put(field, from.get(field).asText());
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/upstream/EventReader.java
@@ -0,0 +1,143 @@
+package org.mangorack.upstream;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.config.Upstream;
+import org.mangorack.http.HttpCallException;
+import org.mangorack.http.HttpReply;
+
+/**
+ * Reads the events of a model engine's stream. When the connection breaks or goes silent,
+ * the stream is resumed on a new one after the last event received.
+ */
+public final class EventReader implements Closeable {
+
+	private static final String DATA = "data: ";
+
+	private static final String DONE = "[DONE]";
+
+	private static final int MAX_RESUMES = 3;
+
+	private final UpstreamClient client;
+
+	private final Upstream upstream;
+
+	private final String streamId;
+
+	private final Duration silenceLimit;
+
+	private HttpReply reply;
+
+	private BufferedReader lines;
+
+	private int received;
+
+	private int resumes;
+
+	/**
+	 * Creates a reader.
+	 * @param client sends the resumptions
+	 * @param upstream the model engine
+	 * @param reply the answer whose body is the stream
+	 * @param silenceLimit how long the engine may be silent
+	 * @throws IOException if the body cannot be opened
+	 */
+	public EventReader(UpstreamClient client, Upstream upstream, HttpReply reply, Duration silenceLimit)
+			throws IOException {
+		this.client = client;
+		this.upstream = upstream;
+		this.streamId = reply.header(UpstreamClient.STREAM_ID, "");
+		this.silenceLimit = silenceLimit;
+		open(reply);
+	}
+
+	/**
+	 * Reads the next event.
+	 * @return the event, or empty at the end of a complete stream
+	 * @throws IOException if the stream broke and could not be resumed
+	 */
+	public Optional<JsonNode> next() throws IOException {
+		while (true) {
+			try {
+				Optional<JsonNode> event = read();
+				this.received++;
+				return event;
+			}
+			catch (IOException ex) {
+				resume(ex);
+			}
+		}
+	}
+
+	/**
+	 * Tells the engine to stop generating.
+	 */
+	public void cancel() {
+		if (!this.streamId.isEmpty()) {
+			this.client.cancel(this.upstream, this.streamId);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.reply.close();
+	}
+
+	private Optional<JsonNode> read() throws IOException {
+		for (String line = this.lines.readLine(); line != null; line = this.lines.readLine()) {
+			if (line.equals(DATA + DONE)) {
+				drain();
+				return Optional.empty();
+			}
+			if (line.startsWith(DATA)) {
+				return Optional.of(Jsons.MAPPER.readTree(line.substring(DATA.length())));
+			}
+		}
+		throw new IOException("stream of " + this.upstream.id() + " ended before its last event");
+	}
+
+	/**
+	 * Reads to the end of the body, so that the connection can be used again.
+	 */
+	private void drain() throws IOException {
+		while (this.lines.readLine() != null) {
+			continue;
+		}
+	}
+
+	private void resume(IOException cause) throws IOException {
+		this.reply.close();
+		if (this.streamId.isEmpty() || (this.resumes >= MAX_RESUMES)) {
+			throw cause;
+		}
+		this.resumes++;
+		try {
+			HttpReply next = this.client.resume(this.upstream, this.streamId, this.received, this.silenceLimit);
+			if (next.status() != 200) {
+				next.close();
+				throw cause;
+			}
+			open(next);
+		}
+		catch (HttpCallException ex) {
+			cause.addSuppressed(ex);
+			throw cause;
+		}
+	}
+
+	private void open(HttpReply opened) throws IOException {
+		this.reply = opened;
+		this.reply.setSilenceLimit(this.silenceLimit);
+		this.lines = new BufferedReader(new InputStreamReader(opened.body(), StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/upstream/UpstreamClient.java
@@ -0,0 +1,130 @@
+package org.mangorack.upstream;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.UUID;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.call.ProgramKey;
+import org.mangorack.call.Verdict;
+import org.mangorack.config.Upstream;
+import org.mangorack.http.ConnectionUse;
+import org.mangorack.http.HttpCallException;
+import org.mangorack.http.HttpReply;
+import org.mangorack.http.PooledHttpClient;
+
+/**
+ * Sends calls to upstreams.
+ */
+public final class UpstreamClient {
+
+	/**
+	 * Header that tells a model engine which program a call belongs to.
+	 */
+	public static final String PROGRAM = "X-Program";
+
+	/**
+	 * Header by which a model engine names a stream, so that it can be resumed.
+	 */
+	public static final String STREAM_ID = "X-Stream-Id";
+
+	/**
+	 * Header that an upstream returns with its answer, so that an answer to another
+	 * request is noticed.
+	 */
+	public static final String REQUEST_ID = "X-Request-Id";
+
+	private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final int MAX_ORDER_ANSWER_BYTES = 64 * 1024;
+
+	private static final Map<String, String> JSON_HEADERS = Map.of("Content-Type", "application/json");
+
+	private final PooledHttpClient client;
+
+	public UpstreamClient(PooledHttpClient client) {
+		this.client = client;
+	}
+
+	/**
+	 * Sends a request and waits for the head of the answer.
+	 * @param upstream the upstream
+	 * @param method the HTTP method
+	 * @param path the path with the query
+	 * @param headers the headers
+	 * @param body the body, or {@code null}
+	 * @param silenceLimit how long a read may wait
+	 * @param idempotent whether the request may be sent twice
+	 * @return the answer, which the caller closes
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply send(Upstream upstream, String method, String path, Map<String, String> headers, byte[] body,
+			Duration silenceLimit, boolean idempotent) throws HttpCallException {
+		ConnectionUse use = idempotent ? ConnectionUse.POOLED : ConnectionUse.FRESH;
+		String id = UUID.randomUUID().toString();
+		Map<String, String> withId = new LinkedHashMap<>(headers);
+		withId.put(REQUEST_ID, id);
+		HttpReply reply = this.client.send(upstream.address(), method, path, withId, body, silenceLimit, use);
+		if (!reply.header(REQUEST_ID, id).equals(id)) {
+			reply.abort();
+			throw new HttpCallException("upstream \"" + upstream.id() + "\" answered another request",
+					Verdict.MAY_HAVE_RUN, null);
+		}
+		return reply;
+	}
+
+	/**
+	 * Continues a stream that broke off, on a new connection.
+	 * @param upstream the model engine
+	 * @param stream the name that the engine gave the stream
+	 * @param offset the number of events already received
+	 * @param silenceLimit how long a read may wait
+	 * @return the answer, which the caller closes
+	 * @throws HttpCallException if no answer came
+	 */
+	public HttpReply resume(Upstream upstream, String stream, int offset, Duration silenceLimit)
+			throws HttpCallException {
+		return this.client.send(upstream.address(), "GET", "/v1/streams/" + stream + "?offset=" + offset, Map.of(),
+				null, silenceLimit, ConnectionUse.FRESH);
+	}
+
+	/**
+	 * Cancels a stream, so that the engine stops generating.
+	 * @param upstream the model engine
+	 * @param stream the name that the engine gave the stream
+	 * @return {@code true} if the engine confirmed
+	 */
+	public boolean cancel(Upstream upstream, String stream) {
+		return order(upstream, "DELETE", "/v1/streams/" + stream, null);
+	}
+
+	/**
+	 * Asks an engine to release its memory for a program.
+	 * @param upstream the model engine
+	 * @param program the program
+	 * @return {@code true} if the engine confirmed
+	 */
+	public boolean release(Upstream upstream, ProgramKey program) {
+		ObjectNode order = Jsons.object();
+		order.put("program", program.toString());
+		return order(upstream, "POST", "/admin/release", order);
+	}
+
+	private boolean order(Upstream upstream, String method, String path, JsonNode body) {
+		byte[] bytes = (body != null) ? Jsons.bytes(body) : null;
+		try (HttpReply reply = this.client.send(upstream.address(), method, path, JSON_HEADERS, bytes, ORDER_TIMEOUT,
+				ConnectionUse.POOLED)) {
+			reply.readAll(MAX_ORDER_ANSWER_BYTES);
+			return reply.status() < 300;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/upstream/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls of model engines and plain services.
+ */
+package org.mangorack.upstream;
