Prove that programs and calls survive their instances, with real processes

Ten tests run three instances as processes on their own loopback addresses, stand-ins in the test and a fault proxy before every platform and peer link: kill -9, freeze past the lease, platform outage alone and before a kill, lost answers, cut from everything, one-way cut, planned stop, release across owners.

--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/fault/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Faults between processes.
+ */
+package org.mangorack.bench.fault;
--- a/bench/src/main/java/org/mangorack/bench/standin/EngineStandIn.java
+++ b/bench/src/main/java/org/mangorack/bench/standin/EngineStandIn.java
@@ -82,6 +82,8 @@
 
 	private volatile boolean hanging;
 
+	private volatile boolean refusingReleases;
+
 	/**
 	 * Creates an idle engine.
 	 * @param port the port to listen on; 0 picks a free one
@@ -112,6 +114,14 @@
 		this.hanging = value;
 	}
 
+	/**
+	 * Makes the engine refuse to release memory.
+	 * @param value {@code true} to refuse
+	 */
+	public void setRefusingReleases(boolean value) {
+		this.refusingReleases = value;
+	}
+
 	/**
 	 * Returns how often each program called.
 	 * @return the number of calls by program
@@ -203,6 +213,9 @@
 	}
 
 	private synchronized Reply release(String program) throws IOException {
+		if (this.refusingReleases) {
+			return problem(503, "busy");
+		}
 		this.cache.release(program);
 		return Reply.json(200, MAPPER.createObjectNode().put("released", program));
 	}
--- a/bench/src/main/java/org/mangorack/bench/standin/PlatformStandIn.java
+++ b/bench/src/main/java/org/mangorack/bench/standin/PlatformStandIn.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
@@ -102,6 +103,17 @@
 		return this.kinds.getOrDefault(kind, new TreeMap<>()).size();
 	}
 
+	/**
+	 * Returns an object.
+	 * @param kind the plural of the kind
+	 * @param name the name
+	 * @return the object, or a missing node
+	 */
+	public synchronized JsonNode object(String kind, String name) {
+		ObjectNode object = objects(kind).get(name);
+		return (object != null) ? object.deepCopy() : MissingNode.getInstance();
+	}
+
 	// ---- Requests
 
 	@Override
--- a/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
+++ b/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
@@ -78,6 +78,8 @@
 
 	private final HeartbeatSource heartbeats;
 
+	private volatile String host;
+
 	private Channel server;
 
 	public PeerLinks(String self, String secret, ExecutorService traffic, MonotonicClock clock,
@@ -101,11 +103,13 @@
 	}
 
 	/**
-	 * Starts to listen and to send heartbeats.
+	 * Starts to listen and to send heartbeats. Links to others are dialed from the same
+	 * host.
 	 * @param address the address to listen on
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void start(HttpAddress address) throws InterruptedException {
+		this.host = address.host();
 		this.server = new ServerBootstrap().group(this.loops)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -272,7 +276,7 @@
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.handler(initializer)
-			.connect(address.host(), address.port())
+			.connect(new InetSocketAddress(address.host(), address.port()), new InetSocketAddress(this.host, 0))
 			.addListener((future) -> {
 				if (!future.isSuccess()) {
 					this.dialing.remove(name, initializer.link);
