Return a connection to the pool once, however often its reply is closed

A turn closed its reply twice, once by the event reader; the pool then lent one connection to two calls, which split each other's bytes. The request id in the answer's head could not show it, since the bodies were crossed. Ruled out: the queue between turn and caller, since the recorded answer was damaged as well; resumption at a wrong offset, since it happened without.

Also: the status of an instance that is starting is answered instead of failing.

--- a/bench/src/test/java/org/mangorack/bench/TestFleet.java
+++ b/bench/src/test/java/org/mangorack/bench/TestFleet.java
@@ -133,6 +133,12 @@
 		member.process.waitFor(10, TimeUnit.SECONDS);
 	}
 
+	void awaitExit(Member member) throws InterruptedException {
+		if (!member.process.waitFor(60, TimeUnit.SECONDS)) {
+			throw new IllegalStateException(member.name + " does not stop");
+		}
+	}
+
 	void terminate(Member member) {
 		member.process.destroy();
 	}
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/check/HistoryCheckerTests.java
@@ -0,0 +1,69 @@
+package org.mangorack.bench.check;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.mangorack.bench.check.Attempt.Outcome;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Shows that the checker catches planted faults and accepts what is allowed.
+ */
+class HistoryCheckerTests {
+
+	private static final Attempt FIRST = new Attempt("p", 1, "one", Outcome.ANSWERED, "echo:one t1");
+
+	private static final Attempt SECOND = new Attempt("p", 2, "two", Outcome.ANSWERED, "echo:two t1");
+
+	private static final List<String> HISTORY = List.of("one", "echo:one t1", "two", "echo:two t1");
+
+	@Test
+	void acceptsWhatIsAllowed() {
+		Attempt lostTail = new Attempt("p", 3, "three", Outcome.ANSWERED_NOT_DURABLE, "echo:three");
+		HistoryChecker checker = new HistoryChecker(
+				List.of(FIRST, SECOND, lostTail, call(Outcome.ANSWERED), call(Outcome.NOT_RUN), call(Outcome.BROKEN)));
+		checker.checkAnswers();
+		checker.checkHistory("p", HISTORY);
+		checker.checkCalls(Map.of("k", 1));
+		assertThat(checker.violations()).isEmpty();
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("plantedFaults")
+	void catchesPlantedFault(String fault, List<Attempt> attempts, Consumer<HistoryChecker> check) {
+		HistoryChecker checker = new HistoryChecker(attempts);
+		check.accept(checker);
+		assertThat(checker.violations()).as(fault).hasSize(1);
+	}
+
+	static Stream<Arguments> plantedFaults() {
+		return Stream.of(fault("second run", List.of(call(Outcome.BROKEN)), (c) -> c.checkCalls(Map.of("k", 2))),
+				fault("answer without a run", List.of(call(Outcome.ANSWERED)), (c) -> c.checkCalls(Map.of())),
+				fault("untrue refusal", List.of(call(Outcome.NOT_RUN)), (c) -> c.checkCalls(Map.of("k", 1))),
+				fault("answer of another caller", List.of(new Attempt("p", 1, "one", Outcome.ANSWERED, "echo:two t1")),
+						HistoryChecker::checkAnswers),
+				fault("lost turn", List.of(FIRST, SECOND), (c) -> c.checkHistory("p", HISTORY.subList(0, 2))),
+				fault("message of another program", List.of(FIRST),
+						(c) -> c.checkHistory("p", List.of("other", "echo:one t1"))),
+				fault("answer replaced", List.of(FIRST), (c) -> c.checkHistory("p", List.of("one", "echo:one t2"))),
+				fault("refused turn recorded", List.of(new Attempt("p", 1, "one", Outcome.NOT_RUN, "")),
+						(c) -> c.checkHistory("p", HISTORY.subList(0, 2))));
+	}
+
+	private static Arguments fault(String name, List<Attempt> attempts, Consumer<HistoryChecker> check) {
+		return Arguments.of(name, attempts, check);
+	}
+
+	private static Attempt call(Outcome outcome) {
+		return new Attempt("k", 0, "", outcome, "");
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/http/HttpReply.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpReply.java
@@ -14,7 +14,7 @@
 
 /**
  * The answer of a server. Closing it returns the connection to the pool if the body was
- * read to its end, and closes the connection otherwise.
+ * read to its end, and closes the connection otherwise. Closing it again has no effect.
  */
 public final class HttpReply implements Closeable {
 
@@ -32,6 +32,8 @@
 
 	private boolean atEnd;
 
+	private boolean closed;
+
 	HttpReply(ClassicHttpResponse response, PooledHttpClient client, HttpAddress address,
 			DefaultBHttpClientConnection connection, boolean keepAlive) {
 		this.response = response;
@@ -110,6 +112,10 @@
 
 	@Override
 	public void close() {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
 		if (this.atEnd && this.keepAlive && this.connection.isOpen()) {
 			this.client.release(this.address, this.connection);
 			return;
--- a/mangorack/src/main/java/org/mangorack/ownership/ShardHost.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardHost.java
@@ -190,7 +190,8 @@
 	 * @return the owners
 	 */
 	public Map<ShardId, JournalId> owners() {
-		return this.run.ownership.owners();
+		Run<R> current = this.run;
+		return (current != null) ? current.ownership.owners() : Map.of();
 	}
 
 	/**
@@ -199,7 +200,8 @@
 	 * @return {@code true} if nothing can be made durable at present
 	 */
 	public boolean isJournalStalled(Duration limit) {
-		return !this.fleet.isPlatformReachable() || this.run.journal.isStalled(limit);
+		Run<R> current = this.run;
+		return (current == null) || !this.fleet.isPlatformReachable() || current.journal.isStalled(limit);
 	}
 
 	// ---- Public API
@@ -210,7 +212,8 @@
 	 * @return the location
 	 */
 	public ShardLocation<R> locate(ShardId shard) {
-		return this.run.ownership.locate(shard);
+		Run<R> current = this.run;
+		return (current != null) ? current.ownership.locate(shard) : new ShardLocation.Unsettled<>();
 	}
 
 	/**
@@ -221,6 +224,9 @@
 	 */
 	public boolean isLeaseHeld() {
 		Run<R> current = this.run;
+		if (current == null) {
+			return false;
+		}
 		if (current.lease.isValid()) {
 			setLapsed(false);
 			return true;
