--- a/bench/src/test/java/org/mangorack/bench/TestFleet.java
+++ b/bench/src/test/java/org/mangorack/bench/TestFleet.java
@@ -197,7 +197,15 @@
 			.json();
 	}
 
+	Answer toOperators(Member member, String path, String operatorKey) throws Exception {
+		return this.client.send("GET", member.operators, path, Map.of("Authorization", "Bearer " + operatorKey), null);
+	}
+
 	void writeConfiguration(Map<String, Object> workspaceOverrides) throws IOException {
+		writeConfiguration(workspaceOverrides, false);
+	}
+
+	void writeConfiguration(Map<String, Object> workspaceOverrides, boolean engine1Leaving) throws IOException {
 		Path config = Files.createDirectories(this.folder.resolve("config"));
 		ObjectNode json = MAPPER.createObjectNode();
 		ObjectNode workspaces = json.putObject("workspaces");
@@ -207,6 +215,7 @@
 		workspaces.putObject("south").putObject("rate").put("perSecond", 40).put("burst", 20);
 		ObjectNode upstreams = json.putObject("upstreams");
 		addEngine(upstreams, "engine-1", this.engine1.address());
+		((ObjectNode) upstreams.get("engine-1")).put("leaving", engine1Leaving);
 		addEngine(upstreams, "engine-2", this.engine2.address());
 		upstreams.putObject("desk-1")
 			.put("kind", "service")
@@ -303,6 +312,28 @@
 		throw new IllegalStateException("no instance is alive");
 	}
 
+	/**
+	 * Asks any instance which ones to use.
+	 * @return the listed instances, best first
+	 * @throws Exception if no instance answers
+	 */
+	List<Member> listed() throws Exception {
+		IOException last = null;
+		for (Member m : this.members.values()) {
+			try {
+				List<Member> listed = new ArrayList<>();
+				get(m, "/v1/instances").json()
+					.path("instances")
+					.forEach((i) -> listed.add(this.members.get(i.path("instance").asText())));
+				return listed;
+			}
+			catch (IOException ex) {
+				last = ex;
+			}
+		}
+		throw last;
+	}
+
 	Member other(Member... not) {
 		List<Member> excluded = List.of(not);
 		return this.members.values()
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -0,0 +1,257 @@
+package org.mangorack.bench;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.mangorack.bench.TestFleet.Member;
+import org.mangorack.bench.fault.LinkFault;
+import org.mangorack.bench.load.CallerClient.Answer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Keys, rates, configuration and upstreams, with the faults that they are made for.
+ */
+class WorkspaceTests {
+
+	private static final double SOUTH_RATE = 40;
+
+	private static final double SOUTH_BURST = 20;
+
+	@TempDir
+	Path folder;
+
+	private TestFleet fleet;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fleet = TestFleet.start(this.folder, 3);
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.fleet.close();
+	}
+
+	@Test
+	void withdrawnKeyStopsWorkingOnOpenConnections() throws Exception {
+		String key = southKey();
+		this.fleet.operate(0, "key", "withdraw", key);
+		for (Member m : this.fleet.members()) {
+			this.fleet.await("the key to stop working at " + m.name, () -> read(m, key, "x").status() == 401);
+			Answer answer = read(m, key, "x");
+			assertThat(answer.json().path("verdict").asText()).isEqualTo("not_run");
+		}
+	}
+
+	@Test
+	void instanceThatCannotLearnOfWithdrawalRefusesKeyedWork() throws Exception {
+		String key = southKey();
+		Member cut = this.fleet.member(2);
+		this.fleet.cutPlatform(cut, LinkFault.SILENT);
+		this.fleet.operate(0, "key", "withdraw", key);
+		this.fleet.await("the instance to refuse keyed work", () -> read(cut, key, "x").status() == 503);
+		assertThat(read(cut, key, "x").json().path("verdict").asText()).isEqualTo("not_run");
+		this.fleet.cutPlatform(cut, LinkFault.NONE);
+		this.fleet.await("the instance to know of the withdrawal", () -> read(cut, key, "x").status() == 401);
+	}
+
+	@Test
+	void rateHoldsOverAllInstancesWhileOneDies() throws Exception {
+		String key = southKey();
+		TimeUnit.MILLISECONDS.sleep(600);
+		long startedAt = System.nanoTime();
+		AtomicInteger refused = new AtomicInteger();
+		List<Thread> senders = new ArrayList<>();
+		long deadline = startedAt + TimeUnit.SECONDS.toNanos(9);
+		for (int i = 0; i < 12; i++) {
+			Member member = this.fleet.member(i % 3);
+			int sender = i;
+			senders.add(new Thread(() -> flood(member, key, sender, deadline, refused)));
+		}
+		senders.forEach(Thread::start);
+		TimeUnit.SECONDS.sleep(3);
+		Member owner = this.fleet.members()
+			.stream()
+			.filter((m) -> m.name.equals(quietOwner("rate|south")))
+			.findFirst()
+			.orElseThrow();
+		this.fleet.kill(owner);
+		for (Thread t : senders) {
+			t.join();
+		}
+		double seconds = (System.nanoTime() - startedAt) / 1e9;
+		long ran = this.fleet.service.runs().keySet().stream().filter((k) -> k.contains("flood")).count();
+		assertThat((double) ran).isLessThanOrEqualTo(SOUTH_BURST + (SOUTH_RATE * seconds));
+		assertThat(refused.get()).isPositive();
+	}
+
+	@Test
+	void nothingInsideTheRateIsRefused() throws Exception {
+		String key = southKey();
+		List<CompletableFuture<Integer>> answers = new ArrayList<>();
+		for (int i = 0; i < 80; i++) {
+			Member member = this.fleet.member(i % 3);
+			String name = "calm-" + i;
+			answers.add(CompletableFuture.supplyAsync(() -> quietStatus(member, key, name)));
+			TimeUnit.MILLISECONDS.sleep(30);
+		}
+		for (CompletableFuture<Integer> answer : answers) {
+			assertThat(answer.get()).isEqualTo(200);
+		}
+	}
+
+	@Test
+	void configurationNeverRevertsAcrossRestartDuringOutage() throws Exception {
+		this.fleet.writeConfiguration(Map.of("maxTurns", 1));
+		this.fleet.operate(0, "config", "apply", this.fleet.configurationFolder().toString());
+		for (Member m : this.fleet.members()) {
+			assertThat(this.fleet.status(m).path("configuration").asInt()).isEqualTo(2);
+		}
+		Member restarted = this.fleet.member(1);
+		this.fleet.kill(restarted);
+		this.fleet.platform.setDown(true);
+		this.fleet.launch(restarted);
+		TimeUnit.SECONDS.sleep(3);
+		assertThat(this.fleet.toOperators(restarted, "/readyz", "").status()).isEqualTo(503);
+		this.fleet.platform.setDown(false);
+		this.fleet.awaitSettled();
+		assertThat(this.fleet.status(restarted).path("configuration").asInt()).isEqualTo(2);
+		String program = "p-" + UUID.randomUUID();
+		assertThat(this.fleet.turn(restarted, program, 1, "one").status()).isEqualTo(200);
+		Answer refused = this.fleet.turn(restarted, program, 2, "two");
+		assertThat(refused.status()).isEqualTo(403);
+		assertThat(refused.json().path("title").asText()).isEqualTo("too_many_turns");
+	}
+
+	@Test
+	void leavingUpstreamGetsNoNewWork() throws Exception {
+		this.fleet.writeConfiguration(Map.of(), true);
+		this.fleet.operate(0, "config", "apply", this.fleet.configurationFolder().toString());
+		int before = this.fleet.engine1.callsByProgram().size();
+		for (int i = 0; i < 20; i++) {
+			String program = "p-" + UUID.randomUUID();
+			assertThat(this.fleet.turn(this.fleet.member(i % 3), program, 1, "one").status()).isEqualTo(200);
+		}
+		assertThat(this.fleet.engine1.callsByProgram()).hasSize(before);
+	}
+
+	@Test
+	void silentStreamIsResumedAndCallerGetsWholeAnswer() throws Exception {
+		String program = "p-" + UUID.randomUUID();
+		this.fleet.engine1.setSilentAfterEvents(3);
+		this.fleet.engine2.setSilentAfterEvents(3);
+		Answer answer = this.fleet.streamedTurn(this.fleet.member(0), program, 1, "one");
+		assertThat(answer.isCompleteStream()).isTrue();
+		assertThat(answer.text()).isEqualTo("echo:one t1 t2 t3 t4 t5 t6 t7 t8 t9 t10 t11");
+		this.fleet.engine1.setSilentAfterEvents(2);
+		this.fleet.engine2.setSilentAfterEvents(2);
+		Answer direct = this.fleet.call(this.fleet.member(1), "POST", "/v1/chat/completions", Map.of(),
+				"{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"two\"}]}");
+		assertThat(direct.text()).isEqualTo("echo:two t1 t2 t3 t4 t5 t6 t7 t8 t9 t10 t11");
+	}
+
+	@Test
+	void rollingRestartUnderLoadRefusesAndLosesNothing() throws Exception {
+		AtomicInteger done = new AtomicInteger();
+		List<String> failures = new ArrayList<>();
+		boolean[] over = new boolean[1];
+		List<Thread> callers = new ArrayList<>();
+		for (int i = 0; i < 6; i++) {
+			String program = "roll-" + i + "-" + UUID.randomUUID();
+			callers.add(new Thread(() -> follow(program, over, done, failures)));
+		}
+		callers.forEach(Thread::start);
+		for (Member m : this.fleet.members()) {
+			this.fleet.terminate(m);
+			this.fleet.awaitExit(m);
+			this.fleet.launch(m);
+			this.fleet.awaitSettled();
+		}
+		over[0] = true;
+		for (Thread t : callers) {
+			t.join();
+		}
+		assertThat(failures).isEmpty();
+		assertThat(done.get()).isGreaterThan(50);
+		assertThat(this.fleet.violations()).isZero();
+	}
+
+	// ---- Helpers
+
+	/**
+	 * Runs turns as a caller does: asks which instance to use, keeps the answer for its
+	 * time, and connects there.
+	 */
+	private void follow(String program, boolean[] over, AtomicInteger done, List<String> failures) {
+		List<Member> use = List.of();
+		long keptUntil = 0;
+		for (int n = 1; !over[0]; n++) {
+			try {
+				if (System.nanoTime() > keptUntil) {
+					use = this.fleet.listed();
+					keptUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(400);
+				}
+				Answer answer = this.fleet.turn(use.get(n % use.size()), program, n, "text " + n);
+				if (answer.status() != 200) {
+					failures.add(program + " turn " + n + ": " + answer.status() + " " + answer.body());
+				}
+				done.incrementAndGet();
+			}
+			catch (Exception ex) {
+				failures.add(program + " turn " + n + ": " + ex);
+			}
+		}
+	}
+
+	private void flood(Member member, String key, int sender, long deadline, AtomicInteger refused) {
+		for (int i = 0; System.nanoTime() < deadline; i++) {
+			int status = quietStatus(member, key, "flood-" + sender + "-" + i);
+			if (status == 429) {
+				refused.incrementAndGet();
+			}
+		}
+	}
+
+	private int quietStatus(Member member, String key, String name) {
+		try {
+			return read(member, key, name).status();
+		}
+		catch (Exception ex) {
+			return 0;
+		}
+	}
+
+	private String quietOwner(String key) {
+		try {
+			return ShardProbe.ownerOf(this.fleet, key);
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private Answer read(Member member, String key, String name) throws Exception {
+		return this.fleet.callWithKey(member, key, "GET", "/v1/services/desk/read/" + name, Map.of(), null);
+	}
+
+	private String southKey() throws Exception {
+		String key = this.fleet.operate(0, "key", "create", "south").strip();
+		for (Member m : this.fleet.members()) {
+			this.fleet.await("the key to work at " + m.name, () -> read(m, key, "hello").status() == 200);
+		}
+		return key;
+	}
+
+}
