--- a/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
+++ b/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
@@ -72,6 +72,31 @@
 		assertThat(first.isCompletedExceptionally()).isTrue();
 	}
 
+	@Test
+	void orderWithBrokenAnswerMayHaveRunAndIsNotSentAgain() throws Exception {
+		String key = "k-" + UUID.randomUUID();
+		this.fleet.service.setBreakBeforeAnswer(true);
+		Answer broken = this.fleet.order(this.fleet.member(0), key);
+		this.fleet.service.setBreakBeforeAnswer(false);
+		assertThat(broken.status()).isEqualTo(502);
+		assertThat(broken.json().path("verdict").asText()).isEqualTo("may_have_run");
+		Answer repeat = this.fleet.order(this.fleet.member(1), key);
+		assertThat(repeat.json().path("verdict").asText()).isEqualTo("may_have_run");
+		assertThat(this.fleet.service.runs().get(key)).isEqualTo(1);
+	}
+
+	@Test
+	void orderRunsOnceWhenOwnerIsKilledWithRecordedAnswer() throws Exception {
+		String key = "k-" + UUID.randomUUID();
+		Member owner = ownerOfOrder(key);
+		assertThat(this.fleet.order(owner, key).status()).isEqualTo(200);
+		this.fleet.kill(owner);
+		Answer repeat = TestFleet.persist(() -> this.fleet.order(this.fleet.other(owner), key));
+		assertThat(repeat.status()).isEqualTo(200);
+		assertThat(repeat.json().path("run").asInt()).isEqualTo(1);
+		assertThat(this.fleet.service.runs().get(key)).isEqualTo(1);
+	}
+
 	@Test
 	void orderRunsOnceWhenOwnerIsFrozenPastItsLeaseAndThawed() throws Exception {
 		String key = "k-" + UUID.randomUUID();
--- a/mangorack/src/main/java/org/mangorack/operator/Command.java
+++ b/mangorack/src/main/java/org/mangorack/operator/Command.java
@@ -1,6 +1,7 @@
 package org.mangorack.operator;
 
 import java.io.PrintStream;
+import java.util.Locale;
 
 import org.kohsuke.args4j.Option;
 
@@ -20,6 +21,14 @@
 		return this.help;
 	}
 
+	/**
+	 * Returns the word that calls the command.
+	 * @return the name of the class without its suffix, in lower case
+	 */
+	public String name() {
+		return getClass().getSimpleName().replaceAll("Commands?$", "").toLowerCase(Locale.ROOT);
+	}
+
 	/**
 	 * Runs the command.
 	 * @param out receives results
--- a/mangorack/src/main/java/org/mangorack/operator/Main.java
+++ b/mangorack/src/main/java/org/mangorack/operator/Main.java
@@ -6,7 +6,6 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
-import org.kohsuke.args4j.ParserProperties;
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
@@ -23,8 +22,6 @@
  */
 public final class Main {
 
-	private static final int USAGE_WIDTH = 100;
-
 	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "COMMAND",
 			usage = "serve, config, key, status, programs or drain; COMMAND --help tells more")
 	@SubCommands({ @SubCommand(name = "serve", impl = ServeCommand.class),
@@ -60,22 +57,22 @@
 	 */
 	public static int run(String[] arguments, PrintStream out, PrintStream err) {
 		Main main = new Main();
-		CmdLineParser parser = parser(main);
+		CmdLineParser parser = Usage.parser(main);
 		try {
 			parser.parseArgument(arguments);
 			if (main.help || (main.command == null)) {
-				usage(parser, "mangorack", main.help ? out : err);
+				Usage.print(parser, "mangorack", main.help ? out : err);
 				return main.help ? ExitStatus.DONE : ExitStatus.USAGE;
 			}
 			if (main.command.isHelp()) {
-				usage(parser(main.command), "mangorack " + arguments[0], out);
+				Usage.print(main.command, "mangorack " + arguments[0], out);
 				return ExitStatus.DONE;
 			}
 			return main.command.run(out, err);
 		}
 		catch (CmdLineException ex) {
 			err.println("mangorack: " + ex.getMessage());
-			usage(ex.getParser(), "mangorack", err);
+			Usage.print(ex.getParser(), "mangorack", err);
 			return ExitStatus.USAGE;
 		}
 		catch (CommandException ex) {
@@ -84,15 +81,4 @@
 		}
 	}
 
-	static CmdLineParser parser(Object bean) {
-		return new CmdLineParser(bean, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH));
-	}
-
-	private static void usage(CmdLineParser parser, String name, PrintStream out) {
-		out.print("usage: " + name);
-		parser.printSingleLineUsage(out);
-		out.println();
-		parser.printUsage(out);
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/operator/impl/ConfigCommands.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/ConfigCommands.java
@@ -23,6 +23,7 @@
 import org.mangorack.operator.ExitStatus;
 import org.mangorack.operator.OperatorClient;
 import org.mangorack.operator.OperatorCommand;
+import org.mangorack.operator.Usage;
 
 /**
  * Checks, applies and shows the configuration.
@@ -37,6 +38,10 @@
 
 	@Override
 	public int run(PrintStream out, PrintStream err) throws CommandException {
+		if (this.command.isHelp()) {
+			Usage.print(this.command, "mangorack config " + this.command.name(), out);
+			return ExitStatus.DONE;
+		}
 		return this.command.run(out, err);
 	}
 
--- a/mangorack/src/main/java/org/mangorack/operator/impl/KeyCommands.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/KeyCommands.java
@@ -13,6 +13,7 @@
 import org.mangorack.operator.CommandException;
 import org.mangorack.operator.ExitStatus;
 import org.mangorack.operator.OperatorCommand;
+import org.mangorack.operator.Usage;
 
 /**
  * Creates and withdraws keys of callers.
@@ -27,6 +28,10 @@
 
 	@Override
 	public int run(PrintStream out, PrintStream err) throws CommandException {
+		if (this.command.isHelp()) {
+			Usage.print(this.command, "mangorack key " + this.command.name(), out);
+			return ExitStatus.DONE;
+		}
 		return this.command.run(out, err);
 	}
 
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/platform/FakeStore.java
@@ -0,0 +1,105 @@
+package org.mangorack.platform;
+
+import java.util.ArrayList;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.mangorack.platform.StoreException.Reason;
+
+/**
+ * An object API in memory that can be unreachable or lose the answers of writes.
+ */
+public final class FakeStore implements ObjectStore {
+
+	private final Map<String, StoredObject> objects = new TreeMap<>();
+
+	private int version;
+
+	private boolean unreachable;
+
+	private int answersToLose;
+
+	/**
+	 * Makes the store unreachable or reachable.
+	 * @param value {@code true} to refuse every call
+	 */
+	public synchronized void setUnreachable(boolean value) {
+		this.unreachable = value;
+	}
+
+	/**
+	 * Loses the answers of the next writes, which take effect.
+	 * @param count the number of writes
+	 */
+	public synchronized void loseAnswers(int count) {
+		this.answersToLose = count;
+	}
+
+	@Override
+	public synchronized Optional<StoredObject> get(ObjectKind kind, String name) throws StoreException {
+		checkReachable();
+		return Optional.ofNullable(this.objects.get(kind + "/" + name));
+	}
+
+	@Override
+	public synchronized StoredObject create(ObjectKind kind, String name, JsonNode spec) throws StoreException {
+		checkReachable();
+		if (this.objects.containsKey(kind + "/" + name)) {
+			throw new StoreException(Reason.CONFLICT, name + " exists");
+		}
+		return write(kind, name, spec);
+	}
+
+	@Override
+	public synchronized StoredObject update(ObjectKind kind, String name, String expected, JsonNode spec)
+			throws StoreException {
+		checkReachable();
+		StoredObject old = this.objects.get(kind + "/" + name);
+		if (old == null) {
+			throw new StoreException(Reason.NOT_FOUND, name + " does not exist");
+		}
+		if (!old.version().equals(expected)) {
+			throw new StoreException(Reason.CONFLICT, name + " has version " + old.version());
+		}
+		return write(kind, name, spec);
+	}
+
+	@Override
+	public synchronized void delete(ObjectKind kind, String name, String expected) throws StoreException {
+		checkReachable();
+		if (this.objects.remove(kind + "/" + name) == null) {
+			throw new StoreException(Reason.NOT_FOUND, name + " does not exist");
+		}
+	}
+
+	@Override
+	public synchronized ObjectList list(ObjectKind kind) throws StoreException {
+		checkReachable();
+		return new ObjectList(Integer.toString(this.version), new ArrayList<>(this.objects.values()));
+	}
+
+	@Override
+	public void watch(ObjectKind kind, String from, WatchListener listener) throws StoreException {
+		throw new StoreException(Reason.UNREACHABLE, "this store cannot be watched");
+	}
+
+	private StoredObject write(ObjectKind kind, String name, JsonNode spec) throws StoreException {
+		StoredObject stored = new StoredObject(name, Integer.toString(++this.version), spec);
+		this.objects.put(kind + "/" + name, stored);
+		if (this.answersToLose > 0) {
+			this.answersToLose--;
+			throw new StoreException(Reason.UNKNOWN, "the answer is lost");
+		}
+		return stored;
+	}
+
+	private void checkReachable() throws StoreException {
+		if (this.unreachable) {
+			throw new StoreException(Reason.UNREACHABLE, "the store is unreachable");
+		}
+	}
+
+}
