Tell the truth about repeated answers, and close gaps in handovers and takeovers

A repeat of a turn said "durable": true whenever the turn was in memory, also while the platform was out and the record was only in the backlog of an owner that then died.

Seen failing on the old code: turnsGoOnAndOrdersAreRefusedWhilePlatformIsDown, deadRunGetsNoShardsAfterOutage (38 handovers to a dead run instead of 19). After: both pass; ProgramSurvivalTests 13 run, the last one failed by counting handovers from before the kill and now counts those after it.

--- a/bench/src/main/java/org/mangorack/bench/fault/FaultProxy.java
+++ b/bench/src/main/java/org/mangorack/bench/fault/FaultProxy.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A TCP proxy in front of one server that injects faults, chosen by the address that a
@@ -32,6 +33,8 @@
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
+	private final AtomicLong bytes = new AtomicLong();
+
 	private volatile boolean closed;
 
 	/**
@@ -56,6 +59,14 @@
 		return this.listener.getInetAddress().getHostAddress() + ":" + this.listener.getLocalPort();
 	}
 
+	/**
+	 * Returns the bytes that passed in both directions.
+	 * @return the number of bytes
+	 */
+	public long bytes() {
+		return this.bytes.get();
+	}
+
 	/**
 	 * Sets the faults of the connections from one address.
 	 * @param client the address that clients connect from
@@ -118,6 +129,7 @@
 			InputStream in = source.getInputStream();
 			OutputStream out = sink.getOutputStream();
 			for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+				this.bytes.addAndGet(n);
 				hold(client, faults);
 				out.write(buffer, 0, n);
 				out.flush();
--- a/bench/src/main/java/org/mangorack/bench/standin/PlatformStandIn.java
+++ b/bench/src/main/java/org/mangorack/bench/standin/PlatformStandIn.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -103,6 +105,15 @@
 		return this.kinds.getOrDefault(kind, new TreeMap<>()).size();
 	}
 
+	/**
+	 * Returns the names of the objects of a kind.
+	 * @param kind the plural of the kind
+	 * @return the names
+	 */
+	public synchronized Set<String> names(String kind) {
+		return new TreeSet<>(objects(kind).keySet());
+	}
+
 	/**
 	 * Returns an object.
 	 * @param kind the plural of the kind
--- a/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
+++ b/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
@@ -1,7 +1,9 @@
 package org.mangorack.bench;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -128,6 +130,9 @@
 		Answer turn = TestFleet.persist(() -> this.fleet.turn(this.fleet.member(1), program, 2, "two"));
 		assertOwnAnswer(turn, "two");
 		assertThat(turn.json().path("mangorack").path("durable").asBoolean()).isFalse();
+		Answer repeat = this.fleet.turn(this.fleet.member(2), program, 2, "two");
+		assertThat(repeat.json().path("mangorack").path("repeated").asBoolean()).isTrue();
+		assertThat(repeat.json().path("mangorack").path("durable").asBoolean()).isFalse();
 		String key = "k-" + UUID.randomUUID();
 		Answer order = this.fleet.order(this.fleet.member(2), key);
 		assertThat(order.status()).isEqualTo(503);
@@ -158,6 +163,22 @@
 		assertThat(this.fleet.get(entry, "/v1/programs/" + program + "/history").json().path("messages")).hasSize(8);
 	}
 
+	@Test
+	void deadRunGetsNoShardsAfterOutage() throws Exception {
+		Member killed = this.fleet.member(0);
+		Set<String> runs = this.fleet.platform.names("leases");
+		String dead = runs.stream().filter((r) -> r.startsWith(killed.name + ".")).findFirst().orElseThrow();
+		this.fleet.kill(killed);
+		this.fleet.awaitSettled();
+		long before = handoversTo(dead);
+		this.fleet.platform.setDown(true);
+		TimeUnit.SECONDS.sleep(3);
+		this.fleet.platform.setDown(false);
+		this.fleet.awaitSettled();
+		TimeUnit.SECONDS.sleep(2);
+		assertThat(handoversTo(dead)).isEqualTo(before);
+	}
+
 	@Test
 	void ownershipSurvivesLostAnswersOfThePlatform() throws Exception {
 		String program = "p-" + UUID.randomUUID();
@@ -259,6 +280,17 @@
 		assertThat(answer.text()).startsWith("echo:" + text);
 	}
 
+	private long handoversTo(String run) throws Exception {
+		long count = 0;
+		for (Member m : this.fleet.members()) {
+			count += Files.readAllLines(m.log.toPath())
+				.stream()
+				.filter((line) -> line.contains("\"to\":\"" + run))
+				.count();
+		}
+		return count;
+	}
+
 	private void assertTruthful(Answer answer, String key) throws Exception {
 		int runs = this.fleet.service.runs().getOrDefault(key, 0);
 		if (answer.status() == 200) {
--- a/bench/src/test/java/org/mangorack/bench/TestFleet.java
+++ b/bench/src/test/java/org/mangorack/bench/TestFleet.java
@@ -44,6 +44,8 @@
 
 	private final Path folder;
 
+	private final String javaOptions;
+
 	private final Map<String, Member> members = new LinkedHashMap<>();
 
 	private final CallerClient client = new CallerClient(Duration.ofSeconds(30));
@@ -58,14 +60,19 @@
 
 	private String key;
 
-	private TestFleet(Path folder) {
+	private TestFleet(Path folder, String javaOptions) {
 		this.folder = folder;
+		this.javaOptions = javaOptions;
 	}
 
 	// ---- Life-cycle
 
 	static TestFleet start(Path folder, int instances) throws Exception {
-		TestFleet fleet = new TestFleet(folder);
+		return start(folder, instances, "-Xmx160m -XX:+UseSerialGC -XX:TieredStopAtLevel=1");
+	}
+
+	static TestFleet start(Path folder, int instances, String javaOptions) throws Exception {
+		TestFleet fleet = new TestFleet(folder, javaOptions);
 		fleet.platform.start();
 		fleet.engine1.start();
 		fleet.engine2.start();
@@ -95,7 +102,9 @@
 
 	void launch(Member member) throws IOException {
 		ProcessBuilder builder = new ProcessBuilder(binary(), "serve", "--settings", member.settings.toString());
-		builder.environment().put("MANGORACK_JAVA_OPTS", "-Xmx160m -XX:+UseSerialGC -XX:TieredStopAtLevel=1");
+		if (this.javaOptions != null) {
+			builder.environment().put("MANGORACK_JAVA_OPTS", this.javaOptions);
+		}
 		builder.redirectErrorStream(true);
 		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(member.log));
 		member.process = builder.start();
--- a/mangorack/src/main/java/org/mangorack/journal/Journal.java
+++ b/mangorack/src/main/java/org/mangorack/journal/Journal.java
@@ -203,14 +203,14 @@
 	public boolean flush(Duration limit) throws InterruptedException {
 		long deadline = this.clock.nanoTime() + limit.toNanos();
 		synchronized (this) {
-			while (!this.backlog.isEmpty() && !this.sealed) {
+			while (!this.backlog.isEmpty() && !isOver()) {
 				long millis = (deadline - this.clock.nanoTime()) / 1_000_000;
 				if (millis <= 0) {
 					return false;
 				}
 				wait(millis);
 			}
-			return !this.sealed;
+			return !isOver();
 		}
 	}
 
--- a/mangorack/src/main/java/org/mangorack/member/Fleet.java
+++ b/mangorack/src/main/java/org/mangorack/member/Fleet.java
@@ -68,7 +68,9 @@
 	// ---- Public API
 
 	/**
-	 * Evaluates the leases. Called by the control thread at short intervals.
+	 * Evaluates the leases. Called by the control thread at short intervals. After an
+	 * outage of the platform, live runs get the time of a whole lease to renew theirs;
+	 * runs that were dead before stay dead.
 	 */
 	public synchronized void refresh() {
 		boolean reachable = isPlatformReachable();
@@ -82,7 +84,9 @@
 		long now = this.clock.nanoTime();
 		for (StoredObject object : this.leases.objects().values()) {
 			Seen last = this.seen.get(object.name());
-			if (restart || (last == null) || !last.version().equals(object.version())) {
+			boolean wasLive = (last != null) && last.record().map(this::isLive).orElse(false);
+			boolean changed = (last == null) || !last.version().equals(object.version());
+			if (changed || (restart && wasLive)) {
 				last = new Seen(object.version(), now, LeaseRecord.read(object));
 				this.seen.put(object.name(), last);
 			}
@@ -223,6 +227,10 @@
 
 	// ---- Helpers
 
+	private boolean isLive(LeaseRecord record) {
+		return !isDead(record.journal());
+	}
+
 	private boolean isLeaving(LeaseRecord record) {
 		return (record.phase() != Phase.ACTIVE) || this.instances.object(record.instance())
 			.map((o) -> o.spec().path("leaving").asBoolean())
--- a/mangorack/src/main/java/org/mangorack/ownership/JournalCollector.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/JournalCollector.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.mangorack.journal.JournalId;
 import org.mangorack.journal.JournalReader;
@@ -37,7 +37,7 @@
 
 	private final String self;
 
-	private final Map<JournalId, Long> unneededSince = new HashMap<>();
+	private final Map<JournalId, Long> unneededSince = new ConcurrentHashMap<>();
 
 	JournalCollector(Fleet fleet, ShardTables tables, JournalReader reader, ObjectStore store, MonotonicClock clock,
 			String self) {
@@ -74,6 +74,10 @@
 	 * @throws IOException if the journal cannot be read
 	 */
 	void collect(LeaseRecord lease) throws StoreException, IOException {
+		if (this.tables.read().values().stream().anyMatch((r) -> r.refersTo(lease.journal()))) {
+			this.unneededSince.remove(lease.journal());
+			return;
+		}
 		long end = this.reader.read(lease.journal(), lease.firstSegment()).next();
 		for (long n = end - 1; n >= lease.firstSegment(); n--) {
 			this.reader.delete(lease.journal(), n, n + 1);
--- a/mangorack/src/main/java/org/mangorack/ownership/ShardOwnership.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardOwnership.java
@@ -28,6 +28,7 @@
 import org.mangorack.observe.Metrics;
 import org.mangorack.ownership.ShardRecord.Source;
 import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
 import org.mangorack.platform.ObjectStore;
 import org.mangorack.platform.StoreException;
 
@@ -50,6 +51,8 @@
 
 	private final JournalReader reader;
 
+	private final ObjectStore store;
+
 	private final ShardTables tables;
 
 	private final ReplicaFactory<R> factory;
@@ -68,6 +71,8 @@
 
 	private final Map<JournalId, JournalReader.Content> sealedJournals = new ConcurrentHashMap<>();
 
+	private final Set<ShardId> unsettled = ConcurrentHashMap.newKeySet();
+
 	private Map<ShardId, ShardRecord> settledRecords;
 
 	private Set<JournalId> settledRuns = Set.of();
@@ -98,6 +103,7 @@
 		this.fleet = fleet;
 		this.journal = journal;
 		this.reader = reader;
+		this.store = store;
 		this.tables = new ShardTables(store, tableCache);
 		this.factory = factory;
 		this.leaseHeld = leaseHeld;
@@ -188,7 +194,7 @@
 			compact(records);
 			return;
 		}
-		if (takeOver(records) || load(records) || handOver(records) || clearSources(records)) {
+		if (settle() || takeOver(records) || load(records) || handOver(records) || clearSources(records)) {
 			return;
 		}
 		if (staying.isEmpty() || this.local.keySet().stream().allMatch(this::isDesiredHere)) {
@@ -229,7 +235,8 @@
 		work("takeover", () -> {
 			for (JournalId journal : dead) {
 				if (!this.sealedJournals.containsKey(journal)) {
-					this.sealedJournals.put(journal, this.reader.seal(journal, firstSegment(journal), this.self));
+					this.sealedJournals.put(journal,
+							stable(journal, (first) -> this.reader.seal(journal, first, this.self)));
 				}
 			}
 			for (Map.Entry<String, Set<ShardId>> table : wanted.entrySet()) {
@@ -292,11 +299,32 @@
 
 	private List<Entry> readJournal(JournalId id) throws StoreException, IOException {
 		JournalReader.Content sealed = this.sealedJournals.get(id);
-		return (sealed != null) ? sealed.entries() : this.reader.read(id, firstSegment(id)).entries();
+		return ((sealed != null) ? sealed : stable(id, (first) -> this.reader.read(id, first))).entries();
 	}
 
-	private long firstSegment(JournalId id) throws IOException {
-		return this.fleet.lease(id)
+	/**
+	 * Reads a journal whose writer may be compacting it. The missing segment at which a
+	 * read ends may be one that was dropped, so the read counts only if the first segment
+	 * is still the same afterwards.
+	 * @param id the journal
+	 * @param read reads the journal from its first segment
+	 * @return what was read
+	 * @throws StoreException if the platform does not answer
+	 * @throws IOException if the journal cannot be read
+	 */
+	private JournalReader.Content stable(JournalId id, JournalRead read) throws StoreException, IOException {
+		while (true) {
+			long first = firstSegment(id);
+			JournalReader.Content content = read.from(first);
+			if (firstSegment(id) == first) {
+				return content;
+			}
+		}
+	}
+
+	private long firstSegment(JournalId id) throws StoreException, IOException {
+		return this.store.get(ObjectKind.LEASE, id.toString())
+			.flatMap(LeaseRecord::read)
 			.map(LeaseRecord::firstSegment)
 			.orElseThrow(() -> new IOException("journal " + id + " is needed, but its lease object is gone"));
 	}
@@ -355,10 +383,18 @@
 	// ---- Compaction
 
 	private void compact(Map<ShardId, ShardRecord> records) {
-		boolean needed = records.values().stream().anyMatch((r) -> r.hasSource(this.self));
-		if (!needed && this.compactor.isWorthwhile()) {
-			work("compaction", () -> this.compactor.compact(owned()));
+		if (isSource(records) || !this.compactor.isWorthwhile()) {
+			return;
 		}
+		work("compaction", () -> {
+			if (!isSource(this.tables.read())) {
+				this.compactor.compact(owned());
+			}
+		});
+	}
+
+	private boolean isSource(Map<ShardId, ShardRecord> records) {
+		return records.values().stream().anyMatch((r) -> r.hasSource(this.self));
 	}
 
 	// ---- Handover
@@ -392,6 +428,7 @@
 	}
 
 	private void handOverTable(String table, Map<ShardId, JournalId> targets) throws StoreException {
+		this.unsettled.addAll(targets.keySet());
 		Map<ShardId, ShardRecord> after = this.tables.change(table, (shard, record) -> {
 			JournalId next = targets.get(shard);
 			boolean mine = this.self.equals(record.owner());
@@ -403,9 +440,36 @@
 				this.local.remove(shard);
 				EventLog.log(Event.SHARD_HANDED_OVER, "shard", shard, "to", next);
 			}
+			this.unsettled.remove(shard);
 		});
 	}
 
+	/**
+	 * Finds out what became of handovers whose outcome is not known. Until then their
+	 * shards stay quiesced.
+	 * @return {@code true} if there were any
+	 */
+	private boolean settle() {
+		if (this.unsettled.isEmpty()) {
+			return false;
+		}
+		work("settle", () -> {
+			for (String table : this.unsettled.stream().map(ShardId::table).collect(Collectors.toSet())) {
+				this.tables.settle(table).forEach(this::settleShard);
+			}
+		});
+		return true;
+	}
+
+	private void settleShard(ShardId shard, ShardRecord record) {
+		OwnedShard<R> owned = this.local.get(shard);
+		if ((owned != null) && (record.epoch() > owned.epoch())) {
+			this.highestEpochs.merge(shard, record.epoch(), Math::max);
+			this.local.remove(shard, owned);
+		}
+		this.unsettled.remove(shard);
+	}
+
 	// ---- Helpers
 
 	private void work(String name, Job job) {
@@ -436,6 +500,16 @@
 		}
 	}
 
+	/**
+	 * A read of a journal.
+	 */
+	@FunctionalInterface
+	private interface JournalRead {
+
+		JournalReader.Content from(long first) throws StoreException, IOException;
+
+	}
+
 	/**
 	 * A job that calls the platform.
 	 */
--- a/mangorack/src/main/java/org/mangorack/ownership/ShardTables.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardTables.java
@@ -98,6 +98,35 @@
 		throw last;
 	}
 
+	/**
+	 * Reads all records from the platform itself.
+	 * @return a record for each shard
+	 * @throws StoreException if the platform does not answer
+	 */
+	Map<ShardId, ShardRecord> read() throws StoreException {
+		Map<ShardId, ShardRecord> records = new TreeMap<>();
+		for (int i = 0; i < ShardId.COUNT; i += ShardId.PER_TABLE) {
+			String table = new ShardId(i).table();
+			records.putAll(records(table, this.store.get(ObjectKind.SHARD_TABLE, table)));
+		}
+		return records;
+	}
+
+	/**
+	 * Reads the records of a table after making sure that no earlier write can still take
+	 * effect: the table is written under a new version, which such a write does not
+	 * expect.
+	 * @param table the name of the table
+	 * @return the records
+	 * @throws StoreException if the platform does not answer
+	 */
+	Map<ShardId, ShardRecord> settle(String table) throws StoreException {
+		Optional<StoredObject> stored = this.store.get(ObjectKind.SHARD_TABLE, table);
+		Map<ShardId, ShardRecord> records = records(table, stored);
+		write(table, stored, records);
+		return records;
+	}
+
 	private void write(String table, Optional<StoredObject> stored, Map<ShardId, ShardRecord> records)
 			throws StoreException {
 		ObjectNode spec = Jsons.object();
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -37,6 +37,8 @@
 
 	private volatile long lastChange;
 
+	private volatile boolean broken;
+
 	private volatile boolean closed;
 
 	/**
@@ -147,12 +149,19 @@
 				if (ex.reason() == StoreException.Reason.TOO_OLD) {
 					version = null;
 				}
-				EventLog.log(Event.WATCH_RESTARTED, "kind", this.kind.plural(), "cause", ex.getMessage());
+				noteBreak(ex);
 				pause();
 			}
 		}
 	}
 
+	private void noteBreak(StoreException cause) {
+		if (!this.broken) {
+			this.broken = true;
+			EventLog.log(Event.WATCH_RESTARTED, "kind", this.kind.plural(), "cause", cause.getMessage());
+		}
+	}
+
 	private String relist() throws StoreException {
 		long asked = this.clock.nanoTime();
 		ObjectList list = this.store.list(this.kind);
@@ -208,6 +217,7 @@
 		public void progress(String newVersion) {
 			this.version = newVersion;
 			KindCache.this.lastContact = KindCache.this.clock.nanoTime();
+			KindCache.this.broken = false;
 		}
 
 	}
--- a/mangorack/src/main/java/org/mangorack/program/ProgramState.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramState.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -29,6 +31,8 @@
 
 	private final TreeMap<Integer, TurnFinished> turns = new TreeMap<>();
 
+	private final Map<Integer, CompletableFuture<Void>> writes = new HashMap<>();
+
 	private final TreeMap<Integer, Long> reservations = new TreeMap<>();
 
 	private final Set<String> upstreams = new TreeSet<>();
@@ -133,6 +137,15 @@
 		return this.turns.isEmpty() ? "" : this.turns.lastEntry().getValue().getUpstream();
 	}
 
+	/**
+	 * Returns when the record of a turn is durable.
+	 * @param turn the number of a finished turn
+	 * @return completes when it is durable, or exceptionally when it never will be
+	 */
+	CompletableFuture<Void> durable(int turn) {
+		return this.writes.getOrDefault(turn, CompletableFuture.completedFuture(null));
+	}
+
 	List<JsonNode> history() {
 		List<JsonNode> messages = new ArrayList<>();
 		for (TurnFinished turn : this.turns.values()) {
@@ -165,6 +178,11 @@
 		this.historyDigest = turn.getHistoryDigest();
 	}
 
+	void writing(int turn, CompletableFuture<Void> write) {
+		this.writes.values().removeIf((w) -> w.isDone() && !w.isCompletedExceptionally());
+		this.writes.put(turn, write);
+	}
+
 	void end(String reason, Iterable<String> holders) {
 		this.endReason = reason;
 		holders.forEach(this.unreleased::add);
--- a/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
@@ -90,7 +90,7 @@
 			program.touch(this.clock.nanoTime());
 			TurnFinished recorded = program.turns().get(request.turn());
 			if (recorded != null) {
-				return repeat(recorded, request);
+				return repeat(program, recorded, request);
 			}
 			if (program.isEnded()) {
 				return Either.left(Refusal.notRun(409, "program_ended",
@@ -159,6 +159,7 @@
 			apply(request.key(), entry);
 			Invariants.check((root.budget() == 0) || (root.charged() <= root.budget()), "budget-holds", root.key());
 			CompletableFuture<Void> durable = append(request.key().workspace(), (b) -> b.setTurnFinished(entry));
+			program.writing(request.turn(), durable);
 			settle(program);
 			return durable;
 		}
@@ -383,12 +384,12 @@
 		return started;
 	}
 
-	private Either<Refusal, TurnStart> repeat(TurnFinished recorded, TurnRequest request) {
+	private static Either<Refusal, TurnStart> repeat(ProgramState program, TurnFinished recorded, TurnRequest request) {
 		if (!recorded.getRequestDigest().equals(request.digest())) {
 			return Either.left(Refusal.notRun(409, "turn_conflict", "turn " + request.turn() + " of program \""
 					+ request.key().program() + "\" is recorded with another request"));
 		}
-		return Either.right(new TurnStart.Recorded(recorded));
+		return Either.right(new TurnStart.Recorded(recorded, program.durable(recorded.getTurn())));
 	}
 
 	private Either<Refusal, TurnStart> whileRunning(ProgramState program, TurnRequest request) {
--- a/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
@@ -43,7 +43,7 @@
 
 	private static final Duration RESERVATION_LIMIT = Duration.ofSeconds(3);
 
-	private static final Duration RECORD_LIMIT = Duration.ofSeconds(10);
+	static final Duration RECORD_LIMIT = Duration.ofSeconds(10);
 
 	private static final Duration FIRST_EVENT_LIMIT = Duration.ofSeconds(60);
 
@@ -262,6 +262,17 @@
 
 	// ---- Helpers
 
+	/**
+	 * Returns the refusal of a turn whose answer is no longer recorded.
+	 * @return the refusal
+	 */
+	static Refusal ownershipLost() {
+		return Refusal
+			.mayHaveRun(503, "ownership_lost",
+					"the turn ran, but another instance took over the program before the answer was recorded")
+			.withRetryAfter(RETRY_LATER);
+	}
+
 	private void giveUp(Refusal refusal, long used) {
 		this.table.abandon(this.run, used);
 		this.output.refused(refusal);
--- a/mangorack/src/main/java/org/mangorack/program/TurnNotes.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnNotes.java
@@ -39,9 +39,10 @@
 	 * Returns the answer of a recorded turn.
 	 * @param request the repeated request
 	 * @param recorded the recorded turn
+	 * @param durable whether the record survives the loss of this instance
 	 * @return the answer, as a stream if the request asked for one
 	 */
-	static CallAnswer recorded(TurnRequest request, TurnFinished recorded) {
+	static CallAnswer recorded(TurnRequest request, TurnFinished recorded, boolean durable) {
 		JsonNode answer;
 		try {
 			answer = Jsons.parse(recorded.getAnswer().toByteArray());
@@ -49,7 +50,7 @@
 		catch (IOException ex) {
 			throw new IllegalStateException("recorded answer of " + request.key() + " cannot be read", ex);
 		}
-		((ObjectNode) answer).set(NOTE, note(request, true).put("repeated", true));
+		((ObjectNode) answer).set(NOTE, note(request, durable).put("repeated", true));
 		if (!request.isStream()) {
 			return CallAnswer.json(200, answer);
 		}
--- a/mangorack/src/main/java/org/mangorack/program/TurnService.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnService.java
@@ -76,7 +76,7 @@
 			return execute(table, run, guard, onDone);
 		}
 		onDone.run();
-		return Either.right(TurnNotes.recorded(request, ((TurnStart.Recorded) start.get()).finished()));
+		return repeat(request, (TurnStart.Recorded) start.get());
 	}
 
 	private Either<Refusal, TurnStart> begin(ProgramTable table, TurnRequest request, String root,
@@ -118,6 +118,15 @@
 		return output.awaitAnswer().map((answer) -> CallAnswer.json(200, answer));
 	}
 
+	private Either<Refusal, CallAnswer> repeat(TurnRequest request, TurnStart.Recorded recorded) {
+		Durability durability = Durability.await(recorded.durable(), TurnExecution.RECORD_LIMIT,
+				this.tools.platformOut());
+		if (durability == Durability.LOST) {
+			return Either.left(TurnExecution.ownershipLost());
+		}
+		return Either.right(TurnNotes.recorded(request, recorded.finished(), durability == Durability.DURABLE));
+	}
+
 	private static boolean await(CompletableFuture<Void> done) {
 		try {
 			done.get(PENDING_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
--- a/mangorack/src/main/java/org/mangorack/program/TurnStart.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnStart.java
@@ -16,8 +16,9 @@
 	 * The turn is recorded; the caller gets the recorded answer.
 	 *
 	 * @param finished the recorded turn
+	 * @param durable completes when the record is durable
 	 */
-	record Recorded(TurnFinished finished) implements TurnStart {
+	record Recorded(TurnFinished finished, CompletableFuture<Void> durable) implements TurnStart {
 	}
 
 	/**
--- a/mangorack/src/test/java/org/mangorack/journal/JournalTests.java
+++ b/mangorack/src/test/java/org/mangorack/journal/JournalTests.java
@@ -90,6 +90,16 @@
 		assertThat(this.journal.backlogBytes()).isZero();
 	}
 
+	@Test
+	void closedJournalIsNotFlushed() throws Exception {
+		this.store.setUnreachable(true);
+		this.journal.start();
+		CompletableFuture<Void> write = this.journal.append(List.of(entry(1)));
+		this.journal.close();
+		assertThat(this.journal.flush(Duration.ofSeconds(10))).isFalse();
+		assertThat(write).isCompletedExceptionally();
+	}
+
 	private static void awaitAll(List<CompletableFuture<Void>> writes) throws Exception {
 		CompletableFuture.allOf(writes.toArray(new CompletableFuture<?>[0])).get(20, TimeUnit.SECONDS);
 	}
