--- a/bench/src/main/java/org/mangorack/bench/standin/EngineStandIn.java
+++ b/bench/src/main/java/org/mangorack/bench/standin/EngineStandIn.java
@@ -138,6 +138,14 @@
 		return this.cache.byProgram();
 	}
 
+	/**
+	 * Returns the prompt tokens that were not found in the cache.
+	 * @return the number of tokens
+	 */
+	public synchronized long computedTokens() {
+		return this.promptTokens - this.cachedTokens;
+	}
+
 	/**
 	 * Returns the headers in which a caller's key was seen.
 	 * @return the headers; empty if all is well
--- a/bench/src/test/java/org/mangorack/bench/CallerContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/CallerContractTests.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
@@ -152,11 +153,16 @@
 		String program = "o-" + UUID.randomUUID();
 		CompletableFuture<Answer> second = CompletableFuture
 			.supplyAsync(() -> quietTurn(fleet.member(1), program, 2, "two"));
+		TimeUnit.MILLISECONDS.sleep(400);
 		ProgramSurvivalTests.assertOwnAnswer(fleet.turn(fleet.member(0), program, 1, "one"), "one");
 		ProgramSurvivalTests.assertOwnAnswer(second.get(), "two");
 		JsonNode messages = fleet.get(fleet.member(2), "/v1/programs/" + program + "/history").json().path("messages");
 		assertThat(messages.path(0).path("content").asText()).isEqualTo("one");
 		assertThat(messages.path(2).path("content").asText()).isEqualTo("two");
+		Answer gap = fleet.turn(fleet.member(0), program, 4, "four");
+		assertThat(gap.status()).isEqualTo(409);
+		assertThat(gap.json().path("title").asText()).isEqualTo("turn_gap");
+		assertThat(fleet.violations()).isZero();
 	}
 
 	@Test
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/MixedLoadMeasurements.java
@@ -0,0 +1,189 @@
+package org.mangorack.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mangorack.bench.MixedLoad.Shape;
+import org.mangorack.bench.load.CallerClient;
+import org.mangorack.bench.standin.EngineStandIn;
+import org.mangorack.bench.standin.EngineStandIn.Timing;
+
+/**
+ * Compares dispatch policies under mixed load of both deployments, with one workspace at
+ * ten times its usual load and other traffic on two engines. Prints a table row a run and
+ * writes {@code target/mixed-load.svg}. Not part of the tests that CI runs.
+ */
+class MixedLoadMeasurements {
+
+	private static final long SEED = 7;
+
+	private static final int ENGINES = 6;
+
+	private static final Timing TIMING = new Timing(40_000, 4_000_000, 700_000);
+
+	private static final long CACHE_TOKENS = 30_000;
+
+	private static final String GREEDY = "w0";
+
+	private static final List<Bar> BARS = new ArrayList<>();
+
+	@TempDir
+	Path folder;
+
+	@ParameterizedTest
+	@CsvSource({ "consortium, fair, true, true", "consortium, fair, false, true", "consortium, fair, true, false",
+			"consortium, round-robin, false, false", "consortium, least-loaded, false, false",
+			"consortium, sticky, false, false", "repairs, fair, true, true", "repairs, fair, false, true",
+			"repairs, fair, true, false", "repairs, round-robin, false, false", "repairs, least-loaded, false, false",
+			"repairs, sticky, false, false" })
+	void policies(String deployment, String policy, boolean adaptive, boolean affinity) throws Exception {
+		List<EngineStandIn> engines = new ArrayList<>();
+		try (TestFleet fleet = TestFleet.start(this.folder, 3, null)) {
+			for (int i = 0; i < ENGINES; i++) {
+				engines.add(new EngineStandIn(0, TIMING, CACHE_TOKENS));
+				engines.get(i).start();
+			}
+			Map<String, Integer> callers = callers();
+			Map<String, String> keys = fleet
+				.apply(configuration(engines, callers.keySet(), policy, adaptive, affinity));
+			boolean consortium = deployment.equals("consortium");
+			Shape shape = consortium ? new Shape(5, 6000, 60, 20) : new Shape(6, 1200, 400, 20);
+			List<Thread> others = otherTraffic(engines, shape.seconds());
+			MixedLoad load = new MixedLoad(fleet, keys, shape);
+			load.run(callers, SEED);
+			for (Thread t : others) {
+				t.join();
+			}
+			report(deployment, policy + (adaptive ? "+adaptive" : "") + (affinity ? "+affinity" : ""), load, engines);
+		}
+		finally {
+			engines.forEach(EngineStandIn::close);
+		}
+	}
+
+	@AfterAll
+	static void plot() throws IOException {
+		double most = BARS.stream().mapToDouble(Bar::p99).max().orElse(1);
+		StringBuilder svg = new StringBuilder("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"900\" height=\"")
+			.append(BARS.size() * 26 + 30)
+			.append("\" font-family=\"sans-serif\" font-size=\"12\">\n");
+		int y = 20;
+		for (Bar bar : BARS) {
+			svg.append(String.format(Locale.ROOT,
+					"<text x=\"4\" y=\"%d\">%s</text><rect x=\"270\" y=\"%d\" width=\"%.0f\" height=\"14\""
+							+ " fill=\"#cdd\"/><rect x=\"270\" y=\"%d\" width=\"%.0f\" height=\"14\" fill=\"#377\"/>"
+							+ "<text x=\"%.0f\" y=\"%d\">p50 %.0f, p99 %.0f ms</text>%n",
+					y, bar.name(), y - 11, bar.p99() / most * 450, y - 11, bar.p50() / most * 450,
+					275 + (bar.p99() / most * 450), y, bar.p50(), bar.p99()));
+			y += 26;
+		}
+		Files.writeString(Path.of("target/mixed-load.svg"), svg.append("</svg>\n"), StandardOpenOption.CREATE,
+				StandardOpenOption.TRUNCATE_EXISTING);
+	}
+
+	// ---- Helpers
+
+	private static Map<String, Integer> callers() {
+		Map<String, Integer> callers = new LinkedHashMap<>();
+		callers.put(GREEDY, 60);
+		callers.put("w1", 8);
+		callers.put("w2", 8);
+		for (int i = 3; i < 8; i++) {
+			callers.put("w" + i, 2);
+		}
+		return callers;
+	}
+
+	private static ObjectNode configuration(List<EngineStandIn> engines, Iterable<String> workspaces, String policy,
+			boolean adaptive, boolean affinity) {
+		ObjectNode json = TestFleet.MAPPER.createObjectNode();
+		ObjectNode all = json.putObject("workspaces");
+		workspaces.forEach((w) -> all.putObject(w).putObject("rate").put("perSecond", 2000).put("burst", 2000));
+		ObjectNode upstreams = json.putObject("upstreams");
+		for (int i = 0; i < engines.size(); i++) {
+			ObjectNode engine = upstreams.putObject("e" + i);
+			engine.put("kind", "model").put("address", engines.get(i).address()).put("dataCentre", "dc1");
+			engine.put("maxConcurrent", 12);
+			engine.putArray("models").add("m");
+		}
+		json.putObject("dispatch").put("policy", policy).put("adaptive", adaptive).put("affinity", affinity);
+		return json;
+	}
+
+	// Loads two engines directly, as others do that the system cannot see.
+	private static List<Thread> otherTraffic(List<EngineStandIn> engines, int seconds) {
+		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+		CallerClient client = new CallerClient(java.time.Duration.ofSeconds(60));
+		List<Thread> threads = new ArrayList<>();
+		for (int i = 0; i < 20; i++) {
+			String address = engines.get(i % 2).address();
+			Thread thread = new Thread(() -> {
+				while (System.nanoTime() < deadline) {
+					try {
+						client.send("POST", address, "/v1/chat/completions", Map.of(),
+								"{\"model\":\"m\",\"x_tokens\":100,\"messages\":[{\"role\":\"user\",\"content\":\"other\"}]}");
+					}
+					catch (Exception ex) {
+						return;
+					}
+				}
+			});
+			thread.start();
+			threads.add(thread);
+		}
+		return threads;
+	}
+
+	private static void report(String deployment, String name, MixedLoad load, List<EngineStandIn> engines) {
+		List<Double> modest = new ArrayList<>();
+		double worst = 0;
+		int programs = 0;
+		for (Map.Entry<String, List<Double>> e : load.latencies().entrySet()) {
+			programs += e.getValue().size();
+			if (!e.getKey().equals(GREEDY)) {
+				modest.addAll(e.getValue());
+				worst = Math.max(worst, percentile(e.getValue(), 0.5));
+			}
+		}
+		modest.sort(null);
+		long computed = engines.stream().mapToLong(EngineStandIn::computedTokens).sum();
+		double p50 = percentile(modest, 0.5);
+		double p99 = percentile(modest, 0.99);
+		BARS.add(new Bar(deployment + " " + name, p50, p99));
+		System.out.printf(
+				"MEASURED %-10s %-24s programs %4d  modest p50 %6.0f ms  p99 %6.0f ms  worst workspace p50"
+						+ " %6.0f ms  greedy p50 %6.0f ms  recomputed %4.0f%%  refused %d%n",
+				deployment, name, programs, p50, p99, worst, percentile(load.latencies().get(GREEDY), 0.5),
+				100.0 * Math.max(0, computed - load.newTokens()) / Math.max(1, load.newTokens()), load.refusals());
+	}
+
+	private static double percentile(List<Double> sorted, double share) {
+		return sorted.isEmpty() ? Double.POSITIVE_INFINITY
+				: sorted.get(Math.min(sorted.size() - 1, (int) (share * sorted.size())));
+	}
+
+	/**
+	 * A bar of the plot.
+	 *
+	 * @param name what was measured
+	 * @param p50 the median latency of modest workspaces, in milliseconds
+	 * @param p99 their 99th percentile, in milliseconds
+	 */
+	private record Bar(String name, double p50, double p99) {
+	}
+
+}
--- a/bench/src/test/java/org/mangorack/bench/TestFleet.java
+++ b/bench/src/test/java/org/mangorack/bench/TestFleet.java
@@ -210,6 +210,24 @@
 		return this.client.send("GET", member.operators, path, Map.of("Authorization", "Bearer " + operatorKey), null);
 	}
 
+	/**
+	 * Applies a configuration of the caller's making and creates a key for each of its
+	 * workspaces.
+	 * @param json the configuration
+	 * @return the keys by workspace
+	 * @throws Exception if it was refused
+	 */
+	Map<String, String> apply(ObjectNode json) throws Exception {
+		Files.writeString(configurationFolder().resolve("10-all.json"), json.toString());
+		operate(0, "config", "apply", configurationFolder().toString());
+		Map<String, String> keys = new LinkedHashMap<>();
+		json.path("workspaces")
+			.fieldNames()
+			.forEachRemaining((name) -> keys.put(name, operate(0, "key", "create", name).strip()));
+		TimeUnit.MILLISECONDS.sleep(500);
+		return keys;
+	}
+
 	void writeConfiguration(Map<String, Object> workspaceOverrides) throws IOException {
 		writeConfiguration(workspaceOverrides, false);
 	}
@@ -252,6 +270,10 @@
 		return this.client.turn(member.callers, this.key, new CallerClient.Turn("m", program, number, text, false));
 	}
 
+	Answer turnWithKey(Member member, String shown, String program, int number, String text) throws Exception {
+		return this.client.turn(member.callers, shown, new CallerClient.Turn("m", program, number, text, true));
+	}
+
 	Answer streamedTurn(Member member, String program, int number, String text) throws Exception {
 		return this.client.turn(member.callers, this.key, new CallerClient.Turn("m", program, number, text, true));
 	}
--- a/mangorack/src/main/java/org/mangorack/config/Configuration.java
+++ b/mangorack/src/main/java/org/mangorack/config/Configuration.java
@@ -21,7 +21,8 @@
 	/**
 	 * The configuration in force before the first one is applied.
 	 */
-	public static final Configuration EMPTY = new Configuration(0, Map.of(), Map.of(), List.of());
+	public static final Configuration EMPTY = new Configuration(0, Map.of(), Map.of(), List.of(),
+			DispatchSettings.DEFAULT);
 
 	private final long revision;
 
@@ -31,12 +32,15 @@
 
 	private final List<Route> routes;
 
+	private final DispatchSettings dispatch;
+
 	private Configuration(long revision, Map<WorkspaceId, Workspace> workspaces, Map<UpstreamId, Upstream> upstreams,
-			List<Route> routes) {
+			List<Route> routes, DispatchSettings dispatch) {
 		this.revision = revision;
 		this.workspaces = workspaces;
 		this.upstreams = upstreams;
 		this.routes = routes;
+		this.dispatch = dispatch;
 	}
 
 	// ---- Construction
@@ -56,6 +60,7 @@
 		Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
 		reader.objects("upstreams", Upstream::read).values().forEach((u) -> upstreams.put(u.id(), u));
 		Map<String, Route> routes = reader.objects("routes", Route::read);
+		DispatchSettings dispatch = DispatchSettings.read(reader.object("dispatch"));
 		reader.finish();
 		checkReferences(problems, workspaces.values(), upstreams.values(), routes.values());
 		if (!problems.isEmpty()) {
@@ -65,7 +70,7 @@
 			.stream()
 			.sorted(Comparator.comparingInt((Route r) -> -r.path().length()).thenComparing(Route::name))
 			.toList();
-		return Either.right(new Configuration(revision, workspaces, upstreams, longestFirst));
+		return Either.right(new Configuration(revision, workspaces, upstreams, longestFirst, dispatch));
 	}
 
 	// ---- Accessors
@@ -94,6 +99,14 @@
 		return this.upstreams.values();
 	}
 
+	/**
+	 * Returns how calls of models are ordered and placed.
+	 * @return the settings
+	 */
+	public DispatchSettings dispatch() {
+		return this.dispatch;
+	}
+
 	// ---- Public API
 
 	/**
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/config/DispatchSettings.java
@@ -0,0 +1,63 @@
+package org.mangorack.config;
+
+import java.util.List;
+
+/**
+ * How the owners of pools order and place calls of models.
+ *
+ * @param policy the name of the policy
+ * @param adaptive whether the limits of upstreams follow the times that calls report
+ * @param affinity whether calls stay with the upstream that caches their history
+ */
+public record DispatchSettings(String policy, boolean adaptive, boolean affinity) {
+
+	/**
+	 * The names of the policies.
+	 */
+	public static final List<String> POLICIES = List.of("fair", "round-robin", "least-loaded", "sticky");
+
+	/**
+	 * The settings where the configuration names none.
+	 */
+	public static final DispatchSettings DEFAULT = new DispatchSettings(POLICIES.get(0), true, true);
+
+	static DispatchSettings read(ObjectReader reader) {
+		String policy = reader.text("policy", DEFAULT.policy());
+		if (!POLICIES.contains(policy)) {
+			reader.refuse("policy", "is none of " + POLICIES);
+		}
+		DispatchSettings settings = DEFAULT.withPolicy(policy)
+			.withAdaptive(reader.flag("adaptive", DEFAULT.adaptive()))
+			.withAffinity(reader.flag("affinity", DEFAULT.affinity()));
+		reader.finish();
+		return settings;
+	}
+
+	/**
+	 * Returns a copy with another policy.
+	 * @param other the name of the policy
+	 * @return the changed copy
+	 */
+	public DispatchSettings withPolicy(String other) {
+		return new DispatchSettings(other, this.adaptive, this.affinity);
+	}
+
+	/**
+	 * Returns a copy with or without adaptive limits.
+	 * @param value whether limits adapt
+	 * @return the changed copy
+	 */
+	public DispatchSettings withAdaptive(boolean value) {
+		return new DispatchSettings(this.policy, value, this.affinity);
+	}
+
+	/**
+	 * Returns a copy with or without cache affinity.
+	 * @param value whether calls stay with their upstream
+	 * @return the changed copy
+	 */
+	public DispatchSettings withAffinity(boolean value) {
+		return new DispatchSettings(this.policy, this.adaptive, value);
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/dispatch/Dispatcher.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/Dispatcher.java
@@ -78,7 +78,7 @@
 			if (best.isPresent()) {
 				UpstreamLoad load = load(best.get());
 				load.began();
-				return Either.right(new Slot(best.get(), load, this));
+				return Either.right(new LocalSlot(best.get(), load, this));
 			}
 			int capacity = usable.stream().mapToInt(Upstream::maxConcurrent).sum();
 			if ((this.waiting >= capacity) || !awaitRelease(deadline)) {
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/LocalSlot.java
@@ -0,0 +1,52 @@
+package org.mangorack.dispatch;
+
+import org.mangorack.config.Upstream;
+
+/**
+ * A slot that this instance granted itself.
+ */
+final class LocalSlot implements Slot {
+
+	private final Upstream upstream;
+
+	private final UpstreamLoad load;
+
+	private final Dispatcher dispatcher;
+
+	private boolean closed;
+
+	LocalSlot(Upstream upstream, UpstreamLoad load, Dispatcher dispatcher) {
+		this.upstream = upstream;
+		this.load = load;
+		this.dispatcher = dispatcher;
+	}
+
+	@Override
+	public Upstream upstream() {
+		return this.upstream;
+	}
+
+	@Override
+	public void failed() {
+		this.dispatcher.failed(this.load);
+	}
+
+	@Override
+	public void answered() {
+		this.dispatcher.answered(this.load);
+	}
+
+	@Override
+	public void measured(CallTimes times) {
+		// Local choices follow the number of calls only.
+	}
+
+	@Override
+	public void close() {
+		if (!this.closed) {
+			this.closed = true;
+			this.dispatcher.released(this.load);
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/ModelSlots.java
@@ -0,0 +1,148 @@
+package org.mangorack.dispatch;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.call.UpstreamId;
+import org.mangorack.config.Configuration;
+import org.mangorack.config.Upstream;
+import org.mangorack.config.UpstreamKind;
+import org.mangorack.member.proto.SlotAssignment;
+import org.mangorack.member.proto.SlotReport;
+import org.mangorack.member.proto.SlotRequest;
+import org.mangorack.member.proto.SlotResult;
+
+/**
+ * Gets slots of model engines from the owners of their pools, and reports what became of
+ * them. While an owner cannot be reached, this instance chooses by its own calls.
+ */
+public final class ModelSlots {
+
+	private final String instance;
+
+	private final SlotSource source;
+
+	private final Dispatcher fallback;
+
+	private final Supplier<Configuration> configuration;
+
+	private final ExecutorService reports;
+
+	private final Map<Long, PoolSlot> held = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates the client of the pools.
+	 * @param instance the name of this instance
+	 * @param source reaches the owners of pools
+	 * @param fallback chooses while an owner cannot be reached
+	 * @param configuration supplies the configuration in force
+	 * @param reports sends reports
+	 */
+	public ModelSlots(String instance, SlotSource source, Dispatcher fallback, Supplier<Configuration> configuration,
+			ExecutorService reports) {
+		this.instance = instance;
+		this.source = source;
+		this.fallback = fallback;
+		this.configuration = configuration;
+		this.reports = reports;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Waits for a slot of a model engine.
+	 * @param call the call, without the fields that this method sets
+	 * @param excluded upstreams that failed the call before
+	 * @param maxWait the longest wait
+	 * @return the slot, or the refusal
+	 */
+	public Either<Refusal, Slot> acquire(SlotRequest.Builder call, Set<UpstreamId> excluded, Duration maxWait) {
+		SlotRequest request = call.setInstance(this.instance)
+			.clearExcluded()
+			.addAllExcluded(excluded.stream().map(UpstreamId::value).toList())
+			.setMaxWaitMillis((int) maxWait.toMillis())
+			.build();
+		Optional<Either<Refusal, SlotAssignment>> drawn = this.source.draw(request);
+		if (drawn.isEmpty()) {
+			return this.fallback.acquire(UpstreamKind.MODEL, request.getPool(), request.getPreferred(), excluded,
+					maxWait);
+		}
+		return drawn.get().flatMap((assignment) -> slot(request.getPool(), assignment));
+	}
+
+	/**
+	 * Reports every held slot to the owners of the pools. Called at short intervals, so
+	 * that a new owner learns of the slots and an old one of those that were lost.
+	 */
+	public void reportAll() {
+		Map<String, SlotReport.Builder> byPool = new HashMap<>();
+		for (Upstream upstream : this.configuration.get().upstreams()) {
+			if (upstream.kind() == UpstreamKind.MODEL) {
+				upstream.pools().forEach((pool) -> byPool.computeIfAbsent(pool, this::completeReport));
+			}
+		}
+		this.held.values()
+			.forEach((slot) -> byPool.computeIfAbsent(slot.pool(), this::completeReport).addHeld(slot.assignment()));
+		byPool.values().forEach((report) -> this.source.report(report.build()));
+	}
+
+	/**
+	 * Returns the slots that this instance holds at each upstream.
+	 * @return the number of slots by upstream
+	 */
+	public Map<UpstreamId, Long> underWay() {
+		return this.held.values()
+			.stream()
+			.collect(Collectors.groupingBy((slot) -> slot.upstream().id(), Collectors.counting()));
+	}
+
+	// ---- Helpers
+
+	void giveBack(PoolSlot slot, SlotResult result) {
+		this.held.remove(slot.assignment().getSlot());
+		SlotReport report = SlotReport.newBuilder()
+			.setInstance(this.instance)
+			.setPool(slot.pool())
+			.addResults(result)
+			.build();
+		try {
+			this.reports.execute(() -> this.source.report(report));
+		}
+		catch (RejectedExecutionException ex) {
+			// The instance is stopping; the owner drops its slots with the instance.
+		}
+	}
+
+	private Either<Refusal, Slot> slot(String pool, SlotAssignment assignment) {
+		Optional<Upstream> upstream = this.configuration.get().upstream(new UpstreamId(assignment.getUpstream()));
+		if (upstream.isEmpty()) {
+			this.source.report(SlotReport.newBuilder()
+				.setInstance(this.instance)
+				.setPool(pool)
+				.addAllResults(List.of(SlotResult.newBuilder().setSlot(assignment.getSlot()).setFailed(true).build()))
+				.build());
+			return Either.left(Refusal.unavailable("no_upstream",
+					"upstream \"" + assignment.getUpstream() + "\" is not known here yet", Duration.ofSeconds(1)));
+		}
+		PoolSlot slot = new PoolSlot(upstream.get(), assignment, pool, this);
+		this.held.put(assignment.getSlot(), slot);
+		return Either.right(slot);
+	}
+
+	private SlotReport.Builder completeReport(String pool) {
+		return SlotReport.newBuilder().setInstance(this.instance).setPool(pool).setComplete(true);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PoolScheduler.java
@@ -0,0 +1,369 @@
+package org.mangorack.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.call.UpstreamId;
+import org.mangorack.config.DispatchSettings;
+import org.mangorack.config.Upstream;
+import org.mangorack.dispatch.PoolUpstream.HeldSlot;
+import org.mangorack.member.proto.SlotAssignment;
+import org.mangorack.member.proto.SlotReport;
+import org.mangorack.member.proto.SlotRequest;
+import org.mangorack.member.proto.SlotResult;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * The queue and the slots of one pool, at the pool's owner. Engines know no priorities,
+ * so calls wait here and not there.
+ */
+final class PoolScheduler {
+
+	private static final Duration REPORT_GRACE = Duration.ofSeconds(2);
+
+	private static final Duration FIRST_REPORTS_LIMIT = Duration.ofMillis(1200);
+
+	private static final Duration RETRY_LATER = Duration.ofSeconds(1);
+
+	private static final double AGEING_TOKENS_PER_SECOND = 500;
+
+	private static final double RATE_BLEND = 0.05;
+
+	private final MonotonicClock clock;
+
+	private final long createdAt;
+
+	private final boolean firstOwner;
+
+	private final Map<UpstreamId, PoolUpstream> upstreams = new LinkedHashMap<>();
+
+	private final List<QueuedCall> queue = new ArrayList<>();
+
+	private final FairShares shares = new FairShares();
+
+	private final WorkEstimate estimate = new WorkEstimate();
+
+	private final Set<String> reported = new HashSet<>();
+
+	private DispatchSettings settings = DispatchSettings.DEFAULT;
+
+	private DispatchPolicy policy = DispatchPolicy.FAIR;
+
+	private Set<String> instances = Set.of();
+
+	private double completionsPerSecond = 10;
+
+	private long lastCompletion;
+
+	/**
+	 * Creates the scheduler of a pool without upstreams.
+	 * @param clock the time source
+	 * @param firstOwner whether the pool had no owner before, whose slots may be in use
+	 */
+	PoolScheduler(MonotonicClock clock, boolean firstOwner) {
+		this.clock = clock;
+		this.createdAt = clock.nanoTime();
+		this.firstOwner = firstOwner;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Takes over the configuration and the live instances.
+	 * @param configured the upstreams of the pool
+	 * @param newSettings how calls are ordered and placed
+	 * @param live the names of the live instances
+	 */
+	synchronized void configure(Collection<Upstream> configured, DispatchSettings newSettings, Set<String> live) {
+		this.settings = newSettings;
+		this.policy = DispatchPolicy.parse(newSettings.policy());
+		Set<UpstreamId> ids = new HashSet<>();
+		for (Upstream u : configured) {
+			ids.add(u.id());
+			this.upstreams.computeIfAbsent(u.id(), (id) -> new PoolUpstream(u)).configure(u);
+		}
+		this.upstreams.keySet().retainAll(ids);
+		if (!live.equals(this.instances)) {
+			this.instances = Set.copyOf(live);
+			this.upstreams.values().forEach((u) -> u.slots().values().removeIf((s) -> !live.contains(s.instance())));
+		}
+	}
+
+	/**
+	 * Queues a call.
+	 * @param request the call
+	 * @param weight the weight of its workspace
+	 * @return completes with the slot or the refusal
+	 */
+	CompletableFuture<Either<Refusal, SlotAssignment>> submit(SlotRequest request, double weight) {
+		long now = this.clock.nanoTime();
+		Duration maxWait = Duration.ofMillis(request.getMaxWaitMillis());
+		QueuedCall call = new QueuedCall(request, weight, Set.copyOf(request.getExcludedList()), now,
+				now + maxWait.toNanos(), new CompletableFuture<>());
+		List<Runnable> completions;
+		synchronized (this) {
+			Duration expected = expectedWait(call);
+			if (expected.compareTo(maxWait) > 0) {
+				return CompletableFuture.completedFuture(Either.left(full(request, expected)));
+			}
+			this.queue.add(call);
+			completions = assign();
+		}
+		completions.forEach(Runnable::run);
+		return call.assignment();
+	}
+
+	/**
+	 * Takes back slots and learns from them.
+	 * @param report what an instance reports
+	 */
+	void report(SlotReport report) {
+		List<Runnable> completions;
+		synchronized (this) {
+			report.getResultsList().forEach(this::giveBack);
+			if (report.getComplete()) {
+				this.reported.add(report.getInstance());
+				reconcile(report);
+			}
+			completions = assign();
+		}
+		completions.forEach(Runnable::run);
+	}
+
+	/**
+	 * Refuses calls whose deadline passed, and assigns slots that became free by time.
+	 */
+	void tick() {
+		List<Runnable> completions;
+		synchronized (this) {
+			long now = this.clock.nanoTime();
+			completions = new ArrayList<>();
+			this.queue.removeIf((call) -> {
+				boolean late = now >= call.deadline();
+				if (late) {
+					Refusal refusal = full(call.request(), RETRY_LATER);
+					completions.add(() -> call.assignment().complete(Either.left(refusal)));
+				}
+				return late;
+			});
+			completions.addAll(assign());
+			this.shares.forgetIdle();
+		}
+		completions.forEach(Runnable::run);
+	}
+
+	/**
+	 * Gives up the queue, because another instance owns the pool now.
+	 */
+	void close() {
+		List<QueuedCall> rest;
+		synchronized (this) {
+			rest = new ArrayList<>(this.queue);
+			this.queue.clear();
+		}
+		rest.forEach((call) -> call.assignment().cancel(false));
+	}
+
+	// ---- Callbacks of policies
+
+	List<QueuedCall> arrivalOrder() {
+		return new ArrayList<>(this.queue);
+	}
+
+	List<QueuedCall> fairOrder() {
+		long now = this.clock.nanoTime();
+		Map<String, Double> tags = new HashMap<>();
+		this.queue.forEach((c) -> tags.computeIfAbsent(c.workspace(), this.shares::startTag));
+		List<QueuedCall> ordered = new ArrayList<>(this.queue);
+		ordered.sort(Comparator.comparingDouble((QueuedCall c) -> tags.get(c.workspace()))
+			.thenComparingDouble((c) -> score(c, now)));
+		return ordered;
+	}
+
+	/**
+	 * Keeps a call at the upstream that caches its history, and lets it wait there for as
+	 * long as the prefill would take elsewhere.
+	 * @param call the call
+	 * @param free the upstreams with a free slot
+	 * @return the upstream, or empty to wait
+	 */
+	Optional<PoolUpstream> placeByCache(QueuedCall call, List<PoolUpstream> free) {
+		Optional<PoolUpstream> cached = free.stream()
+			.filter((u) -> u.id().value().equals(call.preferred()))
+			.findFirst();
+		if (!this.settings.affinity()) {
+			return leastLoaded(free);
+		}
+		if (cached.isPresent()) {
+			return cached;
+		}
+		boolean worthWaiting = isUsable(call.preferred(), call)
+				&& (waitedMillis(call) < this.estimate.prefill(call.request().getCachedTokens()));
+		return worthWaiting ? Optional.empty() : leastLoaded(free);
+	}
+
+	boolean isUsable(String upstream, QueuedCall call) {
+		if (upstream.isEmpty() || call.excluded().contains(upstream)) {
+			return false;
+		}
+		PoolUpstream known = this.upstreams.get(new UpstreamId(upstream));
+		return (known != null) && known.isUsable(this.clock.nanoTime());
+	}
+
+	// ---- Helpers
+
+	private static Optional<PoolUpstream> leastLoaded(List<PoolUpstream> free) {
+		return free.stream().min(Comparator.comparingDouble(PoolUpstream::relativeLoad));
+	}
+
+	private double waitedMillis(QueuedCall call) {
+		return (this.clock.nanoTime() - call.arrivedAt()) / 1e6;
+	}
+
+	private static double score(QueuedCall call, long now) {
+		double waited = (now - call.arrivedAt()) / 1e9;
+		return call.request().getAttainedTokens() - (waited * AGEING_TOKENS_PER_SECOND);
+	}
+
+	/**
+	 * Assigns free slots to queued calls.
+	 * @return what completes the assigned calls, to be run without the monitor
+	 */
+	private List<Runnable> assign() {
+		List<Runnable> completions = new ArrayList<>();
+		if (isWaitingForReports()) {
+			return completions;
+		}
+		boolean progress = true;
+		while (progress && !this.queue.isEmpty()) {
+			progress = false;
+			for (QueuedCall call : this.policy.order(this)) {
+				Optional<PoolUpstream> upstream = place(call);
+				if (upstream.isPresent()) {
+					SlotAssignment assignment = take(call, upstream.get());
+					completions.add(() -> call.assignment().complete(Either.right(assignment)));
+					progress = true;
+					break;
+				}
+			}
+		}
+		return completions;
+	}
+
+	private Optional<PoolUpstream> place(QueuedCall call) {
+		long now = this.clock.nanoTime();
+		List<PoolUpstream> allowed = this.upstreams.values()
+			.stream()
+			.filter((u) -> !call.excluded().contains(u.id().value()))
+			.toList();
+		List<PoolUpstream> healthy = allowed.stream().filter((u) -> u.isUsable(now)).toList();
+		List<PoolUpstream> free = healthy.stream()
+			.filter((u) -> u.slots().size() < u.capacity(this.settings.adaptive()))
+			.toList();
+		return free.isEmpty() ? Optional.empty() : this.policy.place(this, call, free);
+	}
+
+	private SlotAssignment take(QueuedCall call, PoolUpstream upstream) {
+		this.queue.remove(call);
+		double work = this.estimate.predict(call.request());
+		this.shares.charge(call.workspace(), call.weight(), work);
+		long slot = ThreadLocalRandom.current().nextLong();
+		HeldSlot held = new HeldSlot(call.request().getInstance(), call.workspace(), call.weight(), work,
+				this.clock.nanoTime());
+		upstream.take(slot, held, this.clock.nanoTime());
+		return SlotAssignment.newBuilder().setSlot(slot).setUpstream(upstream.id().value()).build();
+	}
+
+	private void giveBack(SlotResult result) {
+		long now = this.clock.nanoTime();
+		for (PoolUpstream upstream : this.upstreams.values()) {
+			HeldSlot held = upstream.slots().remove(result.getSlot());
+			if (held == null) {
+				continue;
+			}
+			upstream.learn(result, now);
+			if (!result.getFailed()) {
+				this.estimate.learn(held.workspace(), result);
+				this.shares.correct(held.workspace(), held.weight(), this.estimate.actual(result) - held.predicted());
+			}
+			noteCompletion(now);
+			return;
+		}
+	}
+
+	private void noteCompletion(long now) {
+		double gap = Math.max(1e-4, (now - this.lastCompletion) / 1e9);
+		double rate = (this.lastCompletion == 0) ? this.completionsPerSecond : Math.min(1000, 1 / gap);
+		this.completionsPerSecond = (this.completionsPerSecond * (1 - RATE_BLEND)) + (rate * RATE_BLEND);
+		this.lastCompletion = now;
+	}
+
+	/**
+	 * Drops slots that their instance does not hold any more, and learns of those that an
+	 * earlier owner granted.
+	 * @param report a complete report
+	 */
+	private void reconcile(SlotReport report) {
+		long now = this.clock.nanoTime();
+		Map<Long, String> held = new HashMap<>();
+		report.getHeldList().forEach((h) -> held.put(h.getSlot(), h.getUpstream()));
+		for (PoolUpstream upstream : this.upstreams.values()) {
+			upstream.slots()
+				.entrySet()
+				.removeIf((e) -> e.getValue().instance().equals(report.getInstance()) && !held.containsKey(e.getKey())
+						&& (now - e.getValue().since() > REPORT_GRACE.toNanos()));
+		}
+		held.forEach((slot, id) -> {
+			PoolUpstream upstream = this.upstreams.get(new UpstreamId(id));
+			if ((upstream != null) && !upstream.slots().containsKey(slot)) {
+				upstream.take(slot, new HeldSlot(report.getInstance(), "", 1, 0, now), now);
+			}
+		});
+	}
+
+	private boolean isWaitingForReports() {
+		boolean late = this.clock.elapsed(this.createdAt).compareTo(FIRST_REPORTS_LIMIT) > 0;
+		return !this.firstOwner && !late && !this.reported.containsAll(this.instances);
+	}
+
+	/**
+	 * Estimates how long a call will wait: the queue of its workspace, served at the
+	 * share that the workspace gets of the rate at which calls complete.
+	 * @param call the call
+	 * @return the estimate
+	 */
+	private Duration expectedWait(QueuedCall call) {
+		Map<String, Double> weights = new HashMap<>();
+		weights.put(call.workspace(), call.weight());
+		long ahead = 0;
+		for (QueuedCall c : this.queue) {
+			weights.put(c.workspace(), c.weight());
+			ahead += c.workspace().equals(call.workspace()) ? 1 : 0;
+		}
+		double total = weights.values().stream().mapToDouble(Double::doubleValue).sum();
+		double rate = Math.max(0.1, this.completionsPerSecond * call.weight() / total);
+		return Duration.ofMillis((long) (ahead / rate * 1000));
+	}
+
+	private static Refusal full(SlotRequest request, Duration wait) {
+		return Refusal.unavailable(
+				"upstreams_full", "all upstreams of \"" + request.getPool()
+						+ "\" are busy, and the queue of workspace \"" + request.getWorkspace() + "\" is too long",
+				wait);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PoolService.java
@@ -0,0 +1,68 @@
+package org.mangorack.dispatch;
+
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.call.WorkspaceId;
+import org.mangorack.config.Configuration;
+import org.mangorack.config.UpstreamKind;
+import org.mangorack.config.Workspace;
+import org.mangorack.member.proto.SlotAssignment;
+import org.mangorack.member.proto.SlotReport;
+import org.mangorack.member.proto.SlotRequest;
+
+/**
+ * Serves the pools that this instance owns.
+ */
+public final class PoolService {
+
+	private final Supplier<Configuration> configuration;
+
+	private final Supplier<Set<String>> instances;
+
+	/**
+	 * Creates the service.
+	 * @param configuration supplies the configuration in force
+	 * @param instances supplies the names of the live instances
+	 */
+	public PoolService(Supplier<Configuration> configuration, Supplier<Set<String>> instances) {
+		this.configuration = configuration;
+		this.instances = instances;
+	}
+
+	/**
+	 * Queues a call.
+	 * @param table the pools of the shard
+	 * @param request the call
+	 * @return completes with the slot or the refusal, or is cancelled when another
+	 * instance owns the pool now
+	 */
+	public CompletableFuture<Either<Refusal, SlotAssignment>> submit(PoolTable table, SlotRequest request) {
+		double weight = this.configuration.get()
+			.workspace(new WorkspaceId(request.getWorkspace()))
+			.map(Workspace::weight)
+			.orElse(1.0);
+		return configured(table, request.getPool()).submit(request, weight);
+	}
+
+	/**
+	 * Takes a report of an instance.
+	 * @param table the pools of the shard
+	 * @param report the report
+	 */
+	public void report(PoolTable table, SlotReport report) {
+		configured(table, report.getPool()).report(report);
+	}
+
+	private PoolScheduler configured(PoolTable table, String name) {
+		Configuration current = this.configuration.get();
+		PoolScheduler pool = table.pool(name);
+		pool.configure(current.pool(UpstreamKind.MODEL, name), current.dispatch(), this.instances.get());
+		return pool;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PoolSlot.java
@@ -0,0 +1,72 @@
+package org.mangorack.dispatch;
+
+import org.mangorack.config.Upstream;
+import org.mangorack.member.proto.SlotAssignment;
+import org.mangorack.member.proto.SlotResult;
+
+/**
+ * A slot that the owner of a pool granted.
+ */
+final class PoolSlot implements Slot {
+
+	private final Upstream upstream;
+
+	private final SlotAssignment assignment;
+
+	private final String pool;
+
+	private final ModelSlots slots;
+
+	private final SlotResult.Builder result;
+
+	private boolean closed;
+
+	PoolSlot(Upstream upstream, SlotAssignment assignment, String pool, ModelSlots slots) {
+		this.upstream = upstream;
+		this.assignment = assignment;
+		this.pool = pool;
+		this.slots = slots;
+		this.result = SlotResult.newBuilder().setSlot(assignment.getSlot());
+	}
+
+	SlotAssignment assignment() {
+		return this.assignment;
+	}
+
+	String pool() {
+		return this.pool;
+	}
+
+	@Override
+	public Upstream upstream() {
+		return this.upstream;
+	}
+
+	@Override
+	public void failed() {
+		this.result.setFailed(true);
+	}
+
+	@Override
+	public void answered() {
+		this.result.setFailed(false);
+	}
+
+	@Override
+	public void measured(CallTimes times) {
+		this.result.setPromptTokens(times.promptTokens())
+			.setCachedTokens(times.cachedTokens())
+			.setGeneratedTokens(times.generatedTokens())
+			.setFirstTokenMicros(times.firstTokenMicros())
+			.setGenerationMicros(times.generationMicros());
+	}
+
+	@Override
+	public void close() {
+		if (!this.closed) {
+			this.closed = true;
+			this.slots.giveBack(this, this.result.build());
+		}
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/dispatch/QueuedCall.java
@@ -0,0 +1,33 @@
+package org.mangorack.dispatch;
+
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import io.vavr.control.Either;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.member.proto.SlotAssignment;
+import org.mangorack.member.proto.SlotRequest;
+
+/**
+ * A call that waits for a slot.
+ *
+ * @param request what the instance asked for
+ * @param weight the weight of the workspace
+ * @param excluded upstreams that failed the call before
+ * @param arrivedAt when it was queued, in nanoseconds
+ * @param deadline when it is refused, in nanoseconds
+ * @param assignment completes with the slot or the refusal
+ */
+record QueuedCall(SlotRequest request, double weight, Set<String> excluded, long arrivedAt, long deadline,
+		CompletableFuture<Either<Refusal, SlotAssignment>> assignment) {
+
+	String workspace() {
+		return this.request.getWorkspace();
+	}
+
+	String preferred() {
+		return this.request.getPreferred();
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/entry/Bodies.java
+++ b/mangorack/src/main/java/org/mangorack/entry/Bodies.java
@@ -15,13 +15,17 @@
 	}
 
 	static String text(CallAnswer answer) {
+		return new String(bytes(answer), StandardCharsets.UTF_8);
+	}
+
+	static byte[] bytes(CallAnswer answer) {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		try {
 			answer.body().writeTo(out);
-			return out.toString(StandardCharsets.UTF_8);
+			return out.toByteArray();
 		}
 		catch (IOException ex) {
-			return String.valueOf(ex.getMessage());
+			return String.valueOf(ex.getMessage()).getBytes(StandardCharsets.UTF_8);
 		}
 	}
 
--- a/mangorack/src/main/java/org/mangorack/entry/CallKind.java
+++ b/mangorack/src/main/java/org/mangorack/entry/CallKind.java
@@ -18,7 +18,15 @@
 	RATE("rate", true),
 
 	/** The root of a sub-agent. */
-	ALIAS("alias", true);
+	ALIAS("alias", true),
+
+	/**
+	 * A request for a slot of a model engine. A slot that is granted twice is reclaimed.
+	 */
+	SLOT("slot", true),
+
+	/** A report on slots of model engines. */
+	SLOT_REPORT("slot-report", true);
 
 	private final String wireName;
 
--- a/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
@@ -6,16 +6,20 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 import org.mangorack.config.ConfigurationStore;
 import org.mangorack.config.Settings;
 import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.ModelSlots;
+import org.mangorack.dispatch.PoolService;
 import org.mangorack.dispatch.RetryBudget;
 import org.mangorack.http.HttpService;
 import org.mangorack.http.PooledHttpClient;
 import org.mangorack.key.KeyRegistry;
 import org.mangorack.limit.RateLimiter;
 import org.mangorack.member.Fleet;
+import org.mangorack.member.LeaseRecord;
 import org.mangorack.member.PeerLinks;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
@@ -45,6 +49,8 @@
 
 	private final ShardHost<ShardContents> host;
 
+	private final ModelSlots models;
+
 	/**
 	 * Creates the interface and registers its calls between instances.
 	 * @param settings the settings of the instance
@@ -70,14 +76,18 @@
 		RetryBudget retries = new RetryBudget();
 		Dispatcher dispatcher = new Dispatcher(configuration::current, settings.dataCentre(), clock);
 		ShardRouter shards = new ShardRouter(host, links);
+		PoolService pools = new PoolService(configuration::current,
+				() -> fleet.live().stream().map(LeaseRecord::instance).collect(Collectors.toSet()));
+		this.models = new ModelSlots(settings.instance(), new SlotEndpoint(shards, pools), dispatcher,
+				configuration::current, traffic);
 		ProgramRouter programs = new ProgramRouter(shards);
 		OwnerGuard ownerGuard = new OwnerGuard(this.serving, host::isLeaseHeld);
-		TurnService turns = new TurnService(dispatcher, retries, client, platformOut, traffic);
+		TurnService turns = new TurnService(this.models, retries, client, platformOut, traffic);
 		ServiceCaller services = new ServiceCaller(dispatcher, retries, client, platformOut);
 		RateLimiter limiter = new RateLimiter(new RateEndpoint(configuration, shards), clock,
 				CallerService.grantWait());
 		this.service = new CallerService(new KeyCheck(keys, configuration), this.serving, limiter,
-				new ChatEndpoint(configuration, this.serving, new DirectChat(dispatcher, retries, client), programs),
+				new ChatEndpoint(configuration, this.serving, new DirectChat(this.models, retries, client), programs),
 				new ProgramEndpoint(configuration, shards, programs, turns, ownerGuard, platformOut),
 				new ServiceEndpoint(configuration, shards, services, this.serving, ownerGuard),
 				new InstancesEndpoint(fleet, host, settings.dataCentre()), metrics, clock);
@@ -121,6 +131,15 @@
 		this.maintenance.round();
 	}
 
+	/**
+	 * Reports held slots to the owners of pools, and lets the pools owned here refuse
+	 * what is late. Called at short intervals.
+	 */
+	public void reportSlots() {
+		this.models.reportAll();
+		this.host.owned().forEach((shard) -> shard.replica().pools().tick());
+	}
+
 	/**
 	 * Closes the connections to upstreams.
 	 */
--- a/mangorack/src/main/java/org/mangorack/entry/ChatEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ChatEndpoint.java
@@ -50,7 +50,7 @@
 					"model \"" + model + "\" does not exist for workspace \"" + caller.workspace().id() + "\""));
 		}
 		if (call.header(TurnRequest.PROGRAM).isEmpty()) {
-			return this.direct.answer(body.get(), this.guard.forKey(caller.key().id()));
+			return this.direct.answer(caller.workspace().id(), body.get(), this.guard.forKey(caller.key().id()));
 		}
 		return TurnRequest.read(caller.workspace().id(), call, body.get())
 			.flatMap((request) -> this.programs.turn(caller, request));
--- a/mangorack/src/main/java/org/mangorack/entry/DirectChat.java
+++ b/mangorack/src/main/java/org/mangorack/entry/DirectChat.java
@@ -4,7 +4,9 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -19,15 +21,17 @@
 import org.mangorack.call.SendGuard;
 import org.mangorack.call.UpstreamId;
 import org.mangorack.call.Verdict;
+import org.mangorack.call.WorkspaceId;
 import org.mangorack.config.Upstream;
-import org.mangorack.config.UpstreamKind;
-import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.ModelSlots;
 import org.mangorack.dispatch.RetryBudget;
 import org.mangorack.dispatch.Slot;
 import org.mangorack.http.HttpCallException;
 import org.mangorack.http.HttpReply;
+import org.mangorack.member.proto.SlotRequest;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.program.PromptSize;
 import org.mangorack.upstream.EventReader;
 import org.mangorack.upstream.UpstreamClient;
 
@@ -52,19 +56,26 @@
 
 	private static final Map<String, String> HEADERS = Map.of("Content-Type", "application/json");
 
-	private final Dispatcher dispatcher;
+	private final ModelSlots models;
 
 	private final RetryBudget retries;
 
 	private final UpstreamClient client;
 
-	DirectChat(Dispatcher dispatcher, RetryBudget retries, UpstreamClient client) {
-		this.dispatcher = dispatcher;
+	DirectChat(ModelSlots models, RetryBudget retries, UpstreamClient client) {
+		this.models = models;
 		this.retries = retries;
 		this.client = client;
 	}
 
-	Either<Refusal, CallAnswer> answer(ObjectNode body, SendGuard guard) {
+	/**
+	 * Answers a call.
+	 * @param workspace the workspace of the caller
+	 * @param body the body of the call
+	 * @param guard checked right before the call is sent
+	 * @return the answer, or the refusal
+	 */
+	Either<Refusal, CallAnswer> answer(WorkspaceId workspace, ObjectNode body, SendGuard guard) {
 		Set<UpstreamId> failed = new HashSet<>();
 		Refusal last = null;
 		this.retries.firstAttempt();
@@ -72,8 +83,7 @@
 			if ((last != null) && !this.retries.tryRetry()) {
 				break;
 			}
-			Either<Refusal, Slot> slot = this.dispatcher.acquire(UpstreamKind.MODEL, body.path("model").asText(), "",
-					failed, SLOT_WAIT);
+			Either<Refusal, Slot> slot = this.models.acquire(slotRequest(workspace, body), failed, SLOT_WAIT);
 			Optional<Refusal> refusal = guard.check();
 			if (slot.isLeft() || refusal.isPresent()) {
 				slot.forEach(Slot::close);
@@ -90,6 +100,16 @@
 		return Either.left(last);
 	}
 
+	private static SlotRequest.Builder slotRequest(WorkspaceId workspace, ObjectNode body) {
+		List<JsonNode> messages = new ArrayList<>();
+		body.path("messages").forEach(messages::add);
+		return SlotRequest.newBuilder()
+			.setPool(body.path("model").asText())
+			.setWorkspace(workspace.value())
+			.setPromptTokens(PromptSize.tokens(messages))
+			.setMaxTokens(body.path("max_tokens").asLong());
+	}
+
 	private Either<Refusal, CallAnswer> attempt(Slot slot, ObjectNode body) {
 		Upstream upstream = slot.upstream();
 		boolean stream = body.path("stream").asBoolean();
--- a/mangorack/src/main/java/org/mangorack/entry/ShardContents.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ShardContents.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.mangorack.dispatch.PoolTable;
 import org.mangorack.journal.proto.Entry;
 import org.mangorack.limit.BucketTable;
 import org.mangorack.observe.MonotonicClock;
@@ -25,6 +26,8 @@
 
 	private final BucketTable buckets;
 
+	private final PoolTable pools;
+
 	/**
 	 * Creates the empty contents.
 	 * @param log the journal of the shard
@@ -36,6 +39,7 @@
 		this.aliases = new AliasTable(this, log, clock);
 		this.calls = new CallTable(this, log, clock);
 		this.buckets = new BucketTable(clock, firstOwner);
+		this.pools = new PoolTable(clock, firstOwner);
 	}
 
 	// ---- Accessors
@@ -72,8 +76,21 @@
 		return this.buckets;
 	}
 
+	/**
+	 * Returns the pools of the shard.
+	 * @return the pools
+	 */
+	public PoolTable pools() {
+		return this.pools;
+	}
+
 	// ---- Public API
 
+	@Override
+	public void closed() {
+		this.pools.close();
+	}
+
 	@Override
 	public synchronized void replay(Entry entry) {
 		this.programs.replay(entry);
--- a/mangorack/src/main/java/org/mangorack/entry/ShardRouter.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ShardRouter.java
@@ -30,6 +30,11 @@
 
 	private static final Duration RETRY_LATER = Duration.ofSeconds(1);
 
+	/**
+	 * Code of the refusal when no owner was found.
+	 */
+	static final String OWNER_UNAVAILABLE = "owner_unavailable";
+
 	private static final String NOT_OWNER = "Mangorack-Not-Owner";
 
 	private final ShardHost<ShardContents> host;
@@ -58,13 +63,29 @@
 	 * @return the answer of the owner, or of this instance when the owner was not found
 	 */
 	CallAnswer route(CallKind kind, ShardId shard, CallOpen.Builder call) {
+		Duration settle = (call.getTimeoutMillis() > 0) ? Duration.ofMillis(call.getTimeoutMillis()) : SETTLE_LIMIT;
+		return route(kind, shard, call, settle);
+	}
+
+	/**
+	 * Brings a call to the owner of a shard.
+	 * @param kind the kind of call
+	 * @param shard the shard
+	 * @param call the call
+	 * @param settleLimit how long to look for an owner
+	 * @return the answer of the owner, or of this instance when the owner was not found
+	 */
+	CallAnswer route(CallKind kind, ShardId shard, CallOpen.Builder call, Duration settleLimit) {
 		CallOpen open = call.setKind(kind.wireName()).setShard(shard.number()).build();
-		long deadline = System.nanoTime() + settleLimit(open).toNanos();
+		long deadline = System.nanoTime() + settleLimit.toNanos();
 		Verdict verdict = Verdict.NOT_RUN;
 		while (System.nanoTime() < deadline) {
 			ShardLocation<ShardContents> location = this.host.locate(shard);
 			if (location instanceof ShardLocation.Local<ShardContents> local) {
-				return answerLocally(kind, local.shard(), open);
+				CallAnswer answer = answerLocally(kind, local.shard(), open);
+				if (!answer.headers().containsKey(NOT_OWNER)) {
+					return answer;
+				}
 			}
 			if (location instanceof ShardLocation.Remote<ShardContents> remote) {
 				try {
@@ -83,16 +104,12 @@
 			pause();
 		}
 		return CallAnswer.refusal(Refusal
-			.unavailable("owner_unavailable", "the owner of shard " + shard + " cannot be reached", RETRY_LATER)
+			.unavailable(OWNER_UNAVAILABLE, "the owner of shard " + shard + " cannot be reached", RETRY_LATER)
 			.withVerdict(verdict), open.getRequestId());
 	}
 
 	// ---- Helpers
 
-	private static Duration settleLimit(CallOpen open) {
-		return (open.getTimeoutMillis() > 0) ? Duration.ofMillis(open.getTimeoutMillis()) : SETTLE_LIMIT;
-	}
-
 	private static Duration headLimit(CallOpen open) {
 		return (open.getTimeoutMillis() > 0) ? Duration.ofMillis(open.getTimeoutMillis()) : HEAD_LIMIT;
 	}
@@ -102,6 +119,15 @@
 		if (location instanceof ShardLocation.Local<ShardContents> local) {
 			return answerLocally(kind, local.shard(), open);
 		}
+		return notOwner(open);
+	}
+
+	/**
+	 * Returns the answer that sends a call to another owner.
+	 * @param open the call
+	 * @return the answer
+	 */
+	static CallAnswer notOwner(CallOpen open) {
 		return CallAnswer.text(421, "not the owner of shard " + open.getShard()).withHeader(NOT_OWNER, "true");
 	}
 
--- a/mangorack/src/main/java/org/mangorack/instance/Instance.java
+++ b/mangorack/src/main/java/org/mangorack/instance/Instance.java
@@ -43,6 +43,8 @@
 
 	private static final Duration MAINTENANCE_INTERVAL = Duration.ofSeconds(1);
 
+	private static final Duration SLOT_REPORT_INTERVAL = Duration.ofMillis(400);
+
 	private static final Duration PLATFORM_CONNECT_TIMEOUT = Duration.ofMillis(500);
 
 	private static final Duration QUIET = Duration.ofMillis(300);
@@ -59,7 +61,7 @@
 
 	private final ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor(named("control"));
 
-	private final ScheduledExecutorService maintenance = Executors.newSingleThreadScheduledExecutor(named("upkeep"));
+	private final ScheduledExecutorService maintenance = Executors.newScheduledThreadPool(2, named("upkeep"));
 
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -154,6 +156,8 @@
 		startHost();
 		this.maintenance.scheduleWithFixedDelay(this::maintain, MAINTENANCE_INTERVAL.toMillis(),
 				MAINTENANCE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		this.maintenance.scheduleWithFixedDelay(this::reportSlots, SLOT_REPORT_INTERVAL.toMillis(),
+				SLOT_REPORT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 		this.callers.start();
 		this.ready = true;
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "callers", this.callers.port(),
@@ -291,6 +295,15 @@
 		}
 	}
 
+	private void reportSlots() {
+		try {
+			this.entry.reportSlots();
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "task", "slot reports");
+		}
+	}
+
 	private Heartbeat heartbeat() {
 		return Heartbeat.newBuilder()
 			.setConfiguration(this.configuration.current().revision())
--- a/mangorack/src/main/java/org/mangorack/member/proto/PeerProto.java
+++ b/mangorack/src/main/java/org/mangorack/member/proto/PeerProto.java
@@ -71,6 +71,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_mangorack_member_CallCredit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_member_SlotRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_member_SlotRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_member_SlotAssignment_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_member_SlotAssignment_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_member_SlotResult_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_member_SlotResult_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_member_SlotReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_member_SlotReport_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -105,8 +125,23 @@
       "us\030\001 \001(\r\022)\n\007headers\030\002 \003(\0132\030.mangorack.me" +
       "mber.Header\"\030\n\007CallEnd\022\r\n\005error\030\001 \001(\t\"\014\n" +
       "\nCallCancel\"\033\n\nCallCredit\022\r\n\005bytes\030\001 \001(\r" +
-      "B)\n\032org.mangorack.member.protoB\tPeerProt" +
-      "oP\001b\006proto3"
+      "\"\352\001\n\013SlotRequest\022\014\n\004pool\030\001 \001(\t\022\021\n\tworksp" +
+      "ace\030\002 \001(\t\022\017\n\007program\030\003 \001(\t\022\020\n\010instance\030\004" +
+      " \001(\t\022\025\n\rprompt_tokens\030\005 \001(\003\022\025\n\rcached_to" +
+      "kens\030\006 \001(\003\022\022\n\nmax_tokens\030\007 \001(\003\022\027\n\017attain" +
+      "ed_tokens\030\010 \001(\003\022\021\n\tpreferred\030\t \001(\t\022\020\n\010ex" +
+      "cluded\030\n \003(\t\022\027\n\017max_wait_millis\030\013 \001(\r\"0\n" +
+      "\016SlotAssignment\022\014\n\004slot\030\001 \001(\006\022\020\n\010upstrea" +
+      "m\030\002 \001(\t\"\251\001\n\nSlotResult\022\014\n\004slot\030\001 \001(\006\022\016\n\006" +
+      "failed\030\002 \001(\010\022\025\n\rprompt_tokens\030\003 \001(\003\022\025\n\rc" +
+      "ached_tokens\030\004 \001(\003\022\030\n\020generated_tokens\030\005" +
+      " \001(\003\022\032\n\022first_token_micros\030\006 \001(\003\022\031\n\021gene" +
+      "ration_micros\030\007 \001(\003\"\235\001\n\nSlotReport\022\020\n\010in" +
+      "stance\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022-\n\007results\030\003 " +
+      "\003(\0132\034.mangorack.member.SlotResult\022\020\n\010com" +
+      "plete\030\004 \001(\010\022.\n\004held\030\005 \003(\0132 .mangorack.me" +
+      "mber.SlotAssignmentB)\n\032org.mangorack.mem" +
+      "ber.protoB\tPeerProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -166,6 +201,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_member_CallCredit_descriptor,
         new java.lang.String[] { "Bytes", });
+    internal_static_mangorack_member_SlotRequest_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_mangorack_member_SlotRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_member_SlotRequest_descriptor,
+        new java.lang.String[] { "Pool", "Workspace", "Program", "Instance", "PromptTokens", "CachedTokens", "MaxTokens", "AttainedTokens", "Preferred", "Excluded", "MaxWaitMillis", });
+    internal_static_mangorack_member_SlotAssignment_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_mangorack_member_SlotAssignment_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_member_SlotAssignment_descriptor,
+        new java.lang.String[] { "Slot", "Upstream", });
+    internal_static_mangorack_member_SlotResult_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_mangorack_member_SlotResult_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_member_SlotResult_descriptor,
+        new java.lang.String[] { "Slot", "Failed", "PromptTokens", "CachedTokens", "GeneratedTokens", "FirstTokenMicros", "GenerationMicros", });
+    internal_static_mangorack_member_SlotReport_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_mangorack_member_SlotReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_member_SlotReport_descriptor,
+        new java.lang.String[] { "Instance", "Pool", "Results", "Complete", "Held", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/mangorack/src/main/java/org/mangorack/ownership/OwnedShard.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/OwnedShard.java
@@ -107,6 +107,14 @@
 		this.phase = Phase.SERVING;
 	}
 
+	/**
+	 * Stops serving for good.
+	 */
+	void close() {
+		quiesce();
+		this.replica.closed();
+	}
+
 	CompletableFuture<Void> appendLiveEntries() {
 		synchronized (this.replica) {
 			return append(this.replica.liveEntries());
--- a/mangorack/src/main/java/org/mangorack/ownership/ShardOwnership.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardOwnership.java
@@ -119,7 +119,7 @@
 	 */
 	public void close() {
 		this.closed = true;
-		this.local.values().forEach(OwnedShard::quiesce);
+		this.local.values().forEach(OwnedShard::close);
 		this.local.clear();
 	}
 
@@ -211,7 +211,7 @@
 			ShardRecord record = records.get(shard);
 			boolean newer = record.epoch() > owned.epoch();
 			if (newer) {
-				owned.quiesce();
+				owned.close();
 				this.local.remove(shard, owned);
 			}
 		});
@@ -437,7 +437,7 @@
 		targets.forEach((shard, next) -> {
 			if (next.equals(after.get(shard).owner())) {
 				this.highestEpochs.merge(shard, after.get(shard).epoch(), Math::max);
-				this.local.remove(shard);
+				Optional.ofNullable(this.local.remove(shard)).ifPresent(OwnedShard::close);
 				EventLog.log(Event.SHARD_HANDED_OVER, "shard", shard, "to", next);
 			}
 			this.unsettled.remove(shard);
@@ -465,6 +465,7 @@
 		OwnedShard<R> owned = this.local.get(shard);
 		if ((owned != null) && (record.epoch() > owned.epoch())) {
 			this.highestEpochs.merge(shard, record.epoch(), Math::max);
+			owned.close();
 			this.local.remove(shard, owned);
 		}
 		this.unsettled.remove(shard);
--- a/mangorack/src/main/java/org/mangorack/ownership/ShardReplica.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardReplica.java
@@ -28,4 +28,11 @@
 	 */
 	List<Entry> liveEntries();
 
+	/**
+	 * Called when this instance does not own the shard any more. Calls that wait for
+	 * something the shard grants must be sent away.
+	 */
+	default void closed() {
+	}
+
 }
--- a/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
@@ -423,7 +423,7 @@
 			program.setRunning(new RunningTurn(request.turn(), request.digest(), new CompletableFuture<>()));
 			program.reservations().put(request.turn(), tokens.reserved());
 			return new TurnStart.Run(request, added.get(), prompt, tokens.maxTokens(), tokens.reserved(),
-					program.lastUpstream());
+					rootOf(program).charged(), program.lastUpstream());
 		});
 	}
 
--- a/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
@@ -21,12 +21,13 @@
 import org.mangorack.call.UpstreamId;
 import org.mangorack.call.Verdict;
 import org.mangorack.config.Upstream;
-import org.mangorack.config.UpstreamKind;
-import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.CallTimes;
+import org.mangorack.dispatch.ModelSlots;
 import org.mangorack.dispatch.RetryBudget;
 import org.mangorack.dispatch.Slot;
 import org.mangorack.http.HttpCallException;
 import org.mangorack.http.HttpReply;
+import org.mangorack.member.proto.SlotRequest;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.upstream.AnswerAssembler;
@@ -61,7 +62,7 @@
 
 	private final TurnOutput output;
 
-	private final Dispatcher dispatcher;
+	private final ModelSlots models;
 
 	private final RetryBudget retries;
 
@@ -87,7 +88,7 @@
 		this.table = table;
 		this.run = run;
 		this.output = output;
-		this.dispatcher = tools.dispatcher();
+		this.models = tools.models();
 		this.retries = tools.retries();
 		this.client = tools.client();
 		this.platformOut = tools.platformOut();
@@ -110,8 +111,7 @@
 	private void execute() {
 		this.retries.firstAttempt();
 		for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
-			Either<Refusal, Slot> slot = this.dispatcher.acquire(UpstreamKind.MODEL, model(), this.run.lastUpstream(),
-					this.failed, SLOT_WAIT);
+			Either<Refusal, Slot> slot = this.models.acquire(slotRequest(), this.failed, SLOT_WAIT);
 			if (slot.isLeft()) {
 				giveUp((this.lastFailure != null) ? this.lastFailure : slot.getLeft(), chargeOf(this.lastFailure));
 				return;
@@ -161,13 +161,16 @@
 			try (EventReader events = new EventReader(this.client, upstream, reply, SILENCE_LIMIT)) {
 				AnswerAssembler assembler = new AnswerAssembler();
 				JsonNode last = null;
+				Stopwatch watch = new Stopwatch();
 				for (Optional<JsonNode> e = events.next(); e.isPresent(); e = events.next()) {
 					assembler.add(e.get());
+					watch.event();
 					begun = true;
 					this.output.began();
 					last = pass(e.get(), last);
 				}
 				slot.answered();
+				slot.measured(watch.times(assembler));
 				record(upstream, assembler, last);
 				return true;
 			}
@@ -283,8 +286,18 @@
 		return certain ? 0 : this.run.reserved();
 	}
 
-	private String model() {
-		return this.run.request().body().path("model").asText();
+	private SlotRequest.Builder slotRequest() {
+		long prompt = PromptSize.tokens(this.run.prompt());
+		long added = PromptSize.tokens(this.run.newMessages());
+		return SlotRequest.newBuilder()
+			.setPool(this.run.request().body().path("model").asText())
+			.setWorkspace(this.run.request().key().workspace().value())
+			.setProgram(this.run.request().key().program())
+			.setPromptTokens(prompt)
+			.setCachedTokens(this.run.lastUpstream().isEmpty() ? 0 : prompt - added)
+			.setMaxTokens(this.run.maxTokens())
+			.setAttainedTokens(this.run.attained())
+			.setPreferred(this.run.lastUpstream());
 	}
 
 	private Map<String, String> headers() {
@@ -311,12 +324,35 @@
 	/**
 	 * What is needed to call upstreams.
 	 *
-	 * @param dispatcher chooses upstreams
+	 * @param models gets slots of model engines
 	 * @param retries bounds retries
 	 * @param client sends calls
 	 * @param platformOut tells whether nothing can be made durable at present
 	 */
-	record Tools(Dispatcher dispatcher, RetryBudget retries, UpstreamClient client, BooleanSupplier platformOut) {
+	record Tools(ModelSlots models, RetryBudget retries, UpstreamClient client, BooleanSupplier platformOut) {
+	}
+
+	/**
+	 * Measures the times of a stream.
+	 */
+	private static final class Stopwatch {
+
+		private final long startedAt = System.nanoTime();
+
+		private long firstAt;
+
+		private long lastAt;
+
+		private void event() {
+			this.lastAt = System.nanoTime();
+			this.firstAt = (this.firstAt == 0) ? this.lastAt : this.firstAt;
+		}
+
+		private CallTimes times(AnswerAssembler answer) {
+			return new CallTimes(answer.promptTokens(), answer.cachedTokens(), answer.generatedTokens(),
+					(this.firstAt - this.startedAt) / 1000, (this.lastAt - this.firstAt) / 1000);
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/program/TurnService.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnService.java
@@ -14,7 +14,7 @@
 import org.mangorack.call.Refusal;
 import org.mangorack.call.SendGuard;
 import org.mangorack.config.Workspace;
-import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.ModelSlots;
 import org.mangorack.dispatch.RetryBudget;
 import org.mangorack.upstream.UpstreamClient;
 
@@ -35,15 +35,15 @@
 
 	/**
 	 * Creates the service.
-	 * @param dispatcher chooses upstreams
+	 * @param models gets slots of model engines
 	 * @param retries bounds retries
 	 * @param client sends calls
 	 * @param platformOut tells whether nothing can be made durable at present
 	 * @param traffic runs turns
 	 */
-	public TurnService(Dispatcher dispatcher, RetryBudget retries, UpstreamClient client, BooleanSupplier platformOut,
+	public TurnService(ModelSlots models, RetryBudget retries, UpstreamClient client, BooleanSupplier platformOut,
 			ExecutorService traffic) {
-		this.tools = new TurnExecution.Tools(dispatcher, retries, client, platformOut);
+		this.tools = new TurnExecution.Tools(models, retries, client, platformOut);
 		this.traffic = traffic;
 	}
 
--- a/mangorack/src/main/java/org/mangorack/program/TurnStart.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnStart.java
@@ -37,10 +37,11 @@
 	 * @param prompt the whole history with the new messages
 	 * @param maxTokens the tokens that may be generated, or 0 when there is no bound
 	 * @param reserved the tokens reserved from the budget
+	 * @param attained the tokens that the whole program used so far
 	 * @param lastUpstream the upstream that ran the turn before, or an empty text
 	 */
 	record Run(TurnRequest request, List<JsonNode> newMessages, List<JsonNode> prompt, long maxTokens, long reserved,
-			String lastUpstream) implements TurnStart {
+			long attained, String lastUpstream) implements TurnStart {
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/upstream/AnswerAssembler.java
+++ b/mangorack/src/main/java/org/mangorack/upstream/AnswerAssembler.java
@@ -65,7 +65,31 @@
 	 * @return the tokens that the engine reported, or 0 when it reported none
 	 */
 	public long totalTokens() {
-		return (this.usage != null) ? this.usage.path("total_tokens").asLong() : 0;
+		return usage("total_tokens");
+	}
+
+	/**
+	 * Returns the tokens of the prompt.
+	 * @return the tokens that the engine reported
+	 */
+	public long promptTokens() {
+		return usage("prompt_tokens");
+	}
+
+	/**
+	 * Returns the tokens of the prompt that the engine had cached.
+	 * @return the tokens that the engine reported
+	 */
+	public long cachedTokens() {
+		return (this.usage != null) ? this.usage.path("prompt_tokens_details").path("cached_tokens").asLong() : 0;
+	}
+
+	/**
+	 * Returns the generated tokens.
+	 * @return the tokens that the engine reported
+	 */
+	public long generatedTokens() {
+		return usage("completion_tokens");
 	}
 
 	/**
@@ -103,6 +127,10 @@
 		return answer;
 	}
 
+	private long usage(String field) {
+		return (this.usage != null) ? this.usage.path(field).asLong() : 0;
+	}
+
 	private void addToolCall(JsonNode part) {
 		ObjectNode call = this.toolCalls.computeIfAbsent(part.path("index").asInt(), (i) -> Jsons.object());
 		ObjectNode function = call.has(FUNCTION) ? (ObjectNode) call.get(FUNCTION) : Jsons.object();
