Let links between instances show certificates

Cause: a link took frames from whoever knew the shared secret, unencrypted, and the dialer took them from whoever answered.

With peerTls both ends show a certificate whose common name is the instance's name; frames before the other end is known close the link. Weighed: a token on each frame (no secrecy) and certificates by address (addresses change).

--- a/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
+++ b/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
@@ -211,7 +211,8 @@
 		this.fleet.cutPlatform(cut, LinkFault.SILENT);
 		this.fleet.await("the instance to refuse keyed work", () -> {
 			Answer answer = this.fleet.get(cut, "/v1/services/desk/read/x");
-			return (answer.status() == 503) && answer.json().path("verdict").asText().equals("not_run");
+			return (answer.status() == 503) && answer.json().path("title").asText().equals("cut_off")
+					&& answer.json().path("verdict").asText().equals("not_run");
 		});
 		assertThat(this.fleet.get(cut, "/v1/services/desk/read/x").headers()).containsKey("retry-after");
 		String program = "p-" + UUID.randomUUID();
--- a/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -61,7 +61,10 @@
 		Member cut = this.fleet.member(2);
 		this.fleet.cutPlatform(cut, LinkFault.SILENT);
 		this.fleet.operate(0, "key", "withdraw", key);
-		this.fleet.await("the instance to refuse keyed work", () -> read(cut, key, "x").status() == 503);
+		this.fleet.await("the instance to refuse keyed work", () -> {
+			Answer answer = read(cut, key, "x");
+			return (answer.status() == 503) && answer.json().path("title").asText().equals("cut_off");
+		});
 		assertThat(read(cut, key, "x").json().path("verdict").asText()).isEqualTo("not_run");
 		this.fleet.cutPlatform(cut, LinkFault.NONE);
 		this.fleet.await("the instance to know of the withdrawal", () -> read(cut, key, "x").status() == 401);
--- a/mangorack/src/main/java/org/mangorack/config/Settings.java
+++ b/mangorack/src/main/java/org/mangorack/config/Settings.java
@@ -27,10 +27,12 @@
  * @param limits bounds on work
  * @param operatorKey the key that operators show
  * @param peerSecret the secret that instances show each other
+ * @param peerTls the certificates of links, or {@code null} for links that are not
+ * encrypted
  * @param dataFolder the folder for bulk data, or {@code null}
  */
 public record Settings(String instance, String dataCentre, Addresses listen, Addresses advertise, Platform platform,
-		Lease lease, Limits limits, String operatorKey, String peerSecret, Path dataFolder) {
+		Lease lease, Limits limits, String operatorKey, String peerSecret, PeerTls peerTls, Path dataFolder) {
 
 	private static final int MIN_SECRET_LENGTH = 16;
 
@@ -74,12 +76,13 @@
 		Limits limits = Limits.read(reader.object("limits"));
 		String operatorKey = secret(reader, "operatorKeyFile", folder);
 		String peerSecret = secret(reader, "peerSecretFile", folder);
+		PeerTls peerTls = reader.has("peerTls") ? PeerTls.read(reader.object("peerTls"), folder) : null;
 		Path dataFolder = reader.has("dataFolder") ? folder.resolve(reader.text("dataFolder")) : null;
 		if ((dataFolder != null) && !Files.isDirectory(dataFolder)) {
 			reader.refuse("dataFolder", "is not a folder");
 		}
 		return new Settings(instance, dataCentre, listen, advertise, platform, lease, limits, operatorKey, peerSecret,
-				dataFolder);
+				peerTls, dataFolder);
 	}
 
 	private static String secret(ObjectReader reader, String field, Path folder) {
@@ -120,6 +123,33 @@
 
 	}
 
+	/**
+	 * The certificates of links between instances, in PEM format.
+	 *
+	 * @param certificateFile the certificate of this instance; its common name is the
+	 * name of the instance
+	 * @param keyFile the private key of the certificate, in PKCS 8 format
+	 * @param trustFile the certificates that sign those of instances
+	 */
+	public record PeerTls(Path certificateFile, Path keyFile, Path trustFile) {
+
+		static PeerTls read(ObjectReader reader, Path folder) {
+			PeerTls tls = new PeerTls(file(reader, "certificateFile", folder), file(reader, "keyFile", folder),
+					file(reader, "trustFile", folder));
+			reader.finish();
+			return tls;
+		}
+
+		private static Path file(ObjectReader reader, String field, Path folder) {
+			Path file = folder.resolve(reader.text(field));
+			if (!Files.isRegularFile(file)) {
+				reader.refuse(field, "names a file that does not exist");
+			}
+			return file;
+		}
+
+	}
+
 	/**
 	 * How the object API is met.
 	 *
--- a/mangorack/src/main/java/org/mangorack/instance/Instance.java
+++ b/mangorack/src/main/java/org/mangorack/instance/Instance.java
@@ -118,8 +118,7 @@
 		this.configurationCache = cache(ObjectKind.CONFIGURATION, this::refreshConfiguration);
 		this.configuration = new ConfigurationStore(this.store);
 		this.keys = new KeyRegistry(this.store, this.keyCache);
-		this.links = new PeerLinks(settings.instance(), settings.peerSecret(), this.traffic, this.clock,
-				this::heartbeat);
+		this.links = new PeerLinks(settings, this.traffic, this.clock, this::heartbeat);
 		this.fleet = new Fleet(settings.instance(), this.leases, this.instances, this.links, this.clock,
 				settings.lease().duration());
 		this.host = new ShardHost<>(settings, this.store, this.fleet, this.tables,
--- a/mangorack/src/main/java/org/mangorack/member/PeerLink.java
+++ b/mangorack/src/main/java/org/mangorack/member/PeerLink.java
@@ -51,6 +51,8 @@
 
 	private volatile String peer;
 
+	private boolean identified;
+
 	private volatile long lastReceived;
 
 	private volatile Heartbeat lastHeartbeat;
@@ -133,12 +135,16 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, Frame frame) {
 		this.lastReceived = this.links.clock().nanoTime();
+		if (frame.hasHello()) {
+			greet(frame.getHello());
+			return;
+		}
+		if (!isIdentified()) {
+			refuse(this.peer);
+			return;
+		}
 		switch (frame.getBodyCase()) {
-			case HELLO -> greet(frame.getHello());
-			case HEARTBEAT -> {
-				this.lastHeartbeat = frame.getHeartbeat();
-				this.links.heartbeatReceived(this, frame.getHeartbeat());
-			}
+			case HEARTBEAT -> receive(frame.getHeartbeat());
 			case OPEN -> open(frame);
 			case HEAD, DATA, END -> deliver(frame);
 			case CREDIT, CANCEL -> steer(frame);
@@ -163,15 +169,37 @@
 	// ---- Helpers
 
 	private void greet(Hello hello) {
-		if (this.dialer || !this.links.accepts(hello)) {
-			EventLog.log(Event.PEER_REFUSED, "peer", hello.getInstance(), "address", this.channel.remoteAddress());
-			close();
+		if (this.dialer || !this.links.accepts(hello, this.channel)) {
+			refuse(hello.getInstance());
 			return;
 		}
 		this.peer = hello.getInstance();
+		this.identified = true;
 		this.links.established(this);
 	}
 
+	/**
+	 * Tells whether the other end is known. The acceptor knows it by its greeting, the
+	 * dialer by the instance that it dialed.
+	 * @return {@code false} if nothing may be taken from it
+	 */
+	private boolean isIdentified() {
+		if (!this.identified && this.dialer) {
+			this.identified = this.links.isCertified(this, this.channel);
+		}
+		return this.identified;
+	}
+
+	private void refuse(String name) {
+		EventLog.log(Event.PEER_REFUSED, "peer", name, "address", this.channel.remoteAddress());
+		close();
+	}
+
+	private void receive(Heartbeat heartbeat) {
+		this.lastHeartbeat = heartbeat;
+		this.links.heartbeatReceived(this, heartbeat);
+	}
+
 	private void deliver(Frame frame) {
 		OutgoingCall call = this.outgoing.get(frame.getCall());
 		if (call != null) {
@@ -193,10 +221,6 @@
 	}
 
 	private void open(Frame frame) {
-		if (this.peer == null) {
-			close();
-			return;
-		}
 		long id = frame.getCall();
 		CreditOutputStream stream = new CreditOutputStream((bytes) -> sendData(id, bytes));
 		this.incoming.put(id, stream);
--- a/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
+++ b/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
@@ -30,6 +30,7 @@
 
 import org.mangorack.call.CallAnswer;
 import org.mangorack.call.Verdict;
+import org.mangorack.config.Settings;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.member.proto.CallOpen;
 import org.mangorack.member.proto.Frame;
@@ -74,6 +75,8 @@
 
 	private final String secret;
 
+	private final LinkSecurity security;
+
 	private final ExecutorService traffic;
 
 	private final MonotonicClock clock;
@@ -84,10 +87,18 @@
 
 	private Channel server;
 
-	public PeerLinks(String self, String secret, ExecutorService traffic, MonotonicClock clock,
-			HeartbeatSource heartbeats) {
-		this.self = self;
-		this.secret = secret;
+	/**
+	 * Creates the links of an instance, none of which is open yet.
+	 * @param settings the settings of the instance
+	 * @param traffic answers calls of other instances
+	 * @param clock the time source
+	 * @param heartbeats supplies the state of this instance
+	 * @throws IllegalArgumentException if the certificates cannot be used
+	 */
+	public PeerLinks(Settings settings, ExecutorService traffic, MonotonicClock clock, HeartbeatSource heartbeats) {
+		this.self = settings.instance();
+		this.secret = settings.peerSecret();
+		this.security = LinkSecurity.read(settings.peerTls());
 		this.traffic = traffic;
 		this.clock = clock;
 		this.heartbeats = heartbeats;
@@ -209,9 +220,14 @@
 		return this.handlers.get(kind);
 	}
 
-	boolean accepts(Hello hello) {
+	boolean accepts(Hello hello, Channel channel) {
+		boolean certified = this.security.isCertified(channel, hello.getInstance());
 		boolean sameSecret = MessageDigest.isEqual(bytes(hello.getSecret()), bytes(this.secret));
-		return sameSecret && (hello.getProtocol() == PeerLink.PROTOCOL_VERSION);
+		return certified && sameSecret && (hello.getProtocol() == PeerLink.PROTOCOL_VERSION);
+	}
+
+	boolean isCertified(PeerLink link, Channel channel) {
+		return this.security.isCertified(channel, link.peer());
 	}
 
 	void established(PeerLink link) {
@@ -234,10 +250,6 @@
 	}
 
 	void heartbeatReceived(PeerLink link, Heartbeat heartbeat) {
-		if (link.peer() == null) {
-			link.close();
-			return;
-		}
 		if (this.established.get(link.peer()) != link) {
 			established(link);
 		}
@@ -312,6 +324,7 @@
 		protected void initChannel(SocketChannel channel) {
 			PeerLink handler = (this.link != null) ? this.link
 					: new PeerLink(PeerLinks.this, PeerLinks.this.traffic, false, null);
+			PeerLinks.this.security.protect(channel, channel.pipeline(), this.link != null);
 			channel.pipeline()
 				.addLast(new ProtobufVarint32FrameDecoder())
 				.addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
--- a/mangorack/src/main/java/org/mangorack/operator/impl/ServeCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/ServeCommand.java
@@ -37,6 +37,9 @@
 			instance.awaitStop();
 			return ExitStatus.DONE;
 		}
+		catch (IllegalArgumentException ex) {
+			throw new CommandException(ExitStatus.USAGE, this.settings + ": " + ex.getMessage());
+		}
 		catch (IOException ex) {
 			throw new CommandException(ExitStatus.FAILED, "cannot listen: " + ex.getMessage());
 		}
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/member/PeerLinksTests.java
@@ -0,0 +1,188 @@
+package org.mangorack.member;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.KeyStore;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Verdict;
+import org.mangorack.config.Settings;
+import org.mangorack.config.Settings.PeerTls;
+import org.mangorack.http.HttpAddress;
+import org.mangorack.member.proto.CallOpen;
+import org.mangorack.member.proto.Heartbeat;
+import org.mangorack.observe.MonotonicClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class PeerLinksTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	private static final char[] PASSWORD = "password".toCharArray();
+
+	private final ExecutorService traffic = Executors.newCachedThreadPool();
+
+	private final List<PeerLinks> open = new ArrayList<>();
+
+	@TempDir
+	Path folder;
+
+	@AfterEach
+	void close() {
+		this.open.forEach(PeerLinks::close);
+		this.traffic.shutdownNow();
+	}
+
+	@Test
+	void callIsAnsweredBothWaysOverOneLink() throws Exception {
+		HttpAddress address = freeAddress();
+		PeerLinks a = start("a", "secret", null, freeAddress());
+		PeerLinks b = start("b", "secret", null, address);
+		awaitContact(a, b, address);
+		assertThat(echo(a, "b", "x".repeat(900_000))).isEqualTo("from a: " + "x".repeat(900_000));
+		assertThat(echo(b, "a", "short")).isEqualTo("from b: short");
+	}
+
+	@Test
+	void callToUnknownPeerCertainlyDidNotRun() throws Exception {
+		PeerLinks a = start("a", "secret", null, freeAddress());
+		assertThatExceptionOfType(PeerCallException.class).isThrownBy(() -> echo(a, "nobody", "x"))
+			.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.NOT_RUN));
+	}
+
+	@Test
+	void brokenLinkMayHaveRunTheCall() throws Exception {
+		HttpAddress address = freeAddress();
+		PeerLinks a = start("a", "secret", null, freeAddress());
+		PeerLinks b = start("b", "secret", null, address);
+		awaitContact(a, b, address);
+		this.traffic.execute(() -> {
+			pause(300);
+			b.close();
+		});
+		CallOpen call = CallOpen.newBuilder().setKind("slow").build();
+		assertThatExceptionOfType(PeerCallException.class).isThrownBy(() -> a.call("b", call, LIMIT))
+			.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@CsvSource({ "wrong secret, a, other, a", "unknown certificate, a, secret, stranger",
+			"certificate of another instance, c, secret, a" })
+	void unknownPeerIsRefused(String why, String name, String secret, String certificate) throws Exception {
+		for (String n : List.of("a", "b", "stranger")) {
+			createKey(n);
+		}
+		Path trust = this.folder.resolve("trust.pem");
+		Files.writeString(trust, Files.readString(pem("a")) + Files.readString(pem("b")));
+		HttpAddress address = freeAddress();
+		PeerLinks b = start("b", "secret", tls("b", trust), address);
+		PeerLinks good = start("a", "secret", tls("a", trust), freeAddress());
+		awaitContact(good, b, address);
+		assertThat(echo(good, "b", "x")).isEqualTo("from a: x");
+		good.close();
+		PeerLinks bad = start(name, secret, tls(certificate, trust), freeAddress());
+		for (int i = 0; i < 10; i++) {
+			bad.maintain(Map.of("b", address, "z", address));
+			pause(100);
+			assertThat(bad.inTouch("b")).isFalse();
+		}
+		assertThatExceptionOfType(PeerCallException.class).isThrownBy(() -> echo(bad, "b", "x"));
+	}
+
+	// ---- Helpers
+
+	private PeerLinks start(String name, String secret, PeerTls tls, HttpAddress address) throws Exception {
+		Settings settings = new Settings(name, "dc1", null, null, null, null, null, "", secret, tls, null);
+		PeerLinks links = new PeerLinks(settings, this.traffic, MonotonicClock.SYSTEM, Heartbeat::getDefaultInstance);
+		links.register("echo", (from, call) -> CallAnswer.text(200, "from " + from + ": " + call.getPath()));
+		links.register("slow", (from, call) -> {
+			pause(5000);
+			return CallAnswer.text(200, "late");
+		});
+		links.start(address);
+		this.open.add(links);
+		return links;
+	}
+
+	private void awaitContact(PeerLinks a, PeerLinks b, HttpAddress addressOfB) {
+		long deadline = System.nanoTime() + LIMIT.toNanos();
+		while (!a.inTouch("b") || !b.inTouch("a")) {
+			assertThat(System.nanoTime()).isLessThan(deadline);
+			a.maintain(Map.of("b", addressOfB));
+			pause(50);
+		}
+	}
+
+	private static String echo(PeerLinks links, String peer, String text) throws IOException {
+		CallOpen call = CallOpen.newBuilder().setKind("echo").setPath(text).build();
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		links.call(peer, call, LIMIT).body().writeTo(out);
+		return out.toString(StandardCharsets.UTF_8);
+	}
+
+	// Creates a key with the tool of the JDK, as the runtime offers no other way.
+	private void createKey(String name) throws Exception {
+		String store = this.folder.resolve(name + ".p12").toString();
+		String tool = Path.of(System.getProperty("java.home"), "bin", "keytool").toString();
+		Process process = new ProcessBuilder(tool, "-genkeypair", "-alias", "k", "-keyalg", "EC", "-dname",
+				"CN=" + name, "-validity", "2", "-storetype", "PKCS12", "-keystore", store, "-storepass",
+				new String(PASSWORD))
+			.redirectErrorStream(true)
+			.start();
+		assertThat(process.waitFor(30, TimeUnit.SECONDS)).isTrue();
+		KeyStore keys = KeyStore.getInstance(Path.of(store).toFile(), PASSWORD);
+		Files.writeString(pem(name), pem("CERTIFICATE", keys.getCertificate("k").getEncoded()));
+		Files.writeString(this.folder.resolve(name + ".key"),
+				pem("PRIVATE KEY", keys.getKey("k", PASSWORD).getEncoded()));
+	}
+
+	private static String pem(String type, byte[] bytes) {
+		String text = Base64.getMimeEncoder(64, new byte[] { '\n' }).encodeToString(bytes);
+		return "-----BEGIN " + type + "-----\n" + text + "\n-----END " + type + "-----\n";
+	}
+
+	private Path pem(String name) {
+		return this.folder.resolve(name + ".pem");
+	}
+
+	private PeerTls tls(String name, Path trust) {
+		return new PeerTls(pem(name), this.folder.resolve(name + ".key"), trust);
+	}
+
+	private static HttpAddress freeAddress() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return new HttpAddress("127.0.0.1", socket.getLocalPort());
+		}
+	}
+
+	private static void pause(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
