--- a/bench/src/test/java/org/mangorack/bench/CallerContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/CallerContractTests.java
@@ -23,7 +23,6 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import org.mangorack.bench.TestFleet.Member;
 import org.mangorack.bench.load.CallerClient.Answer;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/bench/src/test/java/org/mangorack/bench/CapacityMeasurements.java
+++ b/bench/src/test/java/org/mangorack/bench/CapacityMeasurements.java
@@ -16,7 +16,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import org.mangorack.bench.TestFleet.Member;
 import org.mangorack.bench.load.CallerClient.Answer;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/bench/src/test/java/org/mangorack/bench/RandomCaller.java
+++ b/bench/src/test/java/org/mangorack/bench/RandomCaller.java
@@ -10,7 +10,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-import org.mangorack.bench.TestFleet.Member;
 import org.mangorack.bench.check.Attempt;
 import org.mangorack.bench.check.Attempt.Outcome;
 import org.mangorack.bench.load.CallerClient.Answer;
--- a/bench/src/test/java/org/mangorack/bench/RandomFaults.java
+++ b/bench/src/test/java/org/mangorack/bench/RandomFaults.java
@@ -5,7 +5,6 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-import org.mangorack.bench.TestFleet.Member;
 import org.mangorack.bench.fault.LinkFault;
 
 /**
--- a/bench/src/test/java/org/mangorack/bench/RandomisedRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/RandomisedRunTests.java
@@ -15,7 +15,6 @@
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
-import org.mangorack.bench.TestFleet.Member;
 import org.mangorack.bench.check.Attempt;
 import org.mangorack.bench.check.HistoryChecker;
 import org.mangorack.bench.load.CallerClient.Answer;
--- a/bench/src/test/java/org/mangorack/bench/TestFleet.java
+++ b/bench/src/test/java/org/mangorack/bench/TestFleet.java
@@ -1,7 +1,6 @@
 package org.mangorack.bench;
 
 import java.io.ByteArrayOutputStream;
-import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
@@ -489,29 +488,4 @@
 		return folder.resolve("bin/mangorack").toString();
 	}
 
-	/**
-	 * An instance of the fleet.
-	 */
-	static final class Member {
-
-		String name;
-
-		String host;
-
-		String callers;
-
-		String operators;
-
-		Path settings;
-
-		File log;
-
-		FaultProxy platformProxy;
-
-		FaultProxy peerProxy;
-
-		Process process;
-
-	}
-
 }
--- a/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import org.mangorack.bench.TestFleet.Member;
 import org.mangorack.bench.fault.LinkFault;
 import org.mangorack.bench.load.CallerClient.Answer;
 
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/call/Futures.java
@@ -0,0 +1,40 @@
+package org.mangorack.call;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * Waits for futures.
+ */
+public final class Futures {
+
+	private Futures() {
+	}
+
+	/**
+	 * Waits until a future completes, normally or not.
+	 * @param future the future
+	 * @param limit the longest wait
+	 * @return {@code false} if it did not complete in time or the thread was interrupted
+	 */
+	public static boolean isDoneWithin(CompletableFuture<?> future, Duration limit) {
+		try {
+			future.get(Math.max(1, limit.toNanos()), TimeUnit.NANOSECONDS);
+			return true;
+		}
+		catch (ExecutionException ex) {
+			return true;
+		}
+		catch (TimeoutException ex) {
+			return false;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/ownership/ShardOwnership.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardOwnership.java
@@ -28,7 +28,6 @@
 import org.mangorack.observe.Metrics;
 import org.mangorack.ownership.ShardRecord.Source;
 import org.mangorack.platform.KindCache;
-import org.mangorack.platform.ObjectKind;
 import org.mangorack.platform.ObjectStore;
 import org.mangorack.platform.StoreException;
 
@@ -49,9 +48,7 @@
 
 	private final Journal journal;
 
-	private final JournalReader reader;
-
-	private final ObjectStore store;
+	private final SourceJournals sources;
 
 	private final ShardTables tables;
 
@@ -69,8 +66,6 @@
 
 	private final Map<ShardId, Long> highestEpochs = new ConcurrentHashMap<>();
 
-	private final Map<JournalId, JournalReader.Content> sealedJournals = new ConcurrentHashMap<>();
-
 	private final Set<ShardId> unsettled = ConcurrentHashMap.newKeySet();
 
 	private Map<ShardId, ShardRecord> settledRecords;
@@ -102,8 +97,7 @@
 		this.self = journal.id();
 		this.fleet = fleet;
 		this.journal = journal;
-		this.reader = reader;
-		this.store = store;
+		this.sources = new SourceJournals(store, reader, this.self);
 		this.tables = new ShardTables(store, tableCache);
 		this.factory = factory;
 		this.leaseHeld = leaseHeld;
@@ -234,10 +228,7 @@
 		}
 		work("takeover", () -> {
 			for (JournalId journal : dead) {
-				if (!this.sealedJournals.containsKey(journal)) {
-					this.sealedJournals.put(journal,
-							stable(journal, (first) -> this.reader.seal(journal, first, this.self)));
-				}
+				this.sources.seal(journal);
 			}
 			for (Map.Entry<String, Set<ShardId>> table : wanted.entrySet()) {
 				takeOverTable(table.getKey(), table.getValue(), dead);
@@ -277,58 +268,13 @@
 		}
 		work("load", () -> {
 			long startedAt = System.nanoTime();
-			Map<JournalId, List<Entry>> journals = readSources(missing);
+			Map<JournalId, List<Entry>> journals = this.sources.read(missing.values());
 			missing.forEach((shard, record) -> serve(shard, record, journals));
 			this.metrics.timer("mangorack.shard.load").record(Duration.ofNanos(System.nanoTime() - startedAt));
 		});
 		return true;
 	}
 
-	private Map<JournalId, List<Entry>> readSources(Map<ShardId, ShardRecord> records)
-			throws StoreException, IOException {
-		Map<JournalId, List<Entry>> journals = new HashMap<>();
-		for (ShardRecord record : records.values()) {
-			for (Source source : record.sources()) {
-				if (!journals.containsKey(source.journal())) {
-					journals.put(source.journal(), readJournal(source.journal()));
-				}
-			}
-		}
-		return journals;
-	}
-
-	private List<Entry> readJournal(JournalId id) throws StoreException, IOException {
-		JournalReader.Content sealed = this.sealedJournals.get(id);
-		return ((sealed != null) ? sealed : stable(id, (first) -> this.reader.read(id, first))).entries();
-	}
-
-	/**
-	 * Reads a journal whose writer may be compacting it. The missing segment at which a
-	 * read ends may be one that was dropped, so the read counts only if the first segment
-	 * is still the same afterwards.
-	 * @param id the journal
-	 * @param read reads the journal from its first segment
-	 * @return what was read
-	 * @throws StoreException if the platform does not answer
-	 * @throws IOException if the journal cannot be read
-	 */
-	private JournalReader.Content stable(JournalId id, JournalRead read) throws StoreException, IOException {
-		while (true) {
-			long first = firstSegment(id);
-			JournalReader.Content content = read.from(first);
-			if (firstSegment(id) == first) {
-				return content;
-			}
-		}
-	}
-
-	private long firstSegment(JournalId id) throws StoreException, IOException {
-		return this.store.get(ObjectKind.LEASE, id.toString())
-			.flatMap(LeaseRecord::read)
-			.map(LeaseRecord::firstSegment)
-			.orElseThrow(() -> new IOException("journal " + id + " is needed, but its lease object is gone"));
-	}
-
 	private void serve(ShardId shard, ShardRecord record, Map<JournalId, List<Entry>> journals) {
 		OwnedShard<R> owned = new OwnedShard<>(shard, record.epoch(), this.journal);
 		R replica = this.factory.create(shard, owned);
@@ -362,7 +308,7 @@
 			}
 		});
 		if (copied.isEmpty()) {
-			this.sealedJournals.clear();
+			this.sources.forget();
 			return false;
 		}
 		work("copy", () -> {
@@ -501,16 +447,6 @@
 		}
 	}
 
-	/**
-	 * A read of a journal.
-	 */
-	@FunctionalInterface
-	private interface JournalRead {
-
-		JournalReader.Content from(long first) throws StoreException, IOException;
-
-	}
-
 	/**
 	 * A job that calls the platform.
 	 */
--- a/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
@@ -1,6 +1,5 @@
 package org.mangorack.program;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -8,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -22,7 +20,6 @@
 import org.mangorack.call.WorkspaceId;
 import org.mangorack.config.Workspace;
 import org.mangorack.journal.Journal;
-import org.mangorack.journal.proto.BudgetCharged;
 import org.mangorack.journal.proto.Entry;
 import org.mangorack.journal.proto.ProgramEnded;
 import org.mangorack.journal.proto.ProgramOpened;
@@ -48,15 +45,13 @@
 
 	private static final Duration GAP_RETRY = Duration.ofSeconds(1);
 
-	private static final int TOKENS_PER_MESSAGE = 16;
-
 	private final Object monitor;
 
 	private final ShardLog log;
 
 	private final MonotonicClock clock;
 
-	private final Map<ProgramKey, ProgramState> programs = new HashMap<>();
+	private final ProgramStates states;
 
 	/**
 	 * Creates an empty table.
@@ -68,6 +63,7 @@
 		this.monitor = monitor;
 		this.log = log;
 		this.clock = clock;
+		this.states = new ProgramStates(clock);
 	}
 
 	// ---- Turns
@@ -83,7 +79,7 @@
 	 */
 	public Either<Refusal, TurnStart> begin(TurnRequest request, String root, Workspace workspace) {
 		synchronized (this.monitor) {
-			ProgramState program = this.programs.get(request.key());
+			ProgramState program = this.states.get(request.key());
 			if (program == null) {
 				return beginFirst(request, root, workspace);
 			}
@@ -122,7 +118,7 @@
 				.setReserved(run.reserved())
 				.setUpstream(upstream)
 				.build();
-			apply(request.key(), entry);
+			this.states.apply(request.key(), entry);
 			return append(request.key().workspace(), (b) -> b.setTurnStarted(entry));
 		}
 	}
@@ -140,7 +136,7 @@
 			String upstream) {
 		synchronized (this.monitor) {
 			TurnRequest request = run.request();
-			ProgramState program = this.programs.get(request.key());
+			ProgramState program = this.states.get(request.key());
 			ArrayNode messages = Jsons.MAPPER.createArrayNode();
 			messages.addAll(run.newMessages());
 			messages.add(message);
@@ -154,9 +150,9 @@
 				.setCharged(used)
 				.setUpstream(upstream)
 				.build();
-			ProgramState root = rootOf(program);
+			ProgramState root = this.states.rootOf(program);
 			Invariants.check(request.turn() == program.lastTurn() + 1, "turns-in-order", request.key());
-			apply(request.key(), entry);
+			this.states.apply(request.key(), entry);
 			Invariants.check((root.budget() == 0) || (root.charged() <= root.budget()), "budget-holds", root.key());
 			CompletableFuture<Void> durable = append(request.key().workspace(), (b) -> b.setTurnFinished(entry));
 			program.writing(request.turn(), durable);
@@ -179,9 +175,9 @@
 				.setTurn(request.turn())
 				.setCharged(used)
 				.build();
-			apply(request.key(), entry);
+			this.states.apply(request.key(), entry);
 			CompletableFuture<Void> durable = append(request.key().workspace(), (b) -> b.setTurnAbandoned(entry));
-			settle(this.programs.get(request.key()));
+			settle(this.states.get(request.key()));
 			return durable;
 		}
 	}
@@ -196,13 +192,13 @@
 	 */
 	public Either<Refusal, CompletableFuture<Void>> end(ProgramKey key, String reason) {
 		synchronized (this.monitor) {
-			ProgramState program = this.programs.get(key);
+			ProgramState program = this.states.get(key);
 			if (program == null) {
 				return Either.left(unknown(key));
 			}
 			List<ProgramState> family = new ArrayList<>();
 			family.add(program);
-			this.programs.values().stream().filter((p) -> isDescendant(p, program)).forEach(family::add);
+			family.addAll(this.states.descendants(program));
 			CompletableFuture<Void> last = CompletableFuture.completedFuture(null);
 			for (ProgramState member : family) {
 				if (!member.isEnded()) {
@@ -220,7 +216,7 @@
 	 */
 	public Optional<ProgramView> view(ProgramKey key) {
 		synchronized (this.monitor) {
-			return Optional.ofNullable(this.programs.get(key)).map(this::view);
+			return Optional.ofNullable(this.states.get(key)).map(this::view);
 		}
 	}
 
@@ -230,7 +226,7 @@
 	 */
 	public List<ProgramView> views() {
 		synchronized (this.monitor) {
-			return this.programs.values().stream().map(this::view).toList();
+			return this.states.all().stream().map(this::view).toList();
 		}
 	}
 
@@ -241,7 +237,7 @@
 	 */
 	public Optional<List<JsonNode>> history(ProgramKey key) {
 		synchronized (this.monitor) {
-			return Optional.ofNullable(this.programs.get(key)).map(ProgramState::history);
+			return Optional.ofNullable(this.states.get(key)).map(ProgramState::history);
 		}
 	}
 
@@ -254,7 +250,7 @@
 		workspaces.forEach((w) -> limits.put(w.id(), w.programIdle()));
 		synchronized (this.monitor) {
 			List<ProgramState> forgotten = new ArrayList<>();
-			for (ProgramState program : this.programs.values()) {
+			for (ProgramState program : this.states.all()) {
 				Duration idle = this.clock.elapsed(program.lastUsed());
 				Duration limit = limits.get(program.key().workspace());
 				if (program.isEnded()) {
@@ -266,7 +262,7 @@
 					endOne(program, "expired after " + limit);
 				}
 			}
-			forgotten.forEach((program) -> this.programs.remove(program.key()));
+			forgotten.forEach((program) -> this.states.remove(program.key()));
 		}
 	}
 
@@ -277,7 +273,7 @@
 	public List<Release> unconfirmedReleases() {
 		synchronized (this.monitor) {
 			List<Release> releases = new ArrayList<>();
-			for (ProgramState program : this.programs.values()) {
+			for (ProgramState program : this.states.all()) {
 				program.unreleased().forEach((upstream) -> releases.add(new Release(program.key(), upstream)));
 			}
 			return releases;
@@ -294,7 +290,7 @@
 				.setProgram(release.program().program())
 				.setUpstream(release.upstream())
 				.build();
-			apply(release.program(), entry);
+			this.states.apply(release.program(), entry);
 			append(release.program().workspace(), (b) -> b.setReleaseConfirmed(entry));
 		}
 	}
@@ -306,34 +302,14 @@
 	 * @param entry the entry
 	 */
 	public void replay(Entry entry) {
-		switch (entry.getBodyCase()) {
-			case PROGRAM_OPENED -> apply(key(entry, entry.getProgramOpened().getProgram()), entry.getProgramOpened());
-			case TURN_STARTED -> apply(key(entry, entry.getTurnStarted().getProgram()), entry.getTurnStarted());
-			case TURN_FINISHED -> apply(key(entry, entry.getTurnFinished().getProgram()), entry.getTurnFinished());
-			case TURN_ABANDONED -> apply(key(entry, entry.getTurnAbandoned().getProgram()), entry.getTurnAbandoned());
-			case PROGRAM_ENDED -> apply(key(entry, entry.getProgramEnded().getProgram()), entry.getProgramEnded());
-			case RELEASE_CONFIRMED ->
-				apply(key(entry, entry.getReleaseConfirmed().getProgram()), entry.getReleaseConfirmed());
-			case BUDGET_CHARGED -> {
-				ProgramState program = this.programs.get(key(entry, entry.getBudgetCharged().getProgram()));
-				if (program != null) {
-					program.setCharged(entry.getBudgetCharged().getCharged());
-				}
-			}
-			default -> {
-				// The entry belongs to another table.
-			}
-		}
+		this.states.replay(entry);
 	}
 
 	/**
 	 * Charges the turns whose outcome the former owner did not record.
 	 */
 	public void replayed() {
-		for (ProgramState program : this.programs.values()) {
-			program.reservations().values().forEach((reserved) -> rootOf(program).charge(reserved));
-			program.reservations().clear();
-		}
+		this.states.chargeUnknownOutcomes();
 	}
 
 	/**
@@ -341,13 +317,7 @@
 	 * @return the entries, roots before their sub-agents
 	 */
 	public List<Entry> liveEntries() {
-		List<Entry> entries = new ArrayList<>();
-		List<ProgramState> ordered = new ArrayList<>(this.programs.values());
-		ordered.sort((a, b) -> Boolean.compare(b.isRoot(), a.isRoot()));
-		for (ProgramState program : ordered) {
-			addLiveEntries(program, entries);
-		}
-		return entries;
+		return this.states.liveEntries();
 	}
 
 	// ---- Helpers: turns
@@ -357,7 +327,7 @@
 			return Either.left(gap(request, 0));
 		}
 		ProgramKey rootKey = request.key().sibling(root);
-		ProgramState rootState = this.programs.get(rootKey);
+		ProgramState rootState = this.states.get(rootKey);
 		boolean isRoot = root.equals(request.key().program());
 		if (!isRoot && ((rootState == null) || rootState.isEnded())) {
 			return Either.left(Refusal.notRun(409, "parent_ended",
@@ -373,11 +343,10 @@
 			.setParent((request.parent() != null) ? request.parent() : "")
 			.setBudget(budget)
 			.build();
-		ProgramState program = newState(request.key(), entry);
-		this.programs.put(request.key(), program);
+		ProgramState program = this.states.open(request.key(), entry);
 		Either<Refusal, TurnStart> started = run(program, request, workspace);
 		if (started.isLeft()) {
-			this.programs.remove(request.key());
+			this.states.remove(request.key());
 			return started;
 		}
 		append(request.key().workspace(), (b) -> b.setProgramOpened(entry));
@@ -413,48 +382,21 @@
 		if (added.isLeft()) {
 			return Either.left(added.getLeft());
 		}
-		if (sizeOf(added.get()) > Journal.MAX_ENTRY_BYTES / 2) {
+		if (PromptSize.bytes(added.get()) > Journal.MAX_ENTRY_BYTES / 2) {
 			return Either.left(Refusal.notRun(413, "turn_too_large",
 					"the new messages of one turn are longer than " + Journal.MAX_ENTRY_BYTES / 2 + " bytes"));
 		}
 		List<JsonNode> prompt = program.history();
 		prompt.addAll(added.get());
-		return reserve(program, request, prompt).map((tokens) -> {
+		ProgramState root = this.states.rootOf(program);
+		return TurnReservation.of(request, prompt, root, this.states.reservedOf(root)).map((tokens) -> {
 			program.setRunning(new RunningTurn(request.turn(), request.digest(), new CompletableFuture<>()));
 			program.reservations().put(request.turn(), tokens.reserved());
 			return new TurnStart.Run(request, added.get(), prompt, tokens.maxTokens(), tokens.reserved(),
-					rootOf(program).charged(), program.lastUpstream());
+					root.charged(), program.lastUpstream());
 		});
 	}
 
-	// Reserves the most that a turn can use. A token is at least one byte long, so the
-	// bytes of the prompt bound its tokens.
-	private Either<Refusal, Tokens> reserve(ProgramState program, TurnRequest request, List<JsonNode> prompt) {
-		ProgramState root = rootOf(program);
-		long asked = request.body().path("max_completion_tokens").asLong(request.body().path("max_tokens").asLong(0));
-		if (root.budget() == 0) {
-			return Either.right(new Tokens(asked, 0));
-		}
-		long left = root.budget() - root.charged() - reservedOf(root);
-		long promptBound = sizeOf(prompt) + ((long) TOKENS_PER_MESSAGE * prompt.size());
-		long most = left - promptBound;
-		if (most < 1) {
-			return Either.left(Refusal.notRun(403, "budget_exhausted",
-					"program \"" + root.key().program() + "\" has " + left + " of " + root.budget()
-							+ " tokens left, and turn " + request.turn() + " may need " + (promptBound + 1)));
-		}
-		long maxTokens = (asked > 0) ? Math.min(asked, most) : most;
-		return Either.right(new Tokens(maxTokens, promptBound + maxTokens));
-	}
-
-	private static long sizeOf(List<JsonNode> messages) {
-		long size = 0;
-		for (JsonNode message : messages) {
-			size += message.toString().getBytes(StandardCharsets.UTF_8).length;
-		}
-		return size;
-	}
-
 	private static Refusal gap(TurnRequest request, int lastTurn) {
 		return Refusal
 			.notRun(409, "turn_gap",
@@ -480,7 +422,7 @@
 			.setReason(reason)
 			.addAllUpstreams(program.upstreams())
 			.build();
-		apply(program.key(), entry);
+		this.states.apply(program.key(), entry);
 		touch(program);
 		EventLog.log(Event.PROGRAM_ENDED, "program", program.key(), "reason", reason);
 		return append(program.key().workspace(), (b) -> b.setProgramEnded(entry));
@@ -488,154 +430,24 @@
 
 	private void touch(ProgramState program) {
 		program.touch(this.clock.nanoTime());
-		rootOf(program).touch(this.clock.nanoTime());
+		this.states.rootOf(program).touch(this.clock.nanoTime());
 	}
 
 	private ProgramView view(ProgramState program) {
-		ProgramState root = rootOf(program);
+		ProgramState root = this.states.rootOf(program);
 		String state = (program.running() != null) ? "running" : "idle";
 		return new ProgramView(program.key().workspace().value(), program.key().program(),
 				program.isEnded() ? "ended" : state, program.endReason(), program.lastTurn(), program.historyDigest(),
-				program.root(), program.parent(), root.budget(), root.charged(), reservedOf(root));
-	}
-
-	private ProgramState rootOf(ProgramState program) {
-		ProgramState root = this.programs.get(program.key().sibling(program.root()));
-		return (root != null) ? root : program;
-	}
-
-	private long reservedOf(ProgramState root) {
-		return this.programs.values()
-			.stream()
-			.filter((p) -> p.key().workspace().equals(root.key().workspace()) && p.root().equals(root.key().program()))
-			.flatMap((p) -> p.reservations().values().stream())
-			.mapToLong(Long::longValue)
-			.sum();
-	}
-
-	private boolean isDescendant(ProgramState candidate, ProgramState ancestor) {
-		ProgramState current = candidate;
-		for (int depth = 0; (depth < 100) && (current != null) && (current.parent() != null); depth++) {
-			current = this.programs.get(current.key().sibling(current.parent()));
-			if (current == ancestor) {
-				return true;
-			}
-		}
-		return false;
+				program.root(), program.parent(), root.budget(), root.charged(), this.states.reservedOf(root));
 	}
 
 	private static Refusal unknown(ProgramKey key) {
 		return Refusal.notRun(404, "unknown_program", "there is no program \"" + key.program() + "\"");
 	}
 
-	// ---- Helpers: entries
-
-	private void apply(ProgramKey key, ProgramOpened entry) {
-		this.programs.computeIfAbsent(key, (k) -> newState(k, entry)).upstreams().addAll(entry.getUpstreamsList());
-	}
-
-	private void apply(ProgramKey key, TurnStarted entry) {
-		ProgramState program = this.programs.get(key);
-		if ((program == null) || program.turns().containsKey(entry.getTurn())) {
-			return;
-		}
-		if (!entry.getUpstream().isEmpty()) {
-			program.upstreams().add(entry.getUpstream());
-		}
-		program.reservations().put(entry.getTurn(), entry.getReserved());
-	}
-
-	private void apply(ProgramKey key, TurnFinished entry) {
-		ProgramState program = this.programs.get(key);
-		if ((program == null) || program.turns().containsKey(entry.getTurn())) {
-			return;
-		}
-		program.reservations().remove(entry.getTurn());
-		program.upstreams().add(entry.getUpstream());
-		program.finish(entry);
-		rootOf(program).charge(entry.getCharged());
-		if (program.isEnded()) {
-			program.unreleased().add(entry.getUpstream());
-		}
-	}
-
-	private void apply(ProgramKey key, TurnAbandoned entry) {
-		ProgramState program = this.programs.get(key);
-		if (program == null) {
-			return;
-		}
-		program.reservations().remove(entry.getTurn());
-		rootOf(program).charge(entry.getCharged());
-		if (program.isEnded()) {
-			program.unreleased().addAll(program.upstreams());
-		}
-	}
-
-	private void apply(ProgramKey key, ProgramEnded entry) {
-		ProgramState program = this.programs.computeIfAbsent(key,
-				(k) -> new ProgramState(k, k.program(), null, 0, this.clock.nanoTime()));
-		program.end(entry.getReason(), entry.getUpstreamsList());
-	}
-
-	private void apply(ProgramKey key, ReleaseConfirmed entry) {
-		ProgramState program = this.programs.get(key);
-		if (program != null) {
-			program.unreleased().remove(entry.getUpstream());
-		}
-	}
-
-	private ProgramState newState(ProgramKey key, ProgramOpened entry) {
-		String parent = entry.getParent().isEmpty() ? null : entry.getParent();
-		return new ProgramState(key, entry.getRoot(), parent, entry.getBudget(), this.clock.nanoTime());
-	}
-
-	private void addLiveEntries(ProgramState program, List<Entry> entries) {
-		String name = program.key().program();
-		WorkspaceId workspace = program.key().workspace();
-		ProgramOpened opened = ProgramOpened.newBuilder()
-			.setProgram(name)
-			.setRoot(program.root())
-			.setParent((program.parent() != null) ? program.parent() : "")
-			.setBudget(program.budget())
-			.addAllUpstreams(program.upstreams())
-			.build();
-		entries.add(entry(workspace, (b) -> b.setProgramOpened(opened)));
-		BudgetCharged charged = BudgetCharged.newBuilder().setProgram(name).setCharged(program.charged()).build();
-		entries.add(entry(workspace, (b) -> b.setBudgetCharged(charged)));
-		program.turns().values().forEach((turn) -> {
-			TurnFinished copy = turn.toBuilder().setCharged(0).build();
-			entries.add(entry(workspace, (b) -> b.setTurnFinished(copy)));
-		});
-		program.reservations().forEach((turn, reserved) -> {
-			TurnStarted started = TurnStarted.newBuilder()
-				.setProgram(name)
-				.setTurn(turn)
-				.setReserved(reserved)
-				.setUpstream(program.lastUpstream())
-				.build();
-			entries.add(entry(workspace, (b) -> b.setTurnStarted(started)));
-		});
-		if (program.isEnded()) {
-			ProgramEnded ended = ProgramEnded.newBuilder()
-				.setProgram(name)
-				.setReason(program.endReason())
-				.addAllUpstreams(new TreeSet<>(program.unreleased()))
-				.build();
-			entries.add(entry(workspace, (b) -> b.setProgramEnded(ended)));
-		}
-	}
-
 	private CompletableFuture<Void> append(WorkspaceId workspace,
 			java.util.function.UnaryOperator<Entry.Builder> body) {
-		return this.log.append(List.of(entry(workspace, body)));
-	}
-
-	private static Entry entry(WorkspaceId workspace, java.util.function.UnaryOperator<Entry.Builder> body) {
-		return body.apply(Entry.newBuilder().setWorkspace(workspace.value())).build();
-	}
-
-	private static ProgramKey key(Entry entry, String program) {
-		return new ProgramKey(new WorkspaceId(entry.getWorkspace()), program);
+		return this.log.append(List.of(ProgramEntries.entry(workspace, body)));
 	}
 
 	/**
@@ -647,13 +459,4 @@
 	public record Release(ProgramKey program, String upstream) {
 	}
 
-	/**
-	 * The tokens of a turn.
-	 *
-	 * @param maxTokens the tokens that may be generated, or 0 when there is no bound
-	 * @param reserved the tokens reserved from the budget
-	 */
-	private record Tokens(long maxTokens, long reserved) {
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/program/PromptSize.java
+++ b/mangorack/src/main/java/org/mangorack/program/PromptSize.java
@@ -1,11 +1,12 @@
 package org.mangorack.program;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * Estimates the tokens of prompts, for scheduling only.
+ * Measures prompts.
  */
 public final class PromptSize {
 
@@ -15,7 +16,7 @@
 	}
 
 	/**
-	 * Estimates the tokens of messages.
+	 * Estimates the tokens of messages, for scheduling only.
 	 * @param messages the messages
 	 * @return the estimate
 	 */
@@ -27,4 +28,17 @@
 		return (chars / CHARS_PER_TOKEN) + messages.size();
 	}
 
+	/**
+	 * Returns the length of messages.
+	 * @param messages the messages
+	 * @return the bytes of the messages as JSON
+	 */
+	static long bytes(List<JsonNode> messages) {
+		long size = 0;
+		for (JsonNode message : messages) {
+			size += message.toString().getBytes(StandardCharsets.UTF_8).length;
+		}
+		return size;
+	}
+
 }
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/program/TurnReservation.java
@@ -0,0 +1,47 @@
+package org.mangorack.program;
+
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+
+import org.mangorack.call.Refusal;
+
+/**
+ * The tokens that a turn may use.
+ *
+ * @param maxTokens the tokens that may be generated, or 0 when there is no bound
+ * @param reserved the tokens reserved from the budget
+ */
+record TurnReservation(long maxTokens, long reserved) {
+
+	private static final int TOKENS_PER_MESSAGE = 16;
+
+	/**
+	 * Computes the most that a turn can use. A token is at least one byte long, so the
+	 * bytes of the prompt bound its tokens.
+	 * @param request the request
+	 * @param prompt the whole prompt
+	 * @param root the root, which holds the budget
+	 * @param reserved the tokens that calls under way may still use
+	 * @return the reservation, or the refusal
+	 */
+	static Either<Refusal, TurnReservation> of(TurnRequest request, List<JsonNode> prompt, ProgramState root,
+			long reserved) {
+		long asked = request.body().path("max_completion_tokens").asLong(request.body().path("max_tokens").asLong(0));
+		if (root.budget() == 0) {
+			return Either.right(new TurnReservation(asked, 0));
+		}
+		long left = root.budget() - root.charged() - reserved;
+		long promptBound = PromptSize.bytes(prompt) + ((long) TOKENS_PER_MESSAGE * prompt.size());
+		long most = left - promptBound;
+		if (most < 1) {
+			return Either.left(Refusal.notRun(403, "budget_exhausted",
+					"program \"" + root.key().program() + "\" has " + left + " of " + root.budget()
+							+ " tokens left, and turn " + request.turn() + " may need " + (promptBound + 1)));
+		}
+		long maxTokens = (asked > 0) ? Math.min(asked, most) : most;
+		return Either.right(new TurnReservation(maxTokens, promptBound + maxTokens));
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/program/TurnService.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnService.java
@@ -1,16 +1,14 @@
 package org.mangorack.program;
 
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
 import io.vavr.control.Either;
 
 import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Futures;
 import org.mangorack.call.Refusal;
 import org.mangorack.call.SendGuard;
 import org.mangorack.config.Workspace;
@@ -90,7 +88,7 @@
 				continue;
 			}
 			if (start.isRight() && (start.get() instanceof TurnStart.Pending pending)) {
-				if (!await(pending.done())) {
+				if (!Futures.isDoneWithin(pending.done(), PENDING_LIMIT)) {
 					return Either.left(Refusal.unavailable("turn_under_way",
 							"turn " + request.turn() + " is still under way", Duration.ofSeconds(5)));
 				}
@@ -127,23 +125,6 @@
 		return Either.right(TurnNotes.recorded(request, recorded.finished(), durability == Durability.DURABLE));
 	}
 
-	private static boolean await(CompletableFuture<Void> done) {
-		try {
-			done.get(PENDING_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
-			return true;
-		}
-		catch (ExecutionException ex) {
-			return true;
-		}
-		catch (TimeoutException ex) {
-			return false;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return false;
-		}
-	}
-
 	private static void pause() {
 		try {
 			TimeUnit.MILLISECONDS.sleep(GAP_POLL.toMillis());
--- a/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
+++ b/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
@@ -6,15 +6,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
 import com.google.protobuf.ByteString;
 import io.vavr.control.Either;
 
 import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Futures;
 import org.mangorack.call.Refusal;
 import org.mangorack.call.SendGuard;
 import org.mangorack.call.UpstreamId;
@@ -132,7 +130,8 @@
 			if (start.get() instanceof CallStart.Send send) {
 				return sendOnce(table, key, digest, call, guard, send.durable());
 			}
-			if (!await(((CallStart.Pending) start.get()).done(), deadline)) {
+			if (!Futures.isDoneWithin(((CallStart.Pending) start.get()).done(),
+					Duration.ofNanos(deadline - System.nanoTime()))) {
 				return Either.left(Refusal
 					.mayHaveRun(504, "call_under_way",
 							"the call with idempotency key \"" + key.key() + "\" is still under way")
@@ -198,23 +197,6 @@
 		return Digests.sha256(all);
 	}
 
-	private static boolean await(CompletableFuture<Void> done, long deadline) {
-		try {
-			done.get(Math.max(1, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
-			return true;
-		}
-		catch (ExecutionException ex) {
-			return true;
-		}
-		catch (TimeoutException ex) {
-			return false;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return false;
-		}
-	}
-
 	// ---- Helpers: attempts
 
 	private boolean mayRetry(Refusal refusal, ServiceCall call) {
