Report held slots every second instead of every 0.4 s

A new owner waits for reports up to 1.2 s, which still covers one from each instance. Effect not measured yet.

--- a/mangorack/src/main/java/org/mangorack/instance/Instance.java
+++ b/mangorack/src/main/java/org/mangorack/instance/Instance.java
@@ -43,7 +43,7 @@
 
 	private static final Duration MAINTENANCE_INTERVAL = Duration.ofSeconds(1);
 
-	private static final Duration SLOT_REPORT_INTERVAL = Duration.ofMillis(400);
+	private static final Duration SLOT_REPORT_INTERVAL = Duration.ofSeconds(1);
 
 	private static final Duration PLATFORM_CONNECT_TIMEOUT = Duration.ofMillis(500);
 
