Decide a slot without looking at every upstream for every queued call

Cause: each submit and each report sorted the whole queue and filtered all upstreams for each call in it, also when no slot was free. Now the free upstreams are found once, and nothing is sorted without one.

--- a/mangorack/src/main/java/org/mangorack/dispatch/PoolScheduler.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PoolScheduler.java
@@ -259,33 +259,37 @@
 		if (isWaitingForReports()) {
 			return completions;
 		}
-		boolean progress = true;
-		while (progress && !this.queue.isEmpty()) {
-			progress = false;
-			for (QueuedCall call : this.policy.order(this)) {
-				Optional<PoolUpstream> upstream = place(call);
-				if (upstream.isPresent()) {
-					SlotAssignment assignment = take(call, upstream.get());
-					completions.add(() -> call.assignment().complete(Either.right(assignment)));
-					progress = true;
-					break;
-				}
+		for (List<PoolUpstream> free = free(); !free.isEmpty() && !this.queue.isEmpty(); free = free()) {
+			Optional<Runnable> completion = assignNext(free);
+			if (completion.isEmpty()) {
+				break;
 			}
+			completions.add(completion.get());
 		}
 		return completions;
 	}
 
-	private Optional<PoolUpstream> place(QueuedCall call) {
+	private Optional<Runnable> assignNext(List<PoolUpstream> free) {
+		for (QueuedCall call : this.policy.order(this)) {
+			List<PoolUpstream> allowed = free.stream()
+				.filter((u) -> !call.excluded().contains(u.id().value()))
+				.toList();
+			Optional<PoolUpstream> upstream = allowed.isEmpty() ? Optional.empty()
+					: this.policy.place(this, call, allowed);
+			if (upstream.isPresent()) {
+				SlotAssignment assignment = take(call, upstream.get());
+				return Optional.of(() -> call.assignment().complete(Either.right(assignment)));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private List<PoolUpstream> free() {
 		long now = this.clock.nanoTime();
-		List<PoolUpstream> allowed = this.upstreams.values()
+		return this.upstreams.values()
 			.stream()
-			.filter((u) -> !call.excluded().contains(u.id().value()))
-			.toList();
-		List<PoolUpstream> healthy = allowed.stream().filter((u) -> u.isUsable(now)).toList();
-		List<PoolUpstream> free = healthy.stream()
-			.filter((u) -> u.slots().size() < u.capacity(this.settings.adaptive()))
+			.filter((u) -> u.isUsable(now) && (u.slots().size() < u.capacity(this.settings.adaptive())))
 			.toList();
-		return free.isEmpty() ? Optional.empty() : this.policy.place(this, call, free);
 	}
 
 	private SlotAssignment take(QueuedCall call, PoolUpstream upstream) {
