Remove unused methods, import what was named in full, share thread factories

Read as a newcomer: three unused accessors, eighteen classes named in full in the middle of code, and a thread factory written twice. Behaviour is unchanged.

--- a/bench/src/test/java/org/mangorack/bench/CapacityMeasurements.java
+++ b/bench/src/test/java/org/mangorack/bench/CapacityMeasurements.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -104,7 +105,7 @@
 	private static void runPrograms(TestFleet fleet, int count, int textLength) throws Exception {
 		ExecutorService callers = Executors.newFixedThreadPool(24);
 		String text = "x".repeat(textLength);
-		List<java.util.concurrent.Future<Integer>> results = new ArrayList<>();
+		List<Future<Integer>> results = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
 			String program = "p" + i;
 			Member member = fleet.member(i % 3);
@@ -113,7 +114,7 @@
 				return (first == 200) ? fleet.turn(member, program, 2, text).status() : first;
 			}));
 		}
-		for (java.util.concurrent.Future<Integer> result : results) {
+		for (Future<Integer> result : results) {
 			assertThat(result.get()).isEqualTo(200);
 		}
 		callers.shutdown();
--- a/bench/src/test/java/org/mangorack/bench/MixedLoadMeasurements.java
+++ b/bench/src/test/java/org/mangorack/bench/MixedLoadMeasurements.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -127,7 +128,7 @@
 	// Loads two engines directly, as others do that the system cannot see.
 	private static List<Thread> otherTraffic(List<EngineStandIn> engines, int seconds) {
 		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
-		CallerClient client = new CallerClient(java.time.Duration.ofSeconds(60));
+		CallerClient client = new CallerClient(Duration.ofSeconds(60));
 		List<Thread> threads = new ArrayList<>();
 		for (int i = 0; i < 20; i++) {
 			String address = engines.get(i % 2).address();
--- a/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
+++ b/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -309,7 +310,7 @@
 		return this.fleet.members().stream().filter((m) -> m.name.equals(owner)).findFirst().orElseThrow();
 	}
 
-	private static CompletableFuture<Answer> async(java.util.concurrent.Callable<Answer> call) {
+	private static CompletableFuture<Answer> async(Callable<Answer> call) {
 		return CompletableFuture.supplyAsync(() -> {
 			try {
 				return call.call();
--- a/mangorack/src/main/java/org/mangorack/config/ConfigurationStore.java
+++ b/mangorack/src/main/java/org/mangorack/config/ConfigurationStore.java
@@ -1,5 +1,6 @@
 package org.mangorack.config;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -86,7 +87,7 @@
 		try {
 			enforce(revision, Jsons.MAPPER.readTree(text.get()));
 		}
-		catch (java.io.IOException ex) {
+		catch (IOException ex) {
 			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "revision", revision);
 		}
 	}
--- a/mangorack/src/main/java/org/mangorack/dispatch/DispatchPolicy.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/DispatchPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -76,7 +77,7 @@
 	 */
 	public static DispatchPolicy parse(String text) {
 		for (DispatchPolicy policy : values()) {
-			if (policy.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-').equals(text)) {
+			if (policy.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text)) {
 				return policy;
 			}
 		}
--- a/mangorack/src/main/java/org/mangorack/dispatch/Dispatcher.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/Dispatcher.java
@@ -88,16 +88,6 @@
 		}
 	}
 
-	/**
-	 * Returns the calls under way at each upstream.
-	 * @return the number of calls by upstream
-	 */
-	public synchronized Map<UpstreamId, Integer> underWay() {
-		Map<UpstreamId, Integer> counts = new HashMap<>();
-		this.loads.forEach((id, load) -> counts.put(id, load.underWay()));
-		return counts;
-	}
-
 	// ---- Callbacks of slots
 
 	synchronized void released(UpstreamLoad load) {
--- a/mangorack/src/main/java/org/mangorack/dispatch/ModelSlots.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/ModelSlots.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 
@@ -98,16 +97,6 @@
 		byPool.values().forEach((report) -> this.source.report(report.build()));
 	}
 
-	/**
-	 * Returns the slots that this instance holds at each upstream.
-	 * @return the number of slots by upstream
-	 */
-	public Map<UpstreamId, Long> underWay() {
-		return this.held.values()
-			.stream()
-			.collect(Collectors.groupingBy((slot) -> slot.upstream().id(), Collectors.counting()));
-	}
-
 	// ---- Helpers
 
 	void giveBack(PoolSlot slot, SlotResult result) {
--- a/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
@@ -37,6 +37,8 @@
 
 	private static final Duration STALL_LIMIT = Duration.ofMillis(1200);
 
+	private static final Duration GRANT_WAIT = Duration.ofSeconds(2);
+
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
 
 	private final PooledHttpClient http = new PooledHttpClient(CONNECT_TIMEOUT);
@@ -84,8 +86,7 @@
 		OwnerGuard ownerGuard = new OwnerGuard(this.serving, host::isLeaseHeld);
 		TurnService turns = new TurnService(this.models, retries, client, platformOut, traffic);
 		ServiceCaller services = new ServiceCaller(dispatcher, retries, client, platformOut);
-		RateLimiter limiter = new RateLimiter(new RateEndpoint(configuration, shards), clock,
-				CallerService.grantWait());
+		RateLimiter limiter = new RateLimiter(new RateEndpoint(configuration, shards), clock, GRANT_WAIT);
 		this.service = new CallerService(new KeyCheck(keys, configuration), this.serving, limiter,
 				new ChatEndpoint(configuration, this.serving, new DirectChat(this.models, retries, client), programs),
 				new ProgramEndpoint(configuration, shards, programs, turns, ownerGuard, platformOut),
--- a/mangorack/src/main/java/org/mangorack/entry/CallerService.java
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerService.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
 
@@ -139,9 +138,4 @@
 		}
 	}
 
-	// Returns how long a call may wait for a grant.
-	static Duration grantWait() {
-		return Duration.ofSeconds(2);
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/entry/Forwarding.java
+++ b/mangorack/src/main/java/org/mangorack/entry/Forwarding.java
@@ -1,6 +1,7 @@
 package org.mangorack.entry;
 
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -51,7 +52,7 @@
 	static Map<String, String> upstreamHeaders(CallRequest call) {
 		Map<String, String> headers = new LinkedHashMap<>();
 		call.headers().forEach((name, value) -> {
-			String lower = name.toLowerCase(java.util.Locale.ROOT);
+			String lower = name.toLowerCase(Locale.ROOT);
 			if (!NOT_PASSED_ON.contains(lower) && !lower.startsWith(OWN_PREFIX)) {
 				headers.put(name, value);
 			}
--- a/mangorack/src/main/java/org/mangorack/entry/ProgramRouter.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ProgramRouter.java
@@ -1,5 +1,6 @@
 package org.mangorack.entry;
 
+import java.time.Duration;
 import java.util.concurrent.CompletionException;
 
 import io.vavr.control.Either;
@@ -7,6 +8,7 @@
 import org.mangorack.call.CallAnswer;
 import org.mangorack.call.ProgramKey;
 import org.mangorack.call.Refusal;
+import org.mangorack.call.WorkspaceId;
 import org.mangorack.member.proto.CallOpen;
 import org.mangorack.ownership.OwnedShard;
 import org.mangorack.ownership.ShardId;
@@ -81,7 +83,7 @@
 		if (answer.status() != 200) {
 			return Either.left(Refusal.unavailable("owner_unavailable",
 					"the root of program \"" + program.program() + "\" is not known at present: " + text,
-					java.time.Duration.ofSeconds(1)));
+					Duration.ofSeconds(1)));
 		}
 		if (method.equals(RECORD) && !text.equals(root)) {
 			return Either.left(Refusal.notRun(409, "parent_conflict",
@@ -92,8 +94,7 @@
 
 	private CallAnswer answerAlias(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
 		try {
-			ProgramKey program = new ProgramKey(new org.mangorack.call.WorkspaceId(open.getWorkspace()),
-					open.getPath());
+			ProgramKey program = new ProgramKey(new WorkspaceId(open.getWorkspace()), open.getPath());
 			ShardContents contents = shard.replica();
 			if (open.getMethod().equals(RESOLVE)) {
 				return CallAnswer.text(200, contents.aliases().root(program).orElse(program.program()));
--- a/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
@@ -150,14 +150,6 @@
 		return this.server.getLocalPort();
 	}
 
-	/**
-	 * Returns the number of requests under way.
-	 * @return the number of requests that are not answered in full
-	 */
-	public int underWay() {
-		return this.underWay.get();
-	}
-
 	// ---- Helpers
 
 	private void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
--- a/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
+++ b/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -80,7 +81,7 @@
 			}
 			catch (IOException | HttpException ex) {
 				discard(pooled);
-				if (ex instanceof java.net.SocketTimeoutException) {
+				if (ex instanceof SocketTimeoutException) {
 					throw new HttpCallException("no answer from " + address + " within " + silenceLimit,
 							Verdict.MAY_HAVE_RUN, ex);
 				}
--- a/mangorack/src/main/java/org/mangorack/instance/Instance.java
+++ b/mangorack/src/main/java/org/mangorack/instance/Instance.java
@@ -7,10 +7,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.mangorack.config.ConfigurationStore;
 import org.mangorack.config.Settings;
@@ -22,6 +20,7 @@
 import org.mangorack.member.Fleet;
 import org.mangorack.member.PeerLinks;
 import org.mangorack.member.proto.Heartbeat;
+import org.mangorack.observe.DaemonThreads;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
@@ -55,13 +54,15 @@
 
 	private final Metrics metrics = new Metrics();
 
-	private final ExecutorService traffic = Executors.newCachedThreadPool(named("traffic"));
+	private final ExecutorService traffic = Executors.newCachedThreadPool(DaemonThreads.named("traffic"));
 
-	private final ExecutorService io = Executors.newCachedThreadPool(named("platform"));
+	private final ExecutorService io = Executors.newCachedThreadPool(DaemonThreads.named("platform"));
 
-	private final ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor(named("control"));
+	private final ScheduledExecutorService control = Executors
+		.newSingleThreadScheduledExecutor(DaemonThreads.named("control"));
 
-	private final ScheduledExecutorService maintenance = Executors.newScheduledThreadPool(2, named("upkeep"));
+	private final ScheduledExecutorService maintenance = Executors.newScheduledThreadPool(2,
+			DaemonThreads.named("upkeep"));
 
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -320,13 +321,4 @@
 		return List.of(this.leases, this.tables, this.keyCache, this.configurationCache, this.instances);
 	}
 
-	private static ThreadFactory named(String name) {
-		AtomicInteger count = new AtomicInteger();
-		return (task) -> {
-			Thread thread = new Thread(task, name + "-" + count.incrementAndGet());
-			thread.setDaemon(true);
-			return thread;
-		};
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/instance/OperatorService.java
+++ b/mangorack/src/main/java/org/mangorack/instance/OperatorService.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -111,7 +112,7 @@
 				.put("dataCentre", record.dataCentre())
 				.put("callers", record.callers().toString())
 				.put("operators", record.operators().toString())
-				.put("phase", record.phase().name().toLowerCase(java.util.Locale.ROOT))
+				.put("phase", record.phase().name().toLowerCase(Locale.ROOT))
 				.put("inTouch", self || (revision >= 0))
 				.put("configuration", revision)
 				.put("shards", shards.getOrDefault(record.instance(), 0));
--- a/mangorack/src/main/java/org/mangorack/key/KeyRegistry.java
+++ b/mangorack/src/main/java/org/mangorack/key/KeyRegistry.java
@@ -4,6 +4,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.Base64;
 import java.util.HexFormat;
 import java.util.Optional;
@@ -129,7 +130,7 @@
 		if (ex.reason().isAmbiguous()) {
 			return Refusal.mayHaveRun(504, "outcome_unknown", ex.getMessage());
 		}
-		return Refusal.unavailable("platform_unavailable", ex.getMessage(), java.time.Duration.ofSeconds(2));
+		return Refusal.unavailable("platform_unavailable", ex.getMessage(), Duration.ofSeconds(2));
 	}
 
 	private byte[] randomBytes(int count) {
--- a/mangorack/src/main/java/org/mangorack/limit/RateLimiter.java
+++ b/mangorack/src/main/java/org/mangorack/limit/RateLimiter.java
@@ -9,6 +9,7 @@
 import io.vavr.control.Either;
 
 import org.mangorack.call.Refusal;
+import org.mangorack.call.Verdict;
 import org.mangorack.call.WorkspaceId;
 import org.mangorack.config.Workspace;
 import org.mangorack.limit.BucketTable.Grant;
@@ -80,7 +81,7 @@
 	private static Refusal exceeded(Workspace workspace, Duration wait) {
 		return new Refusal(429, "rate_exceeded",
 				"workspace \"" + workspace.id() + "\" sends more than " + workspace.ratePerSecond() + " calls a second",
-				org.mangorack.call.Verdict.NOT_RUN, wait.plusMillis(50));
+				Verdict.NOT_RUN, wait.plusMillis(50));
 	}
 
 	private static boolean sleep(Duration time) {
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/observe/DaemonThreads.java
@@ -0,0 +1,28 @@
+package org.mangorack.observe;
+
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Creates threads that do not keep the process alive.
+ */
+public final class DaemonThreads {
+
+	private DaemonThreads() {
+	}
+
+	/**
+	 * Returns a factory of numbered daemon threads.
+	 * @param name the name before the number
+	 * @return the factory
+	 */
+	public static ThreadFactory named(String name) {
+		AtomicInteger count = new AtomicInteger();
+		return (task) -> {
+			Thread thread = new Thread(task, name + "-" + count.incrementAndGet());
+			thread.setDaemon(true);
+			return thread;
+		};
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/ownership/ShardHost.java
+++ b/mangorack/src/main/java/org/mangorack/ownership/ShardHost.java
@@ -18,6 +18,7 @@
 import org.mangorack.member.Fleet;
 import org.mangorack.member.LeaseRecord;
 import org.mangorack.member.LeaseRecord.Phase;
+import org.mangorack.observe.DaemonThreads;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
@@ -61,7 +62,8 @@
 
 	private final ScheduledExecutorService control;
 
-	private final ScheduledExecutorService leaseTimer = Executors.newSingleThreadScheduledExecutor(daemon("lease"));
+	private final ScheduledExecutorService leaseTimer = Executors
+		.newSingleThreadScheduledExecutor(DaemonThreads.named("lease"));
 
 	private final JournalReader reader;
 
@@ -348,14 +350,6 @@
 		}
 	}
 
-	private static java.util.concurrent.ThreadFactory daemon(String name) {
-		return (task) -> {
-			Thread thread = new Thread(task, name);
-			thread.setDaemon(true);
-			return thread;
-		};
-	}
-
 	/**
 	 * What belongs to one run of the instance.
 	 *
--- a/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -445,8 +446,7 @@
 		return Refusal.notRun(404, "unknown_program", "there is no program \"" + key.program() + "\"");
 	}
 
-	private CompletableFuture<Void> append(WorkspaceId workspace,
-			java.util.function.UnaryOperator<Entry.Builder> body) {
+	private CompletableFuture<Void> append(WorkspaceId workspace, UnaryOperator<Entry.Builder> body) {
 		return this.log.append(List.of(ProgramEntries.entry(workspace, body)));
 	}
 
--- a/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
@@ -1,6 +1,7 @@
 package org.mangorack.program;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -186,7 +187,7 @@
 	}
 
 	private boolean rejected(Slot slot, HttpReply reply) throws IOException {
-		String text = new String(reply.readAll(MAX_ANSWER_BYTES), java.nio.charset.StandardCharsets.UTF_8);
+		String text = new String(reply.readAll(MAX_ANSWER_BYTES), StandardCharsets.UTF_8);
 		if (reply.status() >= 500) {
 			slot.failed();
 			return failed(slot.upstream(), Verdict.MAY_HAVE_RUN, "status " + reply.status() + ": " + text, false);
--- a/mangorack/src/main/java/org/mangorack/service/CallTable.java
+++ b/mangorack/src/main/java/org/mangorack/service/CallTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
 
 import io.vavr.control.Either;
 
@@ -188,7 +189,7 @@
 			.build();
 	}
 
-	private static Entry entry(CallKey key, java.util.function.UnaryOperator<Entry.Builder> body) {
+	private static Entry entry(CallKey key, UnaryOperator<Entry.Builder> body) {
 		return body.apply(Entry.newBuilder().setWorkspace(key.workspace().value())).build();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
+++ b/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
@@ -1,6 +1,8 @@
 package org.mangorack.service;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -189,8 +191,7 @@
 	}
 
 	private static String digest(ServiceCall call) {
-		byte[] head = (call.method() + " " + call.route().pool() + call.path() + "\n")
-			.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+		byte[] head = (call.method() + " " + call.route().pool() + call.path() + "\n").getBytes(StandardCharsets.UTF_8);
 		byte[] all = new byte[head.length + call.body().length];
 		System.arraycopy(head, 0, all, 0, head.length);
 		System.arraycopy(call.body(), 0, all, head.length, call.body().length);
@@ -240,7 +241,7 @@
 	}
 
 	private static byte[] bytes(CallAnswer answer) {
-		java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream();
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		try {
 			answer.body().writeTo(out);
 		}
--- a/mangorack/src/test/java/org/mangorack/program/ProgramTablePropertyTests.java
+++ b/mangorack/src/test/java/org/mangorack/program/ProgramTablePropertyTests.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -102,16 +103,16 @@
 		running.values().forEach((run) -> table.abandon(run, run.reserved()));
 	}
 
-	private java.util.Optional<TurnStart.Run> begin(ProgramTable table, Random random, String program) {
+	private Optional<TurnStart.Run> begin(ProgramTable table, Random random, String program) {
 		int turn = 1 + table.view(new ProgramKey(WORKSPACE, program)).map(ProgramView::turns).orElse(0);
 		int asked = Math.max(1, turn + random.nextInt(3) - 1);
 		boolean child = !program.equals("p0");
 		Either<Refusal, TurnStart> start = table.begin(request(program, asked, child ? "p0" : null), "p0", SETTINGS);
 		if (start.isRight() && (start.get() instanceof TurnStart.Run run)) {
 			table.started(run, "u" + random.nextInt(3));
-			return java.util.Optional.of(run);
+			return Optional.of(run);
 		}
-		return java.util.Optional.empty();
+		return Optional.empty();
 	}
 
 	private static void complete(ProgramTable table, Random random, TurnStart.Run run) {
