Write the choices of pools once, and take over their configuration only when it changed

Read once more: the test for a free slot and the choice of the least loaded upstream stood twice each, three policies repeated the order of arrival, and every request and report for a slot parsed the policy's name and rebuilt the set of upstreams. Behaviour and tests are unchanged.

The owner's time for a slot was not measured again.

--- a/mangorack/src/main/java/org/mangorack/dispatch/DispatchPolicy.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/DispatchPolicy.java
@@ -29,11 +29,6 @@
 
 	/** First come, first served; upstreams in turn. */
 	ROUND_ROBIN {
-		@Override
-		List<QueuedCall> order(PoolScheduler pool) {
-			return pool.arrivalOrder();
-		}
-
 		@Override
 		Optional<PoolUpstream> place(PoolScheduler pool, QueuedCall call, List<PoolUpstream> free) {
 			return free.stream().min(Comparator.comparingLong(PoolUpstream::lastUsed));
@@ -42,30 +37,20 @@
 
 	/** First come, first served; the least loaded upstream. */
 	LEAST_LOADED {
-		@Override
-		List<QueuedCall> order(PoolScheduler pool) {
-			return pool.arrivalOrder();
-		}
-
 		@Override
 		Optional<PoolUpstream> place(PoolScheduler pool, QueuedCall call, List<PoolUpstream> free) {
-			return free.stream().min(Comparator.comparingDouble(PoolUpstream::relativeLoad));
+			return PoolScheduler.leastLoaded(free);
 		}
 	},
 
 	/** First come, first served; always the upstream that ran the last turn. */
 	STICKY {
-		@Override
-		List<QueuedCall> order(PoolScheduler pool) {
-			return pool.arrivalOrder();
-		}
-
 		@Override
 		Optional<PoolUpstream> place(PoolScheduler pool, QueuedCall call, List<PoolUpstream> free) {
 			if (pool.isUsable(call.preferred(), call)) {
 				return free.stream().filter((u) -> u.id().value().equals(call.preferred())).findFirst();
 			}
-			return free.stream().min(Comparator.comparingDouble(PoolUpstream::relativeLoad));
+			return PoolScheduler.leastLoaded(free);
 		}
 	};
 
@@ -85,11 +70,13 @@
 	}
 
 	/**
-	 * Orders the queue.
+	 * Orders the queue; first come, first served unless a policy says otherwise.
 	 * @param pool the pool
 	 * @return the queued calls, the one to be served next first
 	 */
-	abstract List<QueuedCall> order(PoolScheduler pool);
+	List<QueuedCall> order(PoolScheduler pool) {
+		return pool.arrivalOrder();
+	}
 
 	/**
 	 * Chooses the upstream of a call.
--- a/mangorack/src/main/java/org/mangorack/dispatch/PoolScheduler.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PoolScheduler.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -67,6 +66,8 @@
 
 	private Set<String> instances = Set.of();
 
+	private List<Upstream> configured = List.of();
+
 	private double completionsPerSecond = 10;
 
 	private long lastCompletion;
@@ -90,7 +91,11 @@
 	 * @param newSettings how calls are ordered and placed
 	 * @param live the names of the live instances
 	 */
-	synchronized void configure(Collection<Upstream> configured, DispatchSettings newSettings, Set<String> live) {
+	synchronized void configure(List<Upstream> configured, DispatchSettings newSettings, Set<String> live) {
+		if (configured.equals(this.configured) && newSettings.equals(this.settings) && live.equals(this.instances)) {
+			return;
+		}
+		this.configured = List.copyOf(configured);
 		this.settings = newSettings;
 		this.policy = DispatchPolicy.parse(newSettings.policy());
 		Set<UpstreamId> ids = new HashSet<>();
@@ -230,14 +235,11 @@
 	// ---- Helpers
 
 	private boolean isCacheFree(QueuedCall call) {
-		if (!this.settings.affinity() || !isUsable(call.preferred(), call)) {
-			return false;
-		}
-		PoolUpstream upstream = this.upstreams.get(new UpstreamId(call.preferred()));
-		return upstream.slots().size() < upstream.capacity(this.settings.adaptive());
+		return this.settings.affinity() && isUsable(call.preferred(), call)
+				&& this.upstreams.get(new UpstreamId(call.preferred())).hasFreeSlot(this.settings.adaptive());
 	}
 
-	private static Optional<PoolUpstream> leastLoaded(List<PoolUpstream> free) {
+	static Optional<PoolUpstream> leastLoaded(List<PoolUpstream> free) {
 		return free.stream().min(Comparator.comparingDouble(PoolUpstream::relativeLoad));
 	}
 
@@ -288,7 +290,7 @@
 		long now = this.clock.nanoTime();
 		return this.upstreams.values()
 			.stream()
-			.filter((u) -> u.isUsable(now) && (u.slots().size() < u.capacity(this.settings.adaptive())))
+			.filter((u) -> u.isUsable(now) && u.hasFreeSlot(this.settings.adaptive()))
 			.toList();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/dispatch/PoolUpstream.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PoolUpstream.java
@@ -76,11 +76,20 @@
 	 * @param adaptive whether the limit follows reported times
 	 * @return the number of slots
 	 */
-	int capacity(boolean adaptive) {
+	private int capacity(boolean adaptive) {
 		return adaptive ? (int) Math.min(this.configured.maxConcurrent(), Math.max(MIN_LIMIT, this.limit))
 				: this.configured.maxConcurrent();
 	}
 
+	/**
+	 * Tells whether one more call may be sent.
+	 * @param adaptive whether the limit follows reported times
+	 * @return {@code true} if a slot is free
+	 */
+	boolean hasFreeSlot(boolean adaptive) {
+		return this.slots.size() < capacity(adaptive);
+	}
+
 	boolean isUsable(long now) {
 		return !this.configured.leaving() && !isShunned(now);
 	}
