--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
@@ -0,0 +1,46 @@
+package org.mangorack.keeper;
+
+import java.time.Duration;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * The newest configuration that a keeper knows, for entries that the platform refuses.
+ */
+public interface ConfigurationRelay {
+
+	/**
+	 * Returns the version of the configuration.
+	 * @return the version, or 0 before any is known
+	 */
+	long version();
+
+	/**
+	 * Returns how long ago the configuration was certainly the newest one.
+	 * @return the age of this knowledge
+	 */
+	Duration age();
+
+	/**
+	 * Returns the document as the platform holds it.
+	 * @return the bytes
+	 */
+	ByteString document();
+
+	/**
+	 * Returns the rate limit of a workspace.
+	 * @param workspace the workspace
+	 * @return the limit, or {@code null} if there is none
+	 */
+	RateLimit limit(String workspace);
+
+	/**
+	 * A rate and burst over all instances.
+	 *
+	 * @param perSecond calls a second
+	 * @param burst calls that may come at once
+	 */
+	record RateLimit(double perSecond, double burst) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -0,0 +1,225 @@
+package org.mangorack.keeper;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Reply;
+import org.mangorack.keeper.proto.Request;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * A connection to a keeper that is opened again whenever it breaks. Used by the thread of
+ * its event loop only.
+ */
+final class KeeperLink {
+
+	/**
+	 * A link on which requests wait this long without any byte from the keeper is given
+	 * up. Several times the interval of beats and the time of a slow sync.
+	 */
+	static final Duration SILENCE_LIMIT = Duration.ofMillis(800);
+
+	private static final Duration RECONNECT_DELAY = Duration.ofMillis(150);
+
+	private static final int CONNECT_TIMEOUT_MS = 500;
+
+	private final EventLoop loop;
+
+	private final Member member;
+
+	private final MonotonicClock clock;
+
+	private final Runnable onUp;
+
+	private final Map<Long, Pending> pending = new LinkedHashMap<>();
+
+	private Channel channel;
+
+	private boolean up;
+
+	private boolean everUp;
+
+	private boolean closed;
+
+	private long lastId;
+
+	private long lastReceived;
+
+	KeeperLink(EventLoop loop, Member member, MonotonicClock clock, Runnable onUp) {
+		this.loop = loop;
+		this.member = member;
+		this.clock = clock;
+		this.onUp = onUp;
+	}
+
+	// ---- Life-cycle
+
+	void connect() {
+		if (this.closed) {
+			return;
+		}
+		ChannelFuture future = new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel ch) {
+					ch.pipeline()
+						.addLast(new ProtobufVarint32FrameDecoder(), new ProtobufDecoder(Reply.getDefaultInstance()),
+								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
+				}
+			})
+			.connect(this.member.getHost(), this.member.getPort());
+		future.addListener((f) -> {
+			if (!f.isSuccess()) {
+				scheduleConnect();
+			}
+		});
+	}
+
+	void close() {
+		this.closed = true;
+		if (this.channel != null) {
+			this.channel.close();
+		}
+	}
+
+	// ---- Accessors
+
+	Member member() {
+		return this.member;
+	}
+
+	boolean isUp() {
+		return this.up;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Sends a request. Reports a break at once while the link is down.
+	 * @param request the request without its id
+	 * @param listener receives the outcome
+	 */
+	void send(Request.Builder request, ReplyListener listener) {
+		if (!this.up) {
+			listener.broke();
+			return;
+		}
+		long id = ++this.lastId;
+		this.pending.put(id, new Pending(listener, this.clock.nanoTime()));
+		this.channel.writeAndFlush(request.setId(id).setDisk(this.member.getDisk()).build());
+	}
+
+	/**
+	 * Closes the connection if requests wait on it in vain.
+	 */
+	void checkSilence() {
+		if (this.pending.isEmpty()) {
+			return;
+		}
+		long now = this.clock.nanoTime();
+		long oldest = this.pending.values().iterator().next().sentAt();
+		if (now - Math.max(oldest, this.lastReceived) > SILENCE_LIMIT.toNanos()) {
+			EventLog.log(Event.KEEPER_SILENT, "keeper", this.member.getName(), "waiting", this.pending.size());
+			this.channel.close();
+		}
+	}
+
+	// ---- Helpers
+
+	private void scheduleConnect() {
+		if (!this.closed && !this.loop.isShuttingDown()) {
+			this.loop.schedule(this::connect, RECONNECT_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void wentDown() {
+		boolean was = this.up;
+		this.up = false;
+		List<Pending> lost = new ArrayList<>(this.pending.values());
+		this.pending.clear();
+		if (was && !this.closed) {
+			EventLog.log(Event.KEEPER_LOST, "keeper", this.member.getName(), "waiting", lost.size());
+		}
+		lost.forEach((p) -> p.listener().broke());
+		scheduleConnect();
+	}
+
+	/**
+	 * Matches replies with requests.
+	 */
+	private final class Handler extends SimpleChannelInboundHandler<Reply> {
+
+		@Override
+		public void channelActive(ChannelHandlerContext ctx) {
+			KeeperLink link = KeeperLink.this;
+			if (link.closed) {
+				ctx.close();
+				return;
+			}
+			link.channel = ctx.channel();
+			link.up = true;
+			link.lastReceived = link.clock.nanoTime();
+			EventLog.log(link.everUp ? Event.KEEPER_REGAINED : Event.KEEPER_CONNECTED, "keeper", link.member.getName());
+			link.everUp = true;
+			link.onUp.run();
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext ctx) {
+			wentDown();
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext ctx, Reply reply) {
+			KeeperLink link = KeeperLink.this;
+			link.lastReceived = link.clock.nanoTime();
+			boolean last = reply.getDurable() || (reply.getStatusValue() != 0);
+			Pending waiting = last ? link.pending.remove(reply.getId()) : link.pending.get(reply.getId());
+			if (waiting != null) {
+				waiting.listener().replied(reply);
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+			EventLog.log(Event.KEEPER_LOST, "keeper", KeeperLink.this.member.getName(), "cause", cause);
+			ctx.close();
+		}
+
+	}
+
+	/**
+	 * A request without its last reply.
+	 *
+	 * @param listener receives the outcome
+	 * @param sentAt when it was sent, on the monotonic clock
+	 */
+	private record Pending(ReplyListener listener, long sentAt) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -0,0 +1,182 @@
+package org.mangorack.keeper;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.stream.Stream;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.http.StatusServer;
+
+/**
+ * A keeper: the log on the disk, the service that entries call, and the changes of the
+ * group.
+ */
+public final class KeeperNode {
+
+	private static final String IDENTITY = "disk-id";
+
+	private final KeeperSettings settings;
+
+	private final ObjectStore store;
+
+	private final ConfigurationRelay configuration;
+
+	private final RetirementBoard retirements;
+
+	private final Metrics metrics;
+
+	private final MonotonicClock clock = MonotonicClock.SYSTEM;
+
+	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("keeper", true),
+			NioIoHandler.newFactory());
+
+	private final CountDownLatch stopped = new CountDownLatch(1);
+
+	private RecordLog log;
+
+	private KeeperService service;
+
+	private GroupMembership membership;
+
+	/**
+	 * Creates a keeper that does not serve yet.
+	 * @param settings its settings
+	 * @param store the object API of the platform
+	 * @param configuration the configuration to pass on
+	 * @param retirements the requests to empty keepers
+	 * @param metrics receives metrics
+	 */
+	public KeeperNode(KeeperSettings settings, ObjectStore store, ConfigurationRelay configuration,
+			RetirementBoard retirements, Metrics metrics) {
+		this.settings = settings;
+		this.store = store;
+		this.configuration = configuration;
+		this.retirements = retirements;
+		this.metrics = metrics;
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Reads the disk and starts to serve.
+	 * @throws IOException if the disk cannot be read or the port is taken
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void start() throws IOException, InterruptedException {
+		Path folder = this.settings.dataFolder();
+		String disk = identity(folder);
+		this.log = new RecordLog(folder.resolve("log"), this.loops.next()::execute);
+		TurnStore turns = new TurnStore(this.log, System::currentTimeMillis);
+		turns.load();
+		this.log.start();
+		ViewFile viewFile = new ViewFile(folder.resolve("view"), this.settings.tolerance());
+		GroupView view = viewFile.read().orElse(GroupView.unknown(this.settings.tolerance()));
+		this.service = new KeeperService(this.loops, turns, viewFile, disk, view, this.configuration, this.clock);
+		try {
+			this.loops.next().submit(() -> null).get();
+		}
+		catch (ExecutionException ex) {
+			throw new IOException("the thread of the keeper does not run", ex);
+		}
+		this.service.start(this.settings.listen());
+		KindCache groups = new KindCache(this.store, ObjectKind.KEEPER_GROUP, this.clock, () -> {
+		});
+		groups.start();
+		KindCache keepers = new KindCache(this.store, ObjectKind.KEEPER, this.clock, () -> {
+		});
+		if (this.settings.firstStart()) {
+			keepers.start();
+		}
+		Member self = Member.newBuilder()
+			.setName(this.settings.instance())
+			.setDisk(disk)
+			.setHost(this.settings.listen().host())
+			.setPort(this.settings.listen().port())
+			.setZone(this.settings.dataCentre())
+			.build();
+		this.membership = new GroupMembership(self, this.settings.tolerance(), this.settings.firstStart(), this.store,
+				groups, keepers, this.retirements, this.service, this.loops.next(), this.clock);
+		this.membership.start();
+		startMetrics(turns);
+		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "keeper", "disk", disk,
+				"address", this.settings.listen(), "turns", turns.turnCount(), "programs", turns.programCount(),
+				"epoch", view.epoch());
+	}
+
+	/**
+	 * Stops the keeper. The group goes on without it.
+	 */
+	public void stop() {
+		EventLog.log(Event.DRAIN_STARTED, "instance", this.settings.instance(), "role", "keeper");
+		this.membership.close();
+		this.service.close();
+		try {
+			this.log.close();
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.LOG_FAILED, ex, "operation", "close");
+		}
+		EventLog.log(Event.INSTANCE_STOPPED, "instance", this.settings.instance(), "role", "keeper");
+		this.stopped.countDown();
+	}
+
+	/**
+	 * Waits until the keeper is stopped.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void awaitStop() throws InterruptedException {
+		this.stopped.await();
+	}
+
+	// ---- Helpers
+
+	private void startMetrics(TurnStore turns) throws IOException {
+		if (this.settings.metrics() == null) {
+			return;
+		}
+		this.metrics.gauge("mangorack.keeper.turns", turns::turnCount);
+		this.metrics.gauge("mangorack.keeper.programs", turns::programCount);
+		this.metrics.gauge("mangorack.keeper.epoch", () -> this.service.view().epoch());
+		new StatusServer(this.loops.next(), (request) -> StatusServer.metrics(this.metrics))
+			.start(this.settings.metrics());
+	}
+
+	// An empty or torn identity means that the disk is new; what lies on it is then
+	// removed.
+	private static String identity(Path folder) throws IOException {
+		Path file = folder.resolve(IDENTITY);
+		if (Files.exists(file)) {
+			String known = Files.readString(file, StandardCharsets.UTF_8).strip();
+			if (known.length() == UUID.randomUUID().toString().length()) {
+				return known;
+			}
+		}
+		try (Stream<Path> files = Files.isDirectory(folder.resolve("log")) ? Files.list(folder.resolve("log"))
+				: Stream.empty()) {
+			for (Path old : files.toList()) {
+				Files.delete(old);
+			}
+		}
+		String fresh = UUID.randomUUID().toString();
+		ViewFile.writeSynced(file, ByteBuffer.wrap(fresh.getBytes(StandardCharsets.UTF_8)));
+		return fresh;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperPeers.java
@@ -0,0 +1,94 @@
+package org.mangorack.keeper;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.netty.channel.EventLoop;
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Reply;
+import org.mangorack.keeper.proto.Request;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Calls of a keeper to others, for the thread that changes the group. Calls block.
+ */
+final class KeeperPeers implements AutoCloseable {
+
+	private final EventLoop loop;
+
+	private final MonotonicClock clock;
+
+	private final Map<String, KeeperLink> links = new HashMap<>();
+
+	KeeperPeers(EventLoop loop, MonotonicClock clock) {
+		this.loop = loop;
+		this.clock = clock;
+	}
+
+	/**
+	 * Sends a request and waits for its last reply.
+	 * @param member the keeper
+	 * @param request the request
+	 * @param limit how long to wait
+	 * @return the reply, or empty when none came in time
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	Optional<Reply> call(Member member, Request.Builder request, Duration limit) throws InterruptedException {
+		CompletableFuture<Reply> result = new CompletableFuture<>();
+		this.loop.execute(() -> send(member, request, result));
+		try {
+			return Optional.of(result.get(limit.toMillis(), TimeUnit.MILLISECONDS));
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			return Optional.empty();
+		}
+	}
+
+	@Override
+	public void close() {
+		this.loop.execute(() -> {
+			this.links.values().forEach(KeeperLink::close);
+			this.links.clear();
+		});
+	}
+
+	private void send(Member member, Request.Builder request, CompletableFuture<Reply> result) {
+		KeeperLink known = this.links.get(member.getDisk());
+		if (known != null) {
+			known.checkSilence();
+			deliver(known, request, result);
+			return;
+		}
+		KeeperLink[] created = new KeeperLink[1];
+		created[0] = new KeeperLink(this.loop, member, this.clock, () -> {
+			if (!result.isDone()) {
+				deliver(created[0], request, result);
+			}
+		});
+		this.links.put(member.getDisk(), created[0]);
+		created[0].connect();
+	}
+
+	private static void deliver(KeeperLink link, Request.Builder request, CompletableFuture<Reply> result) {
+		link.send(request, new ReplyListener() {
+			@Override
+			public void replied(Reply reply) {
+				if (reply.getDurable() || (reply.getStatusValue() != 0)) {
+					result.complete(reply);
+				}
+			}
+
+			@Override
+			public void broke() {
+				result.completeExceptionally(new IllegalStateException("the link broke"));
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -0,0 +1,339 @@
+package org.mangorack.keeper;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import org.mangorack.http.HttpAddress;
+import org.mangorack.keeper.proto.Batch;
+import org.mangorack.keeper.proto.Beat;
+import org.mangorack.keeper.proto.Charge;
+import org.mangorack.keeper.proto.Drawn;
+import org.mangorack.keeper.proto.Listing;
+import org.mangorack.keeper.proto.ProgramCharges;
+import org.mangorack.keeper.proto.Pulse;
+import org.mangorack.keeper.proto.Reply;
+import org.mangorack.keeper.proto.Request;
+import org.mangorack.keeper.proto.Reserve;
+import org.mangorack.keeper.proto.Settle;
+import org.mangorack.keeper.proto.Status;
+import org.mangorack.keeper.proto.Store;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Answers the requests of entries and of other keepers. All state is used by the thread
+ * of one event loop.
+ */
+final class KeeperService {
+
+	private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(1);
+
+	private static final Duration LIVENESS_INTERVAL = Duration.ofMillis(200);
+
+	private final EventLoopGroup loops;
+
+	private final TurnStore turns;
+
+	private final WorkspaceBuckets buckets;
+
+	private final LiveEntries entries;
+
+	private final ConfigurationRelay configuration;
+
+	private final ViewFile viewFile;
+
+	private final String disk;
+
+	private Consumer<GroupView> onView = (v) -> {
+	};
+
+	private volatile GroupView view;
+
+	private Channel listening;
+
+	KeeperService(EventLoopGroup loops, TurnStore turns, ViewFile viewFile, String disk, GroupView view,
+			ConfigurationRelay configuration, MonotonicClock clock) {
+		this.loops = loops;
+		this.turns = turns;
+		this.viewFile = viewFile;
+		this.disk = disk;
+		this.view = view;
+		this.configuration = configuration;
+		this.buckets = new WorkspaceBuckets(clock, configuration);
+		this.entries = new LiveEntries(clock);
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Starts to listen.
+	 * @param address the address
+	 * @throws IOException if the port is taken
+	 */
+	void start(HttpAddress address) throws IOException {
+		this.loops.next()
+			.scheduleWithFixedDelay(this.turns::expire, EXPIRY_INTERVAL.toMillis(), EXPIRY_INTERVAL.toMillis(),
+					TimeUnit.MILLISECONDS);
+		this.loops.next()
+			.scheduleWithFixedDelay(this.entries::expire, LIVENESS_INTERVAL.toMillis(), LIVENESS_INTERVAL.toMillis(),
+					TimeUnit.MILLISECONDS);
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loops)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.SO_BACKLOG, 512)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel ch) {
+					ch.pipeline()
+						.addLast(new ProtobufVarint32FrameDecoder(), new ProtobufDecoder(Request.getDefaultInstance()),
+								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
+				}
+			});
+		try {
+			this.listening = bootstrap.bind(address.host(), address.port()).sync().channel();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted while binding " + address, ex);
+		}
+	}
+
+	void close() {
+		if (this.listening != null) {
+			this.listening.close();
+		}
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the view in use.
+	 * @return the view; may be read by any thread
+	 */
+	GroupView view() {
+		return this.view;
+	}
+
+	void setViewListener(Consumer<GroupView> listener) {
+		this.onView = listener;
+	}
+
+	TurnStore turns() {
+		return this.turns;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Uses a view if it is newer, once it is kept on the disk. Requests of older views
+	 * are refused from then on.
+	 * @param newer the view
+	 * @throws IOException if it cannot be kept
+	 */
+	void adopt(GroupView newer) throws IOException {
+		if (newer.epoch() > this.view.epoch()) {
+			this.viewFile.write(newer);
+			EventLog.log(Event.GROUP_VIEW, "epoch", newer.epoch(), "before", this.view.epoch(), "member",
+					newer.isMember(this.disk), "changing", newer.isChanging());
+			this.view = newer;
+			this.onView.accept(newer);
+		}
+	}
+
+	// ---- Helpers
+
+	private void handle(Request request, Consumer<Reply.Builder> out) {
+		boolean bound = switch (request.getBodyCase()) {
+			case RESERVE, SETTLE, FETCH, DRAW -> true;
+			default -> false;
+		};
+		if (bound && !request.getDisk().equals(this.disk)) {
+			out.accept(Reply.newBuilder().setStatus(Status.WRONG_DISK));
+			return;
+		}
+		if (bound && (request.getEpoch() != this.view.epoch())) {
+			boolean stale = request.getEpoch() < this.view.epoch();
+			out.accept(Reply.newBuilder()
+				.setStatus(stale ? Status.STALE_VIEW : Status.UNKNOWN_VIEW)
+				.setView(this.view.toProto()));
+			return;
+		}
+		switch (request.getBodyCase()) {
+			case RESERVE -> reserve(request.getReserve(), out);
+			case SETTLE -> settle(request.getSettle(), out);
+			case FETCH -> out.accept(durable()
+				.setChain(this.turns.chain(request.getFetch().getTurn()).setComplete(this.view.isMember(this.disk))));
+			case BEAT -> out.accept(beat(request));
+			case DRAW -> draw(request.getDraw().getWorkspace(), out);
+			case ADOPT -> adoptFrom(request, out);
+			case INVENTORY -> out.accept(durable()
+				.setListing(Listing.newBuilder().addAllTurn(this.turns.turnIds()).addAllProgram(this.turns.ledgers())));
+			case COPY -> out.accept(durable()
+				.setBatch(Batch.newBuilder().addAllTurn(this.turns.turns(request.getCopy().getTurnList()))));
+			case STORE -> store(request.getStore(), out);
+			default -> out.accept(Reply.newBuilder().setStatus(Status.FAILED));
+		}
+	}
+
+	private static Reply.Builder durable() {
+		return Reply.newBuilder().setDurable(true);
+	}
+
+	private void reserve(Reserve reserve, Consumer<Reply.Builder> out) {
+		Charge charge = Charge.newBuilder().setAttempt(reserve.getAttempt()).setTokens(reserve.getTokens()).build();
+		this.turns.charge(ProgramCharges.newBuilder().setProgram(reserve.getProgram()).addCharge(charge).build(),
+				(failure) -> out.accept(outcome(failure).setCharges(this.turns.charges(reserve.getProgram()))));
+		out.accept(Reply.newBuilder().setCharges(this.turns.charges(reserve.getProgram())));
+	}
+
+	private void settle(Settle settle, Consumer<Reply.Builder> out) {
+		Join join = new Join((failure) -> out.accept(outcome(failure)));
+		if (settle.getCharged()) {
+			Charge charge = Charge.newBuilder()
+				.setAttempt(settle.getAttempt())
+				.setTokens(settle.getTokens())
+				.setSettled(true)
+				.build();
+			this.turns.charge(ProgramCharges.newBuilder().setProgram(settle.getProgram()).addCharge(charge).build(),
+					join.part());
+		}
+		if (settle.hasTurn()) {
+			this.turns.keep(settle.getTurn(), join.part());
+		}
+		join.start();
+	}
+
+	private void store(Store store, Consumer<Reply.Builder> out) {
+		Join join = new Join((failure) -> out.accept(outcome(failure)));
+		store.getTurnList().forEach((t) -> this.turns.keep(t, join.part()));
+		store.getProgramList().forEach((p) -> this.turns.charge(p, join.part()));
+		join.start();
+	}
+
+	private static Reply.Builder outcome(IOException failure) {
+		return (failure == null) ? durable() : Reply.newBuilder().setStatus(Status.FAILED);
+	}
+
+	private Reply.Builder beat(Request request) {
+		Beat beat = request.getBeat();
+		this.entries.heard(beat);
+		this.buckets.use(beat.getUsageList());
+		Pulse.Builder pulse = Pulse.newBuilder()
+			.addAllLevel(this.buckets.levels())
+			.setConfiguration(this.configuration.version())
+			.setConfigurationAgeMs(this.configuration.age().toMillis())
+			.setEntries(this.entries.version())
+			.addAllLoad(this.entries.loadBeside(beat.getInstance()));
+		if (this.configuration.version() > beat.getConfiguration()) {
+			pulse.setDocument(this.configuration.document());
+		}
+		if (this.entries.version() != beat.getEntries()) {
+			pulse.addAllEntry(this.entries.entries());
+		}
+		Reply.Builder reply = durable().setPulse(pulse);
+		if (this.view.epoch() > request.getEpoch()) {
+			reply.setView(this.view.toProto());
+		}
+		return reply;
+	}
+
+	private void draw(String workspace, Consumer<Reply.Builder> out) {
+		Duration wait = this.buckets.draw(workspace);
+		out.accept(durable().setDrawn(Drawn.newBuilder().setGranted(wait.isZero()).setRetryMs(wait.toMillis())));
+	}
+
+	private void adoptFrom(Request request, Consumer<Reply.Builder> out) {
+		try {
+			adopt(GroupView.of(request.getAdopt().getView(), this.view.tolerance()));
+			out.accept(durable().setView(this.view.toProto()));
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.LOG_FAILED, ex, "operation", "keep view", "epoch",
+					request.getAdopt().getView().getEpoch());
+			out.accept(Reply.newBuilder().setStatus(Status.FAILED));
+		}
+	}
+
+	/**
+	 * Waits for several appends.
+	 */
+	private static final class Join {
+
+		private final Consumer<IOException> done;
+
+		private final Set<Object> open = new HashSet<>();
+
+		private IOException failure;
+
+		private boolean started;
+
+		private Join(Consumer<IOException> done) {
+			this.done = done;
+		}
+
+		private Consumer<IOException> part() {
+			Object part = new Object();
+			this.open.add(part);
+			return (outcome) -> {
+				this.open.remove(part);
+				this.failure = (outcome != null) ? outcome : this.failure;
+				finish();
+			};
+		}
+
+		private void start() {
+			this.started = true;
+			finish();
+		}
+
+		private void finish() {
+			if (this.started && this.open.isEmpty()) {
+				this.started = false;
+				this.done.accept(this.failure);
+			}
+		}
+
+	}
+
+	/**
+	 * Reads the requests of one connection.
+	 */
+	private final class Handler extends SimpleChannelInboundHandler<Request> {
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext ctx, Request request) {
+			KeeperService.this.handle(request, (reply) -> {
+				if (ctx.channel().isActive()) {
+					ctx.writeAndFlush(reply.setId(request.getId()).build());
+				}
+			});
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+			EventLog.log(Event.KEEPER_CALLER_LOST, "peer", ctx.channel().remoteAddress(), "cause", cause);
+			ctx.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperSettings.java
@@ -0,0 +1,44 @@
+package org.mangorack.keeper;
+
+import java.nio.file.Path;
+
+import org.mangorack.call.Identifiers;
+import org.mangorack.config.ObjectReader;
+import org.mangorack.http.HttpAddress;
+
+/**
+ * The settings of a keeper.
+ *
+ * @param instance the name of the instance
+ * @param dataCentre the data centre of the instance
+ * @param listen the address for entries and other keepers
+ * @param metrics the address of the metrics, or {@code null}
+ * @param platform the address of the object API
+ * @param dataFolder the folder on the disk
+ * @param tolerance how many disks may be lost at once
+ * @param firstStart whether the whole system starts for the first time
+ */
+public record KeeperSettings(String instance, String dataCentre, HttpAddress listen, HttpAddress metrics,
+		HttpAddress platform, Path dataFolder, int tolerance, boolean firstStart) {
+
+	private static final int MAX_TOLERANCE = 10;
+
+	/**
+	 * Reads the settings.
+	 * @param reader the document; its problems are collected
+	 * @return the settings, of use only if there were no problems
+	 */
+	public static KeeperSettings read(ObjectReader reader) {
+		String instance = reader.parsed("instance", (t) -> Identifiers.require("instance", t), null);
+		String dataCentre = reader.parsed("dataCentre", (t) -> Identifiers.require("data centre", t), null);
+		HttpAddress listen = reader.parsed("listen", HttpAddress::parse, null);
+		HttpAddress metrics = reader.has("metrics") ? reader.parsed("metrics", HttpAddress::parse, null) : null;
+		HttpAddress platform = reader.parsed("platform", HttpAddress::parse, null);
+		String folder = reader.text("dataFolder");
+		int tolerance = (int) reader.integer("tolerance", 0, MAX_TOLERANCE, 1);
+		boolean firstStart = reader.flag("firstStart", false);
+		return new KeeperSettings(instance, dataCentre, listen, metrics, platform, Path.of(folder), tolerance,
+				firstStart);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
@@ -0,0 +1,101 @@
+package org.mangorack.keeper;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.mangorack.keeper.proto.Beat;
+import org.mangorack.keeper.proto.Entry;
+import org.mangorack.keeper.proto.Load;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * The entries whose beats arrive, with their load. Used by one thread.
+ */
+final class LiveEntries {
+
+	/**
+	 * An entry without a beat for this long is left out: several intervals of beats.
+	 */
+	static final Duration SILENCE_LIMIT = Duration.ofMillis(900);
+
+	private final MonotonicClock clock;
+
+	private final Map<String, Known> entries = new TreeMap<>();
+
+	// Starts at a time, so that a keeper's list after a restart differs from before.
+	private long version = System.currentTimeMillis();
+
+	LiveEntries(MonotonicClock clock) {
+		this.clock = clock;
+	}
+
+	long version() {
+		return this.version;
+	}
+
+	void heard(Beat beat) {
+		Known before = this.entries.get(beat.getInstance());
+		if (!beat.getAccepting()) {
+			if (before != null) {
+				this.entries.remove(beat.getInstance());
+				this.version++;
+			}
+			return;
+		}
+		Entry entry = Entry.newBuilder()
+			.setInstance(beat.getInstance())
+			.setCallerAddress(beat.getCallerAddress())
+			.setZone(beat.getZone())
+			.build();
+		if ((before == null) || !before.entry().equals(entry)) {
+			this.version++;
+		}
+		this.entries.put(beat.getInstance(), new Known(entry, this.clock.nanoTime(), beat.getLoadList()));
+	}
+
+	/**
+	 * Leaves out entries that fell silent.
+	 */
+	void expire() {
+		long now = this.clock.nanoTime();
+		if (this.entries.values().removeIf((e) -> now - e.heardAt() > SILENCE_LIMIT.toNanos())) {
+			this.version++;
+		}
+	}
+
+	List<Entry> entries() {
+		return this.entries.values().stream().map(Known::entry).toList();
+	}
+
+	/**
+	 * Returns the calls under way at upstreams.
+	 * @param except the entry whose calls are left out
+	 * @return the sums by upstream
+	 */
+	List<Load> loadBeside(String except) {
+		Map<String, Integer> sums = new HashMap<>();
+		this.entries.forEach((instance, known) -> {
+			if (!instance.equals(except)) {
+				known.load().forEach((l) -> sums.merge(l.getUpstream(), l.getCalls(), Integer::sum));
+			}
+		});
+		List<Load> load = new ArrayList<>();
+		sums.forEach((upstream, calls) -> load.add(Load.newBuilder().setUpstream(upstream).setCalls(calls).build()));
+		return load;
+	}
+
+	/**
+	 * An entry and when it was heard.
+	 *
+	 * @param entry the entry
+	 * @param heardAt when its last beat came, on the monotonic clock
+	 * @param load its calls under way
+	 */
+	private record Known(Entry entry, long heardAt, List<Load> load) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/ReplyListener.java
@@ -0,0 +1,22 @@
+package org.mangorack.keeper;
+
+import org.mangorack.keeper.proto.Reply;
+
+/**
+ * Receives what becomes of a request to a keeper.
+ */
+interface ReplyListener {
+
+	/**
+	 * Reports a reply. A reply that is not durable yet is followed by another.
+	 * @param reply the reply
+	 */
+	void replied(Reply reply);
+
+	/**
+	 * Reports that the link broke before the last reply. The request may have taken
+	 * effect.
+	 */
+	void broke();
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -0,0 +1,237 @@
+package org.mangorack.keeper;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.mangorack.keeper.proto.Chain;
+import org.mangorack.keeper.proto.Charge;
+import org.mangorack.keeper.proto.Charges;
+import org.mangorack.keeper.proto.LogEntry;
+import org.mangorack.keeper.proto.ProgramCharges;
+import org.mangorack.keeper.proto.Turn;
+
+/**
+ * The turns and budgets of a keeper, in memory and in its log. Used by one thread.
+ */
+final class TurnStore {
+
+	/**
+	 * Added to the retention of a turn, for clocks that differ between instances and
+	 * turns whose answer ended later than they were stored.
+	 */
+	static final Duration RETENTION_MARGIN = Duration.ofSeconds(15);
+
+	/**
+	 * How long the charges of a program are kept after the last one. Longer than the
+	 * retention of turns, during which a stopped program may come back.
+	 */
+	static final Duration LEDGER_LIFE = Duration.ofSeconds(180);
+
+	private final RecordLog log;
+
+	private final LongSupplier timeOfDay;
+
+	private final Map<String, StoredTurn> turns = new HashMap<>();
+
+	private final Map<String, Program> programs = new HashMap<>();
+
+	/**
+	 * Creates a store without content.
+	 * @param log where changes are kept
+	 * @param timeOfDay the time of day in milliseconds, comparable after a restart
+	 */
+	TurnStore(RecordLog log, LongSupplier timeOfDay) {
+		this.log = log;
+		this.timeOfDay = timeOfDay;
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Reads what the log holds.
+	 * @throws IOException if the log cannot be read
+	 */
+	void load() throws IOException {
+		this.log.replay((segment, entry) -> {
+			if (entry.hasTurn()) {
+				this.turns.put(entry.getTurn().getId(), new StoredTurn(entry.getTurn(), segment));
+			}
+			else {
+				ProgramCharges charges = entry.getCharges();
+				program(charges.getProgram()).merge(charges.getChargeList(), entry.getStoredMs(), segment);
+			}
+		});
+	}
+
+	// ---- Accessors
+
+	int turnCount() {
+		return this.turns.size();
+	}
+
+	int programCount() {
+		return this.programs.size();
+	}
+
+	List<String> turnIds() {
+		return List.copyOf(this.turns.keySet());
+	}
+
+	List<ProgramCharges> ledgers() {
+		List<ProgramCharges> all = new ArrayList<>();
+		this.programs.forEach(
+				(name, p) -> all.add(ProgramCharges.newBuilder().setProgram(name).addAllCharge(p.charges()).build()));
+		return all;
+	}
+
+	List<Turn> turns(List<String> ids) {
+		List<Turn> found = new ArrayList<>();
+		ids.forEach((id) -> {
+			StoredTurn turn = this.turns.get(id);
+			if (turn != null) {
+				found.add(turn.turn());
+			}
+		});
+		return found;
+	}
+
+	/**
+	 * Follows a chain from its newest turn.
+	 * @param id the newest turn
+	 * @return what is held of the chain
+	 */
+	Chain.Builder chain(String id) {
+		Chain.Builder chain = Chain.newBuilder();
+		String next = id;
+		while (!next.isEmpty()) {
+			StoredTurn turn = this.turns.get(next);
+			if (turn == null) {
+				return chain.setMissing(next);
+			}
+			chain.addTurn(turn.turn());
+			next = turn.turn().getPrevious();
+		}
+		return chain;
+	}
+
+	/**
+	 * Returns the charges of a program.
+	 * @param program the program
+	 * @return its charges; empty when it has none
+	 */
+	Charges charges(String program) {
+		Program known = this.programs.get(program);
+		return (known != null) ? Charges.newBuilder().addAllCharge(known.charges()).build()
+				: Charges.getDefaultInstance();
+	}
+
+	// ---- Changes
+
+	/**
+	 * Adds or settles charges.
+	 * @param charges the charges of one program
+	 * @param done receives {@code null} once they are synced, or the failure
+	 */
+	void charge(ProgramCharges charges, Consumer<IOException> done) {
+		long now = this.timeOfDay.getAsLong();
+		program(charges.getProgram()).merge(charges.getChargeList(), now, this.log.segment());
+		this.log.append(LogEntry.newBuilder().setStoredMs(now).setCharges(charges).build(), done);
+	}
+
+	/**
+	 * Keeps a turn.
+	 * @param turn the turn
+	 * @param done receives {@code null} once it is synced, or the failure
+	 */
+	void keep(Turn turn, Consumer<IOException> done) {
+		long now = this.timeOfDay.getAsLong();
+		Turn stamped = (turn.getStoredMs() != 0) ? turn : turn.toBuilder().setStoredMs(now).build();
+		this.turns.put(stamped.getId(), new StoredTurn(stamped, this.log.segment()));
+		this.log.append(LogEntry.newBuilder().setStoredMs(now).setTurn(stamped).build(), done);
+	}
+
+	/**
+	 * Drops what nobody may ask for any more, and the segments that hold nothing else.
+	 * Charges that hold an old segment back are written again.
+	 */
+	void expire() {
+		long now = this.timeOfDay.getAsLong();
+		long oldest = this.log.segment();
+		Iterator<StoredTurn> turnIterator = this.turns.values().iterator();
+		while (turnIterator.hasNext()) {
+			StoredTurn turn = turnIterator.next();
+			if (now > turn.turn().getStoredMs() + turn.turn().getRetentionMs() + RETENTION_MARGIN.toMillis()) {
+				turnIterator.remove();
+			}
+			else {
+				oldest = Math.min(oldest, turn.segment());
+			}
+		}
+		this.programs.values().removeIf((p) -> now > p.lastChange + LEDGER_LIFE.toMillis());
+		long keepFrom = oldest;
+		this.programs.forEach((name, p) -> {
+			if (p.oldestSegment < keepFrom) {
+				rewrite(name, p, now);
+			}
+		});
+		long held = this.programs.values().stream().mapToLong((p) -> p.oldestSegment).min().orElse(keepFrom);
+		this.log.deleteBefore(Math.min(keepFrom, held));
+	}
+
+	// ---- Helpers
+
+	private void rewrite(String name, Program program, long now) {
+		long segment = this.log.segment();
+		ProgramCharges charges = ProgramCharges.newBuilder().setProgram(name).addAllCharge(program.charges()).build();
+		LogEntry entry = LogEntry.newBuilder().setStoredMs(program.lastChange).setCharges(charges).build();
+		this.log.append(entry, (failure) -> {
+			if (failure == null) {
+				program.oldestSegment = segment;
+			}
+		});
+	}
+
+	private Program program(String name) {
+		return this.programs.computeIfAbsent(name, (n) -> new Program());
+	}
+
+	/**
+	 * A turn and the segment that holds it.
+	 *
+	 * @param turn the turn
+	 * @param segment the number of the segment
+	 */
+	private record StoredTurn(Turn turn, long segment) {
+	}
+
+	/**
+	 * The ledger of a program and where it lies.
+	 */
+	private static final class Program {
+
+		private final BudgetLedger ledger = new BudgetLedger();
+
+		private long lastChange;
+
+		private long oldestSegment = Long.MAX_VALUE;
+
+		private void merge(List<Charge> charges, long time, long segment) {
+			charges.forEach(this.ledger::merge);
+			this.lastChange = Math.max(this.lastChange, time);
+			this.oldestSegment = Math.min(this.oldestSegment, segment);
+		}
+
+		private List<Charge> charges() {
+			return this.ledger.charges();
+		}
+
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -175,74 +175,74 @@
       " \001(\t\022\014\n\004port\030\004 \001(\r\022\014\n\004zone\030\005 \001(\t\"h\n\004View" +
       "\022\r\n\005epoch\030\001 \001(\004\022)\n\007members\030\002 \003(\0132\030.mango" +
       "rack.keeper.Member\022&\n\004next\030\003 \003(\0132\030.mango" +
-      "rack.keeper.Member\"\256\003\n\007Request\022\n\n\002id\030\001 \001" +
-      "(\004\022\r\n\005epoch\030\002 \001(\004\022,\n\007reserve\030\003 \001(\0132\031.man" +
-      "gorack.keeper.ReserveH\000\022*\n\006settle\030\004 \001(\0132" +
-      "\030.mangorack.keeper.SettleH\000\022(\n\005fetch\030\005 \001" +
-      "(\0132\027.mangorack.keeper.FetchH\000\022&\n\004beat\030\006 " +
-      "\001(\0132\026.mangorack.keeper.BeatH\000\022&\n\004draw\030\007 " +
-      "\001(\0132\026.mangorack.keeper.DrawH\000\022(\n\005adopt\030\010" +
-      " \001(\0132\027.mangorack.keeper.AdoptH\000\0220\n\tinven" +
-      "tory\030\t \001(\0132\033.mangorack.keeper.InventoryH" +
-      "\000\022&\n\004copy\030\n \001(\0132\026.mangorack.keeper.CopyH" +
-      "\000\022(\n\005store\030\013 \001(\0132\027.mangorack.keeper.Stor" +
-      "eH\000B\006\n\004body\"\200\003\n\005Reply\022\n\n\002id\030\001 \001(\004\022(\n\006sta" +
-      "tus\030\002 \001(\0162\030.mangorack.keeper.Status\022\017\n\007d" +
-      "urable\030\003 \001(\010\022$\n\004view\030\004 \001(\0132\026.mangorack.k" +
-      "eeper.View\022,\n\007charges\030\005 \001(\0132\031.mangorack." +
-      "keeper.ChargesH\000\022(\n\005chain\030\006 \001(\0132\027.mangor" +
-      "ack.keeper.ChainH\000\022(\n\005pulse\030\007 \001(\0132\027.mang" +
-      "orack.keeper.PulseH\000\022(\n\005drawn\030\010 \001(\0132\027.ma" +
-      "ngorack.keeper.DrawnH\000\022,\n\007listing\030\t \001(\0132" +
-      "\031.mangorack.keeper.ListingH\000\022(\n\005batch\030\n " +
-      "\001(\0132\027.mangorack.keeper.BatchH\000B\006\n\004body\":" +
-      "\n\006Charge\022\017\n\007attempt\030\001 \001(\t\022\016\n\006tokens\030\002 \001(" +
-      "\r\022\017\n\007settled\030\003 \001(\010\"3\n\007Charges\022(\n\006charge\030" +
-      "\001 \003(\0132\030.mangorack.keeper.Charge\";\n\007Reser" +
-      "ve\022\017\n\007program\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\t\022\016\n\006" +
-      "tokens\030\003 \001(\r\"q\n\006Settle\022\017\n\007program\030\001 \001(\t\022" +
-      "\017\n\007attempt\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\022\017\n\007char" +
-      "ged\030\004 \001(\010\022$\n\004turn\030\005 \001(\0132\026.mangorack.keep" +
-      "er.Turn\"\177\n\004Turn\022\n\n\002id\030\001 \001(\t\022\021\n\tworkspace" +
-      "\030\002 \001(\t\022\020\n\010previous\030\003 \001(\t\022\r\n\005input\030\004 \001(\014\022" +
-      "\016\n\006output\030\005 \001(\014\022\021\n\tstored_ms\030\006 \001(\003\022\024\n\014re" +
-      "tention_ms\030\007 \001(\003\"\025\n\005Fetch\022\014\n\004turn\030\001 \001(\t\"" +
-      "P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026.mangorack.keepe" +
-      "r.Turn\022\017\n\007missing\030\002 \001(\t\022\020\n\010complete\030\003 \001(" +
-      "\010\"\307\001\n\004Beat\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_a" +
-      "ddress\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022\021\n\taccepting\030" +
-      "\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.mangorack.keeper." +
-      "Usage\022\025\n\rconfiguration\030\006 \001(\004\022\017\n\007entries\030" +
-      "\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.mangorack.keeper.L" +
-      "oad\")\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls" +
-      "\030\002 \001(\r\"\'\n\004Load\022\020\n\010upstream\030\001 \001(\t\022\r\n\005call" +
-      "s\030\002 \001(\r\"\325\001\n\005Pulse\022&\n\005level\030\001 \003(\0132\027.mango" +
-      "rack.keeper.Level\022\025\n\rconfiguration\030\002 \001(\004" +
-      "\022\034\n\024configuration_age_ms\030\003 \001(\004\022\020\n\010docume" +
-      "nt\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022&\n\005entry\030\006 \003(\013" +
-      "2\027.mangorack.keeper.Entry\022$\n\004load\030\007 \003(\0132" +
-      "\026.mangorack.keeper.Load\"?\n\005Entry\022\020\n\010inst" +
-      "ance\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zo" +
-      "ne\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005" +
-      "calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"\031\n\004Draw\022\021\n\t" +
-      "workspace\030\001 \001(\t\"*\n\005Drawn\022\017\n\007granted\030\001 \001(" +
-      "\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001" +
-      "(\0132\026.mangorack.keeper.View\"\013\n\tInventory\"" +
-      "J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002 \003(" +
-      "\0132 .mangorack.keeper.ProgramCharges\"K\n\016P" +
-      "rogramCharges\022\017\n\007program\030\001 \001(\t\022(\n\006charge" +
-      "\030\002 \003(\0132\030.mangorack.keeper.Charge\"\024\n\004Copy" +
-      "\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026." +
-      "mangorack.keeper.Turn\"`\n\005Store\022$\n\004turn\030\001" +
-      " \003(\0132\026.mangorack.keeper.Turn\0221\n\007program\030" +
-      "\002 \003(\0132 .mangorack.keeper.ProgramCharges\"" +
-      "\202\001\n\010LogEntry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030" +
-      "\002 \001(\0132\026.mangorack.keeper.TurnH\000\0223\n\007charg" +
-      "es\030\003 \001(\0132 .mangorack.keeper.ProgramCharg" +
-      "esH\000B\006\n\004body*>\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_" +
-      "VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003B+\n\032" +
-      "org.mangorack.keeper.protoB\013KeeperProtoP" +
-      "\001b\006proto3"
+      "rack.keeper.Member\"\274\003\n\007Request\022\n\n\002id\030\001 \001" +
+      "(\004\022\r\n\005epoch\030\002 \001(\004\022\014\n\004disk\030\014 \001(\t\022,\n\007reser" +
+      "ve\030\003 \001(\0132\031.mangorack.keeper.ReserveH\000\022*\n" +
+      "\006settle\030\004 \001(\0132\030.mangorack.keeper.SettleH" +
+      "\000\022(\n\005fetch\030\005 \001(\0132\027.mangorack.keeper.Fetc" +
+      "hH\000\022&\n\004beat\030\006 \001(\0132\026.mangorack.keeper.Bea" +
+      "tH\000\022&\n\004draw\030\007 \001(\0132\026.mangorack.keeper.Dra" +
+      "wH\000\022(\n\005adopt\030\010 \001(\0132\027.mangorack.keeper.Ad" +
+      "optH\000\0220\n\tinventory\030\t \001(\0132\033.mangorack.kee" +
+      "per.InventoryH\000\022&\n\004copy\030\n \001(\0132\026.mangorac" +
+      "k.keeper.CopyH\000\022(\n\005store\030\013 \001(\0132\027.mangora" +
+      "ck.keeper.StoreH\000B\006\n\004body\"\200\003\n\005Reply\022\n\n\002i" +
+      "d\030\001 \001(\004\022(\n\006status\030\002 \001(\0162\030.mangorack.keep" +
+      "er.Status\022\017\n\007durable\030\003 \001(\010\022$\n\004view\030\004 \001(\013" +
+      "2\026.mangorack.keeper.View\022,\n\007charges\030\005 \001(" +
+      "\0132\031.mangorack.keeper.ChargesH\000\022(\n\005chain\030" +
+      "\006 \001(\0132\027.mangorack.keeper.ChainH\000\022(\n\005puls" +
+      "e\030\007 \001(\0132\027.mangorack.keeper.PulseH\000\022(\n\005dr" +
+      "awn\030\010 \001(\0132\027.mangorack.keeper.DrawnH\000\022,\n\007" +
+      "listing\030\t \001(\0132\031.mangorack.keeper.Listing" +
+      "H\000\022(\n\005batch\030\n \001(\0132\027.mangorack.keeper.Bat" +
+      "chH\000B\006\n\004body\":\n\006Charge\022\017\n\007attempt\030\001 \001(\t\022" +
+      "\016\n\006tokens\030\002 \001(\r\022\017\n\007settled\030\003 \001(\010\"3\n\007Char" +
+      "ges\022(\n\006charge\030\001 \003(\0132\030.mangorack.keeper.C" +
+      "harge\";\n\007Reserve\022\017\n\007program\030\001 \001(\t\022\017\n\007att" +
+      "empt\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\"q\n\006Settle\022\017\n\007" +
+      "program\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\t\022\016\n\006tokens" +
+      "\030\003 \001(\r\022\017\n\007charged\030\004 \001(\010\022$\n\004turn\030\005 \001(\0132\026." +
+      "mangorack.keeper.Turn\"\177\n\004Turn\022\n\n\002id\030\001 \001(" +
+      "\t\022\021\n\tworkspace\030\002 \001(\t\022\020\n\010previous\030\003 \001(\t\022\r" +
+      "\n\005input\030\004 \001(\014\022\016\n\006output\030\005 \001(\014\022\021\n\tstored_" +
+      "ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005Fetch\022" +
+      "\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026.m" +
+      "angorack.keeper.Turn\022\017\n\007missing\030\002 \001(\t\022\020\n" +
+      "\010complete\030\003 \001(\010\"\307\001\n\004Beat\022\020\n\010instance\030\001 \001" +
+      "(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t" +
+      "\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.man" +
+      "gorack.keeper.Usage\022\025\n\rconfiguration\030\006 \001" +
+      "(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.mang" +
+      "orack.keeper.Load\")\n\005Usage\022\021\n\tworkspace\030" +
+      "\001 \001(\t\022\r\n\005calls\030\002 \001(\r\"\'\n\004Load\022\020\n\010upstream" +
+      "\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\"\325\001\n\005Pulse\022&\n\005level" +
+      "\030\001 \003(\0132\027.mangorack.keeper.Level\022\025\n\rconfi" +
+      "guration\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003" +
+      " \001(\004\022\020\n\010document\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022" +
+      "&\n\005entry\030\006 \003(\0132\027.mangorack.keeper.Entry\022" +
+      "$\n\004load\030\007 \003(\0132\026.mangorack.keeper.Load\"?\n" +
+      "\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_addre" +
+      "ss\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworks" +
+      "pace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001" +
+      "(\010\"\031\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\"*\n\005Drawn\022\017" +
+      "\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Ado" +
+      "pt\022$\n\004view\030\001 \001(\0132\026.mangorack.keeper.View" +
+      "\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221" +
+      "\n\007program\030\002 \003(\0132 .mangorack.keeper.Progr" +
+      "amCharges\"K\n\016ProgramCharges\022\017\n\007program\030\001" +
+      " \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack.keeper." +
+      "Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n" +
+      "\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`\n\005S" +
+      "tore\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Tu" +
+      "rn\0221\n\007program\030\002 \003(\0132 .mangorack.keeper.P" +
+      "rogramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030" +
+      "\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keeper.T" +
+      "urnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack.keepe" +
+      "r.ProgramChargesH\000B\006\n\004body*N\n\006Status\022\006\n\002" +
+      "OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n" +
+      "\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.mangor" +
+      "ack.keeper.protoB\013KeeperProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -265,7 +265,7 @@
     internal_static_mangorack_keeper_Request_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Request_descriptor,
-        new java.lang.String[] { "Id", "Epoch", "Reserve", "Settle", "Fetch", "Beat", "Draw", "Adopt", "Inventory", "Copy", "Store", "Body", });
+        new java.lang.String[] { "Id", "Epoch", "Disk", "Reserve", "Settle", "Fetch", "Beat", "Draw", "Adopt", "Inventory", "Copy", "Store", "Body", });
     internal_static_mangorack_keeper_Reply_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_mangorack_keeper_Reply_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Request.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Request.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private Request() {
+    disk_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -125,6 +126,53 @@
     return epoch_;
   }
 
+  public static final int DISK_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object disk_ = "";
+  /**
+   * <pre>
+   * The disk that the request is meant for; empty if any will do.
+   * </pre>
+   *
+   * <code>string disk = 12;</code>
+   * @return The disk.
+   */
+  @java.lang.Override
+  public java.lang.String getDisk() {
+    java.lang.Object ref = disk_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      disk_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The disk that the request is meant for; empty if any will do.
+   * </pre>
+   *
+   * <code>string disk = 12;</code>
+   * @return The bytes for disk.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDiskBytes() {
+    java.lang.Object ref = disk_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      disk_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   public static final int RESERVE_FIELD_NUMBER = 3;
   /**
    * <code>.mangorack.keeper.Reserve reserve = 3;</code>
@@ -451,6 +499,9 @@
     if (bodyCase_ == 11) {
       output.writeMessage(11, (org.mangorack.keeper.proto.Store) body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(disk_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 12, disk_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -504,6 +555,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, (org.mangorack.keeper.proto.Store) body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(disk_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(12, disk_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -523,6 +577,8 @@
         != other.getId()) return false;
     if (getEpoch()
         != other.getEpoch()) return false;
+    if (!getDisk()
+        .equals(other.getDisk())) return false;
     if (!getBodyCase().equals(other.getBodyCase())) return false;
     switch (bodyCase_) {
       case 3:
@@ -581,6 +637,8 @@
     hash = (37 * hash) + EPOCH_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEpoch());
+    hash = (37 * hash) + DISK_FIELD_NUMBER;
+    hash = (53 * hash) + getDisk().hashCode();
     switch (bodyCase_) {
       case 3:
         hash = (37 * hash) + RESERVE_FIELD_NUMBER;
@@ -754,6 +812,7 @@
       bitField0_ = 0;
       id_ = 0L;
       epoch_ = 0L;
+      disk_ = "";
       if (reserveBuilder_ != null) {
         reserveBuilder_.clear();
       }
@@ -823,6 +882,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.epoch_ = epoch_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.disk_ = disk_;
+      }
     }
 
     private void buildPartialOneofs(org.mangorack.keeper.proto.Request result) {
@@ -884,6 +946,11 @@
       if (other.getEpoch() != 0L) {
         setEpoch(other.getEpoch());
       }
+      if (!other.getDisk().isEmpty()) {
+        disk_ = other.disk_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       switch (other.getBodyCase()) {
         case RESERVE: {
           mergeReserve(other.getReserve());
@@ -1024,6 +1091,11 @@
               bodyCase_ = 11;
               break;
             } // case 90
+            case 98: {
+              disk_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1132,6 +1204,98 @@
       return this;
     }
 
+    private java.lang.Object disk_ = "";
+    /**
+     * <pre>
+     * The disk that the request is meant for; empty if any will do.
+     * </pre>
+     *
+     * <code>string disk = 12;</code>
+     * @return The disk.
+     */
+    public java.lang.String getDisk() {
+      java.lang.Object ref = disk_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        disk_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The disk that the request is meant for; empty if any will do.
+     * </pre>
+     *
+     * <code>string disk = 12;</code>
+     * @return The bytes for disk.
+     */
+    public com.google.protobuf.ByteString
+        getDiskBytes() {
+      java.lang.Object ref = disk_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        disk_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The disk that the request is meant for; empty if any will do.
+     * </pre>
+     *
+     * <code>string disk = 12;</code>
+     * @param value The disk to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDisk(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      disk_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The disk that the request is meant for; empty if any will do.
+     * </pre>
+     *
+     * <code>string disk = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDisk() {
+      disk_ = getDefaultInstance().getDisk();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The disk that the request is meant for; empty if any will do.
+     * </pre>
+     *
+     * <code>string disk = 12;</code>
+     * @param value The bytes for disk to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDiskBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      disk_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.mangorack.keeper.proto.Reserve, org.mangorack.keeper.proto.Reserve.Builder, org.mangorack.keeper.proto.ReserveOrBuilder> reserveBuilder_;
     /**
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/RequestOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/RequestOrBuilder.java
@@ -26,6 +26,26 @@
    */
   long getEpoch();
 
+  /**
+   * <pre>
+   * The disk that the request is meant for; empty if any will do.
+   * </pre>
+   *
+   * <code>string disk = 12;</code>
+   * @return The disk.
+   */
+  java.lang.String getDisk();
+  /**
+   * <pre>
+   * The disk that the request is meant for; empty if any will do.
+   * </pre>
+   *
+   * <code>string disk = 12;</code>
+   * @return The bytes for disk.
+   */
+  com.google.protobuf.ByteString
+      getDiskBytes();
+
   /**
    * <code>.mangorack.keeper.Reserve reserve = 3;</code>
    * @return Whether the reserve field is set.
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Status.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Status.java
@@ -39,6 +39,14 @@
    * <code>FAILED = 3;</code>
    */
   FAILED(3),
+  /**
+   * <pre>
+   * The keeper at this address has another disk.
+   * </pre>
+   *
+   * <code>WRONG_DISK = 4;</code>
+   */
+  WRONG_DISK(4),
   UNRECOGNIZED(-1),
   ;
 
@@ -79,6 +87,14 @@
    * <code>FAILED = 3;</code>
    */
   public static final int FAILED_VALUE = 3;
+  /**
+   * <pre>
+   * The keeper at this address has another disk.
+   * </pre>
+   *
+   * <code>WRONG_DISK = 4;</code>
+   */
+  public static final int WRONG_DISK_VALUE = 4;
 
 
   public final int getNumber() {
@@ -109,6 +125,7 @@
       case 1: return STALE_VIEW;
       case 2: return UNKNOWN_VIEW;
       case 3: return FAILED;
+      case 4: return WRONG_DISK;
       default: return null;
     }
   }
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -113,7 +113,91 @@
 	INTERNAL_ERROR(1998, Level.ERROR, "internal error"),
 
 	/** An invariant was violated; a defect of this program. */
-	INVARIANT_VIOLATED(1999, Level.FATAL, "invariant violated");
+	INVARIANT_VIOLATED(1999, Level.FATAL, "invariant violated"),
+
+	/** A watch that had ended delivers again. */
+	WATCH_REGAINED(1404, Level.INFO, "watch regained"),
+
+	/** A keeper was reached for the first time. */
+	KEEPER_CONNECTED(2001, Level.INFO, "keeper connected"),
+
+	/** A connection to a keeper broke. */
+	KEEPER_LOST(2002, Level.WARN, "keeper lost"),
+
+	/** A keeper is reached again. */
+	KEEPER_REGAINED(2003, Level.INFO, "keeper regained"),
+
+	/** A keeper left requests without a reply; its connection is closed. */
+	KEEPER_SILENT(2004, Level.WARN, "keeper silent"),
+
+	/** A connection to this keeper broke. */
+	KEEPER_CALLER_LOST(2005, Level.INFO, "connection to this keeper lost"),
+
+	/** A newer view of the group of keepers is used. */
+	GROUP_VIEW(2011, Level.INFO, "group view adopted"),
+
+	/** This keeper changes the group. */
+	GROUP_CHANGE(2012, Level.INFO, "group change"),
+
+	/** A change of the group failed and is tried again. */
+	GROUP_CHANGE_FAILED(2013, Level.WARN, "group change failed"),
+
+	/** A joining disk holds all that it has to. */
+	DISK_CAUGHT_UP(2014, Level.INFO, "disk caught up"),
+
+	/** The log of a keeper ends in an entry that was not written whole. */
+	LOG_TORN(2021, Level.INFO, "log ends in a torn entry"),
+
+	/** The log of a keeper could not be written. */
+	LOG_FAILED(2022, Level.ERROR, "log failed"),
+
+	/** A request was served. */
+	RELAY_SERVED(2101, Level.INFO, "request served"),
+
+	/** A request was refused. */
+	RELAY_REFUSED(2102, Level.INFO, "request turned away"),
+
+	/** A request ended without its whole answer. */
+	RELAY_BROKEN(2103, Level.WARN, "request broken off"),
+
+	/** The caller left before its answer was whole. */
+	RELAY_ABANDONED(2104, Level.INFO, "request abandoned by caller"),
+
+	/** An attempt at an upstream failed. */
+	ATTEMPT_FAILED(2111, Level.INFO, "attempt failed"),
+
+	/** An upstream sent bytes that belong to no request. */
+	STRAY_ANSWER(2112, Level.INFO, "stray bytes of an upstream dropped"),
+
+	/** A caller sent bytes that are no request. */
+	CALLER_MALFORMED(2121, Level.INFO, "malformed request"),
+
+	/** An upstream is known. */
+	UPSTREAM_IN_USE(2201, Level.INFO, "upstream in use"),
+
+	/** An upstream gets no new requests. */
+	UPSTREAM_OUT_OF_USE(2202, Level.INFO, "upstream out of use"),
+
+	/** An upstream announced itself in a way that cannot be read. */
+	UPSTREAM_UNREADABLE(2203, Level.WARN, "upstream entry unreadable"),
+
+	/** An upstream is avoided after failures. */
+	UPSTREAM_AVOIDED(2204, Level.WARN, "upstream avoided"),
+
+	/** The confirmed age of the configuration passed the limit for keyed requests. */
+	CONFIGURATION_STALE(2211, Level.WARN, "configuration too old for keyed requests"),
+
+	/** The configuration is confirmed again. */
+	CONFIGURATION_CONFIRMED(2212, Level.INFO, "configuration confirmed again"),
+
+	/** The settings were read again. */
+	SETTINGS_RELOADED(2301, Level.INFO, "settings read again"),
+
+	/** The settings could not be read again; the former ones stay. */
+	SETTINGS_REFUSED(2302, Level.ERROR, "settings refused"),
+
+	/** Records were left out since the last report, to bound the volume. */
+	RECORDS_LEFT_OUT(2311, Level.INFO, "records left out");
 
 	private final int number;
 
--- a/mangorack/src/main/java/org/mangorack/platform/HttpObjectStore.java
+++ b/mangorack/src/main/java/org/mangorack/platform/HttpObjectStore.java
@@ -82,6 +82,13 @@
 		return toObject(call("PUT", path(kind, name), document(name, version, spec)));
 	}
 
+	@Override
+	public void updateStatus(ObjectKind kind, String name, JsonNode status) throws StoreException {
+		ObjectNode document = document(name, null, Jsons.object());
+		document.set("status", status);
+		call("PUT", path(kind, name) + "/status", document);
+	}
+
 	@Override
 	public void delete(ObjectKind kind, String name, String version) throws StoreException {
 		ObjectNode options = null;
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import org.mangorack.observe.Event;
@@ -19,6 +20,9 @@
 
 	private static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
+	// Keeps the calls of many instances few while the platform refuses them.
+	private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(900);
+
 	private final ObjectStore store;
 
 	private final ObjectKind kind;
@@ -39,6 +43,10 @@
 
 	private volatile boolean broken;
 
+	private volatile long regainedAt;
+
+	private Duration retryDelay = RETRY_DELAY;
+
 	private volatile boolean closed;
 
 	/**
@@ -54,6 +62,7 @@
 		this.clock = clock;
 		this.onChange = onChange;
 		this.lastContact = clock.nanoTime() - Duration.ofDays(1).toNanos();
+		this.regainedAt = this.lastContact;
 		this.thread = new Thread(this::run, "watch-" + kind.plural());
 		this.thread.setDaemon(true);
 	}
@@ -110,6 +119,22 @@
 		return this.clock.elapsed(this.lastContact);
 	}
 
+	/**
+	 * Returns when contact was last regained after a break.
+	 * @return the time on the monotonic clock, or a time long ago when it never broke
+	 */
+	public long regainedAt() {
+		return this.regainedAt;
+	}
+
+	/**
+	 * Tells whether the last call failed.
+	 * @return {@code true} until the platform answers again
+	 */
+	public boolean isBroken() {
+		return this.broken;
+	}
+
 	/**
 	 * Returns the version of the newest change seen, as a number. Versions of the
 	 * platform grow, but are not dense.
@@ -155,6 +180,16 @@
 		}
 	}
 
+	private void noteContact(long time) {
+		this.lastContact = Math.max(this.lastContact, time);
+		this.retryDelay = RETRY_DELAY;
+		if (this.broken) {
+			this.broken = false;
+			this.regainedAt = this.clock.nanoTime();
+			EventLog.log(Event.WATCH_REGAINED, "kind", this.kind.plural());
+		}
+	}
+
 	private void noteBreak(StoreException cause) {
 		if (!this.broken) {
 			this.broken = true;
@@ -169,7 +204,7 @@
 		list.items().forEach((object) -> fresh.put(object.name(), object));
 		list.items().forEach((object) -> noteChange(object.version()));
 		this.objects = Map.copyOf(fresh);
-		this.lastContact = asked;
+		noteContact(asked);
 		this.listed.countDown();
 		this.onChange.run();
 		return list.version();
@@ -177,7 +212,10 @@
 
 	private void pause() {
 		try {
-			TimeUnit.MILLISECONDS.sleep(RETRY_DELAY.toMillis());
+			long millis = this.retryDelay.toMillis();
+			TimeUnit.MILLISECONDS.sleep(millis / 2 + ThreadLocalRandom.current().nextLong(millis / 2 + 1));
+			Duration longer = this.retryDelay.multipliedBy(3).dividedBy(2);
+			this.retryDelay = (longer.compareTo(MAX_RETRY_DELAY) < 0) ? longer : MAX_RETRY_DELAY;
 		}
 		catch (InterruptedException ex) {
 			this.closed = true;
@@ -215,9 +253,13 @@
 
 		@Override
 		public void progress(String newVersion) {
+			progress(newVersion, Duration.ZERO);
+		}
+
+		@Override
+		public void progress(String newVersion, Duration age) {
 			this.version = newVersion;
-			KindCache.this.lastContact = KindCache.this.clock.nanoTime();
-			KindCache.this.broken = false;
+			noteContact(KindCache.this.clock.nanoTime() - age.toNanos());
 		}
 
 	}
--- a/mangorack/src/main/java/org/mangorack/platform/ObjectKind.java
+++ b/mangorack/src/main/java/org/mangorack/platform/ObjectKind.java
@@ -21,7 +21,22 @@
 	KEY("keys"),
 
 	/** The platform's own, lagging list of instances. Read only. */
-	INSTANCE("instances");
+	INSTANCE("instances"),
+
+	/** A keeper and its disk, as it announces itself at the first start. */
+	KEEPER("keepers"),
+
+	/** The group of keepers. */
+	KEEPER_GROUP("keepergroups"),
+
+	/** The routes, pools and workspaces of a whole fleet. Read only. */
+	FLEET_CONFIGURATION("fleetconfigurations"),
+
+	/** The upstreams, as they announce themselves. Read only. */
+	UPSTREAM("upstreams"),
+
+	/** A keeper that is to be emptied. Only its status is written. */
+	RETIREMENT("retirements");
 
 	private final String plural;
 
--- a/mangorack/src/main/java/org/mangorack/platform/ObjectStore.java
+++ b/mangorack/src/main/java/org/mangorack/platform/ObjectStore.java
@@ -41,6 +41,15 @@
 	 */
 	StoredObject update(ObjectKind kind, String name, String version, JsonNode spec) throws StoreException;
 
+	/**
+	 * Replaces the status of an object, which is kept apart from its content.
+	 * @param kind the kind
+	 * @param name the name
+	 * @param status the new status
+	 * @throws StoreException if the platform does not answer or has no such object
+	 */
+	void updateStatus(ObjectKind kind, String name, JsonNode status) throws StoreException;
+
 	/**
 	 * Deletes an object.
 	 * @param kind the kind
--- a/mangorack/src/main/java/org/mangorack/platform/WatchListener.java
+++ b/mangorack/src/main/java/org/mangorack/platform/WatchListener.java
@@ -1,5 +1,7 @@
 package org.mangorack.platform;
 
+import java.time.Duration;
+
 /**
  * Receives the changes of a watched kind.
  */
@@ -23,4 +25,13 @@
 	 */
 	void progress(String version);
 
+	/**
+	 * Reports that the stream was complete up to a version some time ago.
+	 * @param version the version to continue from after a break
+	 * @param age how long ago
+	 */
+	default void progress(String version, Duration age) {
+		progress(version);
+	}
+
 }
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/CallHead.java
@@ -0,0 +1,35 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * The head of a caller's request.
+ *
+ * @param method the HTTP method
+ * @param target the path with the query, as sent
+ * @param host the host that the caller named
+ * @param requestId the caller's id of this attempt, or {@code null}
+ * @param timeLeft how long the caller waits, or {@code null} if it does not say
+ * @param key the caller's key, or {@code null}
+ * @param program the program of the request, or {@code null}
+ * @param budget the tokens that all turns of the program may generate, or {@code null}
+ * @param maxTokens the most tokens that this turn generates; 0 if it does not say
+ * @param previousTurn the turn that this one continues, or {@code null}
+ * @param affinity names the object that the request concerns, or {@code null}
+ * @param headers all headers
+ */
+public record CallHead(String method, String target, String host, String requestId, Duration timeLeft, String key,
+		String program, Long budget, int maxTokens, String previousTurn, String affinity, HttpHeaders headers) {
+
+	/**
+	 * Returns the path without the query.
+	 * @return the path as sent
+	 */
+	public String path() {
+		int mark = this.target.indexOf('?');
+		return (mark < 0) ? this.target : this.target.substring(0, mark);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/CallLog.java
@@ -0,0 +1,76 @@
+package org.mangorack.relay;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Logs decisions on requests with a bound on each event, and counts what it leaves out.
+ * Used by the thread for traffic only.
+ */
+final class CallLog {
+
+	/**
+	 * Records of one event in a second. Enough for the ordinary load of an instance.
+	 */
+	static final int MAX_PER_SECOND = 50;
+
+	/**
+	 * One in this many served requests is logged. All instances choose the same ones, by
+	 * their ids.
+	 */
+	static final int SERVED_SAMPLE = 8;
+
+	private final MonotonicClock clock;
+
+	private final Metrics metrics;
+
+	private final Map<Event, Integer> written = new EnumMap<>(Event.class);
+
+	private final Map<Event, Integer> leftOut = new EnumMap<>(Event.class);
+
+	private long windowStart;
+
+	CallLog(MonotonicClock clock, Metrics metrics) {
+		this.clock = clock;
+		this.metrics = metrics;
+		this.windowStart = clock.nanoTime();
+	}
+
+	/**
+	 * Logs an event unless too many of it were logged in this second.
+	 * @param event the event
+	 * @param fields names and values in turn
+	 */
+	void log(Event event, Object... fields) {
+		long now = this.clock.nanoTime();
+		if (now - this.windowStart > TimeUnit.SECONDS.toNanos(1)) {
+			this.windowStart = now;
+			this.written.clear();
+			this.leftOut.forEach((e, n) -> EventLog.log(Event.RECORDS_LEFT_OUT, "of", e.number(), "count", n));
+			this.leftOut.clear();
+		}
+		if (this.written.merge(event, 1, Integer::sum) <= MAX_PER_SECOND) {
+			EventLog.log(event, fields);
+		}
+		else {
+			this.leftOut.merge(event, 1, Integer::sum);
+			this.metrics.count("mangorack.log.left.out", 1, "event", Integer.toString(event.number()));
+		}
+	}
+
+	/**
+	 * Tells whether a served request is among those that are logged.
+	 * @param requestId the id of the request
+	 * @return {@code true} for the same requests at all instances
+	 */
+	static boolean isSampled(String requestId) {
+		return Math.floorMod(requestId.hashCode(), SERVED_SAMPLE) == 0;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -0,0 +1,386 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.observe.Event;
+import org.mangorack.relay.FleetConfiguration.CallerLimits;
+
+/**
+ * A connection of a caller. Requests are taken one after the other; what a caller sends
+ * ahead waits.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	// Messages that a caller may send ahead of an answer.
+	private static final int MAX_WAITING = 64;
+
+	private final RelayServer server;
+
+	private final CallerLimits limits;
+
+	private final Deque<HttpObject> waiting = new ArrayDeque<>();
+
+	private Channel channel;
+
+	private State state = State.IDLE;
+
+	private long stateSince;
+
+	private HttpRequest request;
+
+	private CompositeByteBuf body;
+
+	private RelayCall call;
+
+	private boolean keepAlive;
+
+	CallerConnection(RelayServer server, CallerLimits limits) {
+		this.server = server;
+		this.limits = limits;
+		this.stateSince = server.now();
+	}
+
+	// ---- Accessors
+
+	boolean isIdle() {
+		return (this.state == State.IDLE) && this.waiting.isEmpty();
+	}
+
+	/**
+	 * Notes that bytes arrived.
+	 */
+	void bytesArrived() {
+		if (this.state == State.IDLE) {
+			enter(State.HEAD);
+		}
+		else if (this.state == State.BODY) {
+			this.stateSince = this.server.now();
+		}
+	}
+
+	/**
+	 * Ends what takes the caller too long.
+	 */
+	void checkTime() {
+		Duration spent = Duration.ofNanos(this.server.now() - this.stateSince);
+		switch (this.state) {
+			case IDLE -> {
+				if (spent.compareTo(this.limits.idleTimeout()) > 0) {
+					close();
+				}
+			}
+			case HEAD -> {
+				if (spent.compareTo(this.limits.headTimeout()) > 0) {
+					refuse(Refusal.notRun(408, "head_too_slow",
+							"the head was not whole after " + this.limits.headTimeout().toMillis() + " ms"));
+				}
+			}
+			case BODY -> {
+				if (spent.compareTo(this.limits.idleTimeout()) > 0) {
+					refuse(Refusal.notRun(408, "body_too_slow",
+							"nothing of the body came for " + this.limits.idleTimeout().toMillis() + " ms"));
+				}
+			}
+			default -> {
+				// A call has a time limit of its own.
+			}
+		}
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	// ---- Answers
+
+	/**
+	 * Answers the present request as a whole.
+	 * @param status the status code
+	 * @param headers the headers without those of length and connection
+	 * @param content the body, which is released
+	 */
+	void answer(int status, HttpHeaders headers, ByteBuf content) {
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(status), content);
+		response.headers().add(headers);
+		write(response);
+	}
+
+	/**
+	 * Answers the present request by a refusal.
+	 * @param refusal the refusal
+	 * @param requestId the id of the request, or {@code null}
+	 */
+	void answer(Refusal refusal, String requestId) {
+		write(this.server.protocol().refusal(refusal, requestId));
+	}
+
+	/**
+	 * Begins an answer that comes in parts. It is sent with its first part.
+	 * @param status the status code
+	 * @param headers the headers without those of length and connection
+	 */
+	void beginStream(int status, HttpHeaders headers) {
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+		response.headers().add(headers);
+		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		setConnection(response.headers());
+		this.channel.write(response);
+	}
+
+	void writePart(ByteBuf part) {
+		this.channel.writeAndFlush(new DefaultHttpContent(part));
+	}
+
+	void endStream() {
+		finish(LastHttpContent.EMPTY_LAST_CONTENT);
+	}
+
+	/**
+	 * Closes the connection in the midst of an answer, so that it does not look whole.
+	 */
+	void breakOff() {
+		this.call = null;
+		close();
+	}
+
+	// ---- Events of the channel
+
+	@Override
+	public void channelActive(ChannelHandlerContext ctx) {
+		this.channel = ctx.channel();
+		this.server.opened(this);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		this.waiting.add((HttpObject) message);
+		if (this.waiting.size() > MAX_WAITING) {
+			this.channel.config().setAutoRead(false);
+		}
+		readWaiting();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		this.server.closed(this);
+		this.state = State.CLOSED;
+		this.waiting.forEach(ReferenceCountUtil::release);
+		this.waiting.clear();
+		releaseBody();
+		RelayCall abandoned = this.call;
+		this.call = null;
+		if (abandoned != null) {
+			abandoned.callerLeft();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		this.server.log().log(Event.CALLER_GONE, "cause", cause);
+		ctx.close();
+	}
+
+	// ---- Helpers
+
+	private void enter(State next) {
+		this.state = next;
+		this.stateSince = this.server.now();
+	}
+
+	private void readWaiting() {
+		while ((this.state != State.BUSY) && (this.state != State.CLOSED) && !this.waiting.isEmpty()) {
+			HttpObject message = this.waiting.poll();
+			try {
+				read(message);
+			}
+			finally {
+				ReferenceCountUtil.release(message);
+			}
+		}
+		if (this.waiting.size() <= MAX_WAITING) {
+			this.channel.config().setAutoRead(true);
+		}
+	}
+
+	private void read(HttpObject message) {
+		if (!message.decoderResult().isSuccess()) {
+			refuseMalformed(message.decoderResult().cause());
+			return;
+		}
+		if (message instanceof HttpRequest head) {
+			readHead(head);
+		}
+		if ((message instanceof HttpContent content) && (this.request != null)) {
+			readBody(content);
+		}
+	}
+
+	private void readHead(HttpRequest head) {
+		this.request = head;
+		this.keepAlive = HttpUtil.isKeepAlive(head);
+		this.body = Unpooled.compositeBuffer();
+		enter(State.BODY);
+		String problem = problem(head);
+		if (problem != null) {
+			refuse(Refusal.notRun(400, "malformed_request", problem));
+		}
+		else if (HttpUtil.getContentLength(head, 0L) > this.limits.maxBodyBytes()) {
+			refuse(tooLarge());
+		}
+		else if (HttpUtil.is100ContinueExpected(head)) {
+			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+		}
+	}
+
+	private static String problem(HttpRequest head) {
+		HttpHeaders headers = head.headers();
+		if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+			return "the protocol is " + head.protocolVersion() + " instead of HTTP/1.1";
+		}
+		if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
+			return "the header Host occurs " + headers.getAll(HttpHeaderNames.HOST).size() + " times";
+		}
+		if (!head.uri().startsWith("/")) {
+			return "the target \"" + head.uri() + "\" is not a path";
+		}
+		if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+				&& ((headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() != 1)
+						|| !headers.get(HttpHeaderNames.TRANSFER_ENCODING).equalsIgnoreCase("chunked"))) {
+			return "the transfer encoding \"" + headers.get(HttpHeaderNames.TRANSFER_ENCODING) + "\" is not chunked";
+		}
+		return null;
+	}
+
+	private void readBody(HttpContent content) {
+		if (this.body.readableBytes() + content.content().readableBytes() > this.limits.maxBodyBytes()) {
+			refuse(tooLarge());
+			return;
+		}
+		if (content.content().isReadable()) {
+			this.body.addComponent(true, content.content().retain());
+		}
+		if (content instanceof LastHttpContent) {
+			HttpRequest whole = this.request;
+			byte[] bytes = ByteBufUtil.getBytes(this.body);
+			releaseBody();
+			this.request = null;
+			enter(State.BUSY);
+			this.call = this.server.newCall(this, whole, bytes);
+			if (this.call != null) {
+				this.call.start();
+			}
+		}
+	}
+
+	private Refusal tooLarge() {
+		return Refusal.notRun(413, "body_too_large",
+				"the body is longer than " + this.limits.maxBodyBytes() + " bytes");
+	}
+
+	private void refuseMalformed(Throwable cause) {
+		boolean tooLong = (cause instanceof TooLongHttpHeaderException) || (cause instanceof TooLongHttpLineException);
+		refuse(tooLong
+				? Refusal.notRun(431, "head_too_large",
+						"the head is longer than " + this.limits.maxHeadBytes() + " bytes")
+				: Refusal.notRun(400, "malformed_request", String.valueOf(cause.getMessage())));
+	}
+
+	// Answers a request that was not read whole, after which nothing more can be read.
+	private void refuse(Refusal refusal) {
+		this.server.log().log(Event.CALLER_MALFORMED, "status", refusal.status(), "cause", refusal.detail());
+		this.keepAlive = false;
+		this.request = null;
+		releaseBody();
+		enter(State.BUSY);
+		answer(refusal, null);
+	}
+
+	private void releaseBody() {
+		if (this.body != null) {
+			this.body.release();
+			this.body = null;
+		}
+	}
+
+	private void write(FullHttpResponse response) {
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+		setConnection(response.headers());
+		finish(response);
+	}
+
+	private void setConnection(HttpHeaders headers) {
+		this.keepAlive &= !this.server.isClosing();
+		if (!this.keepAlive) {
+			headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		}
+	}
+
+	private void finish(Object last) {
+		this.call = null;
+		boolean keep = this.keepAlive;
+		this.channel.writeAndFlush(last).addListener((ChannelFutureListener) (f) -> {
+			if (!f.isSuccess() || !keep) {
+				f.channel().close();
+				return;
+			}
+			if (this.state == State.BUSY) {
+				enter(State.IDLE);
+				readWaiting();
+			}
+		});
+	}
+
+	/**
+	 * What a connection is doing.
+	 */
+	private enum State {
+
+		/** No request has begun. */
+		IDLE,
+
+		/** A head is arriving. */
+		HEAD,
+
+		/** A body is arriving. */
+		BODY,
+
+		/** A request is being answered. */
+		BUSY,
+
+		/** The connection is closed. */
+		CLOSED
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerDecoder.java
@@ -0,0 +1,39 @@
+package org.mangorack.relay;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes requests of callers and refuses those whose length could be read in two ways.
+ */
+final class CallerDecoder extends HttpRequestDecoder {
+
+	private final Runnable onBytes;
+
+	/**
+	 * Creates a decoder.
+	 * @param maxHeadBytes the longest head
+	 * @param onBytes runs whenever bytes arrive
+	 */
+	CallerDecoder(int maxHeadBytes, Runnable onBytes) {
+		super(new HttpDecoderConfig().setMaxInitialLineLength(maxHeadBytes).setMaxHeaderSize(maxHeadBytes));
+		this.onBytes = onBytes;
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+		this.onBytes.run();
+		super.decode(ctx, buffer, out);
+	}
+
+	@Override
+	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -0,0 +1,135 @@
+package org.mangorack.relay;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.protobuf.ByteString;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.keeper.ConfigurationRelay;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * The newest configuration that a process has seen, from whichever source, and when it
+ * was last certainly the newest one. It never goes back. May be used by any thread.
+ */
+public final class ConfigurationHolder implements ConfigurationRelay {
+
+	private final FleetProtocol protocol;
+
+	private final MonotonicClock clock;
+
+	private volatile State state;
+
+	/**
+	 * Creates a holder without a configuration.
+	 * @param protocol reads documents
+	 * @param clock the time source
+	 */
+	public ConfigurationHolder(FleetProtocol protocol, MonotonicClock clock) {
+		this.protocol = protocol;
+		this.clock = clock;
+		this.state = new State(null, ByteString.EMPTY, clock.nanoTime() - Duration.ofDays(1).toNanos());
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the configuration.
+	 * @return the configuration, or {@code null} before any is known
+	 */
+	public FleetConfiguration current() {
+		return this.state.configuration();
+	}
+
+	@Override
+	public long version() {
+		FleetConfiguration known = this.state.configuration();
+		return (known != null) ? known.version() : 0;
+	}
+
+	@Override
+	public Duration age() {
+		return this.clock.elapsed(this.state.confirmedAt());
+	}
+
+	@Override
+	public ByteString document() {
+		return this.state.document();
+	}
+
+	@Override
+	public RateLimit limit(String workspace) {
+		FleetConfiguration known = this.state.configuration();
+		return (known != null) ? known.limit(workspace) : null;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Takes over a document unless it is older than the one in use.
+	 * @param document the document
+	 * @param confirmedAt when it was certainly the newest one, on the monotonic clock
+	 * @param source where it comes from, for the log
+	 * @return the version of the document, or 0 if it cannot be read
+	 */
+	public synchronized long offer(JsonNode document, long confirmedAt, String source) {
+		try {
+			FleetConfiguration read = this.protocol.configuration(document);
+			if (read.version() > version()) {
+				EventLog.log(Event.CONFIGURATION_IN_FORCE, "version", read.version(), "before", version(), "source",
+						source, "ageMillis", this.clock.elapsed(confirmedAt).toMillis());
+				this.state = new State(read, ByteString.copyFrom(Jsons.bytes(document)), confirmedAt);
+			}
+			else if (read.version() == version()) {
+				confirm(read.version(), confirmedAt);
+			}
+			return read.version();
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "source", source);
+			return 0;
+		}
+	}
+
+	/**
+	 * Takes over a document as bytes.
+	 * @param document the document
+	 * @param confirmedAt when it was certainly the newest one, on the monotonic clock
+	 * @param source where it comes from, for the log
+	 */
+	public void offer(ByteString document, long confirmedAt, String source) {
+		try {
+			offer(Jsons.parse(document.toByteArray()), confirmedAt, source);
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "source", source);
+		}
+	}
+
+	/**
+	 * Notes that a version was the newest one.
+	 * @param version the version
+	 * @param time when it certainly was, on the monotonic clock
+	 */
+	public synchronized void confirm(long version, long time) {
+		State now = this.state;
+		if ((version == version()) && (time - now.confirmedAt() > 0)) {
+			this.state = new State(now.configuration(), now.document(), time);
+		}
+	}
+
+	/**
+	 * A configuration and when it was confirmed.
+	 *
+	 * @param configuration the configuration, or {@code null}
+	 * @param document its document
+	 * @param confirmedAt when it was certainly the newest one
+	 */
+	private record State(FleetConfiguration configuration, ByteString document, long confirmedAt) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
@@ -0,0 +1,64 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.mangorack.call.Identifiers;
+import org.mangorack.config.ObjectReader;
+import org.mangorack.http.HttpAddress;
+
+/**
+ * The settings of an entry.
+ *
+ * @param instance the name of the instance
+ * @param dataCentre the data centre of the instance
+ * @param callers the address for callers
+ * @param readiness the address of the readiness check
+ * @param directory the address that callers ask where to connect
+ * @param metrics the address of the metrics, or {@code null}
+ * @param platform the address of the object API
+ * @param seeds addresses of some keepers, for a start without the platform
+ * @param tolerance how many disks may be lost at once
+ * @param maxConfigurationAge how long ago the configuration must have been confirmed for
+ * a request with a key to be served
+ * @param grace how long a planned stop may take
+ */
+public record EntrySettings(String instance, String dataCentre, HttpAddress callers, HttpAddress readiness,
+		HttpAddress directory, HttpAddress metrics, HttpAddress platform, List<HttpAddress> seeds, int tolerance,
+		Duration maxConfigurationAge, Duration grace) {
+
+	private static final int MAX_TOLERANCE = 10;
+
+	/**
+	 * Reads the settings.
+	 * @param reader the document; its problems are collected
+	 * @return the settings, of use only if there were no problems
+	 */
+	public static EntrySettings read(ObjectReader reader) {
+		String instance = reader.parsed("instance", (t) -> Identifiers.require("instance", t), null);
+		String dataCentre = reader.parsed("dataCentre", (t) -> Identifiers.require("data centre", t), null);
+		HttpAddress callers = reader.parsed("callers", HttpAddress::parse, null);
+		HttpAddress readiness = reader.parsed("readiness", HttpAddress::parse, null);
+		HttpAddress directory = reader.parsed("directory", HttpAddress::parse, null);
+		HttpAddress metrics = reader.has("metrics") ? reader.parsed("metrics", HttpAddress::parse, null) : null;
+		HttpAddress platform = reader.parsed("platform", HttpAddress::parse, null);
+		List<HttpAddress> seeds = new ArrayList<>();
+		for (String text : reader.texts("seeds")) {
+			try {
+				seeds.add(HttpAddress.parse(text));
+			}
+			catch (IllegalArgumentException ex) {
+				reader.refuse("seeds", "holds \"" + text + "\": " + ex.getMessage());
+			}
+		}
+		int tolerance = (int) reader.integer("tolerance", 0, MAX_TOLERANCE, 1);
+		Duration age = Duration.ofMillis(reader.integer("revocationMillis", 500, 600_000, 5000))
+			.multipliedBy(4)
+			.dividedBy(5);
+		Duration grace = Duration.ofMillis((long) (reader.number("graceSeconds", 0.5, 3600, 8) * 1000));
+		return new EntrySettings(instance, dataCentre, callers, readiness, directory, metrics, platform, seeds,
+				tolerance, age, grace);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
@@ -0,0 +1,171 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.mangorack.keeper.ConfigurationRelay.RateLimit;
+
+/**
+ * A version of the fleet's configuration. Immutable.
+ */
+public final class FleetConfiguration {
+
+	private final long version;
+
+	private final Map<String, List<RelayRoute>> routes = new HashMap<>();
+
+	private final Map<String, Pool> pools = new HashMap<>();
+
+	private final Map<String, Workspace> workspacesByKey = new HashMap<>();
+
+	private final Map<String, RateLimit> limits = new HashMap<>();
+
+	private final boolean keyed;
+
+	private final CallerLimits callerLimits;
+
+	/**
+	 * Creates a configuration.
+	 * @param version its version, which grows
+	 * @param routes all routes
+	 * @param pools all pools
+	 * @param workspaces all workspaces, or {@code null} if callers need no keys
+	 * @param callerLimits what a caller may send
+	 */
+	public FleetConfiguration(long version, List<RelayRoute> routes, List<Pool> pools, List<Workspace> workspaces,
+			CallerLimits callerLimits) {
+		this.version = version;
+		this.callerLimits = callerLimits;
+		this.keyed = (workspaces != null);
+		routes.forEach((r) -> this.routes.merge(r.host(), List.of(r), FleetConfiguration::longestFirst));
+		pools.forEach((p) -> this.pools.put(p.name(), p));
+		if (workspaces != null) {
+			workspaces.forEach((w) -> {
+				w.keys().forEach((key) -> this.workspacesByKey.put(key, w));
+				if (w.limit() != null) {
+					this.limits.put(w.name(), w.limit());
+				}
+			});
+		}
+	}
+
+	private static List<RelayRoute> longestFirst(List<RelayRoute> some, List<RelayRoute> more) {
+		return Stream.concat(some.stream(), more.stream())
+			.sorted(Comparator.comparingInt((RelayRoute r) -> -r.prefix().length()))
+			.toList();
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the version.
+	 * @return a number that grows with each configuration
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the limits on what callers send.
+	 * @return the limits
+	 */
+	public CallerLimits callerLimits() {
+		return this.callerLimits;
+	}
+
+	/**
+	 * Tells whether requests need a key unless their route is open.
+	 * @return {@code true} if there are workspaces
+	 */
+	public boolean isKeyed() {
+		return this.keyed;
+	}
+
+	// ---- Public API
+
+	/**
+	 * Finds the route of a request.
+	 * @param host the host that the caller named
+	 * @param path the path without the query
+	 * @return the route with the longest matching prefix
+	 */
+	public Optional<RelayRoute> route(String host, String path) {
+		return this.routes.getOrDefault(host, List.of())
+			.stream()
+			.filter((r) -> path.startsWith(r.prefix()))
+			.findFirst();
+	}
+
+	/**
+	 * Finds the workspace of a key.
+	 * @param key the key
+	 * @return the workspace, or empty if the key is unknown
+	 */
+	public Optional<Workspace> workspace(String key) {
+		return Optional.ofNullable((key != null) ? this.workspacesByKey.get(key) : null);
+	}
+
+	/**
+	 * Finds a pool.
+	 * @param name the name of the pool
+	 * @return the pool, or {@code null} if it is unknown
+	 */
+	public Pool pool(String name) {
+		return this.pools.get(name);
+	}
+
+	/**
+	 * Finds the rate limit of a workspace.
+	 * @param workspace the name of the workspace
+	 * @return the limit, or {@code null} if it has none
+	 */
+	public RateLimit limit(String workspace) {
+		return this.limits.get(workspace);
+	}
+
+	/**
+	 * A pool of upstreams.
+	 *
+	 * @param name the name of the pool
+	 * @param maxConnections the connections that each upstream accepts from all instances
+	 * @param tokensPerEvent the tokens that each event of a stream stands for; 0 if the
+	 * upstreams are no engines
+	 */
+	public record Pool(String name, int maxConnections, int tokensPerEvent) {
+	}
+
+	/**
+	 * A workspace.
+	 *
+	 * @param name the name of the workspace
+	 * @param keys its keys
+	 * @param rank the urgency of its requests, or {@code null} to go by the route
+	 * @param limit its rate, or {@code null} without a limit
+	 */
+	public record Workspace(String name, List<String> keys, Integer rank, RateLimit limit) {
+	}
+
+	/**
+	 * Limits on what a caller sends.
+	 *
+	 * @param maxHeadBytes the longest head of a request
+	 * @param maxBodyBytes the longest body of a request
+	 * @param headTimeout the longest time from the first byte to the end of a head
+	 * @param idleTimeout the longest silence of a connection
+	 */
+	public record CallerLimits(int maxHeadBytes, int maxBodyBytes, Duration headTimeout, Duration idleTimeout) {
+
+		/**
+		 * Limits before a configuration is known.
+		 */
+		public static final CallerLimits DEFAULT = new CallerLimits(16 * 1024, 4 * 1024 * 1024, Duration.ofSeconds(3),
+				Duration.ofSeconds(15));
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/RateGate.java
@@ -0,0 +1,163 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.mangorack.keeper.ConfigurationRelay.RateLimit;
+import org.mangorack.keeper.KeeperClient;
+import org.mangorack.keeper.proto.Level;
+import org.mangorack.keeper.proto.Usage;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Admits the requests of workspaces within their rates. While the buckets at the keepers
+ * are comfortably full a request is admitted at once and reported with the next beat;
+ * else it is taken from the buckets first. Used by the thread for traffic only.
+ */
+final class RateGate {
+
+	/**
+	 * A level that is older counts as unknown: a few intervals of beats.
+	 */
+	static final Duration LEVEL_LIFE = Duration.ofMillis(700);
+
+	/**
+	 * The part of the burst that must be left for a request to be admitted at once. What
+	 * other entries admit meanwhile comes out of it.
+	 */
+	static final double COMFORT = 0.4;
+
+	/**
+	 * How long a request within the rate waits for the bucket before it is refused.
+	 */
+	static final Duration MAX_WAIT = Duration.ofMillis(60);
+
+	private final KeeperClient keepers;
+
+	private final EventLoop loop;
+
+	private final MonotonicClock clock;
+
+	private final Map<String, Long> admitted = new HashMap<>();
+
+	private final Map<String, Long> reported = new HashMap<>();
+
+	private final Map<String, Map<String, Known>> levels = new HashMap<>();
+
+	RateGate(KeeperClient keepers, EventLoop loop, MonotonicClock clock) {
+		this.keepers = keepers;
+		this.loop = loop;
+		this.clock = clock;
+	}
+
+	// ---- Beats
+
+	/**
+	 * Returns what was admitted at once since the last beat.
+	 * @return the calls by workspace
+	 */
+	List<Usage> takeUsage() {
+		List<Usage> usage = new ArrayList<>();
+		this.admitted.forEach((workspace, total) -> {
+			long before = this.reported.getOrDefault(workspace, 0L);
+			if (total > before) {
+				usage.add(Usage.newBuilder().setWorkspace(workspace).setCalls((int) (total - before)).build());
+				this.reported.put(workspace, total);
+			}
+		});
+		return usage;
+	}
+
+	/**
+	 * Returns what was reported so far, to be given back with the levels of the beat.
+	 * @return the calls by workspace
+	 */
+	Map<String, Long> reported() {
+		return new HashMap<>(this.reported);
+	}
+
+	/**
+	 * Takes over the levels at a keeper.
+	 * @param disk the keeper
+	 * @param fresh the levels
+	 * @param reportedThen what was reported with the beat that they answer
+	 */
+	void setLevels(String disk, List<Level> fresh, Map<String, Long> reportedThen) {
+		long now = this.clock.nanoTime();
+		Map<String, Known> known = new HashMap<>();
+		fresh.forEach((l) -> known.put(l.getWorkspace(),
+				new Known(l.getCalls(), reportedThen.getOrDefault(l.getWorkspace(), 0L), l.getWarming(), now)));
+		this.levels.put(disk, known);
+	}
+
+	// ---- Admission
+
+	/**
+	 * Asks whether a request is within the rate of its workspace.
+	 * @param workspace the workspace
+	 * @param limit its limit, or {@code null} if it has none
+	 * @param done receives zero if it is, else the time to come back, or {@code null} if
+	 * the rate cannot be counted at present
+	 */
+	void acquire(String workspace, RateLimit limit, Consumer<Duration> done) {
+		if (limit == null) {
+			done.accept(Duration.ZERO);
+			return;
+		}
+		if (level(workspace) > Math.max(2, limit.burst() * COMFORT)) {
+			this.admitted.merge(workspace, 1L, Long::sum);
+			done.accept(Duration.ZERO);
+			return;
+		}
+		draw(workspace, this.clock.nanoTime(), done);
+	}
+
+	private void draw(String workspace, long startedAt, Consumer<Duration> done) {
+		this.keepers.draw(workspace, (wait) -> {
+			boolean worthWaiting = (wait != null) && !wait.isZero()
+					&& (this.clock.elapsed(startedAt).plus(wait).compareTo(MAX_WAIT) < 0);
+			if (worthWaiting) {
+				this.loop.schedule(() -> draw(workspace, startedAt, done), wait.toNanos(), TimeUnit.NANOSECONDS);
+			}
+			else {
+				done.accept(wait);
+			}
+		});
+	}
+
+	// The lowest level that a majority of the keepers reports, or a negative number.
+	private double level(String workspace) {
+		long now = this.clock.nanoTime();
+		long total = this.admitted.getOrDefault(workspace, 0L);
+		Set<String> heard = new HashSet<>();
+		double lowest = Double.MAX_VALUE;
+		for (Map.Entry<String, Map<String, Known>> e : this.levels.entrySet()) {
+			Known known = e.getValue().get(workspace);
+			if ((known != null) && !known.warming() && (now - known.heardAt() < LEVEL_LIFE.toNanos())) {
+				heard.add(e.getKey());
+				lowest = Math.min(lowest, known.calls() - (total - known.reportedThen()));
+			}
+		}
+		return this.keepers.view().isMajority(heard) ? lowest : -1;
+	}
+
+	/**
+	 * The level of a bucket at a keeper.
+	 *
+	 * @param calls the calls that may still be made
+	 * @param reportedThen what this entry had reported by then
+	 * @param warming whether the bucket may hold too little
+	 * @param heardAt when it was heard, on the monotonic clock
+	 */
+	private record Known(double calls, long reportedThen, boolean warming, long heardAt) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -0,0 +1,246 @@
+package org.mangorack.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.http.HttpAddress;
+import org.mangorack.keeper.KeeperClient;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.relay.FleetConfiguration.CallerLimits;
+
+/**
+ * Listens for callers and holds what their calls share. Used by the thread for traffic
+ * only, but for its start.
+ */
+final class RelayServer {
+
+	/**
+	 * A group of keepers that is out of reach for this long is not waited for.
+	 */
+	static final Duration KEEPERS_AWAY_LIMIT = Duration.ofMillis(700);
+
+	private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
+
+	private final EventLoop loop;
+
+	private final FleetProtocol protocol;
+
+	private final MonotonicClock clock;
+
+	private final Metrics metrics;
+
+	private final ConfigurationHolder configuration;
+
+	private final Duration maxConfigurationAge;
+
+	private final UpstreamTable upstreams;
+
+	private final UpstreamClient client;
+
+	private final KeeperClient keepers;
+
+	private final RateGate rates;
+
+	private final CallLog log;
+
+	private final Set<CallerConnection> connections = new HashSet<>();
+
+	private Channel listening;
+
+	private boolean closing;
+
+	private long keepersServingAt;
+
+	RelayServer(EventLoop loop, FleetProtocol protocol, MonotonicClock clock, Metrics metrics,
+			ConfigurationHolder configuration, Duration maxConfigurationAge, UpstreamTable upstreams,
+			UpstreamClient client, KeeperClient keepers, RateGate rates) {
+		this.loop = loop;
+		this.protocol = protocol;
+		this.clock = clock;
+		this.metrics = metrics;
+		this.configuration = configuration;
+		this.maxConfigurationAge = maxConfigurationAge;
+		this.upstreams = upstreams;
+		this.client = client;
+		this.keepers = keepers;
+		this.rates = rates;
+		this.log = new CallLog(clock, metrics);
+		this.keepersServingAt = clock.nanoTime();
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Starts to listen.
+	 * @param address the address for callers
+	 * @throws IOException if the port is taken
+	 */
+	void start(HttpAddress address) throws IOException {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.SO_BACKLOG, 1024)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel ch) {
+					CallerLimits limits = callerLimits();
+					CallerConnection connection = new CallerConnection(RelayServer.this, limits);
+					ch.pipeline()
+						.addLast(new CallerDecoder(limits.maxHeadBytes(), connection::bytesArrived),
+								new HttpResponseEncoder(), connection);
+				}
+			});
+		try {
+			this.listening = bootstrap.bind(address.host(), address.port()).sync().channel();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted while binding " + address, ex);
+		}
+		this.loop.scheduleWithFixedDelay(this::check, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(),
+				TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Marks every further answer as the last one of its connection.
+	 */
+	void announceClose() {
+		this.closing = true;
+	}
+
+	/**
+	 * Takes no new connections and closes those without a request.
+	 */
+	void closeIdle() {
+		this.listening.close();
+		List.copyOf(this.connections).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the port that the server listens on.
+	 * @return the TCP port
+	 */
+	int port() {
+		return ((InetSocketAddress) this.listening.localAddress()).getPort();
+	}
+
+	int openConnections() {
+		return this.connections.size();
+	}
+
+	boolean isClosing() {
+		return this.closing;
+	}
+
+	FleetProtocol protocol() {
+		return this.protocol;
+	}
+
+	ConfigurationHolder configuration() {
+		return this.configuration;
+	}
+
+	boolean isConfigurationFresh() {
+		return this.configuration.age().compareTo(this.maxConfigurationAge) < 0;
+	}
+
+	UpstreamTable upstreams() {
+		return this.upstreams;
+	}
+
+	UpstreamClient client() {
+		return this.client;
+	}
+
+	KeeperClient keepers() {
+		return this.keepers;
+	}
+
+	boolean isKeeperGroupAway() {
+		if (this.keepers.isServing()) {
+			this.keepersServingAt = now();
+		}
+		return now() - this.keepersServingAt > KEEPERS_AWAY_LIMIT.toNanos();
+	}
+
+	RateGate rates() {
+		return this.rates;
+	}
+
+	CallLog log() {
+		return this.log;
+	}
+
+	long now() {
+		return this.clock.nanoTime();
+	}
+
+	// ---- Public API
+
+	Future<?> schedule(Runnable task, Duration delay) {
+		return this.loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+	}
+
+	void record(String workspace, String route, String outcome, Duration time) {
+		this.metrics.recordCall(workspace.isEmpty() ? "none" : workspace, route, outcome, time);
+	}
+
+	void opened(CallerConnection connection) {
+		this.connections.add(connection);
+	}
+
+	void closed(CallerConnection connection) {
+		this.connections.remove(connection);
+	}
+
+	/**
+	 * Makes a call of a request.
+	 * @param connection the caller's connection
+	 * @param request the head of the request
+	 * @param body its body
+	 * @return the call, or {@code null} if the head cannot be read, which is answered
+	 */
+	RelayCall newCall(CallerConnection connection, HttpRequest request, byte[] body) {
+		try {
+			return new RelayCall(this, connection, this.protocol.callHead(request), body);
+		}
+		catch (IllegalArgumentException ex) {
+			connection.answer(Refusal.notRun(400, "malformed_request", ex.getMessage()), null);
+			return null;
+		}
+	}
+
+	// ---- Helpers
+
+	private CallerLimits callerLimits() {
+		FleetConfiguration known = this.configuration.current();
+		return (known != null) ? known.callerLimits() : CallerLimits.DEFAULT;
+	}
+
+	private void check() {
+		isKeeperGroupAway();
+		List.copyOf(this.connections).forEach(CallerConnection::checkTime);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
@@ -0,0 +1,122 @@
+package org.mangorack.relay;
+
+import java.util.Iterator;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Opens connections to upstreams and keeps idle ones. Used by the thread for traffic
+ * only.
+ */
+final class UpstreamClient {
+
+	/**
+	 * How long a connection may take. Upstreams are a few milliseconds away; a lost
+	 * opening packet would be sent again only after a second.
+	 */
+	static final int CONNECT_TIMEOUT_MS = 300;
+
+	/**
+	 * Idle connections kept for each upstream. More would take the places of other
+	 * instances.
+	 */
+	static final int MAX_IDLE = 6;
+
+	private final EventLoop loop;
+
+	private final FleetProtocol protocol;
+
+	private final MonotonicClock clock;
+
+	private final Metrics metrics;
+
+	UpstreamClient(EventLoop loop, FleetProtocol protocol, MonotonicClock clock, Metrics metrics) {
+		this.loop = loop;
+		this.protocol = protocol;
+		this.clock = clock;
+		this.metrics = metrics;
+	}
+
+	long now() {
+		return this.clock.nanoTime();
+	}
+
+	/**
+	 * Finds or opens a connection.
+	 * @param upstream the upstream
+	 * @param done receives the connection, or {@code null} if none could be opened
+	 */
+	void connect(Upstream upstream, Consumer<UpstreamConnection> done) {
+		UpstreamConnection idle = takeIdle(upstream);
+		if (idle != null) {
+			done.accept(idle);
+			return;
+		}
+		UpstreamConnection connection = new UpstreamConnection(this, upstream, this.protocol);
+		this.metrics.count("mangorack.upstream.connections", 1);
+		ChannelFuture future = new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel ch) {
+					ch.pipeline().addLast(new UpstreamDecoder(), new HttpRequestEncoder(), connection);
+				}
+			})
+			.connect(upstream.entry().address().host(), upstream.entry().address().port());
+		future.addListener((f) -> done.accept(f.isSuccess() ? connection : null));
+	}
+
+	/**
+	 * Takes back a connection after a whole answer.
+	 * @param connection the connection
+	 */
+	void release(UpstreamConnection connection) {
+		Upstream upstream = connection.upstream();
+		if (upstream.isInUse() && (upstream.idle().size() < MAX_IDLE)) {
+			upstream.idle().push(connection);
+		}
+		else {
+			connection.close();
+		}
+	}
+
+	/**
+	 * Closes idle connections whose time is over, or all.
+	 * @param upstream the upstream
+	 * @param all whether to close all
+	 */
+	void closeIdle(Upstream upstream, boolean all) {
+		Iterator<UpstreamConnection> iterator = upstream.idle().iterator();
+		while (iterator.hasNext()) {
+			UpstreamConnection connection = iterator.next();
+			if (all || !connection.isUsable(now())) {
+				iterator.remove();
+				connection.close();
+			}
+		}
+	}
+
+	private UpstreamConnection takeIdle(Upstream upstream) {
+		while (!upstream.idle().isEmpty()) {
+			UpstreamConnection connection = upstream.idle().pop();
+			if (connection.isUsable(now())) {
+				return connection;
+			}
+			connection.close();
+		}
+		return null;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -0,0 +1,268 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.relay.FleetProtocol.AnswerHead;
+
+/**
+ * A connection to an upstream, with one request at a time. Answers to other requests are
+ * skipped, and a connection that brought any is not used again.
+ */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+
+	/**
+	 * How long an idle connection may be used again if the upstream states no time: it
+	 * then closes idle connections in less than a second.
+	 */
+	static final Duration UNSTATED_IDLE_LIMIT = Duration.ofMillis(250);
+
+	// The part of a stated time during which a request cannot cross the upstream's close.
+	private static final double USABLE_PART = 0.6;
+
+	private final UpstreamClient client;
+
+	private final Upstream upstream;
+
+	private final FleetProtocol protocol;
+
+	private Channel channel;
+
+	private String requestId;
+
+	private AnswerListener listener;
+
+	private boolean written;
+
+	private boolean headSeen;
+
+	private boolean skipping;
+
+	private boolean reset;
+
+	private boolean reusable = true;
+
+	private long usableUntil;
+
+	private Duration idleLimit = UNSTATED_IDLE_LIMIT;
+
+	UpstreamConnection(UpstreamClient client, Upstream upstream, FleetProtocol protocol) {
+		this.client = client;
+		this.upstream = upstream;
+		this.protocol = protocol;
+	}
+
+	// ---- Accessors
+
+	Upstream upstream() {
+		return this.upstream;
+	}
+
+	boolean isUsable(long now) {
+		return this.reusable && this.channel.isActive() && (now - this.usableUntil < 0);
+	}
+
+	// ---- Public API
+
+	/**
+	 * Sends a request.
+	 * @param head the caller's head
+	 * @param headers the headers of the request
+	 * @param body the body; empty if there is none
+	 * @param answer receives the answer
+	 */
+	void send(CallHead head, HttpHeaders headers, ByteBuf body, AnswerListener answer) {
+		this.requestId = head.requestId();
+		this.listener = answer;
+		this.written = false;
+		this.headSeen = false;
+		this.channel.pipeline().get(UpstreamDecoder.class).expectAnswerTo(head.method());
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(head.method()),
+				head.target(), body, headers, new DefaultHttpHeaders());
+		boolean hasBody = body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+				|| head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+		if (hasBody) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+		}
+		this.channel.writeAndFlush(request).addListener((f) -> {
+			this.written = f.isSuccess();
+			if (!f.isSuccess()) {
+				abort();
+			}
+		});
+	}
+
+	/**
+	 * Gives the request up and closes the connection, which ends the work of most
+	 * upstreams.
+	 */
+	void abort() {
+		this.listener = null;
+		this.reusable = false;
+		this.channel.close();
+	}
+
+	void close() {
+		this.reusable = false;
+		this.channel.close();
+	}
+
+	// ---- Events of the channel
+
+	@Override
+	public void channelActive(ChannelHandlerContext ctx) {
+		this.channel = ctx.channel();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		try {
+			if (message instanceof HttpResponse response) {
+				readHead(response);
+			}
+			if (message instanceof HttpContent content) {
+				readContent(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		this.upstream.idle().remove(this);
+		fail("the connection closed " + (this.headSeen ? "in the answer" : "without an answer"));
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		this.reset = true;
+		fail("the connection failed: " + cause.getMessage());
+		ctx.close();
+	}
+
+	// ---- Helpers
+
+	private void readHead(HttpResponse response) {
+		if (this.listener == null) {
+			dropStray("answer without a request");
+			return;
+		}
+		if (!response.decoderResult().isSuccess()) {
+			fail("bytes that are no answer: " + response.decoderResult().cause().getMessage());
+			close();
+			return;
+		}
+		AnswerHead head = this.protocol.answerHead(response);
+		if (head.status() < 200) {
+			this.skipping = true;
+			return;
+		}
+		if (!this.requestId.equals(head.requestId())) {
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "answered",
+					head.requestId());
+			this.skipping = true;
+			this.reusable = false;
+			return;
+		}
+		this.skipping = false;
+		this.headSeen = true;
+		this.reusable &= HttpUtil.isKeepAlive(response) && this.written;
+		this.idleLimit = idleLimit(response);
+		this.listener.head(head);
+	}
+
+	private void readContent(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		if (this.skipping) {
+			this.skipping = !last;
+			return;
+		}
+		if (this.listener == null) {
+			return;
+		}
+		if (!content.decoderResult().isSuccess()) {
+			fail("the body cannot be read: " + content.decoderResult().cause().getMessage());
+			close();
+			return;
+		}
+		if (content.content().isReadable()) {
+			this.listener.data(content.content());
+		}
+		if (last && (this.listener != null) && this.headSeen) {
+			finish();
+		}
+	}
+
+	private void finish() {
+		if (this.reset) {
+			return;
+		}
+		AnswerListener done = this.listener;
+		this.listener = null;
+		this.requestId = null;
+		boolean keep = this.reusable && this.written && this.channel.isActive();
+		this.usableUntil = this.client.now() + this.idleLimit.toNanos();
+		if (keep) {
+			this.client.release(this);
+		}
+		else {
+			this.channel.close();
+		}
+		done.end();
+	}
+
+	private void dropStray(String what) {
+		EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "cause", what);
+		this.upstream.idle().remove(this);
+		close();
+	}
+
+	private void fail(String cause) {
+		AnswerListener failed = this.listener;
+		this.listener = null;
+		this.reusable = false;
+		if (failed != null) {
+			failed.broke(cause);
+		}
+	}
+
+	private static Duration idleLimit(HttpResponse response) {
+		String stated = response.headers().get("Keep-Alive");
+		if (stated == null) {
+			return UNSTATED_IDLE_LIMIT;
+		}
+		for (String part : stated.split(",")) {
+			String[] pair = part.trim().split("=");
+			if ((pair.length == 2) && pair[0].equalsIgnoreCase("timeout") && pair[1].matches("\\d{1,6}")) {
+				return Duration.ofMillis((long) (Long.parseLong(pair[1]) * 1000 * USABLE_PART));
+			}
+		}
+		return UNSTATED_IDLE_LIMIT;
+	}
+
+	static ByteBuf emptyBody() {
+		return Unpooled.EMPTY_BUFFER;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -0,0 +1,222 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.mangorack.keeper.proto.Load;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.StoredObject;
+
+/**
+ * The upstreams of all pools, and the choice among them. Used by the thread for traffic
+ * only.
+ */
+final class UpstreamTable {
+
+	/**
+	 * How long upstreams that are missing after an outage of the platform are still used:
+	 * those that live announce themselves again within two seconds.
+	 */
+	static final Duration RETURN_LIMIT = Duration.ofMillis(2100);
+
+	/**
+	 * What a call to another data centre costs, in slots of the upstream. The way there
+	 * and back weighs as much as a little queueing.
+	 */
+	static final double DISTANCE_COST = 0.12;
+
+	// An upstream that is avoided is taken only if all are.
+	private static final double AVOIDANCE_COST = 100;
+
+	/**
+	 * The load up to which requests of one object stay with one upstream.
+	 */
+	static final double STICKY_LOAD = 0.6;
+
+	private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+
+	private final EventLoop loop;
+
+	private final KindCache entries;
+
+	private final FleetProtocol protocol;
+
+	private final UpstreamClient client;
+
+	private final MonotonicClock clock;
+
+	private final String dataCentre;
+
+	private final Map<String, Upstream> upstreams = new HashMap<>();
+
+	private final Set<String> unreadable = new HashSet<>();
+
+	UpstreamTable(EventLoop loop, KindCache entries, FleetProtocol protocol, UpstreamClient client,
+			MonotonicClock clock, String dataCentre) {
+		this.loop = loop;
+		this.entries = entries;
+		this.protocol = protocol;
+		this.client = client;
+		this.clock = clock;
+		this.dataCentre = dataCentre;
+		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL.toMillis(), SWEEP_INTERVAL.toMillis(),
+				TimeUnit.MILLISECONDS);
+	}
+
+	// ---- Knowledge
+
+	/**
+	 * Takes over the entries that the platform holds at present.
+	 */
+	void refresh() {
+		Map<String, StoredObject> objects = this.entries.objects();
+		Set<String> present = new HashSet<>();
+		objects.forEach((id, object) -> {
+			Optional<UpstreamEntry> entry = this.protocol.upstream(id, object.spec());
+			if (entry.isPresent()) {
+				present.add(id);
+				this.unreadable.remove(id);
+				update(entry.get());
+			}
+			else if (this.unreadable.add(id)) {
+				EventLog.log(Event.UPSTREAM_UNREADABLE, "upstream", id, "entry", object.spec());
+			}
+		});
+		for (Upstream u : List.copyOf(this.upstreams.values())) {
+			if (!present.contains(u.id())) {
+				missing(u);
+			}
+		}
+	}
+
+	/**
+	 * Takes over the calls of other entries.
+	 * @param load calls under way by upstream
+	 */
+	void setLoadElsewhere(List<Load> load) {
+		Map<String, Integer> calls = new HashMap<>();
+		load.forEach((l) -> calls.merge(l.getUpstream(), l.getCalls(), Math::max));
+		this.upstreams.forEach((id, u) -> u.setUnderWayElsewhere(calls.getOrDefault(id, 0)));
+	}
+
+	/**
+	 * Returns the calls of this entry.
+	 * @return calls under way by upstream
+	 */
+	List<Load> load() {
+		List<Load> load = new ArrayList<>();
+		this.upstreams.forEach((id, u) -> {
+			if (u.underWay() > 0) {
+				load.add(Load.newBuilder().setUpstream(id).setCalls(u.underWay()).build());
+			}
+		});
+		return load;
+	}
+
+	// ---- Choice
+
+	/**
+	 * Chooses an upstream for a call.
+	 * @param pool the pool
+	 * @param tried upstreams that the call was sent to before
+	 * @param affinity names an object whose calls are better kept together, or
+	 * {@code null}
+	 * @return the upstream, or empty if there is none
+	 */
+	Optional<Upstream> choose(String pool, Set<Upstream> tried, String affinity) {
+		long now = this.clock.nanoTime();
+		List<Upstream> candidates = new ArrayList<>();
+		for (Upstream u : this.upstreams.values()) {
+			if (u.entry().pool().equals(pool) && u.isInUse() && !tried.contains(u)) {
+				candidates.add(u);
+			}
+		}
+		Upstream best = null;
+		double least = Double.MAX_VALUE;
+		if (affinity != null) {
+			Upstream home = home(candidates, affinity);
+			if ((home != null) && (home.load() < STICKY_LOAD) && !home.isAvoided(now)) {
+				return Optional.of(home);
+			}
+		}
+		for (Upstream u : candidates) {
+			double cost = u.load() + (u.entry().dataCentre().equals(this.dataCentre) ? 0 : DISTANCE_COST)
+					+ (u.isAvoided(now) ? AVOIDANCE_COST : 0) + (ThreadLocalRandom.current().nextDouble() * 0.02);
+			if (cost < least) {
+				least = cost;
+				best = u;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	// ---- Helpers
+
+	private static Upstream home(List<Upstream> candidates, String affinity) {
+		Upstream home = null;
+		int highest = Integer.MIN_VALUE;
+		for (Upstream u : candidates) {
+			int weight = (affinity + "|" + u.id()).hashCode() * 0x9E3779B1;
+			if ((home == null) || (weight > highest)) {
+				highest = weight;
+				home = u;
+			}
+		}
+		return home;
+	}
+
+	private void update(UpstreamEntry entry) {
+		Upstream known = this.upstreams.get(entry.id());
+		if ((known == null) || !known.entry().isSameStart(entry)) {
+			if (known != null) {
+				retire(known, "started again");
+			}
+			this.upstreams.put(entry.id(), new Upstream(entry, this.clock.nanoTime()));
+			EventLog.log(Event.UPSTREAM_IN_USE, "upstream", entry.id(), "pool", entry.pool(), "address",
+					entry.address(), "leaving", entry.leaving());
+			return;
+		}
+		boolean leaves = entry.leaving() && !known.entry().leaving();
+		known.setEntry(entry);
+		known.setInUse(true);
+		if (leaves) {
+			this.client.closeIdle(known, true);
+			EventLog.log(Event.UPSTREAM_OUT_OF_USE, "upstream", entry.id(), "cause", "leaving");
+		}
+	}
+
+	private void missing(Upstream upstream) {
+		long sinceReturn = this.clock.nanoTime() - this.entries.regainedAt();
+		long left = RETURN_LIMIT.toNanos() - sinceReturn;
+		if ((left > 0) && !upstream.entry().leaving()) {
+			this.loop.schedule(this::refresh, left + TimeUnit.MILLISECONDS.toNanos(1), TimeUnit.NANOSECONDS);
+			return;
+		}
+		retire(upstream, "entry gone");
+	}
+
+	private void retire(Upstream upstream, String cause) {
+		this.upstreams.remove(upstream.id());
+		upstream.setInUse(false);
+		this.client.closeIdle(upstream, true);
+		EventLog.log(Event.UPSTREAM_OUT_OF_USE, "upstream", upstream.id(), "cause", cause, "underWay",
+				upstream.underWay());
+	}
+
+	private void sweep() {
+		this.upstreams.values().forEach((u) -> this.client.closeIdle(u, false));
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Takes the requests of callers at an entry, decides on them and passes them to
+ * upstreams.
+ */
+package org.mangorack.relay;
--- a/mangorack/src/test/java/org/mangorack/platform/FakeStore.java
+++ b/mangorack/src/test/java/org/mangorack/platform/FakeStore.java
@@ -16,6 +16,8 @@
 
 	private final Map<String, StoredObject> objects = new TreeMap<>();
 
+	private final Map<String, JsonNode> statuses = new TreeMap<>();
+
 	private int version;
 
 	private boolean unreachable;
@@ -38,6 +40,16 @@
 		this.answersToLose = count;
 	}
 
+	/**
+	 * Returns the status of an object.
+	 * @param kind the kind
+	 * @param name the name
+	 * @return the status, or {@code null} if none was written
+	 */
+	public synchronized JsonNode status(ObjectKind kind, String name) {
+		return this.statuses.get(kind.plural() + "/" + name);
+	}
+
 	@Override
 	public synchronized Optional<StoredObject> get(ObjectKind kind, String name) throws StoreException {
 		checkReachable();
@@ -67,6 +79,12 @@
 		return write(kind, name, spec);
 	}
 
+	@Override
+	public synchronized void updateStatus(ObjectKind kind, String name, JsonNode status) throws StoreException {
+		checkReachable();
+		this.statuses.put(kind.plural() + "/" + name, status);
+	}
+
 	@Override
 	public synchronized void delete(ObjectKind kind, String name, String expected) throws StoreException {
 		checkReachable();
