--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -128,8 +128,9 @@
 
 	// ---- Events of the channel
 
+	// The channel is used before it is reported as active.
 	@Override
-	public void channelActive(ChannelHandlerContext ctx) {
+	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
 	}
 
