Leave the last of a workspace's rate to programs that have begun; test the group of keepers

Requests of begun programs may now use the whole bucket and wait up to 600 ms; new ones leave 35% of the burst.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -17,6 +17,7 @@
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
+
 import org.mangorack.keeper.proto.Adopt;
 import org.mangorack.keeper.proto.Copy;
 import org.mangorack.keeper.proto.Inventory;
@@ -373,10 +374,8 @@
 		return lost ? joiners.get(0) : null;
 	}
 
-	/**
-	 * Copies what this disk lacks. Members first stop taking requests of older views, so
-	 * what is missing from the copies was never completed.
-	 */
+	// Copies what this disk lacks. Members first stop taking requests of older views, so
+	// what is missing from the copies was never completed.
 	private boolean copyFromMembers(GroupView view) throws InterruptedException {
 		Set<String> copied = new HashSet<>();
 		Set<String> held = new HashSet<>(onLoop(() -> this.service.turns().turnIds()));
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -16,6 +16,7 @@
 import java.util.zip.CRC32C;
 
 import io.netty.channel.EventLoop;
+
 import org.mangorack.keeper.proto.Adopt;
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Chain;
@@ -51,6 +52,12 @@
 	 */
 	static final Duration SETTLE_LIMIT = Duration.ofSeconds(6);
 
+	/**
+	 * How long a bucket is asked for: a call that cannot be counted is refused soon, so
+	 * that its caller may turn to another entry.
+	 */
+	static final Duration DRAW_LIMIT = Duration.ofMillis(500);
+
 	/**
 	 * How long the first choice may take before others are asked as well: a few times the
 	 * round trip between data centres and a sync.
@@ -202,11 +209,12 @@
 	/**
 	 * Takes one call from the bucket of a workspace.
 	 * @param workspace the workspace
+	 * @param reserve the calls that must be left in the bucket
 	 * @param done receives the time to come back, zero if the call was granted, or
 	 * {@code null} if too few keepers answered
 	 */
-	public void draw(String workspace, Consumer<Duration> done) {
-		new DrawCall(workspace, done).start();
+	public void draw(String workspace, double reserve, Consumer<Duration> done) {
+		new DrawCall(workspace, reserve, done).start();
 	}
 
 	/**
@@ -255,6 +263,21 @@
 		}
 	}
 
+	private void introduceView(KeeperLink link) {
+		Request.Builder request = Request.newBuilder().setAdopt(Adopt.newBuilder().setView(this.view.toProto()));
+		link.send(request, new ReplyListener() {
+			@Override
+			public void replied(Reply reply) {
+				sendMissing();
+			}
+
+			@Override
+			public void broke() {
+				// Calls are sent again once the link is up.
+			}
+		});
+	}
+
 	private static List<String> names(List<Member> members) {
 		return members.stream().map(Member::getName).toList();
 	}
@@ -334,21 +357,21 @@
 			waited(Duration.ofNanos(now - this.startedAt));
 		}
 
-		/** Returns the members to ask at present. */
+		// Returns the members to ask at present.
 		List<Member> targets() {
 			return KeeperClient.this.view.all();
 		}
 
-		/** Makes the request to a member. */
+		// Makes the request to a member.
 		abstract Request.Builder request(Member member);
 
-		/** Handles an accepted request. */
+		// Handles an accepted request.
 		abstract void accepted(Member member, Reply reply);
 
-		/** Runs when the time of the call is over. */
+		// Runs when the time of the call is over.
 		abstract void expired();
 
-		/** Runs now and then while the call waits. */
+		// Runs now and then while the call waits.
 		void waited(Duration time) {
 		}
 
@@ -412,21 +435,6 @@
 
 	}
 
-	private void introduceView(KeeperLink link) {
-		Request.Builder request = Request.newBuilder().setAdopt(Adopt.newBuilder().setView(this.view.toProto()));
-		link.send(request, new ReplyListener() {
-			@Override
-			public void replied(Reply reply) {
-				sendMissing();
-			}
-
-			@Override
-			public void broke() {
-				// Calls are sent again once the link is up.
-			}
-		});
-	}
-
 	/**
 	 * A reservation. It is offered to all members so that any two meet.
 	 */
@@ -705,6 +713,8 @@
 
 		private final String workspace;
 
+		private final double reserve;
+
 		private final Consumer<Duration> done;
 
 		private final Set<String> granted = new HashSet<>();
@@ -713,15 +723,17 @@
 
 		private long retryMs;
 
-		private DrawCall(String workspace, Consumer<Duration> done) {
-			super(Duration.ofMillis(500));
+		private DrawCall(String workspace, double reserve, Consumer<Duration> done) {
+			super(DRAW_LIMIT);
 			this.workspace = workspace;
+			this.reserve = reserve;
 			this.done = done;
 		}
 
 		@Override
 		Request.Builder request(Member member) {
-			return Request.newBuilder().setDraw(Draw.newBuilder().setWorkspace(this.workspace));
+			return Request.newBuilder()
+				.setDraw(Draw.newBuilder().setWorkspace(this.workspace).setReserve(this.reserve));
 		}
 
 		@Override
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -14,6 +14,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+
+import org.mangorack.http.StatusServer;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
@@ -22,7 +24,6 @@
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.ObjectKind;
 import org.mangorack.platform.ObjectStore;
-import org.mangorack.http.StatusServer;
 
 /**
  * A keeper: the log on the disk, the service that entries call, and the changes of the
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperPeers.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperPeers.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 
 import io.netty.channel.EventLoop;
+
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Reply;
 import org.mangorack.keeper.proto.Request;
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
@@ -14,16 +15,21 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.util.concurrent.GlobalEventExecutor;
+
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Batch;
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Charge;
+import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Drawn;
 import org.mangorack.keeper.proto.Listing;
 import org.mangorack.keeper.proto.ProgramCharges;
@@ -67,6 +73,8 @@
 
 	private volatile GroupView view;
 
+	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
 	private Channel listening;
 
 	KeeperService(EventLoopGroup loops, TurnStore turns, ViewFile viewFile, String disk, GroupView view,
@@ -103,6 +111,7 @@
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel ch) {
+					KeeperService.this.connections.add(ch);
 					ch.pipeline()
 						.addLast(new ProtobufVarint32FrameDecoder(), new ProtobufDecoder(Request.getDefaultInstance()),
 								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
@@ -117,14 +126,26 @@
 		}
 	}
 
+	/**
+	 * Stops listening and closes all connections.
+	 */
 	void close() {
 		if (this.listening != null) {
-			this.listening.close();
+			this.listening.close().syncUninterruptibly();
 		}
+		this.connections.close().syncUninterruptibly();
 	}
 
 	// ---- Accessors
 
+	/**
+	 * Returns the port that the service listens on.
+	 * @return the TCP port
+	 */
+	int port() {
+		return ((InetSocketAddress) this.listening.localAddress()).getPort();
+	}
+
 	/**
 	 * Returns the view in use.
 	 * @return the view; may be read by any thread
@@ -183,7 +204,7 @@
 			case FETCH -> out.accept(durable()
 				.setChain(this.turns.chain(request.getFetch().getTurn()).setComplete(this.view.isMember(this.disk))));
 			case BEAT -> out.accept(beat(request));
-			case DRAW -> draw(request.getDraw().getWorkspace(), out);
+			case DRAW -> draw(request.getDraw(), out);
 			case ADOPT -> adoptFrom(request, out);
 			case INVENTORY -> out.accept(durable()
 				.setListing(Listing.newBuilder().addAllTurn(this.turns.turnIds()).addAllProgram(this.turns.ledgers())));
@@ -230,7 +251,7 @@
 	}
 
 	private static Reply.Builder outcome(IOException failure) {
-		return (failure == null) ? durable() : Reply.newBuilder().setStatus(Status.FAILED);
+		return (failure != null) ? Reply.newBuilder().setStatus(Status.FAILED) : durable();
 	}
 
 	private Reply.Builder beat(Request request) {
@@ -256,8 +277,8 @@
 		return reply;
 	}
 
-	private void draw(String workspace, Consumer<Reply.Builder> out) {
-		Duration wait = this.buckets.draw(workspace);
+	private void draw(Draw draw, Consumer<Reply.Builder> out) {
+		Duration wait = this.buckets.draw(draw.getWorkspace(), draw.getReserve());
 		out.accept(durable().setDrawn(Drawn.newBuilder().setGranted(wait.isZero()).setRetryMs(wait.toMillis())));
 	}
 
--- a/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
@@ -66,19 +66,20 @@
 	/**
 	 * Takes one call from a bucket.
 	 * @param workspace the workspace
+	 * @param reserve the calls that must be left
 	 * @return zero if it was taken, or the time until one may be there
 	 */
-	Duration draw(String workspace) {
+	Duration draw(String workspace, double reserve) {
 		RateLimit limit = this.configuration.limit(workspace);
 		Bucket bucket = filled(workspace);
 		if (bucket == null) {
 			return Duration.ZERO;
 		}
-		if (bucket.calls >= 1) {
+		if (bucket.calls >= 1 + reserve) {
 			bucket.calls -= 1;
 			return Duration.ZERO;
 		}
-		return Duration.ofMillis((long) Math.ceil((1 - bucket.calls) / limit.perSecond() * 1000));
+		return Duration.ofMillis((long) Math.ceil((1 + reserve - bucket.calls) / limit.perSecond() * 1000));
 	}
 
 	private Bucket filled(String workspace) {
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Draw.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Draw.java
@@ -83,6 +83,21 @@
     }
   }
 
+  public static final int RESERVE_FIELD_NUMBER = 2;
+  private double reserve_ = 0D;
+  /**
+   * <pre>
+   * Calls that must be left in the bucket.
+   * </pre>
+   *
+   * <code>double reserve = 2;</code>
+   * @return The reserve.
+   */
+  @java.lang.Override
+  public double getReserve() {
+    return reserve_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -100,6 +115,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, workspace_);
     }
+    if (java.lang.Double.doubleToRawLongBits(reserve_) != 0) {
+      output.writeDouble(2, reserve_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -112,6 +130,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, workspace_);
     }
+    if (java.lang.Double.doubleToRawLongBits(reserve_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(2, reserve_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -129,6 +151,9 @@
 
     if (!getWorkspace()
         .equals(other.getWorkspace())) return false;
+    if (java.lang.Double.doubleToLongBits(getReserve())
+        != java.lang.Double.doubleToLongBits(
+            other.getReserve())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -142,6 +167,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
     hash = (53 * hash) + getWorkspace().hashCode();
+    hash = (37 * hash) + RESERVE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getReserve()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -274,6 +302,7 @@
       super.clear();
       bitField0_ = 0;
       workspace_ = "";
+      reserve_ = 0D;
       return this;
     }
 
@@ -310,6 +339,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.workspace_ = workspace_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.reserve_ = reserve_;
+      }
     }
 
     @java.lang.Override
@@ -329,6 +361,9 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getReserve()) != 0) {
+        setReserve(other.getReserve());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -360,6 +395,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
+            case 17: {
+              reserve_ = input.readDouble();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 17
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -449,6 +489,50 @@
       return this;
     }
 
+    private double reserve_ ;
+    /**
+     * <pre>
+     * Calls that must be left in the bucket.
+     * </pre>
+     *
+     * <code>double reserve = 2;</code>
+     * @return The reserve.
+     */
+    @java.lang.Override
+    public double getReserve() {
+      return reserve_;
+    }
+    /**
+     * <pre>
+     * Calls that must be left in the bucket.
+     * </pre>
+     *
+     * <code>double reserve = 2;</code>
+     * @param value The reserve to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReserve(double value) {
+
+      reserve_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls that must be left in the bucket.
+     * </pre>
+     *
+     * <code>double reserve = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReserve() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      reserve_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Draw)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/DrawOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/DrawOrBuilder.java
@@ -21,4 +21,14 @@
    */
   com.google.protobuf.ByteString
       getWorkspaceBytes();
+
+  /**
+   * <pre>
+   * Calls that must be left in the bucket.
+   * </pre>
+   *
+   * <code>double reserve = 2;</code>
+   * @return The reserve.
+   */
+  double getReserve();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -225,24 +225,25 @@
       "\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_addre" +
       "ss\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworks" +
       "pace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001" +
-      "(\010\"\031\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\"*\n\005Drawn\022\017" +
-      "\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Ado" +
-      "pt\022$\n\004view\030\001 \001(\0132\026.mangorack.keeper.View" +
-      "\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221" +
-      "\n\007program\030\002 \003(\0132 .mangorack.keeper.Progr" +
-      "amCharges\"K\n\016ProgramCharges\022\017\n\007program\030\001" +
-      " \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack.keeper." +
-      "Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n" +
-      "\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`\n\005S" +
-      "tore\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Tu" +
-      "rn\0221\n\007program\030\002 \003(\0132 .mangorack.keeper.P" +
-      "rogramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030" +
-      "\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keeper.T" +
-      "urnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack.keepe" +
-      "r.ProgramChargesH\000B\006\n\004body*N\n\006Status\022\006\n\002" +
-      "OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n" +
-      "\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.mangor" +
-      "ack.keeper.protoB\013KeeperProtoP\001b\006proto3"
+      "(\010\"*\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\022\017\n\007reserve" +
+      "\030\002 \001(\001\"*\n\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retr" +
+      "y_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mang" +
+      "orack.keeper.View\"\013\n\tInventory\"J\n\007Listin" +
+      "g\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .mango" +
+      "rack.keeper.ProgramCharges\"K\n\016ProgramCha" +
+      "rges\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030." +
+      "mangorack.keeper.Charge\"\024\n\004Copy\022\014\n\004turn\030" +
+      "\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack" +
+      ".keeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.ma" +
+      "ngorack.keeper.Turn\0221\n\007program\030\002 \003(\0132 .m" +
+      "angorack.keeper.ProgramCharges\"\202\001\n\010LogEn" +
+      "try\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.m" +
+      "angorack.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132" +
+      " .mangorack.keeper.ProgramChargesH\000B\006\n\004b" +
+      "ody*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n" +
+      "\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DIS" +
+      "K\020\004B+\n\032org.mangorack.keeper.protoB\013Keepe" +
+      "rProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -355,7 +356,7 @@
     internal_static_mangorack_keeper_Draw_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Draw_descriptor,
-        new java.lang.String[] { "Workspace", });
+        new java.lang.String[] { "Workspace", "Reserve", });
     internal_static_mangorack_keeper_Drawn_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_mangorack_keeper_Drawn_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/relay/RateGate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RateGate.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 import org.mangorack.keeper.KeeperClient;
 import org.mangorack.keeper.proto.Level;
@@ -36,9 +37,20 @@
 	static final double COMFORT = 0.4;
 
 	/**
-	 * How long a request within the rate waits for the bucket before it is refused.
+	 * How long the beginning of a program waits for the bucket before it is refused.
+	 */
+	static final Duration BEGINNING_WAIT = Duration.ofMillis(100);
+
+	/**
+	 * How long a request of a program that has begun waits. Its refusal would waste what
+	 * the program used before.
+	 */
+	static final Duration CONTINUATION_WAIT = Duration.ofMillis(600);
+
+	/**
+	 * The part of the burst that is left to programs that have begun.
 	 */
-	static final Duration MAX_WAIT = Duration.ofMillis(60);
+	static final double CONTINUATION_RESERVE = 0.35;
 
 	private final KeeperClient keepers;
 
@@ -104,10 +116,11 @@
 	 * Asks whether a request is within the rate of its workspace.
 	 * @param workspace the workspace
 	 * @param limit its limit, or {@code null} if it has none
+	 * @param continuation whether the request belongs to a program that has begun
 	 * @param done receives zero if it is, else the time to come back, or {@code null} if
 	 * the rate cannot be counted at present
 	 */
-	void acquire(String workspace, RateLimit limit, Consumer<Duration> done) {
+	void acquire(String workspace, RateLimit limit, boolean continuation, Consumer<Duration> done) {
 		if (limit == null) {
 			done.accept(Duration.ZERO);
 			return;
@@ -117,15 +130,18 @@
 			done.accept(Duration.ZERO);
 			return;
 		}
-		draw(workspace, this.clock.nanoTime(), done);
+		double reserve = continuation ? 0 : (limit.burst() * CONTINUATION_RESERVE);
+		long waitUntil = this.clock.nanoTime() + (continuation ? CONTINUATION_WAIT : BEGINNING_WAIT).toNanos();
+		draw(workspace, reserve, waitUntil, done);
 	}
 
-	private void draw(String workspace, long startedAt, Consumer<Duration> done) {
-		this.keepers.draw(workspace, (wait) -> {
+	private void draw(String workspace, double reserve, long waitUntil, Consumer<Duration> done) {
+		this.keepers.draw(workspace, reserve, (wait) -> {
 			boolean worthWaiting = (wait != null) && !wait.isZero()
-					&& (this.clock.elapsed(startedAt).plus(wait).compareTo(MAX_WAIT) < 0);
+					&& (this.clock.nanoTime() + wait.toNanos() < waitUntil);
 			if (worthWaiting) {
-				this.loop.schedule(() -> draw(workspace, startedAt, done), wait.toNanos(), TimeUnit.NANOSECONDS);
+				this.loop.schedule(() -> draw(workspace, reserve, waitUntil, done), wait.toNanos(),
+						TimeUnit.NANOSECONDS);
 			}
 			else {
 				done.accept(wait);
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
@@ -152,7 +151,9 @@
 			admitted();
 			return;
 		}
-		this.server.rates().acquire(this.workspace.name(), this.workspace.limit(), this::rateKnown);
+		boolean continuation = (this.head.previousTurn() != null)
+				|| (!this.route.keepsTurns() && (this.head.program() != null));
+		this.server.rates().acquire(this.workspace.name(), this.workspace.limit(), continuation, this::rateKnown);
 	}
 
 	private void setDeadline() {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupViewTests.java
@@ -0,0 +1,94 @@
+package org.mangorack.keeper;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.keeper.proto.Member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link GroupView}.
+ */
+class GroupViewTests {
+
+	@Property(seed = "7")
+	void twoMajoritiesAlwaysHaveAMemberInCommon(@ForAll @IntRange(min = 1, max = 9) int size, @ForAll Set<Integer> some,
+			@ForAll Set<Integer> others) {
+		GroupView view = view(size, 1);
+		Set<String> first = disks(some, size);
+		Set<String> second = disks(others, size);
+		if (view.isMajority(first) && view.isMajority(second)) {
+			first.retainAll(second);
+			assertThat(first).isNotEmpty();
+		}
+	}
+
+	@Property(seed = "11")
+	void whatIsDurableIsHeldByAnyExhaustiveSet(@ForAll @IntRange(min = 3, max = 9) int size,
+			@ForAll @IntRange(min = 1, max = 3) int tolerance, @ForAll Set<Integer> holders,
+			@ForAll Set<Integer> asked) {
+		GroupView view = view(size, tolerance);
+		Set<String> held = disks(holders, size);
+		Set<String> searched = disks(asked, size);
+		if (view.isDurable(held) && view.isExhaustive(searched)) {
+			held.retainAll(searched);
+			assertThat(held).isNotEmpty();
+		}
+	}
+
+	@Test
+	void duringAChangeBothSetsHaveToAgree() {
+		GroupView view = new GroupView(2, members(0, 4), members(1, 5), 1);
+		assertThat(view.isMajority(Set.of("d0", "d1", "d2"))).isFalse();
+		assertThat(view.isMajority(Set.of("d1", "d2", "d3"))).isTrue();
+		assertThat(view.isDurable(Set.of("d0", "d1"))).isFalse();
+		assertThat(view.isDurable(Set.of("d0", "d1", "d4"))).isTrue();
+	}
+
+	@Test
+	void aDiskThatOnlyJoinsProvesNothingAbsent() {
+		GroupView view = new GroupView(2, members(0, 4), members(1, 5), 1);
+		assertThat(view.isExhaustive(Set.of("d1", "d2", "d4"))).isFalse();
+		assertThat(view.isExhaustive(Set.of("d1", "d2", "d3"))).isTrue();
+	}
+
+	@Test
+	void anUnknownGroupAgreesToNothing() {
+		GroupView view = GroupView.unknown(1);
+		assertThat(view.isMajority(Set.of())).isFalse();
+		assertThat(view.isExhaustive(Set.of())).isFalse();
+	}
+
+	@Test
+	void theDocumentOfTheGroupKeepsAllFields() {
+		GroupView view = new GroupView(5, members(0, 4), members(1, 5), 1);
+		assertThat(GroupDocument.read(GroupDocument.write(view), 1)).isEqualTo(view);
+	}
+
+	private static GroupView view(int size, int tolerance) {
+		return new GroupView(1, members(0, size), List.of(), tolerance);
+	}
+
+	private static List<Member> members(int from, int to) {
+		List<Member> members = new ArrayList<>();
+		for (int i = from; i < to; i++) {
+			members.add(Member.newBuilder().setName("k" + i).setDisk("d" + i).setHost("127.0.0.1").setPort(1).build());
+		}
+		return members;
+	}
+
+	private static Set<String> disks(Set<Integer> numbers, int size) {
+		Set<String> disks = new HashSet<>();
+		numbers.forEach((n) -> disks.add("d" + Math.floorMod(n, size)));
+		return disks;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -0,0 +1,307 @@
+package org.mangorack.keeper;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.mangorack.keeper.ConfigurationRelay.RateLimit;
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.MonotonicClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link KeeperClient} and {@link KeeperService} over real connections.
+ */
+class KeeperClientTests {
+
+	private static final long LIMIT_SECONDS = 20;
+
+	@TempDir
+	Path folder;
+
+	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.loops.next();
+
+	private final List<TestKeeper> keepers = new ArrayList<>();
+
+	private final KeeperClient client = new KeeperClient(this.loop, MonotonicClock.SYSTEM, "dc", 1);
+
+	private GroupView view;
+
+	@BeforeEach
+	void startKeepers() throws Exception {
+		for (int i = 0; i < 4; i++) {
+			this.keepers.add(newKeeper("k" + i, "d" + i).start());
+		}
+		this.view = new GroupView(1, members(0, 1, 2, 3), List.of(), 1);
+		adoptEverywhere(this.view);
+		onLoop(() -> this.client.adopt(this.view));
+	}
+
+	@AfterEach
+	void stopKeepers() throws IOException {
+		for (TestKeeper k : this.keepers) {
+			k.close();
+		}
+		this.loops.shutdownGracefully();
+	}
+
+	@Test
+	void aTurnThatWasKeptIsFoundWithItsChain() throws Exception {
+		assertThat(keep("t1", "", "p")).isTrue();
+		assertThat(keep("t2", "t1", "p")).isTrue();
+		assertThat(fetch("p", "t2")).isEqualTo("found t2 t1");
+	}
+
+	@Test
+	void aChainIsFoundByAProgramThatDidNotMakeIt() throws Exception {
+		keep("t1", "", "p");
+		keep("t2", "t1", "another");
+		assertThat(fetch("third", "t2")).isEqualTo("found t2 t1");
+	}
+
+	@Test
+	void aTurnOutlivesTheLossOfAnyOneDisk() throws Exception {
+		for (int i = 0; i < 8; i++) {
+			keep("t" + i, "", "p" + i);
+		}
+		for (int lost = 0; lost < 4; lost++) {
+			this.keepers.get(lost).kill();
+			for (int i = 0; i < 8; i++) {
+				assertThat(fetch("p" + i, "t" + i)).as("turn %d without keeper %d", i, lost).isEqualTo("found t" + i);
+			}
+			this.keepers.get(lost).start();
+		}
+	}
+
+	@Test
+	void turnsAreThereAfterAllKeepersWereKilled() throws Exception {
+		keep("t1", "", "p");
+		for (TestKeeper k : this.keepers) {
+			k.kill();
+		}
+		for (TestKeeper k : this.keepers) {
+			k.start();
+		}
+		assertThat(fetch("p", "t1")).isEqualTo("found t1");
+	}
+
+	@Test
+	void anAbsentTurnIsCertainWhileOneKeeperIsLost() throws Exception {
+		this.keepers.get(2).kill();
+		assertThat(fetch("p", "none")).isEqualTo("absent");
+	}
+
+	@Test
+	void anAbsentTurnIsUncertainWhileTwoKeepersAreLost() throws Exception {
+		this.keepers.get(1).kill();
+		this.keepers.get(2).kill();
+		assertThat(fetch("p", "none")).startsWith("uncertain");
+	}
+
+	@Test
+	void aBudgetHoldsOverConcurrentReservations() throws Exception {
+		List<BlockingQueue<String>> outcomes = new ArrayList<>();
+		for (int i = 0; i < 12; i++) {
+			outcomes.add(reserve("p", "a" + i, 100, 500));
+		}
+		int granted = 0;
+		for (BlockingQueue<String> outcome : outcomes) {
+			granted += next(outcome).equals("granted") ? 1 : 0;
+		}
+		assertThat(granted).isLessThanOrEqualTo(5);
+	}
+
+	@Test
+	void reservationsOfAKilledEntryStayCharged() throws Exception {
+		assertThat(next(reserve("p", "a1", 400, 500))).isEqualTo("granted");
+		assertThat(next(reserve("p", "a2", 200, 500))).isEqualTo("spent 400");
+	}
+
+	@Test
+	void aSettledChargeFreesWhatWasNotUsed() throws Exception {
+		BlockingQueue<String> first = reserve("p", "a1", 400, 500);
+		assertThat(next(first)).isEqualTo("granted");
+		assertThat(next(first)).isEqualTo("durable");
+		assertThat(settle("p", "a1", 50)).isTrue();
+		assertThat(next(reserve("p", "a2", 400, 500))).isEqualTo("granted");
+	}
+
+	@Test
+	void aBudgetHoldsAfterAllKeepersWereKilled() throws Exception {
+		BlockingQueue<String> first = reserve("p", "a1", 400, 500);
+		next(first);
+		assertThat(next(first)).isEqualTo("durable");
+		for (TestKeeper k : this.keepers) {
+			k.kill();
+		}
+		for (TestKeeper k : this.keepers) {
+			k.start();
+		}
+		assertThat(next(reserve("p", "a2", 200, 500))).isEqualTo("spent 400");
+	}
+
+	@Test
+	void aReservationIsRefusedWhileTwoKeepersAreLost() throws Exception {
+		this.keepers.get(0).kill();
+		this.keepers.get(3).kill();
+		assertThat(next(reserve("p", "a1", 400, 500))).startsWith("unavailable");
+	}
+
+	@Test
+	void aKeeperThatLostItsDiskDoesNotCountAsTheOneBefore() throws Exception {
+		keep("t1", "", "p");
+		next(reserve("p", "a1", 400, 500));
+		int port = this.keepers.get(1).member().getPort();
+		this.keepers.get(1).close();
+		this.keepers.get(2).kill();
+		TestKeeper empty = new TestKeeper("k1", "d-new", this.folder.resolve("k1-new"), new FixedConfiguration(null));
+		empty.listenOn(port);
+		this.keepers.set(1, empty.start());
+		assertThat(fetch("p", "none")).startsWith("uncertain");
+		assertThat(next(reserve("p", "a2", 10, 500))).startsWith("unavailable");
+	}
+
+	@Test
+	void aClientWithAnOlderViewTakesOverTheNewerOne() throws Exception {
+		GroupView newer = new GroupView(2, members(0, 1, 2), List.of(), 1);
+		adoptEverywhere(newer);
+		assertThat(keep("t1", "", "p")).isTrue();
+		assertThat(this.client.view().epoch()).isEqualTo(2);
+	}
+
+	@Test
+	void keepersThatMissedAChangeHearOfItFromTheClient() throws Exception {
+		GroupView newer = new GroupView(3, members(0, 1, 2, 3), List.of(), 1);
+		onLoop(() -> this.client.adopt(newer));
+		assertThat(keep("t1", "", "p")).isTrue();
+		assertThat(this.keepers.stream().filter((k) -> k.service().view().epoch() == 3).count())
+			.isGreaterThanOrEqualTo(2);
+	}
+
+	@Test
+	void aBucketGrantsNoMoreThanItsBurst() throws Exception {
+		int granted = 0;
+		for (int i = 0; i < 20; i++) {
+			CompletableFuture<Duration> done = new CompletableFuture<>();
+			onLoop(() -> this.client.draw("w", 0, done::complete));
+			granted += done.get(LIMIT_SECONDS, TimeUnit.SECONDS).isZero() ? 1 : 0;
+		}
+		assertThat(granted).isLessThanOrEqualTo(10);
+	}
+
+	// ---- Helpers
+
+	private TestKeeper newKeeper(String name, String disk) {
+		return new TestKeeper(name, disk, this.folder.resolve(disk), new FixedConfiguration(new RateLimit(0.001, 10)));
+	}
+
+	private List<Member> members(int... numbers) {
+		List<Member> members = new ArrayList<>();
+		for (int n : numbers) {
+			members.add(this.keepers.get(n).member());
+		}
+		return members;
+	}
+
+	private void adoptEverywhere(GroupView newer) throws InterruptedException {
+		for (TestKeeper k : this.keepers) {
+			k.adopt(newer);
+		}
+	}
+
+	private void onLoop(Runnable task) throws Exception {
+		this.loop.submit(task).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private boolean keep(String id, String previous, String program) throws Exception {
+		CompletableFuture<Boolean> done = new CompletableFuture<>();
+		Turn turn = Turn.newBuilder()
+			.setId(id)
+			.setPrevious(previous)
+			.setInput(ByteString.copyFromUtf8("in " + id))
+			.setRetentionMs(60_000)
+			.build();
+		onLoop(() -> this.client.settle(program, id, 10, false, turn, done::complete));
+		return done.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private boolean settle(String program, String attempt, int tokens) throws Exception {
+		CompletableFuture<Boolean> done = new CompletableFuture<>();
+		onLoop(() -> this.client.settle(program, attempt, tokens, true, null, done::complete));
+		return done.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private String fetch(String program, String turn) throws Exception {
+		CompletableFuture<String> done = new CompletableFuture<>();
+		onLoop(() -> this.client.fetch(program, turn, new ChainListener() {
+			@Override
+			public void found(List<Turn> chain) {
+				StringBuilder ids = new StringBuilder("found");
+				chain.forEach((t) -> ids.append(' ').append(t.getId()));
+				done.complete(ids.toString());
+			}
+
+			@Override
+			public void absent() {
+				done.complete("absent");
+			}
+
+			@Override
+			public void uncertain(String cause) {
+				done.complete("uncertain: " + cause);
+			}
+		}));
+		return done.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private BlockingQueue<String> reserve(String program, String attempt, int tokens, long budget) throws Exception {
+		BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+		onLoop(() -> this.client.reserve(program, attempt, tokens, budget, new ReservationListener() {
+			@Override
+			public void granted() {
+				outcomes.add("granted");
+			}
+
+			@Override
+			public void durable() {
+				outcomes.add("durable");
+			}
+
+			@Override
+			public void spent(long used) {
+				outcomes.add("spent " + used);
+			}
+
+			@Override
+			public void unavailable(String cause) {
+				outcomes.add("unavailable: " + cause);
+			}
+		}));
+		return outcomes;
+	}
+
+	private static String next(BlockingQueue<String> outcomes) throws InterruptedException {
+		return outcomes.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -0,0 +1,107 @@
+package org.mangorack.keeper;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import org.mangorack.http.HttpAddress;
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * A keeper in this process that can be stopped and started again on its folder.
+ */
+final class TestKeeper implements AutoCloseable {
+
+	// Not the address that clients connect from: a client that connects again and again
+	// to a
+	// closed port of its own address may end up connected to itself.
+	private static final String HOST = "127.0.0.2";
+
+	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final String name;
+
+	private final String disk;
+
+	private final Path folder;
+
+	private final ConfigurationRelay configuration;
+
+	private RecordLog log;
+
+	private KeeperService service;
+
+	private int port;
+
+	TestKeeper(String name, String disk, Path folder, ConfigurationRelay configuration) {
+		this.name = name;
+		this.disk = disk;
+		this.folder = folder;
+		this.configuration = configuration;
+	}
+
+	TestKeeper start() throws IOException {
+		this.log = new RecordLog(this.folder.resolve("log"), this.loops.next()::execute);
+		TurnStore turns = new TurnStore(this.log, System::currentTimeMillis);
+		turns.load();
+		this.log.start();
+		ViewFile file = new ViewFile(this.folder.resolve("view"), 1);
+		GroupView view = file.read().orElse(GroupView.unknown(1));
+		this.service = new KeeperService(this.loops, turns, file, this.disk, view, this.configuration,
+				MonotonicClock.SYSTEM);
+		this.service.start(new HttpAddress(HOST, this.port));
+		this.port = this.service.port();
+		return this;
+	}
+
+	void listenOn(int number) {
+		this.port = number;
+	}
+
+	Member member() {
+		return Member.newBuilder()
+			.setName(this.name)
+			.setDisk(this.disk)
+			.setHost(HOST)
+			.setPort(this.port)
+			.setZone("dc")
+			.build();
+	}
+
+	KeeperService service() {
+		return this.service;
+	}
+
+	void adopt(GroupView view) throws InterruptedException {
+		try {
+			this.loops.next().submit(() -> {
+				this.service.adopt(view);
+				return null;
+			}).get();
+		}
+		catch (ExecutionException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	/**
+	 * Stops the keeper as a kill would: connections break, the folder stays.
+	 * @throws IOException if the log cannot be closed
+	 */
+	void kill() throws IOException {
+		this.service.close();
+		this.log.close();
+	}
+
+	@Override
+	public void close() throws IOException {
+		kill();
+		this.loops.shutdownGracefully();
+	}
+
+}
