--- a/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
@@ -21,6 +21,20 @@
 	 */
 	Duration age();
 
+	/**
+	 * Returns how long ago the platform last answered this process.
+	 * @return the time since the answer
+	 */
+	Duration sinceContact();
+
+	/**
+	 * Takes over a configuration that another instance has.
+	 * @param fresh its document
+	 * @param confirmedAt when it was certainly the newest one, on the monotonic clock
+	 * @param source the instance, for the log
+	 */
+	void offer(ByteString fresh, long confirmedAt, String source);
+
 	/**
 	 * Returns the document as the platform holds it.
 	 * @return the bytes
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -68,6 +68,8 @@
 
 	private final String disk;
 
+	private final MonotonicClock clock;
+
 	private Consumer<GroupView> onView = (v) -> {
 	};
 
@@ -85,6 +87,7 @@
 		this.disk = disk;
 		this.view = view;
 		this.configuration = configuration;
+		this.clock = clock;
 		this.buckets = new WorkspaceBuckets(clock, configuration);
 		this.entries = new LiveEntries(clock);
 	}
@@ -258,10 +261,18 @@
 		Beat beat = request.getBeat();
 		this.entries.heard(beat);
 		this.buckets.use(beat.getUsageList());
+		if (!beat.getDocument().isEmpty()) {
+			this.configuration.offer(beat.getDocument(),
+					this.clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(beat.getConfigurationAgeMs()),
+					beat.getInstance());
+		}
 		Pulse.Builder pulse = Pulse.newBuilder()
 			.addAllLevel(this.buckets.levels())
 			.setConfiguration(this.configuration.version())
 			.setConfigurationAgeMs(this.configuration.age().toMillis())
+			.setContactAgeMs(this.configuration.sinceContact().toMillis())
+			.setEntriesContactAgeMs(this.entries.sinceContact().toMillis())
+			.setEntriesHeard(this.entries.count())
 			.setEntries(this.entries.version())
 			.addAllLoad(this.entries.loadBeside(beat.getInstance()));
 		if (this.configuration.version() > beat.getConfiguration()) {
--- a/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Entry;
@@ -54,7 +56,9 @@
 		if ((before == null) || !before.entry().equals(entry)) {
 			this.version++;
 		}
-		this.entries.put(beat.getInstance(), new Known(entry, this.clock.nanoTime(), beat.getLoadList()));
+		long now = this.clock.nanoTime();
+		this.entries.put(beat.getInstance(),
+				new Known(entry, now, beat.getLoadList(), now - TimeUnit.MILLISECONDS.toNanos(beat.getContactAgeMs())));
 	}
 
 	/**
@@ -67,6 +71,23 @@
 		}
 	}
 
+	/**
+	 * Returns how long ago the platform last answered any of the entries.
+	 * @return the shortest time; a day when there are none
+	 */
+	Duration sinceContact() {
+		long now = this.clock.nanoTime();
+		return this.entries.values()
+			.stream()
+			.map((e) -> Duration.ofNanos(now - e.contactAt()))
+			.min(Comparator.naturalOrder())
+			.orElse(Duration.ofDays(1));
+	}
+
+	int count() {
+		return this.entries.size();
+	}
+
 	List<Entry> entries() {
 		return this.entries.values().stream().map(Known::entry).toList();
 	}
@@ -94,8 +115,9 @@
 	 * @param entry the entry
 	 * @param heardAt when its last beat came, on the monotonic clock
 	 * @param load its calls under way
+	 * @param contactAt when the platform last answered it, on the monotonic clock
 	 */
-	private record Known(Entry entry, long heardAt, List<Load> load) {
+	private record Known(Entry entry, long heardAt, List<Load> load, long contactAt) {
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
@@ -37,6 +37,7 @@
     zone_ = "";
     usage_ = java.util.Collections.emptyList();
     load_ = java.util.Collections.emptyList();
+    document_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -288,6 +289,51 @@
     return load_.get(index);
   }
 
+  public static final int CONTACT_AGE_MS_FIELD_NUMBER = 9;
+  private long contactAgeMs_ = 0L;
+  /**
+   * <pre>
+   * Time since the platform last answered the sender.
+   * </pre>
+   *
+   * <code>uint64 contact_age_ms = 9;</code>
+   * @return The contactAgeMs.
+   */
+  @java.lang.Override
+  public long getContactAgeMs() {
+    return contactAgeMs_;
+  }
+
+  public static final int DOCUMENT_FIELD_NUMBER = 10;
+  private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The configuration document, if it is newer than the one the keeper last named.
+   * </pre>
+   *
+   * <code>bytes document = 10;</code>
+   * @return The document.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDocument() {
+    return document_;
+  }
+
+  public static final int CONFIGURATION_AGE_MS_FIELD_NUMBER = 11;
+  private long configurationAgeMs_ = 0L;
+  /**
+   * <pre>
+   * Age of the sender's knowledge that this is the newest configuration.
+   * </pre>
+   *
+   * <code>uint64 configuration_age_ms = 11;</code>
+   * @return The configurationAgeMs.
+   */
+  @java.lang.Override
+  public long getConfigurationAgeMs() {
+    return configurationAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -326,6 +372,15 @@
     for (int i = 0; i < load_.size(); i++) {
       output.writeMessage(8, load_.get(i));
     }
+    if (contactAgeMs_ != 0L) {
+      output.writeUInt64(9, contactAgeMs_);
+    }
+    if (!document_.isEmpty()) {
+      output.writeBytes(10, document_);
+    }
+    if (configurationAgeMs_ != 0L) {
+      output.writeUInt64(11, configurationAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -364,6 +419,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, load_.get(i));
     }
+    if (contactAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, contactAgeMs_);
+    }
+    if (!document_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(10, document_);
+    }
+    if (configurationAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, configurationAgeMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -395,6 +462,12 @@
         != other.getEntries()) return false;
     if (!getLoadList()
         .equals(other.getLoadList())) return false;
+    if (getContactAgeMs()
+        != other.getContactAgeMs()) return false;
+    if (!getDocument()
+        .equals(other.getDocument())) return false;
+    if (getConfigurationAgeMs()
+        != other.getConfigurationAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -429,6 +502,14 @@
       hash = (37 * hash) + LOAD_FIELD_NUMBER;
       hash = (53 * hash) + getLoadList().hashCode();
     }
+    hash = (37 * hash) + CONTACT_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getContactAgeMs());
+    hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
+    hash = (53 * hash) + getDocument().hashCode();
+    hash = (37 * hash) + CONFIGURATION_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationAgeMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -584,6 +665,9 @@
         loadBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      contactAgeMs_ = 0L;
+      document_ = com.google.protobuf.ByteString.EMPTY;
+      configurationAgeMs_ = 0L;
       return this;
     }
 
@@ -657,6 +741,15 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.entries_ = entries_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.contactAgeMs_ = contactAgeMs_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.document_ = document_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.configurationAgeMs_ = configurationAgeMs_;
+      }
     }
 
     @java.lang.Override
@@ -747,6 +840,15 @@
           }
         }
       }
+      if (other.getContactAgeMs() != 0L) {
+        setContactAgeMs(other.getContactAgeMs());
+      }
+      if (!other.getDocument().isEmpty()) {
+        setDocument(other.getDocument());
+      }
+      if (other.getConfigurationAgeMs() != 0L) {
+        setConfigurationAgeMs(other.getConfigurationAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -829,6 +931,21 @@
               }
               break;
             } // case 66
+            case 72: {
+              contactAgeMs_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 82: {
+              document_ = input.readBytes();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
+            case 88: {
+              configurationAgeMs_ = input.readUInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1650,6 +1767,138 @@
       return loadBuilder_;
     }
 
+    private long contactAgeMs_ ;
+    /**
+     * <pre>
+     * Time since the platform last answered the sender.
+     * </pre>
+     *
+     * <code>uint64 contact_age_ms = 9;</code>
+     * @return The contactAgeMs.
+     */
+    @java.lang.Override
+    public long getContactAgeMs() {
+      return contactAgeMs_;
+    }
+    /**
+     * <pre>
+     * Time since the platform last answered the sender.
+     * </pre>
+     *
+     * <code>uint64 contact_age_ms = 9;</code>
+     * @param value The contactAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContactAgeMs(long value) {
+
+      contactAgeMs_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the platform last answered the sender.
+     * </pre>
+     *
+     * <code>uint64 contact_age_ms = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContactAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      contactAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The configuration document, if it is newer than the one the keeper last named.
+     * </pre>
+     *
+     * <code>bytes document = 10;</code>
+     * @return The document.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDocument() {
+      return document_;
+    }
+    /**
+     * <pre>
+     * The configuration document, if it is newer than the one the keeper last named.
+     * </pre>
+     *
+     * <code>bytes document = 10;</code>
+     * @param value The document to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDocument(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      document_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The configuration document, if it is newer than the one the keeper last named.
+     * </pre>
+     *
+     * <code>bytes document = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDocument() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      document_ = getDefaultInstance().getDocument();
+      onChanged();
+      return this;
+    }
+
+    private long configurationAgeMs_ ;
+    /**
+     * <pre>
+     * Age of the sender's knowledge that this is the newest configuration.
+     * </pre>
+     *
+     * <code>uint64 configuration_age_ms = 11;</code>
+     * @return The configurationAgeMs.
+     */
+    @java.lang.Override
+    public long getConfigurationAgeMs() {
+      return configurationAgeMs_;
+    }
+    /**
+     * <pre>
+     * Age of the sender's knowledge that this is the newest configuration.
+     * </pre>
+     *
+     * <code>uint64 configuration_age_ms = 11;</code>
+     * @param value The configurationAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationAgeMs(long value) {
+
+      configurationAgeMs_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Age of the sender's knowledge that this is the newest configuration.
+     * </pre>
+     *
+     * <code>uint64 configuration_age_ms = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      configurationAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Beat)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
@@ -115,4 +115,34 @@
    */
   org.mangorack.keeper.proto.LoadOrBuilder getLoadOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Time since the platform last answered the sender.
+   * </pre>
+   *
+   * <code>uint64 contact_age_ms = 9;</code>
+   * @return The contactAgeMs.
+   */
+  long getContactAgeMs();
+
+  /**
+   * <pre>
+   * The configuration document, if it is newer than the one the keeper last named.
+   * </pre>
+   *
+   * <code>bytes document = 10;</code>
+   * @return The document.
+   */
+  com.google.protobuf.ByteString getDocument();
+
+  /**
+   * <pre>
+   * Age of the sender's knowledge that this is the newest configuration.
+   * </pre>
+   *
+   * <code>uint64 configuration_age_ms = 11;</code>
+   * @return The configurationAgeMs.
+   */
+  long getConfigurationAgeMs();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -209,41 +209,45 @@
       "ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005Fetch\022" +
       "\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026.m" +
       "angorack.keeper.Turn\022\017\n\007missing\030\002 \001(\t\022\020\n" +
-      "\010complete\030\003 \001(\010\"\307\001\n\004Beat\022\020\n\010instance\030\001 \001" +
+      "\010complete\030\003 \001(\010\"\217\002\n\004Beat\022\020\n\010instance\030\001 \001" +
       "(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t" +
       "\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.man" +
       "gorack.keeper.Usage\022\025\n\rconfiguration\030\006 \001" +
       "(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.mang" +
-      "orack.keeper.Load\")\n\005Usage\022\021\n\tworkspace\030" +
-      "\001 \001(\t\022\r\n\005calls\030\002 \001(\r\"\'\n\004Load\022\020\n\010upstream" +
-      "\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\"\325\001\n\005Pulse\022&\n\005level" +
-      "\030\001 \003(\0132\027.mangorack.keeper.Level\022\025\n\rconfi" +
-      "guration\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003" +
-      " \001(\004\022\020\n\010document\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022" +
-      "&\n\005entry\030\006 \003(\0132\027.mangorack.keeper.Entry\022" +
-      "$\n\004load\030\007 \003(\0132\026.mangorack.keeper.Load\"?\n" +
-      "\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_addre" +
-      "ss\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworks" +
-      "pace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001" +
-      "(\010\"*\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\022\017\n\007reserve" +
-      "\030\002 \001(\001\"*\n\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retr" +
-      "y_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mang" +
-      "orack.keeper.View\"\013\n\tInventory\"J\n\007Listin" +
-      "g\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .mango" +
-      "rack.keeper.ProgramCharges\"K\n\016ProgramCha" +
-      "rges\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030." +
-      "mangorack.keeper.Charge\"\024\n\004Copy\022\014\n\004turn\030" +
-      "\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack" +
-      ".keeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.ma" +
-      "ngorack.keeper.Turn\0221\n\007program\030\002 \003(\0132 .m" +
-      "angorack.keeper.ProgramCharges\"\202\001\n\010LogEn" +
-      "try\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.m" +
-      "angorack.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132" +
-      " .mangorack.keeper.ProgramChargesH\000B\006\n\004b" +
-      "ody*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n" +
-      "\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DIS" +
-      "K\020\004B+\n\032org.mangorack.keeper.protoB\013Keepe" +
-      "rProtoP\001b\006proto3"
+      "orack.keeper.Load\022\026\n\016contact_age_ms\030\t \001(" +
+      "\004\022\020\n\010document\030\n \001(\014\022\034\n\024configuration_age" +
+      "_ms\030\013 \001(\004\")\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n" +
+      "\005calls\030\002 \001(\r\"\'\n\004Load\022\020\n\010upstream\030\001 \001(\t\022\r" +
+      "\n\005calls\030\002 \001(\r\"\244\002\n\005Pulse\022&\n\005level\030\001 \003(\0132\027" +
+      ".mangorack.keeper.Level\022\025\n\rconfiguration" +
+      "\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003 \001(\004\022\020\n\010" +
+      "document\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022&\n\005entry" +
+      "\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004load\030" +
+      "\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016contact" +
+      "_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_ms\030" +
+      "\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\"?\n\005Entry\022\020\n" +
+      "\010instance\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022" +
+      "\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(" +
+      "\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"*\n\004Dra" +
+      "w\022\021\n\tworkspace\030\001 \001(\t\022\017\n\007reserve\030\002 \001(\001\"*\n" +
+      "\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(" +
+      "\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack.kee" +
+      "per.View\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn" +
+      "\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.keep" +
+      "er.ProgramCharges\"K\n\016ProgramCharges\022\017\n\007p" +
+      "rogram\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack" +
+      ".keeper.Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005" +
+      "Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.T" +
+      "urn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack.k" +
+      "eeper.Turn\0221\n\007program\030\002 \003(\0132 .mangorack." +
+      "keeper.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\tst" +
+      "ored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack." +
+      "keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mangora" +
+      "ck.keeper.ProgramChargesH\000B\006\n\004body*N\n\006St" +
+      "atus\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_" +
+      "VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032or" +
+      "g.mangorack.keeper.protoB\013KeeperProtoP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -320,7 +324,7 @@
     internal_static_mangorack_keeper_Beat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Beat_descriptor,
-        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", });
+        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "Document", "ConfigurationAgeMs", });
     internal_static_mangorack_keeper_Usage_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_mangorack_keeper_Usage_fieldAccessorTable = new
@@ -338,7 +342,7 @@
     internal_static_mangorack_keeper_Pulse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Pulse_descriptor,
-        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Document", "Entries", "Entry", "Load", });
+        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Document", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", });
     internal_static_mangorack_keeper_Entry_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_mangorack_keeper_Entry_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
@@ -262,6 +262,51 @@
     return load_.get(index);
   }
 
+  public static final int CONTACT_AGE_MS_FIELD_NUMBER = 8;
+  private long contactAgeMs_ = 0L;
+  /**
+   * <pre>
+   * Time since the platform last answered the keeper.
+   * </pre>
+   *
+   * <code>uint64 contact_age_ms = 8;</code>
+   * @return The contactAgeMs.
+   */
+  @java.lang.Override
+  public long getContactAgeMs() {
+    return contactAgeMs_;
+  }
+
+  public static final int ENTRIES_CONTACT_AGE_MS_FIELD_NUMBER = 9;
+  private long entriesContactAgeMs_ = 0L;
+  /**
+   * <pre>
+   * Time since the platform last answered any entry that the keeper hears.
+   * </pre>
+   *
+   * <code>uint64 entries_contact_age_ms = 9;</code>
+   * @return The entriesContactAgeMs.
+   */
+  @java.lang.Override
+  public long getEntriesContactAgeMs() {
+    return entriesContactAgeMs_;
+  }
+
+  public static final int ENTRIES_HEARD_FIELD_NUMBER = 10;
+  private int entriesHeard_ = 0;
+  /**
+   * <pre>
+   * How many entries the keeper hears.
+   * </pre>
+   *
+   * <code>uint32 entries_heard = 10;</code>
+   * @return The entriesHeard.
+   */
+  @java.lang.Override
+  public int getEntriesHeard() {
+    return entriesHeard_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -297,6 +342,15 @@
     for (int i = 0; i < load_.size(); i++) {
       output.writeMessage(7, load_.get(i));
     }
+    if (contactAgeMs_ != 0L) {
+      output.writeUInt64(8, contactAgeMs_);
+    }
+    if (entriesContactAgeMs_ != 0L) {
+      output.writeUInt64(9, entriesContactAgeMs_);
+    }
+    if (entriesHeard_ != 0) {
+      output.writeUInt32(10, entriesHeard_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -334,6 +388,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, load_.get(i));
     }
+    if (contactAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, contactAgeMs_);
+    }
+    if (entriesContactAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, entriesContactAgeMs_);
+    }
+    if (entriesHeard_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, entriesHeard_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -363,6 +429,12 @@
         .equals(other.getEntryList())) return false;
     if (!getLoadList()
         .equals(other.getLoadList())) return false;
+    if (getContactAgeMs()
+        != other.getContactAgeMs()) return false;
+    if (getEntriesContactAgeMs()
+        != other.getEntriesContactAgeMs()) return false;
+    if (getEntriesHeard()
+        != other.getEntriesHeard()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -397,6 +469,14 @@
       hash = (37 * hash) + LOAD_FIELD_NUMBER;
       hash = (53 * hash) + getLoadList().hashCode();
     }
+    hash = (37 * hash) + CONTACT_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getContactAgeMs());
+    hash = (37 * hash) + ENTRIES_CONTACT_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEntriesContactAgeMs());
+    hash = (37 * hash) + ENTRIES_HEARD_FIELD_NUMBER;
+    hash = (53 * hash) + getEntriesHeard();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -553,6 +633,9 @@
         loadBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
+      contactAgeMs_ = 0L;
+      entriesContactAgeMs_ = 0L;
+      entriesHeard_ = 0;
       return this;
     }
 
@@ -629,6 +712,15 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.entries_ = entries_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.contactAgeMs_ = contactAgeMs_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.entriesContactAgeMs_ = entriesContactAgeMs_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.entriesHeard_ = entriesHeard_;
+      }
     }
 
     @java.lang.Override
@@ -733,6 +825,15 @@
           }
         }
       }
+      if (other.getContactAgeMs() != 0L) {
+        setContactAgeMs(other.getContactAgeMs());
+      }
+      if (other.getEntriesContactAgeMs() != 0L) {
+        setEntriesContactAgeMs(other.getEntriesContactAgeMs());
+      }
+      if (other.getEntriesHeard() != 0) {
+        setEntriesHeard(other.getEntriesHeard());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -818,6 +919,21 @@
               }
               break;
             } // case 58
+            case 64: {
+              contactAgeMs_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              entriesContactAgeMs_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              entriesHeard_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1851,6 +1967,138 @@
       return loadBuilder_;
     }
 
+    private long contactAgeMs_ ;
+    /**
+     * <pre>
+     * Time since the platform last answered the keeper.
+     * </pre>
+     *
+     * <code>uint64 contact_age_ms = 8;</code>
+     * @return The contactAgeMs.
+     */
+    @java.lang.Override
+    public long getContactAgeMs() {
+      return contactAgeMs_;
+    }
+    /**
+     * <pre>
+     * Time since the platform last answered the keeper.
+     * </pre>
+     *
+     * <code>uint64 contact_age_ms = 8;</code>
+     * @param value The contactAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContactAgeMs(long value) {
+
+      contactAgeMs_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the platform last answered the keeper.
+     * </pre>
+     *
+     * <code>uint64 contact_age_ms = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContactAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      contactAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long entriesContactAgeMs_ ;
+    /**
+     * <pre>
+     * Time since the platform last answered any entry that the keeper hears.
+     * </pre>
+     *
+     * <code>uint64 entries_contact_age_ms = 9;</code>
+     * @return The entriesContactAgeMs.
+     */
+    @java.lang.Override
+    public long getEntriesContactAgeMs() {
+      return entriesContactAgeMs_;
+    }
+    /**
+     * <pre>
+     * Time since the platform last answered any entry that the keeper hears.
+     * </pre>
+     *
+     * <code>uint64 entries_contact_age_ms = 9;</code>
+     * @param value The entriesContactAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesContactAgeMs(long value) {
+
+      entriesContactAgeMs_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the platform last answered any entry that the keeper hears.
+     * </pre>
+     *
+     * <code>uint64 entries_contact_age_ms = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesContactAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      entriesContactAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int entriesHeard_ ;
+    /**
+     * <pre>
+     * How many entries the keeper hears.
+     * </pre>
+     *
+     * <code>uint32 entries_heard = 10;</code>
+     * @return The entriesHeard.
+     */
+    @java.lang.Override
+    public int getEntriesHeard() {
+      return entriesHeard_;
+    }
+    /**
+     * <pre>
+     * How many entries the keeper hears.
+     * </pre>
+     *
+     * <code>uint32 entries_heard = 10;</code>
+     * @param value The entriesHeard to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesHeard(int value) {
+
+      entriesHeard_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How many entries the keeper hears.
+     * </pre>
+     *
+     * <code>uint32 entries_heard = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesHeard() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      entriesHeard_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Pulse)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
@@ -153,4 +153,34 @@
    */
   org.mangorack.keeper.proto.LoadOrBuilder getLoadOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Time since the platform last answered the keeper.
+   * </pre>
+   *
+   * <code>uint64 contact_age_ms = 8;</code>
+   * @return The contactAgeMs.
+   */
+  long getContactAgeMs();
+
+  /**
+   * <pre>
+   * Time since the platform last answered any entry that the keeper hears.
+   * </pre>
+   *
+   * <code>uint64 entries_contact_age_ms = 9;</code>
+   * @return The entriesContactAgeMs.
+   */
+  long getEntriesContactAgeMs();
+
+  /**
+   * <pre>
+   * How many entries the keeper hears.
+   * </pre>
+   *
+   * <code>uint32 entries_heard = 10;</code>
+   * @return The entriesHeard.
+   */
+  int getEntriesHeard();
 }
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -41,6 +41,8 @@
 
 	private volatile long lastChange;
 
+	private volatile long answeredAt;
+
 	private volatile boolean broken;
 
 	private volatile long regainedAt;
@@ -63,6 +65,7 @@
 		this.onChange = onChange;
 		this.lastContact = clock.nanoTime() - Duration.ofDays(1).toNanos();
 		this.regainedAt = this.lastContact;
+		this.answeredAt = this.lastContact;
 		this.thread = new Thread(this::run, "watch-" + kind.plural());
 		this.thread.setDaemon(true);
 	}
@@ -119,6 +122,14 @@
 		return this.clock.elapsed(this.lastContact);
 	}
 
+	/**
+	 * Returns how long ago the platform last answered.
+	 * @return the time since the answer, which is at most {@link #age()}
+	 */
+	public Duration sinceAnswer() {
+		return this.clock.elapsed(this.answeredAt);
+	}
+
 	/**
 	 * Returns when contact was last regained after a break.
 	 * @return the time on the monotonic clock, or a time long ago when it never broke
@@ -181,6 +192,7 @@
 	}
 
 	private void noteContact(long time) {
+		this.answeredAt = this.clock.nanoTime();
 		this.lastContact = Math.max(this.lastContact, time);
 		this.retryDelay = RETRY_DELAY;
 		if (this.broken) {
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -7,7 +7,7 @@
 import com.google.protobuf.ByteString;
 
 import org.mangorack.call.Jsons;
-import org.mangorack.keeper.ConfigurationRelay;
+import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.MonotonicClock;
@@ -16,7 +16,7 @@
  * The newest configuration that a process has seen, from whichever source, and when it
  * was last certainly the newest one. It never goes back. May be used by any thread.
  */
-public final class ConfigurationHolder implements ConfigurationRelay {
+public final class ConfigurationHolder {
 
 	private final FleetProtocol protocol;
 
@@ -45,23 +45,36 @@
 		return this.state.configuration();
 	}
 
-	@Override
+	/**
+	 * Returns the version of the configuration.
+	 * @return the version, or 0 before any is known
+	 */
 	public long version() {
 		FleetConfiguration known = this.state.configuration();
 		return (known != null) ? known.version() : 0;
 	}
 
-	@Override
+	/**
+	 * Returns how long ago the configuration was certainly the newest one.
+	 * @return the age of this knowledge
+	 */
 	public Duration age() {
 		return this.clock.elapsed(this.state.confirmedAt());
 	}
 
-	@Override
+	/**
+	 * Returns the document as the platform holds it.
+	 * @return the bytes; empty before any is known
+	 */
 	public ByteString document() {
 		return this.state.document();
 	}
 
-	@Override
+	/**
+	 * Returns the rate limit of a workspace.
+	 * @param workspace the workspace
+	 * @return the limit, or {@code null} if there is none
+	 */
 	public RateLimit limit(String workspace) {
 		FleetConfiguration known = this.state.configuration();
 		return (known != null) ? known.limit(workspace) : null;
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -96,6 +98,8 @@
 
 	private final RelayServer server;
 
+	private final FleetContact contact;
+
 	private final Map<String, Known> pulses = new HashMap<>();
 
 	private final CountDownLatch stopped = new CountDownLatch(1);
@@ -130,8 +134,9 @@
 		this.upstreams = new UpstreamTable(this.loop, this.upstreamEntries, protocol, client, this.clock,
 				settings.dataCentre());
 		this.rates = new RateGate(this.keepers, this.loop, this.clock);
+		this.contact = new FleetContact(this.clock, this.keepers::view, this::sinceContact);
 		this.server = new RelayServer(this.loop, protocol, this.clock, metrics, this.configuration,
-				settings.maxConfigurationAge(), this.upstreams, client, this.keepers, this.rates);
+				settings.maxConfigurationAge(), this.contact, this.upstreams, client, this.keepers, this.rates);
 	}
 
 	// ---- Life-cycle
@@ -224,7 +229,7 @@
 
 	private Beat beat(String disk, List<Usage> usage, List<Load> load) {
 		Known known = this.pulses.get(disk);
-		return Beat.newBuilder()
+		Beat.Builder beat = Beat.newBuilder()
 			.setInstance(this.settings.instance())
 			.setCallerAddress(this.settings.callers().toString())
 			.setZone(this.settings.dataCentre())
@@ -233,7 +238,19 @@
 			.setConfiguration(this.configuration.version())
 			.setEntries((known != null) ? known.entriesVersion() : 0)
 			.addAllLoad(load)
-			.build();
+			.setContactAgeMs(sinceContact().toMillis());
+		if ((known != null) && (known.configuration() < this.configuration.version())) {
+			beat.setDocument(this.configuration.document());
+			beat.setConfigurationAgeMs(this.configuration.age().toMillis());
+		}
+		return beat.build();
+	}
+
+	private Duration sinceContact() {
+		return Stream.of(this.configurations, this.upstreamEntries, this.groups)
+			.map(KindCache::sinceAnswer)
+			.min(Comparator.naturalOrder())
+			.orElseThrow();
 	}
 
 	private void heard(Member member, Pulse pulse, Map<String, Long> reported, long sentAt) {
@@ -247,7 +264,8 @@
 		Known before = this.pulses.get(member.getDisk());
 		boolean sameList = (before != null) && (before.entriesVersion() == pulse.getEntries());
 		this.pulses.put(member.getDisk(), new Known(this.clock.nanoTime(), pulse.getEntries(),
-				sameList ? before.entries() : pulse.getEntryList(), pulse.getLoadList()));
+				sameList ? before.entries() : pulse.getEntryList(), pulse.getLoadList(), pulse.getConfiguration()));
+		this.contact.heard(member.getDisk(), pulse);
 		this.rates.setLevels(member.getDisk(), pulse.getLevelList(), reported);
 		List<Load> elsewhere = new ArrayList<>();
 		freshPulses().forEach((p) -> elsewhere.addAll(p.load()));
@@ -319,8 +337,9 @@
 	 * @param entriesVersion the version of its list of entries
 	 * @param entries the entries that it hears
 	 * @param load calls under way at upstreams
+	 * @param configuration the version of its configuration
 	 */
-	private record Known(long heardAt, long entriesVersion, List<Entry> entries, List<Load> load) {
+	private record Known(long heardAt, long entriesVersion, List<Entry> entries, List<Load> load, long configuration) {
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -51,6 +51,8 @@
 
 	private final Duration maxConfigurationAge;
 
+	private final FleetContact contact;
+
 	private final UpstreamTable upstreams;
 
 	private final UpstreamClient client;
@@ -70,14 +72,15 @@
 	private long keepersServingAt;
 
 	RelayServer(EventLoop loop, FleetProtocol protocol, MonotonicClock clock, Metrics metrics,
-			ConfigurationHolder configuration, Duration maxConfigurationAge, UpstreamTable upstreams,
-			UpstreamClient client, KeeperClient keepers, RateGate rates) {
+			ConfigurationHolder configuration, Duration maxConfigurationAge, FleetContact contact,
+			UpstreamTable upstreams, UpstreamClient client, KeeperClient keepers, RateGate rates) {
 		this.loop = loop;
 		this.protocol = protocol;
 		this.clock = clock;
 		this.metrics = metrics;
 		this.configuration = configuration;
 		this.maxConfigurationAge = maxConfigurationAge;
+		this.contact = contact;
 		this.upstreams = upstreams;
 		this.client = client;
 		this.keepers = keepers;
@@ -161,8 +164,13 @@
 		return this.configuration;
 	}
 
+	/**
+	 * Tells whether a key that was withdrawn long enough ago is certainly unknown here.
+	 * @return {@code true} if the configuration was confirmed lately, or nobody can have
+	 * changed it since
+	 */
 	boolean isConfigurationFresh() {
-		return this.configuration.age().compareTo(this.maxConfigurationAge) < 0;
+		return (this.configuration.age().compareTo(this.maxConfigurationAge) < 0) || this.contact.isFleetWideOutage();
 	}
 
 	UpstreamTable upstreams() {
--- a/mangorack/src/test/java/org/mangorack/keeper/FixedConfiguration.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/FixedConfiguration.java
@@ -21,6 +21,16 @@
 		return Duration.ZERO;
 	}
 
+	@Override
+	public Duration sinceContact() {
+		return Duration.ZERO;
+	}
+
+	@Override
+	public void offer(ByteString fresh, long confirmedAt, String source) {
+		// It never changes.
+	}
+
 	@Override
 	public ByteString document() {
 		return ByteString.copyFromUtf8("{}");
