Begin programs only as fast as the rate of their workspace lets them end

Ruled out: engines (under half full). A second bucket for beginnings goes by the observed calls of a program; a draw ends when all keepers answered. A player on a clock of its own shows 85% and more of begun programs ended at 2, 4 and 8 times the rate.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -208,13 +208,12 @@
 
 	/**
 	 * Takes one call from the bucket of a workspace.
-	 * @param workspace the workspace
-	 * @param reserve the calls that must be left in the bucket
+	 * @param draw the call
 	 * @param done receives the time to come back, zero if the call was granted, or
 	 * {@code null} if too few keepers answered
 	 */
-	public void draw(String workspace, double reserve, Consumer<Duration> done) {
-		new DrawCall(workspace, reserve, done).start();
+	public void draw(Draw draw, Consumer<Duration> done) {
+		new DrawCall(draw, done).start();
 	}
 
 	/**
@@ -325,8 +324,9 @@
 			KeeperClient.this.calls.remove(this);
 		}
 
-		final boolean isEnded() {
-			return this.ended;
+		// Whether a member that was asked has not answered yet.
+		final boolean isWaiting() {
+			return !this.outstanding.isEmpty();
 		}
 
 		// Asks all members once more; replies to earlier requests no longer count.
@@ -711,9 +711,7 @@
 	 */
 	private final class DrawCall extends GroupCall {
 
-		private final String workspace;
-
-		private final double reserve;
+		private final Draw draw;
 
 		private final Consumer<Duration> done;
 
@@ -723,17 +721,15 @@
 
 		private long retryMs;
 
-		private DrawCall(String workspace, double reserve, Consumer<Duration> done) {
+		private DrawCall(Draw draw, Consumer<Duration> done) {
 			super(DRAW_LIMIT);
-			this.workspace = workspace;
-			this.reserve = reserve;
+			this.draw = draw;
 			this.done = done;
 		}
 
 		@Override
 		Request.Builder request(Member member) {
-			return Request.newBuilder()
-				.setDraw(Draw.newBuilder().setWorkspace(this.workspace).setReserve(this.reserve));
+			return Request.newBuilder().setDraw(this.draw);
 		}
 
 		@Override
@@ -746,7 +742,7 @@
 				end();
 				this.done.accept(Duration.ZERO);
 			}
-			else if (this.denied.size() * 2 >= v.members().size()) {
+			else if (!isWaiting() && !this.denied.isEmpty()) {
 				end();
 				this.done.accept(Duration.ofMillis(Math.max(1, this.retryMs)));
 			}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -100,12 +100,6 @@
 	 * @throws IOException if the port is taken
 	 */
 	void start(HttpAddress address) throws IOException {
-		this.loops.next()
-			.scheduleWithFixedDelay(this.turns::expire, EXPIRY_INTERVAL.toMillis(), EXPIRY_INTERVAL.toMillis(),
-					TimeUnit.MILLISECONDS);
-		this.loops.next()
-			.scheduleWithFixedDelay(this.entries::expire, LIVENESS_INTERVAL.toMillis(), LIVENESS_INTERVAL.toMillis(),
-					TimeUnit.MILLISECONDS);
 		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loops)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -127,6 +121,12 @@
 			Thread.currentThread().interrupt();
 			throw new IOException("interrupted while binding " + address, ex);
 		}
+		this.loops.next()
+			.scheduleWithFixedDelay(this.turns::expire, EXPIRY_INTERVAL.toMillis(), EXPIRY_INTERVAL.toMillis(),
+					TimeUnit.MILLISECONDS);
+		this.loops.next()
+			.scheduleWithFixedDelay(this.entries::expire, LIVENESS_INTERVAL.toMillis(), LIVENESS_INTERVAL.toMillis(),
+					TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -289,7 +289,7 @@
 	}
 
 	private void draw(Draw draw, Consumer<Reply.Builder> out) {
-		Duration wait = this.buckets.draw(draw.getWorkspace(), draw.getReserve());
+		Duration wait = this.buckets.draw(draw);
 		out.accept(durable().setDrawn(Drawn.newBuilder().setGranted(wait.isZero()).setRetryMs(wait.toMillis())));
 	}
 
--- a/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
@@ -7,16 +7,45 @@
 import java.util.Map;
 
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
+import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Level;
 import org.mangorack.keeper.proto.Usage;
 import org.mangorack.observe.MonotonicClock;
 
 /**
  * The token buckets of all workspaces at one keeper. What entries admitted is taken off
- * afterwards and may leave a debt. Used by one thread.
+ * afterwards and may leave a debt.
+ * <p>
+ * A program that has begun will make more calls, and refusing one of them wastes all that
+ * came before. So while a workspace is near its rate, programs begin only as fast as the
+ * rate divided by the calls of a program, which is observed. Used by one thread.
  */
 final class WorkspaceBuckets {
 
+	/**
+	 * The part of the burst above which programs begin freely.
+	 */
+	static final double FREE_LEVEL = 0.7;
+
+	/**
+	 * The part of the burst that beginnings leave to programs that have begun.
+	 */
+	static final double BEGUN_RESERVE = 0.1;
+
+	/**
+	 * The part of the beginnings that is left to urgent ones.
+	 */
+	static final double URGENT_RESERVE = 0.3;
+
+	/**
+	 * The calls of a program before any were counted; the programs of today's workspaces
+	 * make seven to nine.
+	 */
+	static final double FIRST_CALLS_PER_PROGRAM = 8;
+
+	// Weight of the first guess, in programs.
+	private static final double GUESS_WEIGHT = 10;
+
 	private final MonotonicClock clock;
 
 	private final ConfigurationRelay configuration;
@@ -39,7 +68,7 @@
 		usage.forEach((u) -> {
 			Bucket bucket = filled(u.getWorkspace());
 			if (bucket != null) {
-				bucket.calls -= u.getCalls();
+				bucket.take(u.getCalls(), u.getBeginnings());
 			}
 		});
 	}
@@ -65,21 +94,19 @@
 
 	/**
 	 * Takes one call from a bucket.
-	 * @param workspace the workspace
-	 * @param reserve the calls that must be left
+	 * @param draw the call
 	 * @return zero if it was taken, or the time until one may be there
 	 */
-	Duration draw(String workspace, double reserve) {
-		RateLimit limit = this.configuration.limit(workspace);
-		Bucket bucket = filled(workspace);
+	Duration draw(Draw draw) {
+		Bucket bucket = filled(draw.getWorkspace());
 		if (bucket == null) {
 			return Duration.ZERO;
 		}
-		if (bucket.calls >= 1 + reserve) {
-			bucket.calls -= 1;
-			return Duration.ZERO;
+		Duration wait = bucket.wait(draw);
+		if (wait.isZero()) {
+			bucket.take(1, draw.getBeginning() ? 1 : 0);
 		}
-		return Duration.ofMillis((long) Math.ceil((1 + reserve - bucket.calls) / limit.perSecond() * 1000));
+		return wait;
 	}
 
 	private Bucket filled(String workspace) {
@@ -88,39 +115,77 @@
 			this.buckets.remove(workspace);
 			return null;
 		}
-		long now = this.clock.nanoTime();
 		Bucket bucket = this.buckets.computeIfAbsent(workspace, (w) -> new Bucket(this.startedAt));
-		bucket.fill(now, limit);
+		bucket.fill(this.clock.nanoTime(), limit);
 		return bucket;
 	}
 
 	/**
-	 * One bucket. It starts empty, as others may have granted all that it holds.
+	 * The bucket of one workspace. It starts empty, as others may have granted all that
+	 * it holds.
 	 */
 	private static final class Bucket {
 
+		private final long startedAt;
+
 		private double calls;
 
-		private long filledAt;
+		private double beginnings;
 
-		private final long startedAt;
+		private double callsCounted = FIRST_CALLS_PER_PROGRAM * GUESS_WEIGHT;
+
+		private double beginningsCounted = GUESS_WEIGHT;
+
+		private long filledAt;
 
-		private double secondsToFill;
+		private RateLimit limit;
 
 		private Bucket(long startedAt) {
 			this.startedAt = startedAt;
 			this.filledAt = startedAt;
 		}
 
-		private void fill(long now, RateLimit limit) {
-			double added = (now - this.filledAt) / 1e9 * limit.perSecond();
-			this.calls = Math.min(Math.max(1, limit.burst()), this.calls + added);
+		private void fill(long now, RateLimit present) {
+			this.limit = present;
+			double added = (now - this.filledAt) / 1e9 * present.perSecond();
+			this.calls = Math.min(Math.max(1, present.burst()), this.calls + added);
+			this.beginnings = Math.min(maxBeginnings(), this.beginnings + (added / callsPerProgram()));
 			this.filledAt = now;
-			this.secondsToFill = limit.burst() / limit.perSecond();
+		}
+
+		private double callsPerProgram() {
+			return Math.max(1, this.callsCounted / this.beginningsCounted);
+		}
+
+		private double maxBeginnings() {
+			return Math.max(2, this.limit.burst() / callsPerProgram());
+		}
+
+		private void take(int taken, int begun) {
+			this.calls -= taken;
+			this.beginnings -= begun;
+			this.callsCounted += taken;
+			this.beginningsCounted += begun;
+		}
+
+		private Duration wait(Draw draw) {
+			boolean free = this.calls >= Math.max(1, this.limit.burst() * FREE_LEVEL);
+			if (!draw.getBeginning() || free) {
+				return time(1 - this.calls);
+			}
+			double neededBeginnings = 1 + (draw.getUrgent() ? 0 : (maxBeginnings() * URGENT_RESERVE));
+			Duration forCalls = time(1 + (this.limit.burst() * BEGUN_RESERVE) - this.calls);
+			Duration forBeginnings = time((neededBeginnings - this.beginnings) * callsPerProgram());
+			return (forCalls.compareTo(forBeginnings) > 0) ? forCalls : forBeginnings;
+		}
+
+		private Duration time(double missingCalls) {
+			return (missingCalls <= 0) ? Duration.ZERO
+					: Duration.ofMillis((long) Math.ceil(missingCalls / this.limit.perSecond() * 1000));
 		}
 
 		private boolean warming(long now) {
-			return (now - this.startedAt) / 1e9 < this.secondsToFill;
+			return (now - this.startedAt) / 1e9 < this.limit.burst() / this.limit.perSecond();
 		}
 
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Draw.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Draw.java
@@ -83,19 +83,34 @@
     }
   }
 
-  public static final int RESERVE_FIELD_NUMBER = 2;
-  private double reserve_ = 0D;
+  public static final int BEGINNING_FIELD_NUMBER = 2;
+  private boolean beginning_ = false;
   /**
    * <pre>
-   * Calls that must be left in the bucket.
+   * Whether the call begins a program, which will make more calls.
    * </pre>
    *
-   * <code>double reserve = 2;</code>
-   * @return The reserve.
+   * <code>bool beginning = 2;</code>
+   * @return The beginning.
    */
   @java.lang.Override
-  public double getReserve() {
-    return reserve_;
+  public boolean getBeginning() {
+    return beginning_;
+  }
+
+  public static final int URGENT_FIELD_NUMBER = 3;
+  private boolean urgent_ = false;
+  /**
+   * <pre>
+   * Whether the call goes before others that begin a program.
+   * </pre>
+   *
+   * <code>bool urgent = 3;</code>
+   * @return The urgent.
+   */
+  @java.lang.Override
+  public boolean getUrgent() {
+    return urgent_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -115,8 +130,11 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, workspace_);
     }
-    if (java.lang.Double.doubleToRawLongBits(reserve_) != 0) {
-      output.writeDouble(2, reserve_);
+    if (beginning_ != false) {
+      output.writeBool(2, beginning_);
+    }
+    if (urgent_ != false) {
+      output.writeBool(3, urgent_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -130,9 +148,13 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, workspace_);
     }
-    if (java.lang.Double.doubleToRawLongBits(reserve_) != 0) {
+    if (beginning_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, beginning_);
+    }
+    if (urgent_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(2, reserve_);
+        .computeBoolSize(3, urgent_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -151,9 +173,10 @@
 
     if (!getWorkspace()
         .equals(other.getWorkspace())) return false;
-    if (java.lang.Double.doubleToLongBits(getReserve())
-        != java.lang.Double.doubleToLongBits(
-            other.getReserve())) return false;
+    if (getBeginning()
+        != other.getBeginning()) return false;
+    if (getUrgent()
+        != other.getUrgent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -167,9 +190,12 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
     hash = (53 * hash) + getWorkspace().hashCode();
-    hash = (37 * hash) + RESERVE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getReserve()));
+    hash = (37 * hash) + BEGINNING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getBeginning());
+    hash = (37 * hash) + URGENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUrgent());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -302,7 +328,8 @@
       super.clear();
       bitField0_ = 0;
       workspace_ = "";
-      reserve_ = 0D;
+      beginning_ = false;
+      urgent_ = false;
       return this;
     }
 
@@ -340,7 +367,10 @@
         result.workspace_ = workspace_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.reserve_ = reserve_;
+        result.beginning_ = beginning_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.urgent_ = urgent_;
       }
     }
 
@@ -361,8 +391,11 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (java.lang.Double.doubleToRawLongBits(other.getReserve()) != 0) {
-        setReserve(other.getReserve());
+      if (other.getBeginning() != false) {
+        setBeginning(other.getBeginning());
+      }
+      if (other.getUrgent() != false) {
+        setUrgent(other.getUrgent());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -395,11 +428,16 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 17: {
-              reserve_ = input.readDouble();
+            case 16: {
+              beginning_ = input.readBool();
               bitField0_ |= 0x00000002;
               break;
-            } // case 17
+            } // case 16
+            case 24: {
+              urgent_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -489,46 +527,90 @@
       return this;
     }
 
-    private double reserve_ ;
+    private boolean beginning_ ;
     /**
      * <pre>
-     * Calls that must be left in the bucket.
+     * Whether the call begins a program, which will make more calls.
      * </pre>
      *
-     * <code>double reserve = 2;</code>
-     * @return The reserve.
+     * <code>bool beginning = 2;</code>
+     * @return The beginning.
      */
     @java.lang.Override
-    public double getReserve() {
-      return reserve_;
+    public boolean getBeginning() {
+      return beginning_;
     }
     /**
      * <pre>
-     * Calls that must be left in the bucket.
+     * Whether the call begins a program, which will make more calls.
      * </pre>
      *
-     * <code>double reserve = 2;</code>
-     * @param value The reserve to set.
+     * <code>bool beginning = 2;</code>
+     * @param value The beginning to set.
      * @return This builder for chaining.
      */
-    public Builder setReserve(double value) {
+    public Builder setBeginning(boolean value) {
 
-      reserve_ = value;
+      beginning_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Calls that must be left in the bucket.
+     * Whether the call begins a program, which will make more calls.
      * </pre>
      *
-     * <code>double reserve = 2;</code>
+     * <code>bool beginning = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearReserve() {
+    public Builder clearBeginning() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      reserve_ = 0D;
+      beginning_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean urgent_ ;
+    /**
+     * <pre>
+     * Whether the call goes before others that begin a program.
+     * </pre>
+     *
+     * <code>bool urgent = 3;</code>
+     * @return The urgent.
+     */
+    @java.lang.Override
+    public boolean getUrgent() {
+      return urgent_;
+    }
+    /**
+     * <pre>
+     * Whether the call goes before others that begin a program.
+     * </pre>
+     *
+     * <code>bool urgent = 3;</code>
+     * @param value The urgent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUrgent(boolean value) {
+
+      urgent_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the call goes before others that begin a program.
+     * </pre>
+     *
+     * <code>bool urgent = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUrgent() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      urgent_ = false;
       onChanged();
       return this;
     }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/DrawOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/DrawOrBuilder.java
@@ -24,11 +24,21 @@
 
   /**
    * <pre>
-   * Calls that must be left in the bucket.
+   * Whether the call begins a program, which will make more calls.
    * </pre>
    *
-   * <code>double reserve = 2;</code>
-   * @return The reserve.
+   * <code>bool beginning = 2;</code>
+   * @return The beginning.
    */
-  double getReserve();
+  boolean getBeginning();
+
+  /**
+   * <pre>
+   * Whether the call goes before others that begin a program.
+   * </pre>
+   *
+   * <code>bool urgent = 3;</code>
+   * @return The urgent.
+   */
+  boolean getUrgent();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -216,38 +216,39 @@
       "(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.mang" +
       "orack.keeper.Load\022\026\n\016contact_age_ms\030\t \001(" +
       "\004\022\020\n\010document\030\n \001(\014\022\034\n\024configuration_age" +
-      "_ms\030\013 \001(\004\")\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n" +
-      "\005calls\030\002 \001(\r\"\'\n\004Load\022\020\n\010upstream\030\001 \001(\t\022\r" +
-      "\n\005calls\030\002 \001(\r\"\244\002\n\005Pulse\022&\n\005level\030\001 \003(\0132\027" +
-      ".mangorack.keeper.Level\022\025\n\rconfiguration" +
-      "\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003 \001(\004\022\020\n\010" +
-      "document\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022&\n\005entry" +
-      "\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004load\030" +
-      "\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016contact" +
-      "_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_ms\030" +
-      "\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\"?\n\005Entry\022\020\n" +
-      "\010instance\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022" +
-      "\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(" +
-      "\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"*\n\004Dra" +
-      "w\022\021\n\tworkspace\030\001 \001(\t\022\017\n\007reserve\030\002 \001(\001\"*\n" +
-      "\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(" +
-      "\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack.kee" +
-      "per.View\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn" +
-      "\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.keep" +
-      "er.ProgramCharges\"K\n\016ProgramCharges\022\017\n\007p" +
-      "rogram\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack" +
-      ".keeper.Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005" +
-      "Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.T" +
-      "urn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack.k" +
-      "eeper.Turn\0221\n\007program\030\002 \003(\0132 .mangorack." +
-      "keeper.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\tst" +
-      "ored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack." +
-      "keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mangora" +
-      "ck.keeper.ProgramChargesH\000B\006\n\004body*N\n\006St" +
-      "atus\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_" +
-      "VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032or" +
-      "g.mangorack.keeper.protoB\013KeeperProtoP\001b" +
-      "\006proto3"
+      "_ms\030\013 \001(\004\"=\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n" +
+      "\005calls\030\002 \001(\r\022\022\n\nbeginnings\030\003 \001(\r\"\'\n\004Load" +
+      "\022\020\n\010upstream\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\"\244\002\n\005Pu" +
+      "lse\022&\n\005level\030\001 \003(\0132\027.mangorack.keeper.Le" +
+      "vel\022\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configurat" +
+      "ion_age_ms\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\022\017\n\007en" +
+      "tries\030\005 \001(\004\022&\n\005entry\030\006 \003(\0132\027.mangorack.k" +
+      "eeper.Entry\022$\n\004load\030\007 \003(\0132\026.mangorack.ke" +
+      "eper.Load\022\026\n\016contact_age_ms\030\010 \001(\004\022\036\n\026ent" +
+      "ries_contact_age_ms\030\t \001(\004\022\025\n\rentries_hea" +
+      "rd\030\n \001(\r\"?\n\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016c" +
+      "aller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Lev" +
+      "el\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007" +
+      "warming\030\003 \001(\010\"<\n\004Draw\022\021\n\tworkspace\030\001 \001(\t" +
+      "\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(\010\"*\n\005D" +
+      "rawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"" +
+      "-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack.keepe" +
+      "r.View\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn\030\001" +
+      " \003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.keeper" +
+      ".ProgramCharges\"K\n\016ProgramCharges\022\017\n\007pro" +
+      "gram\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack.k" +
+      "eeper.Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Ba" +
+      "tch\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Tur" +
+      "n\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack.kee" +
+      "per.Turn\0221\n\007program\030\002 \003(\0132 .mangorack.ke" +
+      "eper.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\tstor" +
+      "ed_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.ke" +
+      "eper.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack" +
+      ".keeper.ProgramChargesH\000B\006\n\004body*N\n\006Stat" +
+      "us\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VI" +
+      "EW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org." +
+      "mangorack.keeper.protoB\013KeeperProtoP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -330,7 +331,7 @@
     internal_static_mangorack_keeper_Usage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Usage_descriptor,
-        new java.lang.String[] { "Workspace", "Calls", });
+        new java.lang.String[] { "Workspace", "Calls", "Beginnings", });
     internal_static_mangorack_keeper_Load_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_mangorack_keeper_Load_fieldAccessorTable = new
@@ -360,7 +361,7 @@
     internal_static_mangorack_keeper_Draw_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Draw_descriptor,
-        new java.lang.String[] { "Workspace", "Reserve", });
+        new java.lang.String[] { "Workspace", "Beginning", "Urgent", });
     internal_static_mangorack_keeper_Drawn_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_mangorack_keeper_Drawn_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Usage.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Usage.java
@@ -98,6 +98,21 @@
     return calls_;
   }
 
+  public static final int BEGINNINGS_FIELD_NUMBER = 3;
+  private int beginnings_ = 0;
+  /**
+   * <pre>
+   * How many of the calls began a program.
+   * </pre>
+   *
+   * <code>uint32 beginnings = 3;</code>
+   * @return The beginnings.
+   */
+  @java.lang.Override
+  public int getBeginnings() {
+    return beginnings_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -118,6 +133,9 @@
     if (calls_ != 0) {
       output.writeUInt32(2, calls_);
     }
+    if (beginnings_ != 0) {
+      output.writeUInt32(3, beginnings_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -134,6 +152,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(2, calls_);
     }
+    if (beginnings_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(3, beginnings_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -153,6 +175,8 @@
         .equals(other.getWorkspace())) return false;
     if (getCalls()
         != other.getCalls()) return false;
+    if (getBeginnings()
+        != other.getBeginnings()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -168,6 +192,8 @@
     hash = (53 * hash) + getWorkspace().hashCode();
     hash = (37 * hash) + CALLS_FIELD_NUMBER;
     hash = (53 * hash) + getCalls();
+    hash = (37 * hash) + BEGINNINGS_FIELD_NUMBER;
+    hash = (53 * hash) + getBeginnings();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -305,6 +331,7 @@
       bitField0_ = 0;
       workspace_ = "";
       calls_ = 0;
+      beginnings_ = 0;
       return this;
     }
 
@@ -344,6 +371,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.calls_ = calls_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.beginnings_ = beginnings_;
+      }
     }
 
     @java.lang.Override
@@ -366,6 +396,9 @@
       if (other.getCalls() != 0) {
         setCalls(other.getCalls());
       }
+      if (other.getBeginnings() != 0) {
+        setBeginnings(other.getBeginnings());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +435,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              beginnings_ = input.readUInt32();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -523,6 +561,50 @@
       return this;
     }
 
+    private int beginnings_ ;
+    /**
+     * <pre>
+     * How many of the calls began a program.
+     * </pre>
+     *
+     * <code>uint32 beginnings = 3;</code>
+     * @return The beginnings.
+     */
+    @java.lang.Override
+    public int getBeginnings() {
+      return beginnings_;
+    }
+    /**
+     * <pre>
+     * How many of the calls began a program.
+     * </pre>
+     *
+     * <code>uint32 beginnings = 3;</code>
+     * @param value The beginnings to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBeginnings(int value) {
+
+      beginnings_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How many of the calls began a program.
+     * </pre>
+     *
+     * <code>uint32 beginnings = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBeginnings() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      beginnings_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Usage)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/UsageOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/UsageOrBuilder.java
@@ -27,4 +27,14 @@
    * @return The calls.
    */
   int getCalls();
+
+  /**
+   * <pre>
+   * How many of the calls began a program.
+   * </pre>
+   *
+   * <code>uint32 beginnings = 3;</code>
+   * @return The beginnings.
+   */
+  int getBeginnings();
 }
--- a/mangorack/src/main/java/org/mangorack/relay/RateGate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RateGate.java
@@ -14,6 +14,7 @@
 
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 import org.mangorack.keeper.KeeperClient;
+import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Level;
 import org.mangorack.keeper.proto.Usage;
 import org.mangorack.observe.MonotonicClock;
@@ -48,9 +49,10 @@
 	static final Duration CONTINUATION_WAIT = Duration.ofMillis(600);
 
 	/**
-	 * The part of the burst that is left to programs that have begun.
+	 * The part of the burst that must be left for a program to begin at once. It is
+	 * higher, as more calls will follow.
 	 */
-	static final double CONTINUATION_RESERVE = 0.35;
+	static final double BEGINNING_COMFORT = 0.75;
 
 	private final KeeperClient keepers;
 
@@ -62,6 +64,8 @@
 
 	private final Map<String, Long> reported = new HashMap<>();
 
+	private final Map<String, Integer> beginnings = new HashMap<>();
+
 	private final Map<String, Map<String, Known>> levels = new HashMap<>();
 
 	RateGate(KeeperClient keepers, EventLoop loop, MonotonicClock clock) {
@@ -81,10 +85,15 @@
 		this.admitted.forEach((workspace, total) -> {
 			long before = this.reported.getOrDefault(workspace, 0L);
 			if (total > before) {
-				usage.add(Usage.newBuilder().setWorkspace(workspace).setCalls((int) (total - before)).build());
+				usage.add(Usage.newBuilder()
+					.setWorkspace(workspace)
+					.setCalls((int) (total - before))
+					.setBeginnings(this.beginnings.getOrDefault(workspace, 0))
+					.build());
 				this.reported.put(workspace, total);
 			}
 		});
+		this.beginnings.clear();
 		return usage;
 	}
 
@@ -116,32 +125,35 @@
 	 * Asks whether a request is within the rate of its workspace.
 	 * @param workspace the workspace
 	 * @param limit its limit, or {@code null} if it has none
-	 * @param continuation whether the request belongs to a program that has begun
+	 * @param beginning whether the request begins a program
+	 * @param urgent whether it goes before others that begin one
 	 * @param done receives zero if it is, else the time to come back, or {@code null} if
 	 * the rate cannot be counted at present
 	 */
-	void acquire(String workspace, RateLimit limit, boolean continuation, Consumer<Duration> done) {
+	void acquire(String workspace, RateLimit limit, boolean beginning, boolean urgent, Consumer<Duration> done) {
 		if (limit == null) {
 			done.accept(Duration.ZERO);
 			return;
 		}
-		if (level(workspace) > Math.max(2, limit.burst() * COMFORT)) {
+		double comfort = limit.burst() * (beginning ? BEGINNING_COMFORT : COMFORT);
+		if (level(workspace) > Math.max(2, comfort)) {
 			this.admitted.merge(workspace, 1L, Long::sum);
+			if (beginning) {
+				this.beginnings.merge(workspace, 1, Integer::sum);
+			}
 			done.accept(Duration.ZERO);
 			return;
 		}
-		double reserve = continuation ? 0 : (limit.burst() * CONTINUATION_RESERVE);
-		long waitUntil = this.clock.nanoTime() + (continuation ? CONTINUATION_WAIT : BEGINNING_WAIT).toNanos();
-		draw(workspace, reserve, waitUntil, done);
+		Draw draw = Draw.newBuilder().setWorkspace(workspace).setBeginning(beginning).setUrgent(urgent).build();
+		draw(draw, this.clock.nanoTime() + (beginning ? BEGINNING_WAIT : CONTINUATION_WAIT).toNanos(), done);
 	}
 
-	private void draw(String workspace, double reserve, long waitUntil, Consumer<Duration> done) {
-		this.keepers.draw(workspace, reserve, (wait) -> {
+	private void draw(Draw draw, long waitUntil, Consumer<Duration> done) {
+		this.keepers.draw(draw, (wait) -> {
 			boolean worthWaiting = (wait != null) && !wait.isZero()
 					&& (this.clock.nanoTime() + wait.toNanos() < waitUntil);
 			if (worthWaiting) {
-				this.loop.schedule(() -> draw(workspace, reserve, waitUntil, done), wait.toNanos(),
-						TimeUnit.NANOSECONDS);
+				this.loop.schedule(() -> draw(draw, waitUntil, done), wait.toNanos(), TimeUnit.NANOSECONDS);
 			}
 			else {
 				done.accept(wait);
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -151,9 +151,9 @@
 			admitted();
 			return;
 		}
-		boolean continuation = (this.head.previousTurn() != null)
-				|| (!this.route.keepsTurns() && (this.head.program() != null));
-		this.server.rates().acquire(this.workspace.name(), this.workspace.limit(), continuation, this::rateKnown);
+		boolean beginning = this.route.keepsTurns() && (this.head.previousTurn() == null);
+		this.server.rates()
+			.acquire(this.workspace.name(), this.workspace.limit(), beginning, this.route.rank() == 0, this::rateKnown);
 	}
 
 	private void setDeadline() {
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
+import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.MonotonicClock;
@@ -203,7 +204,7 @@
 		int granted = 0;
 		for (int i = 0; i < 20; i++) {
 			CompletableFuture<Duration> done = new CompletableFuture<>();
-			onLoop(() -> this.client.draw("w", 0, done::complete));
+			onLoop(() -> this.client.draw(Draw.newBuilder().setWorkspace("w").build(), done::complete));
 			granted += done.get(LIMIT_SECONDS, TimeUnit.SECONDS).isZero() ? 1 : 0;
 		}
 		assertThat(granted).isLessThanOrEqualTo(10);
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -1,8 +1,10 @@
 package org.mangorack.keeper;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -22,6 +24,8 @@
 	// closed port of its own address may end up connected to itself.
 	private static final String HOST = "127.0.0.2";
 
+	private static final int MAX_BINDS = 100;
+
 	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final String name;
@@ -54,11 +58,27 @@
 		GroupView view = file.read().orElse(GroupView.unknown(1));
 		this.service = new KeeperService(this.loops, turns, file, this.disk, view, this.configuration,
 				MonotonicClock.SYSTEM);
-		this.service.start(new HttpAddress(HOST, this.port));
+		bind();
 		this.port = this.service.port();
 		return this;
 	}
 
+	// The event loop of a keeper that was closed before frees its port a little later.
+	private void bind() throws IOException {
+		for (int tries = 1;; tries++) {
+			try {
+				this.service.start(new HttpAddress(HOST, this.port));
+				return;
+			}
+			catch (BindException ex) {
+				if (tries == MAX_BINDS) {
+					throw ex;
+				}
+				LockSupport.parkNanos(50_000_000);
+			}
+		}
+	}
+
 	void listenOn(int number) {
 		this.port = number;
 	}
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/WorkspaceBucketsTests.java
@@ -0,0 +1,138 @@
+package org.mangorack.keeper;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mangorack.keeper.ConfigurationRelay.RateLimit;
+import org.mangorack.keeper.proto.Draw;
+import org.mangorack.keeper.proto.Usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link WorkspaceBuckets}, on a clock that the tests advance.
+ */
+class WorkspaceBucketsTests {
+
+	private static final String WORKSPACE = "w";
+
+	private static final int CALLS_PER_PROGRAM = 8;
+
+	private long now = 1;
+
+	@Test
+	void aNewBucketIsEmptyAndFillsAtTheRate() {
+		WorkspaceBuckets buckets = buckets(10, 20);
+		assertThat(buckets.draw(call())).isGreaterThan(Duration.ZERO);
+		advance(0.5);
+		assertThat(drawn(buckets, call(), 100)).isEqualTo(5);
+		advance(60);
+		assertThat(drawn(buckets, call(), 100)).isEqualTo(20);
+	}
+
+	@Test
+	void reportedCallsMayLeaveADebt() {
+		WorkspaceBuckets buckets = buckets(10, 20);
+		advance(2);
+		buckets.use(List.of(Usage.newBuilder().setWorkspace(WORKSPACE).setCalls(30).build()));
+		advance(0.9);
+		assertThat(buckets.draw(call())).isGreaterThan(Duration.ZERO);
+		advance(0.3);
+		assertThat(buckets.draw(call())).isZero();
+	}
+
+	@Test
+	void aWorkspaceWithoutALimitIsNeverRefused() {
+		WorkspaceBuckets buckets = new WorkspaceBuckets(() -> this.now, new FixedConfiguration(null));
+		assertThat(drawn(buckets, call(), 1000)).isEqualTo(1000);
+	}
+
+	@Test
+	void urgentProgramsBeginWhereOthersHaveToWait() {
+		WorkspaceBuckets buckets = buckets(80, 80);
+		advance(5);
+		drawn(buckets, call(), 30);
+		assertThat(drawn(buckets, beginning(false), 1000)).isPositive();
+		assertThat(buckets.draw(beginning(false))).isGreaterThan(Duration.ZERO);
+		assertThat(buckets.draw(beginning(true))).isZero();
+	}
+
+	/**
+	 * Plays a workspace that asks for several times its rate: programs arrive at random
+	 * and make eight calls each, 300 ms apart; a program with a refused call is lost.
+	 */
+	@ParameterizedTest
+	@ValueSource(doubles = { 2, 4, 8 })
+	void anOverloadedWorkspaceFinishesMostProgramsThatItBegins(double overload) {
+		double rate = 70;
+		WorkspaceBuckets buckets = buckets(rate, rate);
+		advance(10);
+		Random random = new Random(5);
+		PriorityQueue<long[]> calls = new PriorityQueue<>(Comparator.comparingLong((long[] c) -> c[0]));
+		double arrivals = overload * rate / CALLS_PER_PROGRAM;
+		long end = this.now + seconds(20);
+		for (long t = this.now; t < end; t += (long) (-Math.log(1 - random.nextDouble()) / arrivals * 1e9)) {
+			calls.add(new long[] { t, 0 });
+		}
+		int begun = 0;
+		int finished = 0;
+		while (!calls.isEmpty()) {
+			long[] call = calls.poll();
+			this.now = Math.max(this.now, call[0]);
+			boolean first = call[1] == 0;
+			Duration wait = buckets.draw(first ? beginning(false) : call());
+			if (wait.isZero()) {
+				begun += first ? 1 : 0;
+				finished += (call[1] == CALLS_PER_PROGRAM - 1) ? 1 : 0;
+				if (call[1] < CALLS_PER_PROGRAM - 1) {
+					calls.add(new long[] { call[0] + seconds(0.3), call[1] + 1 });
+				}
+			}
+			else if (!first && (wait.compareTo(Duration.ofMillis(300)) < 0)) {
+				calls.add(new long[] { call[0] + wait.toNanos(), call[1] });
+			}
+		}
+		double possible = rate * 20 / CALLS_PER_PROGRAM;
+		assertThat((double) finished / begun).as("finished of begun").isGreaterThan(0.85);
+		assertThat(finished).as("finished of those that the rate allows").isGreaterThan((int) (0.75 * possible));
+	}
+
+	// ---- Helpers
+
+	private WorkspaceBuckets buckets(double rate, double burst) {
+		return new WorkspaceBuckets(() -> this.now, new FixedConfiguration(new RateLimit(rate, burst)));
+	}
+
+	private void advance(double seconds) {
+		this.now += seconds(seconds);
+	}
+
+	private static long seconds(double seconds) {
+		return (long) (seconds * 1e9);
+	}
+
+	private static int drawn(WorkspaceBuckets buckets, Draw draw, int tries) {
+		List<Duration> waits = new ArrayList<>();
+		for (int i = 0; i < tries; i++) {
+			waits.add(buckets.draw(draw));
+		}
+		return (int) waits.stream().filter(Duration::isZero).count();
+	}
+
+	private static Draw call() {
+		return Draw.newBuilder().setWorkspace(WORKSPACE).build();
+	}
+
+	private static Draw beginning(boolean urgent) {
+		return Draw.newBuilder().setWorkspace(WORKSPACE).setBeginning(true).setUrgent(urgent).build();
+	}
+
+}
