--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ScriptedUpstream.java
@@ -0,0 +1,201 @@
+package org.mangorack.bench.fleet;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/**
+ * An upstream whose answers a test writes byte by byte.
+ */
+final class ScriptedUpstream implements AutoCloseable {
+
+	private final ServerSocket listening;
+
+	private final List<Received> received = new CopyOnWriteArrayList<>();
+
+	private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+
+	private volatile Script script;
+
+	ScriptedUpstream(Script script) throws IOException {
+		this.script = script;
+		this.listening = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+		daemon(this::accept);
+	}
+
+	String address() {
+		return "127.0.0.1:" + this.listening.getLocalPort();
+	}
+
+	List<Received> received() {
+		return this.received;
+	}
+
+	/**
+	 * Returns the queue of request ids whose connection the other end closed.
+	 * @return the queue
+	 */
+	BlockingQueue<String> closed() {
+		return this.closed;
+	}
+
+	void play(Script next) {
+		this.script = next;
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.listening.close();
+	}
+
+	/**
+	 * Writes an ordinary answer.
+	 * @param request the request
+	 * @param body the body
+	 * @return the bytes of the answer
+	 */
+	static byte[] plain(Received request, String body) {
+		return bytes("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
+				+ "\r\nResponse-Signature: s\r\nKeep-Alive: timeout=5\r\nContent-Length: " + body.length() + "\r\n\r\n"
+				+ body);
+	}
+
+	/**
+	 * Writes a stream of events in one chunk each.
+	 * @param request the request
+	 * @param events the data of the events
+	 * @return the bytes of the answer
+	 */
+	static byte[] stream(Received request, String... events) {
+		StringBuilder text = new StringBuilder(streamHead(request));
+		int id = 0;
+		for (String e : events) {
+			text.append(chunk("id: " + ++id + "\ndata: " + e + "\n\n"));
+		}
+		return bytes(text.append("0\r\n\r\n").toString());
+	}
+
+	static String streamHead(Received request) {
+		return "HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
+				+ "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+	}
+
+	static String chunk(String content) {
+		return Integer.toHexString(content.length()) + "\r\n" + content + "\r\n";
+	}
+
+	static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.ISO_8859_1);
+	}
+
+	private static void daemon(Runnable task) {
+		Thread thread = new Thread(task, "scripted-upstream");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private void accept() {
+		while (!this.listening.isClosed()) {
+			try {
+				Socket socket = this.listening.accept();
+				daemon(() -> serve(socket));
+			}
+			catch (IOException ex) {
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket socket) {
+		String last = "none";
+		try (socket) {
+			InputStream in = new BufferedInputStream(socket.getInputStream());
+			while (true) {
+				Received request = read(in);
+				if (request == null) {
+					break;
+				}
+				last = request.header("Request-Id");
+				this.received.add(request);
+				if (!this.script.answer(request, socket.getOutputStream(), socket)) {
+					return;
+				}
+			}
+		}
+		catch (IOException ex) {
+			// Connections break on purpose.
+		}
+		this.closed.add(last);
+	}
+
+	private static Received read(InputStream in) throws IOException {
+		String start = line(in);
+		if (start == null) {
+			return null;
+		}
+		Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		for (String text = line(in); (text != null) && !text.isEmpty(); text = line(in)) {
+			headers.put(text.substring(0, text.indexOf(':')), text.substring(text.indexOf(':') + 1).strip());
+		}
+		byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("Content-Length", "0")));
+		return new Received(start, headers, new String(body, StandardCharsets.ISO_8859_1));
+	}
+
+	private static String line(InputStream in) throws IOException {
+		StringBuilder text = new StringBuilder();
+		for (int b = in.read(); b != '\n'; b = in.read()) {
+			if (b < 0) {
+				return null;
+			}
+			if (b != '\r') {
+				text.append((char) b);
+			}
+		}
+		return text.toString();
+	}
+
+	/**
+	 * Answers a request.
+	 */
+	@FunctionalInterface
+	interface Script {
+
+		/**
+		 * Answers a request.
+		 * @param request the request
+		 * @param out receives the answer
+		 * @param socket the connection
+		 * @return whether the connection stays open
+		 * @throws IOException if the connection breaks
+		 */
+		boolean answer(Received request, OutputStream out, Socket socket) throws IOException;
+
+	}
+
+	/**
+	 * A request as it arrived.
+	 *
+	 * @param start its first line
+	 * @param headers its headers
+	 * @param body its body
+	 */
+	record Received(String start, Map<String, String> headers, String body) {
+
+		String header(String name) {
+			return this.headers.get(name);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -0,0 +1,294 @@
+package org.mangorack.bench.fleet;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.mangorack.bench.standin.FleetStoreStandIn;
+import org.mangorack.http.HttpAddress;
+import org.mangorack.http.PooledHttpClient;
+import org.mangorack.keeper.KeeperNode;
+import org.mangorack.keeper.KeeperSettings;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.relay.ConfigurationHolder;
+import org.mangorack.relay.EntryNode;
+import org.mangorack.relay.EntrySettings;
+import org.mangorack.wire.ConfigurationWatch;
+import org.mangorack.wire.PlatformRetirements;
+import org.mangorack.wire.PlatformStore;
+import org.mangorack.wire.WireProtocol;
+
+/**
+ * A store, keepers and an entry in this process, with the names of the users' platform
+ * between them.
+ */
+final class TestFleetNodes implements AutoCloseable {
+
+	static final String HOST = "check.example";
+
+	static final String KEY = "key-a";
+
+	static final String OTHER_KEY = "key-b";
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final Duration WATCH = Duration.ofMillis(300);
+
+	private static final int READ_LIMIT_MS = 20_000;
+
+	private final FleetStoreStandIn store = new FleetStoreStandIn(0);
+
+	private final List<KeeperNode> keepers = new ArrayList<>();
+
+	private final Metrics metrics = new Metrics();
+
+	private HttpAddress callers;
+
+	private HttpAddress directory;
+
+	private HttpAddress readiness;
+
+	private EntryNode entry;
+
+	TestFleetNodes() throws IOException {
+		this.store.start();
+	}
+
+	// ---- Life-cycle
+
+	/**
+	 * Writes the configuration and starts keepers and an entry.
+	 * @param folder receives the data of the keepers
+	 * @param count the number of keepers
+	 * @param tolerance how many disks may be lost
+	 * @throws IOException if a port is taken
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void start(Path folder, int count, int tolerance) throws IOException, InterruptedException {
+		configure(1, MAPPER.createObjectNode());
+		for (int i = 0; i < count; i++) {
+			startKeeper("keeper-" + i, Files.createDirectories(folder.resolve("k" + i)), tolerance, true);
+		}
+		this.callers = freeAddress();
+		this.directory = freeAddress();
+		this.readiness = freeAddress();
+		this.entry = new EntryNode(
+				new EntrySettings("entry-1", "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
+						List.of(), tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
+				newStore(), new WireProtocol(), this.metrics);
+		this.entry.start();
+	}
+
+	void startKeeper(String name, Path folder, int tolerance, boolean first) throws IOException, InterruptedException {
+		PlatformStore client = newStore();
+		ConfigurationWatch watch = new ConfigurationWatch(client,
+				new ConfigurationHolder(new WireProtocol(), MonotonicClock.SYSTEM), MonotonicClock.SYSTEM);
+		KindCache retirements = new KindCache(client, ObjectKind.RETIREMENT, MonotonicClock.SYSTEM, () -> {
+		});
+		KeeperNode keeper = new KeeperNode(new KeeperSettings(name, "dc", freeAddress("127.0.0.2"), null,
+				storeAddress(), folder, tolerance, first), client, watch, new PlatformRetirements(client, retirements),
+				this.metrics);
+		keeper.start();
+		watch.start();
+		retirements.start();
+		this.keepers.add(keeper);
+	}
+
+	@Override
+	public void close() {
+		this.keepers.forEach(KeeperNode::stop);
+		this.store.close();
+	}
+
+	// ---- Accessors
+
+	FleetStoreStandIn store() {
+		return this.store;
+	}
+
+	List<KeeperNode> keepers() {
+		return this.keepers;
+	}
+
+	EntryNode entry() {
+		return this.entry;
+	}
+
+	HttpAddress callers() {
+		return this.callers;
+	}
+
+	HttpAddress directory() {
+		return this.directory;
+	}
+
+	HttpAddress readiness() {
+		return this.readiness;
+	}
+
+	PlatformStore newStore() {
+		return new PlatformStore(storeAddress(), new PooledHttpClient(Duration.ofSeconds(1)), (kind) -> WATCH,
+				MonotonicClock.SYSTEM, this.metrics);
+	}
+
+	private HttpAddress storeAddress() {
+		return HttpAddress.parse(this.store.address());
+	}
+
+	// ---- Configuration
+
+	/**
+	 * Writes a configuration with four routes and two workspaces.
+	 * @param version the version
+	 * @param changes fields that replace those of the usual configuration
+	 * @throws IOException if the document cannot be read
+	 */
+	void configure(long version, ObjectNode changes) throws IOException {
+		ObjectNode document = (ObjectNode) MAPPER.readTree("""
+				{"routes":[
+				{"name":"turns","host":"check.example","path_prefix":"/turns/","kind":"streaming","timeout_ms":4000,
+				"service":"pool","max_attempts":2,"retains_context":true,"retention_s":60,"sticky_sessions":true},
+				{"name":"read","host":"check.example","path_prefix":"/read/","kind":"safe","timeout_ms":4000,
+				"service":"pool","max_attempts":2},
+				{"name":"write","host":"check.example","path_prefix":"/write/","kind":"unsafe","timeout_ms":4000,
+				"service":"pool","max_attempts":2},
+				{"name":"open","host":"check.example","path_prefix":"/open/","kind":"safe","timeout_ms":4000,
+				"service":"pool","public":true}],
+				"services":[{"name":"pool","connection_limit":100,"engine":{"tokens_per_event":10}}],
+				"limits":{"max_header_bytes":4096,"max_body_bytes":10000,"header_timeout_ms":600,
+				"idle_timeout_ms":3000},
+				"tenants":[{"name":"a","api_keys":["key-a"]},{"name":"b","api_keys":["key-b"]}]}""");
+		document.put("version", version);
+		document.setAll(changes);
+		this.store.put("config", "main", document);
+	}
+
+	void addUpstream(String id, ScriptedUpstream upstream) {
+		ObjectNode entryOf = MAPPER.createObjectNode();
+		entryOf.put("service", "pool").put("address", upstream.address()).put("zone", "dc").put("version", "1");
+		entryOf.put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0).put("seq", 1);
+		this.store.put("servers", id, entryOf);
+	}
+
+	static ObjectNode object(String json) throws IOException {
+		return (ObjectNode) MAPPER.readTree(json);
+	}
+
+	// ---- Calls
+
+	/**
+	 * Sends bytes on a connection of their own and reads what comes back.
+	 * @param request the bytes
+	 * @return all bytes until the entry closes or the answer is whole
+	 * @throws IOException if the connection breaks
+	 */
+	String exchange(String request) throws IOException {
+		try (Socket socket = connect()) {
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+			return readAnswer(socket);
+		}
+	}
+
+	Socket connect() throws IOException {
+		Socket socket = new Socket(this.callers.host(), this.callers.port());
+		socket.setSoTimeout(READ_LIMIT_MS);
+		return socket;
+	}
+
+	/**
+	 * Makes a request.
+	 * @param method the method
+	 * @param path the path
+	 * @param id the id of the request
+	 * @param headers more header lines, each with its line end
+	 * @param body the body
+	 * @return the text of the request
+	 */
+	static String request(String method, String path, String id, String headers, String body) {
+		return method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nRequest-Id: " + id
+				+ "\r\nTime-Remaining: 4000\r\nAuthorization: Token " + KEY + "\r\n" + headers + "Content-Length: "
+				+ body.length() + "\r\n\r\n" + body;
+	}
+
+	static String readAnswer(Socket socket) throws IOException {
+		StringBuilder text = new StringBuilder();
+		InputStream in = socket.getInputStream();
+		try {
+			for (int b = in.read(); b >= 0; b = in.read()) {
+				text.append((char) b);
+				if (isWhole(text)) {
+					break;
+				}
+			}
+		}
+		catch (SocketTimeoutException ex) {
+			text.append("(no end within ").append(READ_LIMIT_MS).append(" ms)");
+		}
+		catch (IOException ex) {
+			text.append("(reset)");
+		}
+		return text.toString();
+	}
+
+	static boolean isWhole(CharSequence text) {
+		String answer = text.toString();
+		int end = answer.indexOf("\r\n\r\n");
+		if (end < 0) {
+			return false;
+		}
+		String head = answer.substring(0, end).toLowerCase(Locale.ROOT);
+		if (head.contains("transfer-encoding: chunked")) {
+			return answer.endsWith("\r\n0\r\n\r\n");
+		}
+		int mark = head.indexOf("content-length: ");
+		if (mark < 0) {
+			return false;
+		}
+		int length = Integer.parseInt(head.substring(mark + 16).split("\r\n")[0].strip());
+		return answer.length() >= end + 4 + length;
+	}
+
+	/**
+	 * Sends turns until one is served, which shows that the group of keepers is formed.
+	 * @throws IOException if the entry cannot be reached
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void awaitServing() throws IOException, InterruptedException {
+		long startedAt = System.nanoTime();
+		for (int i = 0; TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startedAt) < 60; i++) {
+			if (exchange(request("POST", "/turns/x", "warm-" + i, "", "x")).startsWith("HTTP/1.1 200")) {
+				return;
+			}
+			TimeUnit.MILLISECONDS.sleep(100);
+		}
+		throw new IllegalStateException("no turn was served within 60 s");
+	}
+
+	static HttpAddress freeAddress() throws IOException {
+		return freeAddress("127.0.0.1");
+	}
+
+	private static HttpAddress freeAddress(String host) throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+			return new HttpAddress(host, socket.getLocalPort());
+		}
+	}
+
+}
