--- a/mangorack/src/main/java/org/mangorack/operator/Main.java
+++ b/mangorack/src/main/java/org/mangorack/operator/Main.java
@@ -12,6 +12,7 @@
 
 import org.mangorack.operator.impl.ConfigCommands;
 import org.mangorack.operator.impl.DrainCommand;
+import org.mangorack.operator.impl.ExplainCommand;
 import org.mangorack.operator.impl.KeyCommands;
 import org.mangorack.operator.impl.ProgramsCommand;
 import org.mangorack.operator.impl.ServeCommand;
@@ -23,13 +24,14 @@
 public final class Main {
 
 	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "COMMAND",
-			usage = "serve, config, key, status, programs or drain; COMMAND --help tells more")
+			usage = "serve, config, key, status, programs, drain or explain; COMMAND --help tells more")
 	@SubCommands({ @SubCommand(name = "serve", impl = ServeCommand.class),
 			@SubCommand(name = "config", impl = ConfigCommands.class),
 			@SubCommand(name = "key", impl = KeyCommands.class),
 			@SubCommand(name = "status", impl = StatusCommand.class),
 			@SubCommand(name = "programs", impl = ProgramsCommand.class),
-			@SubCommand(name = "drain", impl = DrainCommand.class) })
+			@SubCommand(name = "drain", impl = DrainCommand.class),
+			@SubCommand(name = "explain", impl = ExplainCommand.class) })
 	private Command command;
 
 	@Option(name = "--help", aliases = "-h", help = true, usage = "print this help")
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/operator/ExplainCommandTests.java
@@ -0,0 +1,93 @@
+package org.mangorack.operator;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for the command {@code explain}.
+ */
+class ExplainCommandTests {
+
+	private static final String KEEPER_LOST = """
+			{"time":"2026-12-04T01:00:01.500Z","level":"WARN","event":{"event":"2002","message":"keeper lost","keeper":"k1"}}
+			""";
+
+	private static final String REFUSED = """
+			{"time":"2026-12-04T01:00:02.000Z","level":"INFO","event":{"event":"2102","message":"request turned away","request":"r1","code":"keepers_away"}}
+			""";
+
+	private static final String OTHER = """
+			{"time":"2026-12-04T01:00:02.100Z","level":"INFO","event":{"event":"2101","message":"request served","request":"r2"}}
+			""";
+
+	@TempDir
+	Path folder;
+
+	private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+	private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+	@Test
+	void theStoryHoldsTheRecordsOfTheRequestAndWhatWasLearnedBefore() throws IOException {
+		String first = file("entry-1.log", KEEPER_LOST + REFUSED + OTHER);
+		assertThat(explain("r1", first)).isZero();
+		assertThat(this.out.toString(StandardCharsets.UTF_8).lines()).hasSize(2)
+			.anyMatch((l) -> l.contains("keeper lost") && l.contains("keeper=k1"))
+			.anyMatch((l) -> l.contains("code=keepers_away") && l.contains("entry-1.log"));
+	}
+
+	@Test
+	void recordsOfSeveralInstancesAreInTheOrderOfTime() throws IOException {
+		String later = file("entry-1.log", REFUSED);
+		String earlier = file("entry-2.log", REFUSED.replace("01:00:02", "01:00:01").replace("2102", "2111"));
+		assertThat(explain("r1", later, earlier)).isZero();
+		assertThat(this.out.toString(StandardCharsets.UTF_8).lines().findFirst().orElseThrow()).contains("[2111");
+	}
+
+	@Test
+	void linesThatAreNoRecordsAreCounted() throws IOException {
+		assertThat(explain("r1", file("entry-1.log", "oops\n" + REFUSED + "{broken\n"))).isZero();
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).contains("2 of 3 lines are no log records");
+	}
+
+	@Test
+	void aFileWithoutRecordsIsRefused() throws IOException {
+		assertThat(explain("r1", file("wrong.txt", "one\ntwo\n"))).isEqualTo(1);
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).contains("none of its 2 lines is a log record");
+	}
+
+	@Test
+	void aMissingFileIsNamed() {
+		assertThat(explain("r1", "missing.log")).isEqualTo(1);
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).contains("missing.log: cannot be read");
+	}
+
+	@Test
+	void anUnknownRequestIsSaidSo() throws IOException {
+		assertThat(explain("r9", file("entry-1.log", REFUSED))).isEqualTo(1);
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).contains("no record names request \"r9\"");
+	}
+
+	private String file(String name, String content) throws IOException {
+		return Files.writeString(this.folder.resolve(name), content).toString();
+	}
+
+	private int explain(String request, String... files) {
+		String[] arguments = new String[files.length + 2];
+		arguments[0] = "explain";
+		arguments[1] = request;
+		System.arraycopy(files, 0, arguments, 2, files.length);
+		return Main.run(arguments, new PrintStream(this.out, true, StandardCharsets.UTF_8),
+				new PrintStream(this.err, true, StandardCharsets.UTF_8));
+	}
+
+}
