Give back the rate of requests that do not run; begin programs less sparingly

Programs without end had 645 turns refused for their budget, and each was counted in the rate though it never ran; and with a small burst a beginning had to wait longer (300 ms) than it was let (100 ms). Requests refused as not run are now given back, beginnings wait up to 400 ms and are free above half of the burst.

--- a/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
@@ -25,7 +25,7 @@
 	/**
 	 * The part of the burst above which programs begin freely.
 	 */
-	static final double FREE_LEVEL = 0.7;
+	static final double FREE_LEVEL = 0.5;
 
 	/**
 	 * The part of the burst that beginnings leave to programs that have begun.
@@ -35,7 +35,7 @@
 	/**
 	 * The part of the beginnings that is left to urgent ones.
 	 */
-	static final double URGENT_RESERVE = 0.3;
+	static final double URGENT_RESERVE = 0.15;
 
 	/**
 	 * The calls of a program before any were counted; the programs of today's workspaces
@@ -43,6 +43,9 @@
 	 */
 	static final double FIRST_CALLS_PER_PROGRAM = 8;
 
+	// Beginnings that may come at once even if the burst is small.
+	private static final double MIN_BEGINNINGS = 4;
+
 	// Weight of the first guess, in programs.
 	private static final double GUESS_WEIGHT = 10;
 
@@ -158,7 +161,7 @@
 		}
 
 		private double maxBeginnings() {
-			return Math.max(2, this.limit.burst() / callsPerProgram());
+			return Math.max(MIN_BEGINNINGS, this.limit.burst() / callsPerProgram());
 		}
 
 		private void take(int taken, int begun) {
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -217,7 +217,7 @@
       "orack.keeper.Load\022\026\n\016contact_age_ms\030\t \001(" +
       "\004\022\020\n\010document\030\n \001(\014\022\034\n\024configuration_age" +
       "_ms\030\013 \001(\004\"=\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n" +
-      "\005calls\030\002 \001(\r\022\022\n\nbeginnings\030\003 \001(\r\"\'\n\004Load" +
+      "\005calls\030\002 \001(\021\022\022\n\nbeginnings\030\003 \001(\021\"\'\n\004Load" +
       "\022\020\n\010upstream\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\"\244\002\n\005Pu" +
       "lse\022&\n\005level\030\001 \003(\0132\027.mangorack.keeper.Le" +
       "vel\022\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configurat" +
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Usage.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Usage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Calls of a workspace admitted since the last beat.
+ * Calls of a workspace admitted since the last beat, less those that did not run after all.
  * </pre>
  *
  * Protobuf type {@code mangorack.keeper.Usage}
@@ -90,7 +90,7 @@
   public static final int CALLS_FIELD_NUMBER = 2;
   private int calls_ = 0;
   /**
-   * <code>uint32 calls = 2;</code>
+   * <code>sint32 calls = 2;</code>
    * @return The calls.
    */
   @java.lang.Override
@@ -105,7 +105,7 @@
    * How many of the calls began a program.
    * </pre>
    *
-   * <code>uint32 beginnings = 3;</code>
+   * <code>sint32 beginnings = 3;</code>
    * @return The beginnings.
    */
   @java.lang.Override
@@ -131,10 +131,10 @@
       com.google.protobuf.GeneratedMessage.writeString(output, 1, workspace_);
     }
     if (calls_ != 0) {
-      output.writeUInt32(2, calls_);
+      output.writeSInt32(2, calls_);
     }
     if (beginnings_ != 0) {
-      output.writeUInt32(3, beginnings_);
+      output.writeSInt32(3, beginnings_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -150,11 +150,11 @@
     }
     if (calls_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(2, calls_);
+        .computeSInt32Size(2, calls_);
     }
     if (beginnings_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(3, beginnings_);
+        .computeSInt32Size(3, beginnings_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -293,7 +293,7 @@
   }
   /**
    * <pre>
-   * Calls of a workspace admitted since the last beat.
+   * Calls of a workspace admitted since the last beat, less those that did not run after all.
    * </pre>
    *
    * Protobuf type {@code mangorack.keeper.Usage}
@@ -431,12 +431,12 @@
               break;
             } // case 10
             case 16: {
-              calls_ = input.readUInt32();
+              calls_ = input.readSInt32();
               bitField0_ |= 0x00000002;
               break;
             } // case 16
             case 24: {
-              beginnings_ = input.readUInt32();
+              beginnings_ = input.readSInt32();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
@@ -531,7 +531,7 @@
 
     private int calls_ ;
     /**
-     * <code>uint32 calls = 2;</code>
+     * <code>sint32 calls = 2;</code>
      * @return The calls.
      */
     @java.lang.Override
@@ -539,7 +539,7 @@
       return calls_;
     }
     /**
-     * <code>uint32 calls = 2;</code>
+     * <code>sint32 calls = 2;</code>
      * @param value The calls to set.
      * @return This builder for chaining.
      */
@@ -551,7 +551,7 @@
       return this;
     }
     /**
-     * <code>uint32 calls = 2;</code>
+     * <code>sint32 calls = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearCalls() {
@@ -567,7 +567,7 @@
      * How many of the calls began a program.
      * </pre>
      *
-     * <code>uint32 beginnings = 3;</code>
+     * <code>sint32 beginnings = 3;</code>
      * @return The beginnings.
      */
     @java.lang.Override
@@ -579,7 +579,7 @@
      * How many of the calls began a program.
      * </pre>
      *
-     * <code>uint32 beginnings = 3;</code>
+     * <code>sint32 beginnings = 3;</code>
      * @param value The beginnings to set.
      * @return This builder for chaining.
      */
@@ -595,7 +595,7 @@
      * How many of the calls began a program.
      * </pre>
      *
-     * <code>uint32 beginnings = 3;</code>
+     * <code>sint32 beginnings = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearBeginnings() {
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/UsageOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/UsageOrBuilder.java
@@ -23,7 +23,7 @@
       getWorkspaceBytes();
 
   /**
-   * <code>uint32 calls = 2;</code>
+   * <code>sint32 calls = 2;</code>
    * @return The calls.
    */
   int getCalls();
@@ -33,7 +33,7 @@
    * How many of the calls began a program.
    * </pre>
    *
-   * <code>uint32 beginnings = 3;</code>
+   * <code>sint32 beginnings = 3;</code>
    * @return The beginnings.
    */
   int getBeginnings();
--- a/mangorack/src/main/java/org/mangorack/relay/RateGate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RateGate.java
@@ -40,7 +40,7 @@
 	/**
 	 * How long the beginning of a program waits for the bucket before it is refused.
 	 */
-	static final Duration BEGINNING_WAIT = Duration.ofMillis(100);
+	static final Duration BEGINNING_WAIT = Duration.ofMillis(400);
 
 	/**
 	 * How long a request of a program that has begun waits. Its refusal would waste what
@@ -84,7 +84,7 @@
 		List<Usage> usage = new ArrayList<>();
 		this.admitted.forEach((workspace, total) -> {
 			long before = this.reported.getOrDefault(workspace, 0L);
-			if (total > before) {
+			if (total != before) {
 				usage.add(Usage.newBuilder()
 					.setWorkspace(workspace)
 					.setCalls((int) (total - before))
@@ -148,6 +148,21 @@
 		draw(draw, this.clock.nanoTime() + (beginning ? BEGINNING_WAIT : CONTINUATION_WAIT).toNanos(), done);
 	}
 
+	/**
+	 * Gives back a request that was admitted but will not run.
+	 * @param workspace the workspace
+	 * @param limit its limit, or {@code null} if it has none
+	 * @param beginning whether the request began a program
+	 */
+	void giveBack(String workspace, RateLimit limit, boolean beginning) {
+		if (limit != null) {
+			this.admitted.merge(workspace, -1L, Long::sum);
+			if (beginning) {
+				this.beginnings.merge(workspace, -1, Integer::sum);
+			}
+		}
+	}
+
 	private void draw(Draw draw, long waitUntil, Consumer<Duration> done) {
 		this.keepers.draw(draw, (wait) -> {
 			boolean worthWaiting = (wait != null) && !wait.isZero()
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -91,6 +91,8 @@
 
 	private boolean ended;
 
+	private boolean countedInRate;
+
 	private boolean sent;
 
 	private int attempts;
@@ -151,9 +153,13 @@
 			admitted();
 			return;
 		}
-		boolean beginning = this.route.keepsTurns() && (this.head.previousTurn() == null);
 		this.server.rates()
-			.acquire(this.workspace.name(), this.workspace.limit(), beginning, this.route.rank() == 0, this::rateKnown);
+			.acquire(this.workspace.name(), this.workspace.limit(), isBeginning(), this.route.rank() == 0,
+					this::rateKnown);
+	}
+
+	private boolean isBeginning() {
+		return this.route.keepsTurns() && (this.head.previousTurn() == null);
 	}
 
 	private void setDeadline() {
@@ -167,7 +173,9 @@
 	}
 
 	private void rateKnown(Duration wait) {
+		this.countedInRate = (wait != null) && wait.isZero();
 		if (this.ended) {
+			giveBackRate();
 			return;
 		}
 		if (wait == null) {
@@ -183,6 +191,14 @@
 		}
 	}
 
+	// A request that did not run does not count against the rate.
+	private void giveBackRate() {
+		if (this.countedInRate) {
+			this.countedInRate = false;
+			this.server.rates().giveBack(this.workspace.name(), this.workspace.limit(), isBeginning());
+		}
+	}
+
 	private void admitted() {
 		this.pool = this.route.pool(ThreadLocalRandom.current().nextDouble());
 		if (!this.route.keepsTurns()) {
@@ -324,6 +340,9 @@
 		}
 		end();
 		settleBroken();
+		if (refusal.verdict() == Verdict.NOT_RUN) {
+			giveBackRate();
+		}
 		this.server.log()
 			.log(Event.RELAY_REFUSED, "request", this.head.requestId(), "status", refusal.status(), "code",
 					refusal.code(), "detail", refusal.detail(), "verdict", refusal.verdict().wireName(), "route",
