Let requests wait for their rate only briefly

Under a rate that stays exceeded every request waits the longest time, while its client would come back by itself.

--- a/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
@@ -25,7 +25,7 @@
 	/**
 	 * The part of the burst above which programs begin freely.
 	 */
-	static final double FREE_LEVEL = 0.5;
+	static final double FREE_LEVEL = 0.35;
 
 	/**
 	 * The part of the burst that beginnings leave to programs that have begun.
--- a/mangorack/src/main/java/org/mangorack/relay/RateGate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RateGate.java
@@ -40,19 +40,19 @@
 	/**
 	 * How long the beginning of a program waits for the bucket before it is refused.
 	 */
-	static final Duration BEGINNING_WAIT = Duration.ofMillis(400);
+	static final Duration BEGINNING_WAIT = Duration.ofMillis(80);
 
 	/**
 	 * How long a request of a program that has begun waits. Its refusal would waste what
 	 * the program used before.
 	 */
-	static final Duration CONTINUATION_WAIT = Duration.ofMillis(600);
+	static final Duration CONTINUATION_WAIT = Duration.ofMillis(150);
 
 	/**
 	 * The part of the burst that must be left for a program to begin at once. It is
 	 * higher, as more calls will follow.
 	 */
-	static final double BEGINNING_COMFORT = 0.75;
+	static final double BEGINNING_COMFORT = 0.5;
 
 	private final KeeperClient keepers;
 
