--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -10,6 +10,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -31,6 +33,7 @@
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Pulse;
 import org.mangorack.keeper.proto.Usage;
+import org.mangorack.observe.DaemonThreads;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
@@ -38,6 +41,8 @@
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.ObjectKind;
 import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.StoredObject;
 
 /**
  * An entry: the addresses for callers, the beats to the keepers and the copies of what
@@ -66,6 +71,14 @@
 	 */
 	static final double GRACE_PART = 0.93;
 
+	/**
+	 * Once the configuration was not confirmed for this long, the entry asks the platform
+	 * itself. Keepers confirm it more often than that while they can.
+	 */
+	static final Duration PROBE_AGE = Duration.ofMillis(2200);
+
+	private static final Duration PROBE_INTERVAL = Duration.ofMillis(600);
+
 	// A pulse that is older says nothing about the entries that live.
 	private static final Duration PULSE_LIFE = Duration.ofMillis(1200);
 
@@ -102,6 +115,11 @@
 
 	private final Map<String, Known> pulses = new HashMap<>();
 
+	private final ScheduledExecutorService control = Executors
+		.newSingleThreadScheduledExecutor(DaemonThreads.named("control"));
+
+	private final ObjectStore store;
+
 	private final CountDownLatch stopped = new CountDownLatch(1);
 
 	private List<String> lastAddresses = List.of();
@@ -111,6 +129,8 @@
 	// The version that the platform held when it was last heard.
 	private volatile long platformVersion;
 
+	private volatile long probedAt;
+
 	private volatile boolean stopping;
 
 	/**
@@ -122,6 +142,8 @@
 	 */
 	public EntryNode(EntrySettings settings, ObjectStore store, FleetProtocol protocol, Metrics metrics) {
 		this.settings = settings;
+		this.store = store;
+		this.probedAt = this.clock.nanoTime() - Duration.ofDays(1).toNanos();
 		this.protocol = protocol;
 		this.metrics = metrics;
 		this.configuration = new ConfigurationHolder(protocol, this.clock);
@@ -156,6 +178,8 @@
 		if (this.settings.metrics() != null) {
 			new StatusServer(this.loop, (request) -> StatusServer.metrics(this.metrics)).start(this.settings.metrics());
 		}
+		this.control.scheduleWithFixedDelay(this::probe, PROBE_INTERVAL.toMillis(), PROBE_INTERVAL.toMillis(),
+				TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::beat, 0, BEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "entry", "callers",
 				this.settings.callers(), "tolerance", this.settings.tolerance());
@@ -206,6 +230,24 @@
 		});
 	}
 
+	// Also finds out whether the platform answers this entry, which its long watches do
+	// not.
+	private void probe() {
+		if (this.configuration.age().compareTo(PROBE_AGE) < 0) {
+			return;
+		}
+		long askedAt = this.clock.nanoTime();
+		try {
+			for (StoredObject object : this.store.list(ObjectKind.FLEET_CONFIGURATION).items()) {
+				this.probedAt = this.clock.nanoTime();
+				this.configuration.offer(object.spec(), askedAt, "probe");
+			}
+		}
+		catch (StoreException ex) {
+			this.metrics.count("mangorack.platform.probes.failed", 1, "reason", ex.reason().name());
+		}
+	}
+
 	private void refreshUpstreams() {
 		this.loop.execute(this.upstreams::refresh);
 	}
@@ -247,10 +289,12 @@
 	}
 
 	private Duration sinceContact() {
+		Duration sinceProbe = this.clock.elapsed(this.probedAt);
 		return Stream.of(this.configurations, this.upstreamEntries, this.groups)
 			.map(KindCache::sinceAnswer)
+			.filter((since) -> since.compareTo(sinceProbe) < 0)
 			.min(Comparator.naturalOrder())
-			.orElseThrow();
+			.orElse(sinceProbe);
 	}
 
 	private void heard(Member member, Pulse pulse, Map<String, Long> reported, long sentAt) {
