--- a/bench/src/test/java/org/mangorack/bench/fleet/GroupChangeTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/GroupChangeTests.java
@@ -102,6 +102,20 @@
 		assertThat(turn("later", "Previous-Turn: t1\r\n")).startsWith("HTTP/1.1 200");
 	}
 
+	@Test
+	void anEntryThatStartsWithoutThePlatformLearnsTheGroupFromItsSeeds() throws Exception {
+		this.fleet.store().setRefusing(true);
+		this.fleet.startEntry(1);
+		long startedAt = System.nanoTime();
+		String answer = turn("late", "Previous-Turn: t1\r\n");
+		while (!answer.contains("no_upstream")) {
+			assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startedAt)).as(answer)
+				.isLessThan(LIMIT_SECONDS);
+			TimeUnit.MILLISECONDS.sleep(50);
+			answer = turn("late", "Previous-Turn: t1\r\n");
+		}
+	}
+
 	@Test
 	void aForgottenHistoryIsReadAnew() throws Exception {
 		this.fleet.store().forgetHistory();
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -57,6 +57,8 @@
 
 	private final List<KeeperNode> keepers = new ArrayList<>();
 
+	private final List<HttpAddress> keeperAddresses = new ArrayList<>();
+
 	private final Metrics metrics = new Metrics();
 
 	private HttpAddress callers;
@@ -86,12 +88,21 @@
 		for (int i = 0; i < count; i++) {
 			startKeeper("keeper-" + i, Files.createDirectories(folder.resolve("k" + i)), tolerance, true);
 		}
+		startEntry(tolerance);
+	}
+
+	/**
+	 * Starts another entry, which calls go to from then on. Its seeds are the keepers.
+	 * @param tolerance how many disks may be lost
+	 * @throws IOException if a port is taken
+	 */
+	void startEntry(int tolerance) throws IOException {
 		this.callers = freeAddress();
 		this.directory = freeAddress();
 		this.readiness = freeAddress();
 		this.entry = new EntryNode(
 				new EntrySettings("entry-1", "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
-						List.of(), tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
+						this.keeperAddresses, tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
 				newStore(), new WireProtocol(), this.metrics);
 		this.entry.start();
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -17,6 +17,7 @@
 
 import io.netty.channel.EventLoop;
 
+import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Adopt;
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Chain;
@@ -32,6 +33,7 @@
 import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
 
 /**
@@ -99,8 +101,8 @@
 		this.clock = clock;
 		this.zone = zone;
 		this.view = GroupView.unknown(tolerance);
-		loop.scheduleWithFixedDelay(this::check, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(),
-				TimeUnit.MILLISECONDS);
+		loop.scheduleWithFixedDelay(new GuardedTask("keeper calls", this::check), CHECK_INTERVAL.toMillis(),
+				CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	// ---- Configuration
@@ -246,6 +248,28 @@
 		}
 	}
 
+	/**
+	 * Asks keepers at known addresses for the group, for a start without the platform.
+	 * Does nothing once a group is known.
+	 * @param seeds addresses of keepers, which may be wrong
+	 * @param beat the beat to send
+	 * @param pulse receives the answer of a keeper
+	 */
+	public void askSeeds(List<HttpAddress> seeds, Beat beat, Consumer<Pulse> pulse) {
+		for (HttpAddress seed : seeds) {
+			Member member = Member.newBuilder()
+				.setName(seed.toString())
+				.setHost(seed.host())
+				.setPort(seed.port())
+				.build();
+			KeeperLink[] link = new KeeperLink[1];
+			link[0] = new KeeperLink(this.loop, member, this.clock,
+					() -> link[0].send(Request.newBuilder().setBeat(beat), new SeedReply(link[0], pulse)));
+			link[0].connect();
+			this.loop.schedule(link[0]::close, KeeperLink.SILENCE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
 	// ---- Helpers
 
 	private void check() {
@@ -293,6 +317,36 @@
 		return crc.getValue();
 	}
 
+	/**
+	 * Takes over what a seed says and closes the link to it.
+	 */
+	private final class SeedReply implements ReplyListener {
+
+		private final KeeperLink link;
+
+		private final Consumer<Pulse> pulse;
+
+		private SeedReply(KeeperLink link, Consumer<Pulse> pulse) {
+			this.link = link;
+			this.pulse = pulse;
+		}
+
+		@Override
+		public void replied(Reply reply) {
+			if (reply.hasView()) {
+				adopt(GroupView.of(reply.getView(), KeeperClient.this.view.tolerance()));
+			}
+			this.pulse.accept(reply.getPulse());
+			this.link.close();
+		}
+
+		@Override
+		public void broke() {
+			this.link.close();
+		}
+
+	}
+
 	/**
 	 * A call to all members of the group.
 	 */
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -42,6 +42,7 @@
 import org.mangorack.keeper.proto.Store;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
 
 /**
@@ -122,11 +123,11 @@
 			throw new IOException("interrupted while binding " + address, ex);
 		}
 		this.loops.next()
-			.scheduleWithFixedDelay(this.turns::expire, EXPIRY_INTERVAL.toMillis(), EXPIRY_INTERVAL.toMillis(),
-					TimeUnit.MILLISECONDS);
+			.scheduleWithFixedDelay(new GuardedTask("expiry", this.turns::expire), EXPIRY_INTERVAL.toMillis(),
+					EXPIRY_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 		this.loops.next()
-			.scheduleWithFixedDelay(this.entries::expire, LIVENESS_INTERVAL.toMillis(), LIVENESS_INTERVAL.toMillis(),
-					TimeUnit.MILLISECONDS);
+			.scheduleWithFixedDelay(new GuardedTask("live entries", this.entries::expire), LIVENESS_INTERVAL.toMillis(),
+					LIVENESS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -36,6 +36,7 @@
 import org.mangorack.observe.DaemonThreads;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.KindCache;
@@ -79,6 +80,11 @@
 
 	private static final Duration PROBE_INTERVAL = Duration.ofMillis(600);
 
+	/**
+	 * The time between questions to the seeds while no group is known.
+	 */
+	static final Duration SEED_INTERVAL = Duration.ofSeconds(1);
+
 	// A pulse that is older says nothing about the entries that live.
 	private static final Duration PULSE_LIFE = Duration.ofMillis(1200);
 
@@ -129,6 +135,8 @@
 	// The version that the platform held when it was last heard.
 	private volatile long platformVersion;
 
+	private long seedsAskedAt;
+
 	private volatile long probedAt;
 
 	private volatile boolean stopping;
@@ -143,6 +151,7 @@
 	public EntryNode(EntrySettings settings, ObjectStore store, FleetProtocol protocol, Metrics metrics) {
 		this.settings = settings;
 		this.store = store;
+		this.seedsAskedAt = this.clock.nanoTime();
 		this.probedAt = this.clock.nanoTime() - Duration.ofDays(1).toNanos();
 		this.protocol = protocol;
 		this.metrics = metrics;
@@ -178,9 +187,10 @@
 		if (this.settings.metrics() != null) {
 			new StatusServer(this.loop, (request) -> StatusServer.metrics(this.metrics)).start(this.settings.metrics());
 		}
-		this.control.scheduleWithFixedDelay(this::probe, PROBE_INTERVAL.toMillis(), PROBE_INTERVAL.toMillis(),
+		this.control.scheduleWithFixedDelay(new GuardedTask("probe", this::probe), PROBE_INTERVAL.toMillis(),
+				PROBE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(new GuardedTask("beat", this::beat), 0, BEAT_INTERVAL.toMillis(),
 				TimeUnit.MILLISECONDS);
-		this.loop.scheduleAtFixedRate(this::beat, 0, BEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "entry", "callers",
 				this.settings.callers(), "tolerance", this.settings.tolerance());
 	}
@@ -266,6 +276,12 @@
 		Map<String, Long> reported = this.rates.reported();
 		List<Load> load = this.upstreams.load();
 		long sentAt = this.clock.nanoTime();
+		boolean alone = (this.keepers.view().epoch() == 0) && (sentAt - this.seedsAskedAt > SEED_INTERVAL.toNanos());
+		if (alone) {
+			this.seedsAskedAt = sentAt;
+			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load),
+					(pulse) -> takeConfiguration(pulse, "seed", sentAt));
+		}
 		this.keepers.beat((disk) -> beat(disk, usage, load), (member, pulse) -> heard(member, pulse, reported, sentAt));
 	}
 
@@ -297,14 +313,18 @@
 			.orElse(sinceProbe);
 	}
 
-	private void heard(Member member, Pulse pulse, Map<String, Long> reported, long sentAt) {
+	private void takeConfiguration(Pulse pulse, String source, long sentAt) {
 		long confirmedAt = sentAt - TimeUnit.MILLISECONDS.toNanos(pulse.getConfigurationAgeMs());
 		if (!pulse.getDocument().isEmpty()) {
-			this.configuration.offer(pulse.getDocument(), confirmedAt, member.getName());
+			this.configuration.offer(pulse.getDocument(), confirmedAt, source);
 		}
 		else if (pulse.getConfiguration() == this.configuration.version()) {
 			this.configuration.confirm(pulse.getConfiguration(), confirmedAt);
 		}
+	}
+
+	private void heard(Member member, Pulse pulse, Map<String, Long> reported, long sentAt) {
+		takeConfiguration(pulse, member.getName(), sentAt);
 		Known before = this.pulses.get(member.getDisk());
 		boolean sameList = (before != null) && (before.entriesVersion() == pulse.getEntries());
 		this.pulses.put(member.getDisk(), new Known(this.clock.nanoTime(), pulse.getEntries(),
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -44,6 +44,12 @@
 	 */
 	static final Duration MIN_PATIENCE = Duration.ofMillis(300);
 
+	/**
+	 * An upstream that has not begun to answer after this long counts as failing: several
+	 * times the time of a first event at a full upstream.
+	 */
+	static final Duration SILENCE_LIMIT = Duration.ofMillis(1000);
+
 	/**
 	 * When to come back if no upstream or keeper could take a request.
 	 */
@@ -312,6 +318,7 @@
 			breakOff("the time of the request is over");
 			return;
 		}
+		noteSilence();
 		if (this.sent) {
 			refuse(Refusal.mayHaveRun(504, "upstream_slow", "no whole answer came in time"));
 		}
@@ -325,6 +332,7 @@
 	 */
 	void callerLeft() {
 		if (!this.ended) {
+			noteSilence();
 			end();
 			settleBroken();
 			this.server.log()
@@ -334,6 +342,16 @@
 		}
 	}
 
+	// An upstream that left a request without an answer for long is avoided by others.
+	private void noteSilence() {
+		boolean silent = (this.attempt != null) && (this.attempt.answer == null)
+				&& (elapsed().compareTo(SILENCE_LIMIT) > 0);
+		if (silent) {
+			this.attempt.upstream.failed(this.server.now(), "no answer after " + elapsed().toMillis() + " ms");
+			this.server.client().closeIdle(this.attempt.upstream, true);
+		}
+	}
+
 	private void refuse(Refusal refusal) {
 		if (this.ended) {
 			return;
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -22,6 +22,7 @@
 import org.mangorack.call.Refusal;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.KeeperClient;
+import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.relay.FleetConfiguration.CallerLimits;
@@ -119,8 +120,8 @@
 			Thread.currentThread().interrupt();
 			throw new IOException("interrupted while binding " + address, ex);
 		}
-		this.loop.scheduleWithFixedDelay(this::check, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(),
-				TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(new GuardedTask("connections", this::check), CHECK_INTERVAL.toMillis(),
+				CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -16,6 +16,7 @@
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.StoredObject;
@@ -72,8 +73,8 @@
 		this.client = client;
 		this.clock = clock;
 		this.dataCentre = dataCentre;
-		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL.toMillis(), SWEEP_INTERVAL.toMillis(),
-				TimeUnit.MILLISECONDS);
+		loop.scheduleWithFixedDelay(new GuardedTask("idle upstream connections", this::sweep),
+				SWEEP_INTERVAL.toMillis(), SWEEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	// ---- Knowledge
