Take a new version for as fresh as what was known of the one before; keep the old pace of watches

Its age was counted from the asking of a watch of 6 s, though the version before had been confirmed a second ago. The longer pauses are now chosen by the entries and keepers only.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -97,11 +97,13 @@
 			throw new IOException("the thread of the keeper does not run", ex);
 		}
 		this.service.start(this.settings.listen());
-		KindCache groups = new KindCache(this.store, ObjectKind.KEEPER_GROUP, this.clock, () -> {
-		});
+		KindCache groups = new KindCache(this.store, ObjectKind.KEEPER_GROUP, this.clock, KindCache.SPARING_RETRY_DELAY,
+				() -> {
+				});
 		groups.start();
-		KindCache keepers = new KindCache(this.store, ObjectKind.KEEPER, this.clock, () -> {
-		});
+		KindCache keepers = new KindCache(this.store, ObjectKind.KEEPER, this.clock, KindCache.SPARING_RETRY_DELAY,
+				() -> {
+				});
 		if (this.settings.firstStart()) {
 			keepers.start();
 		}
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -18,10 +18,13 @@
  */
 public final class KindCache implements AutoCloseable {
 
-	private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+	/**
+	 * The longest pause between tries where calls of the platform are priced: it keeps
+	 * those of many instances few while the platform refuses them.
+	 */
+	public static final Duration SPARING_RETRY_DELAY = Duration.ofMillis(900);
 
-	// Keeps the calls of many instances few while the platform refuses them.
-	private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(900);
+	private static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
 	private final ObjectStore store;
 
@@ -29,6 +32,8 @@
 
 	private final MonotonicClock clock;
 
+	private final Duration maxRetryDelay;
+
 	private final Runnable onChange;
 
 	private final Thread thread;
@@ -59,6 +64,20 @@
 	 * @param onChange runs after each change of the copy
 	 */
 	public KindCache(ObjectStore store, ObjectKind kind, MonotonicClock clock, Runnable onChange) {
+		this(store, kind, clock, RETRY_DELAY, onChange);
+	}
+
+	/**
+	 * Creates a cache whose pauses between failing tries grow.
+	 * @param store the object API
+	 * @param kind the kind to copy
+	 * @param clock measures the age of the copy
+	 * @param maxRetryDelay the longest pause
+	 * @param onChange runs after each change of the copy
+	 */
+	public KindCache(ObjectStore store, ObjectKind kind, MonotonicClock clock, Duration maxRetryDelay,
+			Runnable onChange) {
+		this.maxRetryDelay = maxRetryDelay;
 		this.store = store;
 		this.kind = kind;
 		this.clock = clock;
@@ -225,9 +244,9 @@
 	private void pause() {
 		try {
 			long millis = this.retryDelay.toMillis();
-			TimeUnit.MILLISECONDS.sleep(millis / 2 + ThreadLocalRandom.current().nextLong(millis / 2 + 1));
+			TimeUnit.MILLISECONDS.sleep((millis / 2) + ThreadLocalRandom.current().nextLong((millis / 2) + 1));
 			Duration longer = this.retryDelay.multipliedBy(3).dividedBy(2);
-			this.retryDelay = (longer.compareTo(MAX_RETRY_DELAY) < 0) ? longer : MAX_RETRY_DELAY;
+			this.retryDelay = (longer.compareTo(this.maxRetryDelay) < 0) ? longer : this.maxRetryDelay;
 		}
 		catch (InterruptedException ex) {
 			this.closed = true;
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -95,7 +95,11 @@
 			if (read.version() > version()) {
 				EventLog.log(Event.CONFIGURATION_IN_FORCE, "version", read.version(), "before", version(), "source",
 						source, "ageMillis", this.clock.elapsed(confirmedAt).toMillis());
-				this.state = new State(read, ByteString.copyFrom(Jsons.bytes(document)), confirmedAt);
+				// What was known of the version before held until then, so this one is as
+				// fresh.
+				long known = this.state.confirmedAt();
+				this.state = new State(read, ByteString.copyFrom(Jsons.bytes(document)),
+						(known - confirmedAt > 0) ? known : confirmedAt);
 			}
 			else if (read.version() == version()) {
 				confirm(read.version(), confirmedAt);
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -157,9 +157,11 @@
 		this.metrics = metrics;
 		this.configuration = new ConfigurationHolder(protocol, this.clock);
 		this.configurations = new KindCache(store, ObjectKind.FLEET_CONFIGURATION, this.clock,
-				this::offerConfiguration);
-		this.upstreamEntries = new KindCache(store, ObjectKind.UPSTREAM, this.clock, this::refreshUpstreams);
-		this.groups = new KindCache(store, ObjectKind.KEEPER_GROUP, this.clock, this::adoptGroup);
+				KindCache.SPARING_RETRY_DELAY, this::offerConfiguration);
+		this.upstreamEntries = new KindCache(store, ObjectKind.UPSTREAM, this.clock, KindCache.SPARING_RETRY_DELAY,
+				this::refreshUpstreams);
+		this.groups = new KindCache(store, ObjectKind.KEEPER_GROUP, this.clock, KindCache.SPARING_RETRY_DELAY,
+				this::adoptGroup);
 		this.keepers = new KeeperClient(this.loop, this.clock, settings.dataCentre(), settings.tolerance());
 		UpstreamClient client = new UpstreamClient(this.loop, protocol, this.clock, metrics);
 		this.upstreams = new UpstreamTable(this.loop, this.upstreamEntries, protocol, client, this.clock,
