--- a/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -24,6 +24,9 @@
  */
 class WorkspaceTests {
 
+	// The most turns that the product accepts for a program.
+	private static final int MAX_TURNS = 250;
+
 	private static final double SOUTH_RATE = 40;
 
 	private static final double SOUTH_BURST = 20;
@@ -196,10 +199,13 @@
 	 * Runs turns as a caller does: asks which instance to use, keeps the answer for its
 	 * time, and connects there.
 	 */
-	private void follow(String program, boolean[] over, AtomicInteger done, List<String> failures) {
+	// Goes on with programs of the longest length, however long the restarts take.
+	private void follow(String name, boolean[] over, AtomicInteger done, List<String> failures) {
 		List<Member> use = List.of();
 		long keptUntil = 0;
-		for (int n = 1; !over[0]; n++) {
+		for (int calls = 0; !over[0]; calls++) {
+			String program = name + "-" + (calls / MAX_TURNS);
+			int n = (calls % MAX_TURNS) + 1;
 			try {
 				if (System.nanoTime() > keptUntil) {
 					use = this.fleet.listed();
