--- a/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
@@ -40,7 +40,7 @@
 			.stream()
 			.limit(copies)
 			.filter((m) -> isUp(m))
-			.min(Comparator.comparing((m) -> !m.getZone().equals(client.zone())))
+			.min(Comparator.comparing((m) -> !m.getZone().equals(client.dataCentre())))
 			.map(Member::getDisk)
 			.orElse("");
 		this.widened = this.first.isEmpty();
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -73,7 +73,7 @@
 
 	private final MonotonicClock clock;
 
-	private final String zone;
+	private final String dataCentre;
 
 	private final Map<String, KeeperLink> links = new HashMap<>();
 
@@ -88,13 +88,13 @@
 	 * Creates a client that knows no keeper yet.
 	 * @param loop the event loop that calls and answers run on
 	 * @param clock the time source
-	 * @param zone the data centre of this instance, whose keepers are asked first
+	 * @param dataCentre the data centre of this instance, whose keepers are asked first
 	 * @param tolerance how many disks may be lost at once
 	 */
-	public KeeperClient(EventLoop loop, MonotonicClock clock, String zone, int tolerance) {
+	public KeeperClient(EventLoop loop, MonotonicClock clock, String dataCentre, int tolerance) {
 		this.loop = loop;
 		this.clock = clock;
-		this.zone = zone;
+		this.dataCentre = dataCentre;
 		this.view = GroupView.unknown(tolerance);
 		loop.scheduleWithFixedDelay(new GuardedTask("keeper calls", this::check), CHECK_INTERVAL.toMillis(),
 				CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -287,8 +287,8 @@
 		return this.clock.nanoTime();
 	}
 
-	String zone() {
-		return this.zone;
+	String dataCentre() {
+		return this.dataCentre;
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -262,8 +261,4 @@
 		return UNSTATED_IDLE_LIMIT;
 	}
 
-	static ByteBuf emptyBody() {
-		return Unpooled.EMPTY_BUFFER;
-	}
-
 }
