Pass on an upstream's error after the last attempt; no false 'not run' after a first attempt

Cause, found by reading: an idempotent request whose upstream answered 5xx was refused with 502 instead of being tried again or passed on, as the verdict 'ran' allows no retry; and a key that became stale between two attempts was refused as not run.

--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
@@ -325,6 +325,18 @@
 		assertThat(this.fleet.exchange(TestFleetNodes.request("GET", "/read/1", "r1", "", ""))).endsWith("done");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "/read/1", "/write/1" })
+	void anErrorOfTheUpstreamIsPassedOnUnchanged(String path) throws Exception {
+		this.upstream.play((request, out, socket) -> {
+			out.write(ScriptedUpstream.bytes("HTTP/1.1 500 Failed\r\nRequest-Id: " + request.header("Request-Id")
+					+ "\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\noops"));
+			return true;
+		});
+		assertThat(this.fleet.exchange(TestFleetNodes.request("POST", path, "r1", "", "x"))).startsWith("HTTP/1.1 500")
+			.endsWith("oops");
+	}
+
 	// ---- Directory and stop
 
 	@Test
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -275,11 +275,13 @@
 		this.configuration = this.server.configuration().current();
 		Workspace now = this.configuration.workspace(this.head.key()).orElse(null);
 		if (!this.server.isConfigurationFresh()) {
-			refuse(Refusal.unavailable("configuration_stale", "the configuration was not confirmed lately", COME_BACK));
+			String detail = "the configuration was not confirmed lately";
+			refuse((this.lastVerdict == Verdict.NOT_RUN) ? Refusal.unavailable("configuration_stale", detail, COME_BACK)
+					: Refusal.mayHaveRun(502, "configuration_stale", detail));
 			return false;
 		}
 		if ((now == null) || !now.name().equals(this.workspace.name())) {
-			refuse(Refusal.notRun(401, "unknown_key", "the key was withdrawn"));
+			refuse(Refusal.notRun(401, "unknown_key", "the key was withdrawn").withVerdict(this.lastVerdict));
 			return false;
 		}
 		return true;
@@ -710,7 +712,8 @@
 			else if ((this.answer.status() >= 500) && (call.route.rule() == RepeatRule.IDEMPOTENT)
 					&& (call.attempts < call.route.maxAttempts())) {
 				this.upstream.failed(call.server.now(), "status " + this.answer.status());
-				retryOrGiveUp(this.upstream, Verdict.RAN, this.upstream.id() + " answered " + this.answer.status());
+				retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN,
+						this.upstream.id() + " answered " + this.answer.status());
 			}
 			else {
 				settleBroken();
