Let nodes of tests listen where no outgoing connection takes their ports

The test chose a free port on 127.0.0.1, closed it and let a node bind it later; in between an outgoing connection of the same process, whose own address is 127.0.0.1 too, can be given that port by the kernel. Ruled out: a port left in use by a former test (the tests bind port 0 anew each time) and fixed ports (there are none). Now nodes listen on 127.0.0.2 and 127.0.0.3, from where no connection goes out (seen: a connection to 127.0.0.2 leaves from 127.0.0.1), so the port stays free. PeerLinksTests had the same fault. The race itself was not provoked.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -53,6 +53,13 @@
 
 	private static final int READ_LIMIT_MS = 20_000;
 
+	// Outgoing connections have 127.0.0.1 as their own address, so none of them can take
+	// a
+	// port of these two between its choice and the bind.
+	private static final String ENTRY_HOST = "127.0.0.3";
+
+	private static final String KEEPER_HOST = "127.0.0.2";
+
 	private final FleetStoreStandIn store = new FleetStoreStandIn(0);
 
 	private final List<KeeperNode> keepers = new ArrayList<>();
@@ -97,9 +104,9 @@
 	 * @throws IOException if a port is taken
 	 */
 	void startEntry(int tolerance) throws IOException {
-		this.callers = freeAddress();
-		this.directory = freeAddress();
-		this.readiness = freeAddress();
+		this.callers = freeAddress(ENTRY_HOST);
+		this.directory = freeAddress(ENTRY_HOST);
+		this.readiness = freeAddress(ENTRY_HOST);
 		this.entry = new EntryNode(
 				new EntrySettings("entry-1", "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
 						this.keeperAddresses, tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
@@ -113,7 +120,7 @@
 				new ConfigurationHolder(new WireProtocol(), MonotonicClock.SYSTEM), MonotonicClock.SYSTEM);
 		KindCache retirements = new KindCache(client, ObjectKind.RETIREMENT, MonotonicClock.SYSTEM, () -> {
 		});
-		HttpAddress address = freeAddress("127.0.0.2");
+		HttpAddress address = freeAddress(KEEPER_HOST);
 		this.keeperAddresses.add(address);
 		KeeperNode keeper = new KeeperNode(
 				new KeeperSettings(name, "dc", address, null, storeAddress(), folder, tolerance, first), client, watch,
@@ -294,10 +301,6 @@
 		throw new IllegalStateException("no turn was served within 60 s");
 	}
 
-	static HttpAddress freeAddress() throws IOException {
-		return freeAddress("127.0.0.1");
-	}
-
 	private static HttpAddress freeAddress(String host) throws IOException {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
 			return new HttpAddress(host, socket.getLocalPort());
--- a/mangorack/src/test/java/org/mangorack/member/PeerLinksTests.java
+++ b/mangorack/src/test/java/org/mangorack/member/PeerLinksTests.java
@@ -37,6 +37,8 @@
 
 class PeerLinksTests {
 
+	private static final String HOST = "127.0.0.2";
+
 	private static final Duration LIMIT = Duration.ofSeconds(20);
 
 	private static final char[] PASSWORD = "password".toCharArray();
@@ -171,8 +173,11 @@
 	}
 
 	private static HttpAddress freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return new HttpAddress("127.0.0.1", socket.getLocalPort());
+		// Outgoing connections have 127.0.0.1 as their own address, so none of them can
+		// take
+		// the port before it is bound.
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+			return new HttpAddress(HOST, socket.getLocalPort());
 		}
 	}
 
