--- a/mangorack/src/main/java/org/mangorack/keeper/DrawCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/DrawCall.java
@@ -11,7 +11,9 @@
 import org.mangorack.keeper.proto.Request;
 
 /**
- * A call taken from the bucket of a workspace at a majority of the members.
+ * A call taken from the bucket of a workspace at a majority of the members. Keepers that
+ * decided otherwise than the majority are corrected: without that, tokens granted in vain
+ * would be lost, and a keeper that denied a call would have one too many for later ones.
  */
 final class DrawCall extends GroupCall {
 
@@ -25,6 +27,8 @@
 
 	private long retryMs;
 
+	private boolean allowed;
+
 	DrawCall(KeeperClient client, Draw draw, Consumer<Duration> done) {
 		super(client, KeeperClient.DRAW_LIMIT);
 		this.draw = draw;
@@ -43,18 +47,37 @@
 		this.retryMs = Math.max(this.retryMs, reply.getDrawn().getRetryMs());
 		GroupView v = view();
 		if (v.isMajority(this.granted)) {
+			this.allowed = true;
 			end();
+			correctAll(this.denied);
 			this.done.accept(Duration.ZERO);
 		}
 		else if (!isWaiting() && !this.denied.isEmpty()) {
 			end();
+			correctAll(this.granted);
 			this.done.accept(Duration.ofMillis(Math.max(1, this.retryMs)));
 		}
 	}
 
+	@Override
+	void acceptedLate(Member member, Reply reply) {
+		if (reply.getDrawn().getGranted() != this.allowed) {
+			correct(member);
+		}
+	}
+
 	@Override
 	void expired() {
+		correctAll(this.granted);
 		this.done.accept(null);
 	}
 
+	private void correctAll(Set<String> disks) {
+		view().all().stream().filter((m) -> disks.contains(m.getDisk())).forEach(this::correct);
+	}
+
+	private void correct(Member member) {
+		client().tell(member, Request.newBuilder().setDraw(this.draw.toBuilder().setCorrection(this.allowed ? 1 : -1)));
+	}
+
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
@@ -96,6 +96,10 @@
 	// Handles an accepted request.
 	abstract void accepted(Member member, Reply reply);
 
+	// Handles an accepted request whose reply came after the call had ended.
+	void acceptedLate(Member member, Reply reply) {
+	}
+
 	// Runs when the time of the call is over.
 	abstract void expired();
 
@@ -131,7 +135,10 @@
 						call.outstanding.remove(this.member.getDisk());
 						call.finished.add(this.member.getDisk());
 					}
-					if (!call.ended) {
+					if (call.ended) {
+						acceptedLate(this.member, reply);
+					}
+					else {
 						accepted(this.member, reply);
 					}
 				}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -300,6 +300,18 @@
 		return this.links.get(member.getDisk());
 	}
 
+	/**
+	 * Sends a request whose reply does not matter.
+	 * @param member the member
+	 * @param request the request
+	 */
+	void tell(Member member, Request.Builder request) {
+		KeeperLink link = link(member);
+		if ((link != null) && link.isUp()) {
+			link.send(request.setEpoch(this.view.epoch()), ReplyListener.NONE);
+		}
+	}
+
 	// ---- Helpers
 
 	private void check() {
--- a/mangorack/src/main/java/org/mangorack/keeper/ReplyListener.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ReplyListener.java
@@ -7,6 +7,21 @@
  */
 interface ReplyListener {
 
+	/**
+	 * Ignores what becomes of a request.
+	 */
+	ReplyListener NONE = new ReplyListener() {
+		@Override
+		public void replied(Reply reply) {
+			// Nothing depends on the reply.
+		}
+
+		@Override
+		public void broke() {
+			// Nothing depends on the request.
+		}
+	};
+
 	/**
 	 * Reports a reply. A reply that is not durable yet is followed by another.
 	 * @param reply the reply
--- a/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
@@ -96,7 +96,7 @@
 	}
 
 	/**
-	 * Takes one call from a bucket.
+	 * Takes one call from a bucket, or corrects an earlier one.
 	 * @param draw the call
 	 * @return zero if it was taken, or the time until one may be there
 	 */
@@ -105,6 +105,10 @@
 		if (bucket == null) {
 			return Duration.ZERO;
 		}
+		if (draw.getCorrection() != 0) {
+			bucket.take(draw.getCorrection(), draw.getBeginning() ? draw.getCorrection() : 0);
+			return Duration.ZERO;
+		}
 		Duration wait = bucket.wait(draw);
 		if (wait.isZero()) {
 			bucket.take(1, draw.getBeginning() ? 1 : 0);
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
@@ -334,6 +334,51 @@
     return configurationAgeMs_;
   }
 
+  public static final int PULSE_TIME_MS_FIELD_NUMBER = 12;
+  private long pulseTimeMs_ = 0L;
+  /**
+   * <pre>
+   * The time of the last pulse that the sender had from this keeper. The beat was sent later.
+   * </pre>
+   *
+   * <code>int64 pulse_time_ms = 12;</code>
+   * @return The pulseTimeMs.
+   */
+  @java.lang.Override
+  public long getPulseTimeMs() {
+    return pulseTimeMs_;
+  }
+
+  public static final int WITH_LISTS_FIELD_NUMBER = 13;
+  private boolean withLists_ = false;
+  /**
+   * <pre>
+   * Whether the pulse is to hold lists: entries, upstreams and their load.
+   * </pre>
+   *
+   * <code>bool with_lists = 13;</code>
+   * @return The withLists.
+   */
+  @java.lang.Override
+  public boolean getWithLists() {
+    return withLists_;
+  }
+
+  public static final int UPSTREAMS_FIELD_NUMBER = 14;
+  private long upstreams_ = 0L;
+  /**
+   * <pre>
+   * Version of the list of upstreams that the sender knows; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 upstreams = 14;</code>
+   * @return The upstreams.
+   */
+  @java.lang.Override
+  public long getUpstreams() {
+    return upstreams_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -381,6 +426,15 @@
     if (configurationAgeMs_ != 0L) {
       output.writeUInt64(11, configurationAgeMs_);
     }
+    if (pulseTimeMs_ != 0L) {
+      output.writeInt64(12, pulseTimeMs_);
+    }
+    if (withLists_ != false) {
+      output.writeBool(13, withLists_);
+    }
+    if (upstreams_ != 0L) {
+      output.writeUInt64(14, upstreams_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -431,6 +485,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(11, configurationAgeMs_);
     }
+    if (pulseTimeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(12, pulseTimeMs_);
+    }
+    if (withLists_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, withLists_);
+    }
+    if (upstreams_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(14, upstreams_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -468,6 +534,12 @@
         .equals(other.getDocument())) return false;
     if (getConfigurationAgeMs()
         != other.getConfigurationAgeMs()) return false;
+    if (getPulseTimeMs()
+        != other.getPulseTimeMs()) return false;
+    if (getWithLists()
+        != other.getWithLists()) return false;
+    if (getUpstreams()
+        != other.getUpstreams()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -510,6 +582,15 @@
     hash = (37 * hash) + CONFIGURATION_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationAgeMs());
+    hash = (37 * hash) + PULSE_TIME_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPulseTimeMs());
+    hash = (37 * hash) + WITH_LISTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWithLists());
+    hash = (37 * hash) + UPSTREAMS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getUpstreams());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -668,6 +749,9 @@
       contactAgeMs_ = 0L;
       document_ = com.google.protobuf.ByteString.EMPTY;
       configurationAgeMs_ = 0L;
+      pulseTimeMs_ = 0L;
+      withLists_ = false;
+      upstreams_ = 0L;
       return this;
     }
 
@@ -750,6 +834,15 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.configurationAgeMs_ = configurationAgeMs_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.pulseTimeMs_ = pulseTimeMs_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.withLists_ = withLists_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.upstreams_ = upstreams_;
+      }
     }
 
     @java.lang.Override
@@ -849,6 +942,15 @@
       if (other.getConfigurationAgeMs() != 0L) {
         setConfigurationAgeMs(other.getConfigurationAgeMs());
       }
+      if (other.getPulseTimeMs() != 0L) {
+        setPulseTimeMs(other.getPulseTimeMs());
+      }
+      if (other.getWithLists() != false) {
+        setWithLists(other.getWithLists());
+      }
+      if (other.getUpstreams() != 0L) {
+        setUpstreams(other.getUpstreams());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -946,6 +1048,21 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 96: {
+              pulseTimeMs_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 104: {
+              withLists_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
+            case 112: {
+              upstreams_ = input.readUInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1899,6 +2016,138 @@
       return this;
     }
 
+    private long pulseTimeMs_ ;
+    /**
+     * <pre>
+     * The time of the last pulse that the sender had from this keeper. The beat was sent later.
+     * </pre>
+     *
+     * <code>int64 pulse_time_ms = 12;</code>
+     * @return The pulseTimeMs.
+     */
+    @java.lang.Override
+    public long getPulseTimeMs() {
+      return pulseTimeMs_;
+    }
+    /**
+     * <pre>
+     * The time of the last pulse that the sender had from this keeper. The beat was sent later.
+     * </pre>
+     *
+     * <code>int64 pulse_time_ms = 12;</code>
+     * @param value The pulseTimeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPulseTimeMs(long value) {
+
+      pulseTimeMs_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time of the last pulse that the sender had from this keeper. The beat was sent later.
+     * </pre>
+     *
+     * <code>int64 pulse_time_ms = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPulseTimeMs() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      pulseTimeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean withLists_ ;
+    /**
+     * <pre>
+     * Whether the pulse is to hold lists: entries, upstreams and their load.
+     * </pre>
+     *
+     * <code>bool with_lists = 13;</code>
+     * @return The withLists.
+     */
+    @java.lang.Override
+    public boolean getWithLists() {
+      return withLists_;
+    }
+    /**
+     * <pre>
+     * Whether the pulse is to hold lists: entries, upstreams and their load.
+     * </pre>
+     *
+     * <code>bool with_lists = 13;</code>
+     * @param value The withLists to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithLists(boolean value) {
+
+      withLists_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the pulse is to hold lists: entries, upstreams and their load.
+     * </pre>
+     *
+     * <code>bool with_lists = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithLists() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      withLists_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long upstreams_ ;
+    /**
+     * <pre>
+     * Version of the list of upstreams that the sender knows; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 upstreams = 14;</code>
+     * @return The upstreams.
+     */
+    @java.lang.Override
+    public long getUpstreams() {
+      return upstreams_;
+    }
+    /**
+     * <pre>
+     * Version of the list of upstreams that the sender knows; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 upstreams = 14;</code>
+     * @param value The upstreams to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUpstreams(long value) {
+
+      upstreams_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the list of upstreams that the sender knows; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 upstreams = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUpstreams() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      upstreams_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Beat)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
@@ -145,4 +145,34 @@
    * @return The configurationAgeMs.
    */
   long getConfigurationAgeMs();
+
+  /**
+   * <pre>
+   * The time of the last pulse that the sender had from this keeper. The beat was sent later.
+   * </pre>
+   *
+   * <code>int64 pulse_time_ms = 12;</code>
+   * @return The pulseTimeMs.
+   */
+  long getPulseTimeMs();
+
+  /**
+   * <pre>
+   * Whether the pulse is to hold lists: entries, upstreams and their load.
+   * </pre>
+   *
+   * <code>bool with_lists = 13;</code>
+   * @return The withLists.
+   */
+  boolean getWithLists();
+
+  /**
+   * <pre>
+   * Version of the list of upstreams that the sender knows; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 upstreams = 14;</code>
+   * @return The upstreams.
+   */
+  long getUpstreams();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Draw.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Draw.java
@@ -113,6 +113,21 @@
     return urgent_;
   }
 
+  public static final int CORRECTION_FIELD_NUMBER = 4;
+  private int correction_ = 0;
+  /**
+   * <pre>
+   * Calls to take off without asking, where the majority decided otherwise than this keeper; negative to give back.
+   * </pre>
+   *
+   * <code>sint32 correction = 4;</code>
+   * @return The correction.
+   */
+  @java.lang.Override
+  public int getCorrection() {
+    return correction_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -136,6 +151,9 @@
     if (urgent_ != false) {
       output.writeBool(3, urgent_);
     }
+    if (correction_ != 0) {
+      output.writeSInt32(4, correction_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -156,6 +174,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, urgent_);
     }
+    if (correction_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSInt32Size(4, correction_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -177,6 +199,8 @@
         != other.getBeginning()) return false;
     if (getUrgent()
         != other.getUrgent()) return false;
+    if (getCorrection()
+        != other.getCorrection()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -196,6 +220,8 @@
     hash = (37 * hash) + URGENT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getUrgent());
+    hash = (37 * hash) + CORRECTION_FIELD_NUMBER;
+    hash = (53 * hash) + getCorrection();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -330,6 +356,7 @@
       workspace_ = "";
       beginning_ = false;
       urgent_ = false;
+      correction_ = 0;
       return this;
     }
 
@@ -372,6 +399,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.urgent_ = urgent_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.correction_ = correction_;
+      }
     }
 
     @java.lang.Override
@@ -397,6 +427,9 @@
       if (other.getUrgent() != false) {
         setUrgent(other.getUrgent());
       }
+      if (other.getCorrection() != 0) {
+        setCorrection(other.getCorrection());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -438,6 +471,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              correction_ = input.readSInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -615,6 +653,50 @@
       return this;
     }
 
+    private int correction_ ;
+    /**
+     * <pre>
+     * Calls to take off without asking, where the majority decided otherwise than this keeper; negative to give back.
+     * </pre>
+     *
+     * <code>sint32 correction = 4;</code>
+     * @return The correction.
+     */
+    @java.lang.Override
+    public int getCorrection() {
+      return correction_;
+    }
+    /**
+     * <pre>
+     * Calls to take off without asking, where the majority decided otherwise than this keeper; negative to give back.
+     * </pre>
+     *
+     * <code>sint32 correction = 4;</code>
+     * @param value The correction to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCorrection(int value) {
+
+      correction_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Calls to take off without asking, where the majority decided otherwise than this keeper; negative to give back.
+     * </pre>
+     *
+     * <code>sint32 correction = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCorrection() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      correction_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Draw)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/DrawOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/DrawOrBuilder.java
@@ -41,4 +41,14 @@
    * @return The urgent.
    */
   boolean getUrgent();
+
+  /**
+   * <pre>
+   * Calls to take off without asking, where the majority decided otherwise than this keeper; negative to give back.
+   * </pre>
+   *
+   * <code>sint32 correction = 4;</code>
+   * @return The correction.
+   */
+  int getCorrection();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -101,6 +101,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_mangorack_keeper_Pulse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_keeper_UpstreamNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_keeper_UpstreamNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_keeper_UpstreamObject_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_keeper_UpstreamObject_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_mangorack_keeper_Entry_descriptor;
   static final 
@@ -209,46 +219,55 @@
       "ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005Fetch\022" +
       "\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026.m" +
       "angorack.keeper.Turn\022\017\n\007missing\030\002 \001(\t\022\020\n" +
-      "\010complete\030\003 \001(\010\"\217\002\n\004Beat\022\020\n\010instance\030\001 \001" +
+      "\010complete\030\003 \001(\010\"\315\002\n\004Beat\022\020\n\010instance\030\001 \001" +
       "(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t" +
       "\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.man" +
       "gorack.keeper.Usage\022\025\n\rconfiguration\030\006 \001" +
       "(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.mang" +
       "orack.keeper.Load\022\026\n\016contact_age_ms\030\t \001(" +
       "\004\022\020\n\010document\030\n \001(\014\022\034\n\024configuration_age" +
-      "_ms\030\013 \001(\004\"=\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n" +
-      "\005calls\030\002 \001(\021\022\022\n\nbeginnings\030\003 \001(\021\"\'\n\004Load" +
-      "\022\020\n\010upstream\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\"\244\002\n\005Pu" +
-      "lse\022&\n\005level\030\001 \003(\0132\027.mangorack.keeper.Le" +
-      "vel\022\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configurat" +
-      "ion_age_ms\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\022\017\n\007en" +
-      "tries\030\005 \001(\004\022&\n\005entry\030\006 \003(\0132\027.mangorack.k" +
-      "eeper.Entry\022$\n\004load\030\007 \003(\0132\026.mangorack.ke" +
-      "eper.Load\022\026\n\016contact_age_ms\030\010 \001(\004\022\036\n\026ent" +
-      "ries_contact_age_ms\030\t \001(\004\022\025\n\rentries_hea" +
-      "rd\030\n \001(\r\"?\n\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016c" +
-      "aller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Lev" +
-      "el\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007" +
-      "warming\030\003 \001(\010\"<\n\004Draw\022\021\n\tworkspace\030\001 \001(\t" +
-      "\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(\010\"*\n\005D" +
-      "rawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"" +
-      "-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack.keepe" +
-      "r.View\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn\030\001" +
-      " \003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.keeper" +
-      ".ProgramCharges\"K\n\016ProgramCharges\022\017\n\007pro" +
-      "gram\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack.k" +
-      "eeper.Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Ba" +
-      "tch\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Tur" +
-      "n\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack.kee" +
-      "per.Turn\0221\n\007program\030\002 \003(\0132 .mangorack.ke" +
-      "eper.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\tstor" +
-      "ed_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.ke" +
-      "eper.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack" +
-      ".keeper.ProgramChargesH\000B\006\n\004body*N\n\006Stat" +
-      "us\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VI" +
-      "EW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org." +
-      "mangorack.keeper.protoB\013KeeperProtoP\001b\006p" +
-      "roto3"
+      "_ms\030\013 \001(\004\022\025\n\rpulse_time_ms\030\014 \001(\003\022\022\n\nwith" +
+      "_lists\030\r \001(\010\022\021\n\tupstreams\030\016 \001(\004\"=\n\005Usage" +
+      "\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022\022\n\nbe" +
+      "ginnings\030\003 \001(\021\"\'\n\004Load\022\020\n\010upstream\030\001 \001(\t" +
+      "\022\r\n\005calls\030\002 \001(\r\"\374\002\n\005Pulse\022&\n\005level\030\001 \003(\013" +
+      "2\027.mangorack.keeper.Level\022\025\n\rconfigurati" +
+      "on\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003 \001(\004\022\020" +
+      "\n\010document\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022&\n\005ent" +
+      "ry\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004loa" +
+      "d\030\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016conta" +
+      "ct_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_m" +
+      "s\030\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_m" +
+      "s\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstreams" +
+      "\030\r \001(\0132\036.mangorack.keeper.UpstreamNews\"\205" +
+      "\001\n\014UpstreamNews\022\017\n\007version\030\001 \001(\004\022\r\n\005whol" +
+      "e\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .mangorack.ke" +
+      "eper.UpstreamObject\022\014\n\004gone\030\004 \003(\t\022\023\n\013reg" +
+      "ained_ms\030\005 \001(\004\"0\n\016UpstreamObject\022\014\n\004name" +
+      "\030\001 \001(\t\022\020\n\010document\030\002 \001(\014\"?\n\005Entry\022\020\n\010ins" +
+      "tance\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004z" +
+      "one\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n" +
+      "\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n" +
+      "\tworkspace\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006u" +
+      "rgent\030\003 \001(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Drawn" +
+      "\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005A" +
+      "dopt\022$\n\004view\030\001 \001(\0132\026.mangorack.keeper.Vi" +
+      "ew\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t" +
+      "\0221\n\007program\030\002 \003(\0132 .mangorack.keeper.Pro" +
+      "gramCharges\"K\n\016ProgramCharges\022\017\n\007program" +
+      "\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack.keepe" +
+      "r.Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022" +
+      "$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`\n" +
+      "\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper." +
+      "Turn\0221\n\007program\030\002 \003(\0132 .mangorack.keeper" +
+      ".ProgramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_m" +
+      "s\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keeper" +
+      ".TurnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack.kee" +
+      "per.ProgramChargesH\000B\006\n\004body*N\n\006Status\022\006" +
+      "\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002" +
+      "\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.mang" +
+      "orack.keeper.protoB\013KeeperProtoP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -325,7 +344,7 @@
     internal_static_mangorack_keeper_Beat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Beat_descriptor,
-        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "Document", "ConfigurationAgeMs", });
+        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "Document", "ConfigurationAgeMs", "PulseTimeMs", "WithLists", "Upstreams", });
     internal_static_mangorack_keeper_Usage_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_mangorack_keeper_Usage_fieldAccessorTable = new
@@ -343,75 +362,87 @@
     internal_static_mangorack_keeper_Pulse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Pulse_descriptor,
-        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Document", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", });
-    internal_static_mangorack_keeper_Entry_descriptor =
+        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Document", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", "TimeMs", "WithLists", "Upstreams", });
+    internal_static_mangorack_keeper_UpstreamNews_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_mangorack_keeper_UpstreamNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_keeper_UpstreamNews_descriptor,
+        new java.lang.String[] { "Version", "Whole", "Upstream", "Gone", "RegainedMs", });
+    internal_static_mangorack_keeper_UpstreamObject_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_mangorack_keeper_UpstreamObject_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_keeper_UpstreamObject_descriptor,
+        new java.lang.String[] { "Name", "Document", });
+    internal_static_mangorack_keeper_Entry_descriptor =
+      getDescriptor().getMessageType(17);
     internal_static_mangorack_keeper_Entry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Entry_descriptor,
         new java.lang.String[] { "Instance", "CallerAddress", "Zone", });
     internal_static_mangorack_keeper_Level_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_mangorack_keeper_Level_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Level_descriptor,
         new java.lang.String[] { "Workspace", "Calls", "Warming", });
     internal_static_mangorack_keeper_Draw_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_mangorack_keeper_Draw_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Draw_descriptor,
-        new java.lang.String[] { "Workspace", "Beginning", "Urgent", });
+        new java.lang.String[] { "Workspace", "Beginning", "Urgent", "Correction", });
     internal_static_mangorack_keeper_Drawn_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_mangorack_keeper_Drawn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Drawn_descriptor,
         new java.lang.String[] { "Granted", "RetryMs", });
     internal_static_mangorack_keeper_Adopt_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_mangorack_keeper_Adopt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Adopt_descriptor,
         new java.lang.String[] { "View", });
     internal_static_mangorack_keeper_Inventory_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_mangorack_keeper_Inventory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Inventory_descriptor,
         new java.lang.String[] { });
     internal_static_mangorack_keeper_Listing_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_mangorack_keeper_Listing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Listing_descriptor,
         new java.lang.String[] { "Turn", "Program", });
     internal_static_mangorack_keeper_ProgramCharges_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_mangorack_keeper_ProgramCharges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_ProgramCharges_descriptor,
         new java.lang.String[] { "Program", "Charge", });
     internal_static_mangorack_keeper_Copy_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_mangorack_keeper_Copy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Copy_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Batch_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_mangorack_keeper_Batch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Batch_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Store_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_mangorack_keeper_Store_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Store_descriptor,
         new java.lang.String[] { "Turn", "Program", });
     internal_static_mangorack_keeper_LogEntry_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_mangorack_keeper_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_LogEntry_descriptor,
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
@@ -47,10 +47,15 @@
             org.mangorack.keeper.proto.Pulse.class, org.mangorack.keeper.proto.Pulse.Builder.class);
   }
 
+  private int bitField0_;
   public static final int LEVEL_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.mangorack.keeper.proto.Level> level_;
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   @java.lang.Override
@@ -58,6 +63,10 @@
     return level_;
   }
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   @java.lang.Override
@@ -66,6 +75,10 @@
     return level_;
   }
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   @java.lang.Override
@@ -73,6 +86,10 @@
     return level_.size();
   }
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   @java.lang.Override
@@ -80,6 +97,10 @@
     return level_.get(index);
   }
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   @java.lang.Override
@@ -307,6 +328,62 @@
     return entriesHeard_;
   }
 
+  public static final int TIME_MS_FIELD_NUMBER = 11;
+  private long timeMs_ = 0L;
+  /**
+   * <pre>
+   * Time on the keeper's own clock, to be sent back with the next beat.
+   * </pre>
+   *
+   * <code>int64 time_ms = 11;</code>
+   * @return The timeMs.
+   */
+  @java.lang.Override
+  public long getTimeMs() {
+    return timeMs_;
+  }
+
+  public static final int WITH_LISTS_FIELD_NUMBER = 12;
+  private boolean withLists_ = false;
+  /**
+   * <pre>
+   * Whether the lists of entries, upstreams and load are meant to be there.
+   * </pre>
+   *
+   * <code>bool with_lists = 12;</code>
+   * @return The withLists.
+   */
+  @java.lang.Override
+  public boolean getWithLists() {
+    return withLists_;
+  }
+
+  public static final int UPSTREAMS_FIELD_NUMBER = 13;
+  private org.mangorack.keeper.proto.UpstreamNews upstreams_;
+  /**
+   * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+   * @return Whether the upstreams field is set.
+   */
+  @java.lang.Override
+  public boolean hasUpstreams() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+   * @return The upstreams.
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.UpstreamNews getUpstreams() {
+    return upstreams_ == null ? org.mangorack.keeper.proto.UpstreamNews.getDefaultInstance() : upstreams_;
+  }
+  /**
+   * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.UpstreamNewsOrBuilder getUpstreamsOrBuilder() {
+    return upstreams_ == null ? org.mangorack.keeper.proto.UpstreamNews.getDefaultInstance() : upstreams_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -351,6 +428,15 @@
     if (entriesHeard_ != 0) {
       output.writeUInt32(10, entriesHeard_);
     }
+    if (timeMs_ != 0L) {
+      output.writeInt64(11, timeMs_);
+    }
+    if (withLists_ != false) {
+      output.writeBool(12, withLists_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(13, getUpstreams());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -400,6 +486,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(10, entriesHeard_);
     }
+    if (timeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, timeMs_);
+    }
+    if (withLists_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, withLists_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, getUpstreams());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -435,6 +533,15 @@
         != other.getEntriesContactAgeMs()) return false;
     if (getEntriesHeard()
         != other.getEntriesHeard()) return false;
+    if (getTimeMs()
+        != other.getTimeMs()) return false;
+    if (getWithLists()
+        != other.getWithLists()) return false;
+    if (hasUpstreams() != other.hasUpstreams()) return false;
+    if (hasUpstreams()) {
+      if (!getUpstreams()
+          .equals(other.getUpstreams())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -477,6 +584,16 @@
         getEntriesContactAgeMs());
     hash = (37 * hash) + ENTRIES_HEARD_FIELD_NUMBER;
     hash = (53 * hash) + getEntriesHeard();
+    hash = (37 * hash) + TIME_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTimeMs());
+    hash = (37 * hash) + WITH_LISTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWithLists());
+    if (hasUpstreams()) {
+      hash = (37 * hash) + UPSTREAMS_FIELD_NUMBER;
+      hash = (53 * hash) + getUpstreams().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -596,13 +713,22 @@
 
     // Construct using org.mangorack.keeper.proto.Pulse.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetLevelFieldBuilder();
+        internalGetEntryFieldBuilder();
+        internalGetLoadFieldBuilder();
+        internalGetUpstreamsFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -636,6 +762,13 @@
       contactAgeMs_ = 0L;
       entriesContactAgeMs_ = 0L;
       entriesHeard_ = 0;
+      timeMs_ = 0L;
+      withLists_ = false;
+      upstreams_ = null;
+      if (upstreamsBuilder_ != null) {
+        upstreamsBuilder_.dispose();
+        upstreamsBuilder_ = null;
+      }
       return this;
     }
 
@@ -721,6 +854,20 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.entriesHeard_ = entriesHeard_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.timeMs_ = timeMs_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.withLists_ = withLists_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.upstreams_ = upstreamsBuilder_ == null
+            ? upstreams_
+            : upstreamsBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -834,6 +981,15 @@
       if (other.getEntriesHeard() != 0) {
         setEntriesHeard(other.getEntriesHeard());
       }
+      if (other.getTimeMs() != 0L) {
+        setTimeMs(other.getTimeMs());
+      }
+      if (other.getWithLists() != false) {
+        setWithLists(other.getWithLists());
+      }
+      if (other.hasUpstreams()) {
+        mergeUpstreams(other.getUpstreams());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -934,6 +1090,23 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              timeMs_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              withLists_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 106: {
+              input.readMessage(
+                  internalGetUpstreamsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -964,6 +1137,10 @@
         org.mangorack.keeper.proto.Level, org.mangorack.keeper.proto.Level.Builder, org.mangorack.keeper.proto.LevelOrBuilder> levelBuilder_;
 
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public java.util.List<org.mangorack.keeper.proto.Level> getLevelList() {
@@ -974,6 +1151,10 @@
       }
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public int getLevelCount() {
@@ -984,6 +1165,10 @@
       }
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public org.mangorack.keeper.proto.Level getLevel(int index) {
@@ -994,6 +1179,10 @@
       }
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder setLevel(
@@ -1011,6 +1200,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder setLevel(
@@ -1025,6 +1218,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder addLevel(org.mangorack.keeper.proto.Level value) {
@@ -1041,6 +1238,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder addLevel(
@@ -1058,6 +1259,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder addLevel(
@@ -1072,6 +1277,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder addLevel(
@@ -1086,6 +1295,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder addAllLevel(
@@ -1101,6 +1314,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder clearLevel() {
@@ -1114,6 +1331,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public Builder removeLevel(int index) {
@@ -1127,6 +1348,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public org.mangorack.keeper.proto.Level.Builder getLevelBuilder(
@@ -1134,6 +1359,10 @@
       return internalGetLevelFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public org.mangorack.keeper.proto.LevelOrBuilder getLevelOrBuilder(
@@ -1144,6 +1373,10 @@
       }
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public java.util.List<? extends org.mangorack.keeper.proto.LevelOrBuilder> 
@@ -1155,6 +1388,10 @@
       }
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public org.mangorack.keeper.proto.Level.Builder addLevelBuilder() {
@@ -1162,6 +1399,10 @@
           org.mangorack.keeper.proto.Level.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public org.mangorack.keeper.proto.Level.Builder addLevelBuilder(
@@ -1170,6 +1411,10 @@
           index, org.mangorack.keeper.proto.Level.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Levels of workspaces that are not nearly full.
+     * </pre>
+     *
      * <code>repeated .mangorack.keeper.Level level = 1;</code>
      */
     public java.util.List<org.mangorack.keeper.proto.Level.Builder> 
@@ -2099,6 +2344,215 @@
       return this;
     }
 
+    private long timeMs_ ;
+    /**
+     * <pre>
+     * Time on the keeper's own clock, to be sent back with the next beat.
+     * </pre>
+     *
+     * <code>int64 time_ms = 11;</code>
+     * @return The timeMs.
+     */
+    @java.lang.Override
+    public long getTimeMs() {
+      return timeMs_;
+    }
+    /**
+     * <pre>
+     * Time on the keeper's own clock, to be sent back with the next beat.
+     * </pre>
+     *
+     * <code>int64 time_ms = 11;</code>
+     * @param value The timeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTimeMs(long value) {
+
+      timeMs_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time on the keeper's own clock, to be sent back with the next beat.
+     * </pre>
+     *
+     * <code>int64 time_ms = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTimeMs() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      timeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean withLists_ ;
+    /**
+     * <pre>
+     * Whether the lists of entries, upstreams and load are meant to be there.
+     * </pre>
+     *
+     * <code>bool with_lists = 12;</code>
+     * @return The withLists.
+     */
+    @java.lang.Override
+    public boolean getWithLists() {
+      return withLists_;
+    }
+    /**
+     * <pre>
+     * Whether the lists of entries, upstreams and load are meant to be there.
+     * </pre>
+     *
+     * <code>bool with_lists = 12;</code>
+     * @param value The withLists to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithLists(boolean value) {
+
+      withLists_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the lists of entries, upstreams and load are meant to be there.
+     * </pre>
+     *
+     * <code>bool with_lists = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithLists() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      withLists_ = false;
+      onChanged();
+      return this;
+    }
+
+    private org.mangorack.keeper.proto.UpstreamNews upstreams_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.UpstreamNews, org.mangorack.keeper.proto.UpstreamNews.Builder, org.mangorack.keeper.proto.UpstreamNewsOrBuilder> upstreamsBuilder_;
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     * @return Whether the upstreams field is set.
+     */
+    public boolean hasUpstreams() {
+      return ((bitField0_ & 0x00001000) != 0);
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     * @return The upstreams.
+     */
+    public org.mangorack.keeper.proto.UpstreamNews getUpstreams() {
+      if (upstreamsBuilder_ == null) {
+        return upstreams_ == null ? org.mangorack.keeper.proto.UpstreamNews.getDefaultInstance() : upstreams_;
+      } else {
+        return upstreamsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     */
+    public Builder setUpstreams(org.mangorack.keeper.proto.UpstreamNews value) {
+      if (upstreamsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        upstreams_ = value;
+      } else {
+        upstreamsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     */
+    public Builder setUpstreams(
+        org.mangorack.keeper.proto.UpstreamNews.Builder builderForValue) {
+      if (upstreamsBuilder_ == null) {
+        upstreams_ = builderForValue.build();
+      } else {
+        upstreamsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     */
+    public Builder mergeUpstreams(org.mangorack.keeper.proto.UpstreamNews value) {
+      if (upstreamsBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0) &&
+          upstreams_ != null &&
+          upstreams_ != org.mangorack.keeper.proto.UpstreamNews.getDefaultInstance()) {
+          getUpstreamsBuilder().mergeFrom(value);
+        } else {
+          upstreams_ = value;
+        }
+      } else {
+        upstreamsBuilder_.mergeFrom(value);
+      }
+      if (upstreams_ != null) {
+        bitField0_ |= 0x00001000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     */
+    public Builder clearUpstreams() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      upstreams_ = null;
+      if (upstreamsBuilder_ != null) {
+        upstreamsBuilder_.dispose();
+        upstreamsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     */
+    public org.mangorack.keeper.proto.UpstreamNews.Builder getUpstreamsBuilder() {
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return internalGetUpstreamsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     */
+    public org.mangorack.keeper.proto.UpstreamNewsOrBuilder getUpstreamsOrBuilder() {
+      if (upstreamsBuilder_ != null) {
+        return upstreamsBuilder_.getMessageOrBuilder();
+      } else {
+        return upstreams_ == null ?
+            org.mangorack.keeper.proto.UpstreamNews.getDefaultInstance() : upstreams_;
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.UpstreamNews, org.mangorack.keeper.proto.UpstreamNews.Builder, org.mangorack.keeper.proto.UpstreamNewsOrBuilder> 
+        internalGetUpstreamsFieldBuilder() {
+      if (upstreamsBuilder_ == null) {
+        upstreamsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.mangorack.keeper.proto.UpstreamNews, org.mangorack.keeper.proto.UpstreamNews.Builder, org.mangorack.keeper.proto.UpstreamNewsOrBuilder>(
+                getUpstreams(),
+                getParentForChildren(),
+                isClean());
+        upstreams_ = null;
+      }
+      return upstreamsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Pulse)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
@@ -11,24 +11,44 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   java.util.List<org.mangorack.keeper.proto.Level> 
       getLevelList();
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   org.mangorack.keeper.proto.Level getLevel(int index);
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   int getLevelCount();
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   java.util.List<? extends org.mangorack.keeper.proto.LevelOrBuilder> 
       getLevelOrBuilderList();
   /**
+   * <pre>
+   * Levels of workspaces that are not nearly full.
+   * </pre>
+   *
    * <code>repeated .mangorack.keeper.Level level = 1;</code>
    */
   org.mangorack.keeper.proto.LevelOrBuilder getLevelOrBuilder(
@@ -183,4 +203,39 @@
    * @return The entriesHeard.
    */
   int getEntriesHeard();
+
+  /**
+   * <pre>
+   * Time on the keeper's own clock, to be sent back with the next beat.
+   * </pre>
+   *
+   * <code>int64 time_ms = 11;</code>
+   * @return The timeMs.
+   */
+  long getTimeMs();
+
+  /**
+   * <pre>
+   * Whether the lists of entries, upstreams and load are meant to be there.
+   * </pre>
+   *
+   * <code>bool with_lists = 12;</code>
+   * @return The withLists.
+   */
+  boolean getWithLists();
+
+  /**
+   * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+   * @return Whether the upstreams field is set.
+   */
+  boolean hasUpstreams();
+  /**
+   * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+   * @return The upstreams.
+   */
+  org.mangorack.keeper.proto.UpstreamNews getUpstreams();
+  /**
+   * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
+   */
+  org.mangorack.keeper.proto.UpstreamNewsOrBuilder getUpstreamsOrBuilder();
 }
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -209,13 +209,7 @@
 	void aBucketGrantsNoMoreThanItsBurst() throws Exception {
 		awaitServing(4);
 		giveBack((disk) -> 50, 4);
-		int granted = 0;
-		for (int i = 0; i < 20; i++) {
-			CompletableFuture<Duration> done = new CompletableFuture<>();
-			onLoop(() -> this.client.draw(Draw.newBuilder().setWorkspace("w").build(), done::complete));
-			granted += done.get(LIMIT_SECONDS, TimeUnit.SECONDS).isZero() ? 1 : 0;
-		}
-		assertThat(granted).isEqualTo(10);
+		assertThat(drawn(20)).isEqualTo(10);
 	}
 
 	@Test
@@ -231,8 +225,48 @@
 			.hasValueSatisfying((wait) -> assertThat(wait).isPositive());
 	}
 
+	/**
+	 * Two keepers deny the calls, so none is granted; what the other two granted
+	 * meanwhile must not be missing once the first two can grant again.
+	 */
+	@Test
+	void aCallThatTooFewKeepersGrantedIsGivenBack() throws Exception {
+		awaitServing(4);
+		giveBack((disk) -> isFirstHalf(disk) ? 0 : 10, 4);
+		assertThat(drawn(5)).isZero();
+		giveBack((disk) -> isFirstHalf(disk) ? 10 : 0, 4);
+		assertThat(drawn(20)).isEqualTo(10);
+	}
+
+	/**
+	 * One keeper denies the calls that the others grant. It must count them all the same,
+	 * or it would take part in granting more than the rate allows.
+	 */
+	@Test
+	void aKeeperThatDeniedAGrantedCallCountsIt() throws Exception {
+		awaitServing(4);
+		giveBack((disk) -> disk.equals("d0") ? 0 : 10, 4);
+		assertThat(drawn(10)).isEqualTo(10);
+		giveBack((disk) -> disk.equals("d3") ? 0 : 10, 4);
+		assertThat(drawn(20)).isZero();
+	}
+
 	// ---- Helpers
 
+	private static boolean isFirstHalf(String disk) {
+		return disk.equals("d0") || disk.equals("d1");
+	}
+
+	private int drawn(int tries) throws Exception {
+		int granted = 0;
+		for (int i = 0; i < tries; i++) {
+			CompletableFuture<Duration> done = new CompletableFuture<>();
+			onLoop(() -> this.client.draw(Draw.newBuilder().setWorkspace("w").build(), done::complete));
+			granted += done.get(LIMIT_SECONDS, TimeUnit.SECONDS).isZero() ? 1 : 0;
+		}
+		return granted;
+	}
+
 	private TestKeeper newKeeper(String name, String disk) {
 		return new TestKeeper(name, disk, this.folder.resolve(disk), new FixedConfiguration(new RateLimit(0.001, 10)));
 	}
