--- a/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.time.Duration;
+import java.util.Set;
 
 import com.google.protobuf.ByteString;
 
@@ -35,6 +36,13 @@
 	 */
 	void offer(ByteString fresh, long confirmedAt, String source);
 
+	/**
+	 * Notes that a version was the newest one.
+	 * @param version the version
+	 * @param time when it certainly was, on the monotonic clock
+	 */
+	void confirm(long version, long time);
+
 	/**
 	 * Returns the document as the platform holds it.
 	 * @return the bytes
@@ -48,6 +56,12 @@
 	 */
 	RateLimit limit(String workspace);
 
+	/**
+	 * Returns the workspaces that have a rate limit.
+	 * @return their names
+	 */
+	Set<String> limitedWorkspaces();
+
 	/**
 	 * A rate and burst over all instances.
 	 *
@@ -55,6 +69,17 @@
 	 * @param burst calls that may come at once
 	 */
 	record RateLimit(double perSecond, double burst) {
+
+		private static final double NEARLY_FULL = 0.9;
+
+		/**
+		 * Returns the level of a bucket from which on keepers do not report it.
+		 * @return the calls that may be made at once at least
+		 */
+		public double nearlyFull() {
+			return NEARLY_FULL * Math.max(1, this.burst);
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -156,7 +156,15 @@
 	 * @return the number of links that are up
 	 */
 	int connected() {
-		return (int) this.links.values().stream().filter(KeeperLink::isUp).count();
+		return connectedMembers().size();
+	}
+
+	/**
+	 * Returns the members that are connected.
+	 * @return the members whose links are up
+	 */
+	public List<Member> connectedMembers() {
+		return this.links.values().stream().filter(KeeperLink::isUp).map(KeeperLink::member).toList();
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -89,7 +89,11 @@
 		this.log.start();
 		ViewFile viewFile = new ViewFile(folder.resolve("view"), this.settings.tolerance());
 		GroupView view = viewFile.read().orElse(GroupView.unknown(this.settings.tolerance()));
-		this.service = new KeeperService(this.loops, turns, viewFile, disk, view, this.configuration, this.clock);
+		KindCache upstreams = new KindCache(this.store, ObjectKind.UPSTREAM, this.clock, KindCache.SPARING_RETRY_DELAY,
+				() -> {
+				});
+		this.service = new KeeperService(this.loops, turns, viewFile, disk, view, this.configuration,
+				new UpstreamList(upstreams::copy, upstreams::sinceRegained), this.clock);
 		try {
 			this.loops.next().submit(() -> null).get();
 		}
@@ -101,6 +105,7 @@
 				() -> {
 				});
 		groups.start();
+		upstreams.start();
 		KindCache keepers = new KindCache(this.store, ObjectKind.KEEPER, this.clock, KindCache.SPARING_RETRY_DELAY,
 				() -> {
 				});
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -55,6 +55,9 @@
 
 	private static final Duration LIVENESS_INTERVAL = Duration.ofMillis(200);
 
+	// For what was confirmed at a time that is not known.
+	private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
+
 	private final EventLoopGroup loops;
 
 	private final TurnStore turns;
@@ -63,6 +66,8 @@
 
 	private final LiveEntries entries;
 
+	private final UpstreamList upstreams;
+
 	private final ConfigurationRelay configuration;
 
 	private final ViewFile viewFile;
@@ -81,13 +86,14 @@
 	private Channel listening;
 
 	KeeperService(EventLoopGroup loops, TurnStore turns, ViewFile viewFile, String disk, GroupView view,
-			ConfigurationRelay configuration, MonotonicClock clock) {
+			ConfigurationRelay configuration, UpstreamList upstreams, MonotonicClock clock) {
 		this.loops = loops;
 		this.turns = turns;
 		this.viewFile = viewFile;
 		this.disk = disk;
 		this.view = view;
 		this.configuration = configuration;
+		this.upstreams = upstreams;
 		this.clock = clock;
 		this.buckets = new WorkspaceBuckets(clock, configuration);
 		this.entries = new LiveEntries(clock);
@@ -262,25 +268,20 @@
 		Beat beat = request.getBeat();
 		this.entries.heard(beat);
 		this.buckets.use(beat.getUsageList());
-		if (!beat.getDocument().isEmpty()) {
-			this.configuration.offer(beat.getDocument(),
-					this.clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(beat.getConfigurationAgeMs()),
-					beat.getInstance());
-		}
+		takeConfiguration(beat);
 		Pulse.Builder pulse = Pulse.newBuilder()
+			.setTimeMs(TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime()))
 			.addAllLevel(this.buckets.levels())
 			.setConfiguration(this.configuration.version())
-			.setConfigurationAgeMs(this.configuration.age().toMillis())
+			.setConfigurationAgeMs(this.configuration.age().toMillis() + 1)
 			.setContactAgeMs(this.configuration.sinceContact().toMillis())
 			.setEntriesContactAgeMs(this.entries.sinceContact().toMillis())
-			.setEntriesHeard(this.entries.count())
-			.setEntries(this.entries.version())
-			.addAllLoad(this.entries.loadBeside(beat.getInstance()));
+			.setEntriesHeard(this.entries.count());
 		if (this.configuration.version() > beat.getConfiguration()) {
 			pulse.setDocument(this.configuration.document());
 		}
-		if (this.entries.version() != beat.getEntries()) {
-			pulse.addAllEntry(this.entries.entries());
+		if (beat.getWithLists()) {
+			addLists(beat, pulse);
 		}
 		Reply.Builder reply = durable().setPulse(pulse);
 		if (this.view.epoch() > request.getEpoch()) {
@@ -289,6 +290,32 @@
 		return reply;
 	}
 
+	private void addLists(Beat beat, Pulse.Builder pulse) {
+		pulse.setWithLists(true)
+			.setUpstreams(this.upstreams.news(beat.getUpstreams()))
+			.setEntries(this.entries.version())
+			.addAllLoad(this.entries.loadBeside(beat.getInstance()));
+		if (this.entries.version() != beat.getEntries()) {
+			pulse.addAllEntry(this.entries.entries());
+		}
+	}
+
+	// A beat may have been held up on its way, but it was sent after the pulse that it
+	// names; the age that it states counts from then.
+	private void takeConfiguration(Beat beat) {
+		long now = this.clock.nanoTime();
+		long sentAfter = TimeUnit.MILLISECONDS.toNanos(beat.getPulseTimeMs());
+		boolean known = (beat.getPulseTimeMs() != 0) && (sentAfter <= now);
+		long confirmedAt = known ? (sentAfter - TimeUnit.MILLISECONDS.toNanos(beat.getConfigurationAgeMs()))
+				: (now - UNKNOWN_AGE.toNanos());
+		if (!beat.getDocument().isEmpty()) {
+			this.configuration.offer(beat.getDocument(), confirmedAt, beat.getInstance());
+		}
+		else {
+			this.configuration.confirm(beat.getConfiguration(), confirmedAt);
+		}
+	}
+
 	private void draw(Draw draw, Consumer<Reply.Builder> out) {
 		Duration wait = this.buckets.draw(draw);
 		out.accept(durable().setDrawn(Drawn.newBuilder().setGranted(wait.isZero()).setRetryMs(wait.toMillis())));
--- a/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
@@ -20,9 +20,10 @@
 final class LiveEntries {
 
 	/**
-	 * An entry without a beat for this long is left out: several intervals of beats.
+	 * An entry without a beat for this long is left out: two and a half of the longest
+	 * intervals of beats.
 	 */
-	static final Duration SILENCE_LIMIT = Duration.ofMillis(900);
+	static final Duration SILENCE_LIMIT = Duration.ofMillis(1000);
 
 	private final MonotonicClock clock;
 
--- a/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 import org.mangorack.keeper.proto.Draw;
@@ -55,6 +57,11 @@
 
 	private final Map<String, Bucket> buckets = new HashMap<>();
 
+	// Workspaces whose buckets may not be nearly full.
+	private final Set<String> scarce = new LinkedHashSet<>();
+
+	private long scarceVersion;
+
 	private final long startedAt;
 
 	WorkspaceBuckets(MonotonicClock clock, ConfigurationRelay configuration) {
@@ -71,27 +78,34 @@
 		usage.forEach((u) -> {
 			Bucket bucket = filled(u.getWorkspace());
 			if (bucket != null) {
-				bucket.take(u.getCalls(), u.getBeginnings());
+				take(u.getWorkspace(), bucket, u.getCalls(), u.getBeginnings());
 			}
 		});
 	}
 
 	/**
-	 * Returns the levels of all limited workspaces that were used.
+	 * Returns the levels of all limited workspaces whose buckets are not nearly full.
 	 * @return the levels
 	 */
 	List<Level> levels() {
+		// Limits may have been raised, so what was full may not be any more.
+		if (this.configuration.version() != this.scarceVersion) {
+			this.scarceVersion = this.configuration.version();
+			this.scarce.addAll(this.configuration.limitedWorkspaces());
+		}
 		List<Level> levels = new ArrayList<>();
-		for (String workspace : List.copyOf(this.buckets.keySet())) {
+		this.scarce.removeIf((workspace) -> {
 			Bucket bucket = filled(workspace);
-			if (bucket != null) {
+			boolean unlisted = (bucket == null) || bucket.isNearlyFull();
+			if (!unlisted) {
 				levels.add(Level.newBuilder()
 					.setWorkspace(workspace)
 					.setCalls(bucket.calls)
 					.setWarming(bucket.warming(this.clock.nanoTime()))
 					.build());
 			}
-		}
+			return unlisted;
+		});
 		return levels;
 	}
 
@@ -106,16 +120,21 @@
 			return Duration.ZERO;
 		}
 		if (draw.getCorrection() != 0) {
-			bucket.take(draw.getCorrection(), draw.getBeginning() ? draw.getCorrection() : 0);
+			take(draw.getWorkspace(), bucket, draw.getCorrection(), draw.getBeginning() ? draw.getCorrection() : 0);
 			return Duration.ZERO;
 		}
 		Duration wait = bucket.wait(draw);
 		if (wait.isZero()) {
-			bucket.take(1, draw.getBeginning() ? 1 : 0);
+			take(draw.getWorkspace(), bucket, 1, draw.getBeginning() ? 1 : 0);
 		}
 		return wait;
 	}
 
+	private void take(String workspace, Bucket bucket, int calls, int beginnings) {
+		bucket.take(calls, beginnings);
+		this.scarce.add(workspace);
+	}
+
 	private Bucket filled(String workspace) {
 		RateLimit limit = this.configuration.limit(workspace);
 		if (limit == null) {
@@ -191,6 +210,10 @@
 					: Duration.ofMillis((long) Math.ceil(missingCalls / this.limit.perSecond() * 1000));
 		}
 
+		private boolean isNearlyFull() {
+			return this.calls >= this.limit.nearlyFull();
+		}
+
 		private boolean warming(long now) {
 			return (now - this.startedAt) / 1e9 < this.limit.burst() / this.limit.perSecond();
 		}
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -46,6 +46,8 @@
 
 	private volatile long lastChange;
 
+	private volatile Copy copy = new Copy(Map.of(), 0);
+
 	private volatile long answeredAt;
 
 	private volatile boolean broken;
@@ -150,11 +152,11 @@
 	}
 
 	/**
-	 * Returns when contact was last regained after a break.
-	 * @return the time on the monotonic clock, or a time long ago when it never broke
+	 * Returns how long ago contact was last regained after a break.
+	 * @return the time since then, long when it never broke
 	 */
-	public long regainedAt() {
-		return this.regainedAt;
+	public Duration sinceRegained() {
+		return this.clock.elapsed(this.regainedAt);
 	}
 
 	/**
@@ -174,17 +176,35 @@
 		return this.lastChange;
 	}
 
-	// ---- Helpers
+	/**
+	 * Returns the objects with the version of the platform that they show exactly.
+	 * @return the copy as it was when the platform last named a version
+	 */
+	public Copy copy() {
+		return this.copy;
+	}
 
-	private void noteChange(String version) {
+	/**
+	 * Reads a version as a number. Versions are opaque; without numbers, instances cannot
+	 * be compared.
+	 * @param version the version of an object or list
+	 * @return the number, or 0 if it is none
+	 */
+	public static long number(String version) {
 		try {
-			this.lastChange = Math.max(this.lastChange, Long.parseLong(version));
+			return Long.parseLong(version);
 		}
 		catch (NumberFormatException ex) {
-			// Versions are opaque; without numbers, instances cannot be compared.
+			return 0;
 		}
 	}
 
+	// ---- Helpers
+
+	private void noteChange(String changed) {
+		this.lastChange = Math.max(this.lastChange, number(changed));
+	}
+
 	private void run() {
 		String version = null;
 		while (!this.closed) {
@@ -235,6 +255,7 @@
 		list.items().forEach((object) -> fresh.put(object.name(), object));
 		list.items().forEach((object) -> noteChange(object.version()));
 		this.objects = Map.copyOf(fresh);
+		this.copy = new Copy(this.objects, number(list.version()));
 		noteContact(asked);
 		this.listed.countDown();
 		this.onChange.run();
@@ -253,6 +274,15 @@
 		}
 	}
 
+	/**
+	 * All objects of a kind at one version of the platform.
+	 *
+	 * @param objects an immutable map from name to object
+	 * @param version the version as a number, or 0 before the first complete copy
+	 */
+	public record Copy(Map<String, StoredObject> objects, long version) {
+	}
+
 	/**
 	 * Applies the changes of one watch.
 	 */
@@ -290,6 +320,7 @@
 		@Override
 		public void progress(String newVersion, Duration age) {
 			this.version = newVersion;
+			KindCache.this.copy = new Copy(KindCache.this.objects, number(newVersion));
 			noteContact(KindCache.this.clock.nanoTime() - age.toNanos());
 		}
 
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.protobuf.ByteString;
@@ -80,6 +81,15 @@
 		return (known != null) ? known.limit(workspace) : null;
 	}
 
+	/**
+	 * Returns the workspaces that have a rate limit.
+	 * @return their names
+	 */
+	public Set<String> limitedWorkspaces() {
+		FleetConfiguration known = this.state.configuration();
+		return (known != null) ? known.limitedWorkspaces() : Set.of();
+	}
+
 	// ---- Public API
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -2,18 +2,14 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -26,12 +22,13 @@
 
 import org.mangorack.http.StatusServer;
 import org.mangorack.keeper.GroupDocument;
+import org.mangorack.keeper.GroupView;
 import org.mangorack.keeper.KeeperClient;
 import org.mangorack.keeper.proto.Beat;
-import org.mangorack.keeper.proto.Entry;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Pulse;
+import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.keeper.proto.Usage;
 import org.mangorack.observe.DaemonThreads;
 import org.mangorack.observe.Event;
@@ -39,10 +36,7 @@
 import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
-import org.mangorack.platform.KindCache;
-import org.mangorack.platform.ObjectKind;
 import org.mangorack.platform.ObjectStore;
-import org.mangorack.platform.StoreException;
 import org.mangorack.platform.StoredObject;
 
 /**
@@ -52,10 +46,22 @@
 public final class EntryNode {
 
 	/**
-	 * The time between beats. Levels of buckets and the list of entries are this old.
+	 * The time between beats in a small fleet. Levels of buckets and the list of entries
+	 * are this old.
 	 */
 	static final Duration BEAT_INTERVAL = Duration.ofMillis(200);
 
+	/**
+	 * The longest time between beats.
+	 */
+	static final Duration MAX_BEAT_INTERVAL = Duration.ofMillis(400);
+
+	/**
+	 * From this number of entries on, each sends fewer beats, up to the longest interval,
+	 * so that the work of keepers grows less than the fleet.
+	 */
+	static final int FULL_RATE_ENTRIES = 24;
+
 	/**
 	 * How long callers may use a list of addresses. Short, as entries come and go.
 	 */
@@ -78,15 +84,17 @@
 	 */
 	static final Duration PROBE_AGE = Duration.ofMillis(2200);
 
-	private static final Duration PROBE_INTERVAL = Duration.ofMillis(600);
+	/**
+	 * A group of which no member is connected for this long may have been replaced.
+	 */
+	static final Duration GROUP_LOST_AFTER = Duration.ofMillis(1500);
 
 	/**
 	 * The time between questions to the seeds while no group is known.
 	 */
-	static final Duration SEED_INTERVAL = Duration.ofSeconds(1);
+	static final Duration SEED_INTERVAL = Duration.ofMillis(400);
 
-	// A pulse that is older says nothing about the entries that live.
-	private static final Duration PULSE_LIFE = Duration.ofMillis(1200);
+	private static final Duration PROBE_TICK = Duration.ofMillis(150);
 
 	private final EntrySettings settings;
 
@@ -103,12 +111,6 @@
 
 	private final ConfigurationHolder configuration;
 
-	private final KindCache configurations;
-
-	private final KindCache upstreamEntries;
-
-	private final KindCache groups;
-
 	private final KeeperClient keepers;
 
 	private final UpstreamTable upstreams;
@@ -119,25 +121,22 @@
 
 	private final FleetContact contact;
 
-	private final Map<String, Known> pulses = new HashMap<>();
+	private final KeeperPulses pulses;
+
+	private final PlatformProbe probe;
 
 	private final ScheduledExecutorService control = Executors
 		.newSingleThreadScheduledExecutor(DaemonThreads.named("control"));
 
-	private final ObjectStore store;
+	private final Runnable beatTask = new GuardedTask("beat", this::beat);
 
 	private final CountDownLatch stopped = new CountDownLatch(1);
 
-	private List<String> lastAddresses = List.of();
-
 	private boolean configurationStale;
 
-	// The version that the platform held when it was last heard.
-	private volatile long platformVersion;
-
 	private long seedsAskedAt;
 
-	private volatile long probedAt;
+	private long keepersConnectedAt;
 
 	private volatile boolean stopping;
 
@@ -150,23 +149,17 @@
 	 */
 	public EntryNode(EntrySettings settings, ObjectStore store, FleetProtocol protocol, Metrics metrics) {
 		this.settings = settings;
-		this.store = store;
-		this.seedsAskedAt = this.clock.nanoTime();
-		this.probedAt = this.clock.nanoTime() - Duration.ofDays(1).toNanos();
+		this.seedsAskedAt = this.clock.nanoTime() - SEED_INTERVAL.toNanos();
+		this.keepersConnectedAt = this.clock.nanoTime();
 		this.protocol = protocol;
 		this.metrics = metrics;
 		this.configuration = new ConfigurationHolder(protocol, this.clock);
-		this.configurations = new KindCache(store, ObjectKind.FLEET_CONFIGURATION, this.clock,
-				KindCache.SPARING_RETRY_DELAY, this::offerConfiguration);
-		this.upstreamEntries = new KindCache(store, ObjectKind.UPSTREAM, this.clock, KindCache.SPARING_RETRY_DELAY,
-				this::refreshUpstreams);
-		this.groups = new KindCache(store, ObjectKind.KEEPER_GROUP, this.clock, KindCache.SPARING_RETRY_DELAY,
-				this::adoptGroup);
 		this.keepers = new KeeperClient(this.loop, this.clock, settings.dataCentre(), settings.tolerance());
 		UpstreamClient client = new UpstreamClient(this.loop, protocol, this.clock, metrics);
-		this.upstreams = new UpstreamTable(this.loop, this.upstreamEntries, protocol, client, this.clock,
-				settings.dataCentre());
-		this.rates = new RateGate(this.keepers, this.loop, this.clock);
+		this.upstreams = new UpstreamTable(this.loop, protocol, client, this.clock, settings.dataCentre());
+		this.rates = new RateGate(this.keepers, this.configuration::version, this.loop, this.clock);
+		this.pulses = new KeeperPulses(this.clock, settings.dataCentre());
+		this.probe = new PlatformProbe(store, this.clock, metrics, new ProbeListener());
 		this.contact = new FleetContact(this.clock, this.keepers::view, this::sinceContact);
 		this.server = new RelayServer(this.loop, protocol, this.clock, metrics, this.configuration,
 				settings.maxConfigurationAge(), this.contact, this.upstreams, client, this.keepers, this.rates);
@@ -180,19 +173,15 @@
 	 * @throws IOException if a port is taken
 	 */
 	public void start() throws IOException {
-		this.groups.start();
-		this.configurations.start();
-		this.upstreamEntries.start();
 		this.server.start(this.settings.callers());
 		new StatusServer(this.loop, this::answerStatus).start(this.settings.readiness());
 		new StatusServer(this.loop, this::answerStatus).start(this.settings.directory());
 		if (this.settings.metrics() != null) {
 			new StatusServer(this.loop, (request) -> StatusServer.metrics(this.metrics)).start(this.settings.metrics());
 		}
-		this.control.scheduleWithFixedDelay(new GuardedTask("probe", this::probe), PROBE_INTERVAL.toMillis(),
-				PROBE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-		this.loop.scheduleAtFixedRate(new GuardedTask("beat", this::beat), 0, BEAT_INTERVAL.toMillis(),
-				TimeUnit.MILLISECONDS);
+		this.control.scheduleWithFixedDelay(new GuardedTask("probe", this.probe::run), PROBE_TICK.toMillis(),
+				PROBE_TICK.toMillis(), TimeUnit.MILLISECONDS);
+		this.loop.execute(this::beatAndSchedule);
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "entry", "callers",
 				this.settings.callers(), "tolerance", this.settings.tolerance());
 	}
@@ -235,60 +224,53 @@
 
 	// ---- Knowledge
 
-	private void offerConfiguration() {
-		this.configurations.objects().values().forEach((object) -> {
-			long confirmedAt = this.clock.nanoTime() - this.configurations.age().toNanos();
-			this.platformVersion = this.configuration.offer(object.spec(), confirmedAt, "platform");
-		});
+	private Duration sinceContact() {
+		Duration sinceAnswer = this.probe.sinceAnswer();
+		Duration age = this.configuration.age();
+		return (sinceAnswer.compareTo(age) < 0) ? sinceAnswer : age;
 	}
 
-	// Also finds out whether the platform answers this entry, which its long watches do
-	// not.
-	private void probe() {
-		if (this.configuration.age().compareTo(PROBE_AGE) < 0) {
-			return;
-		}
-		long askedAt = this.clock.nanoTime();
-		try {
-			for (StoredObject object : this.store.list(ObjectKind.FLEET_CONFIGURATION).items()) {
-				this.probedAt = this.clock.nanoTime();
-				this.configuration.offer(object.spec(), askedAt, "probe");
-			}
-		}
-		catch (StoreException ex) {
-			this.metrics.count("mangorack.platform.probes.failed", 1, "reason", ex.reason().name());
+	private void updateNeeds(long now) {
+		if (!this.keepers.connectedMembers().isEmpty()) {
+			this.keepersConnectedAt = now;
 		}
+		boolean lost = now - this.keepersConnectedAt > GROUP_LOST_AFTER.toNanos();
+		this.probe.setNeeds(
+				new PlatformProbe.Needs(this.configuration.age().compareTo(PROBE_AGE) > 0, !this.pulses.isInContact(),
+						lost || (this.keepers.view().epoch() == 0), this.pulses.addresses().size()));
 	}
 
-	private void refreshUpstreams() {
-		this.loop.execute(this.upstreams::refresh);
-	}
+	// ---- Beats
 
-	private void adoptGroup() {
-		this.groups.object(GroupDocument.NAME)
-			.ifPresent((object) -> this.loop
-				.execute(() -> this.keepers.adopt(GroupDocument.read(object.spec(), this.settings.tolerance()))));
+	private void beatAndSchedule() {
+		this.beatTask.run();
+		double scale = Math.max(1, this.pulses.addresses().size() / (double) FULL_RATE_ENTRIES);
+		long interval = Math.min(MAX_BEAT_INTERVAL.toNanos(), (long) (BEAT_INTERVAL.toNanos() * scale));
+		this.loop.schedule(this::beatAndSchedule, interval, TimeUnit.NANOSECONDS);
 	}
 
-	// ---- Beats
-
 	private void beat() {
+		long sentAt = this.clock.nanoTime();
 		noteConfigurationAge();
+		updateNeeds(sentAt);
 		List<Usage> usage = this.rates.takeUsage();
 		Map<String, Long> reported = this.rates.reported();
 		List<Load> load = this.upstreams.load();
-		long sentAt = this.clock.nanoTime();
-		boolean alone = (this.keepers.view().epoch() == 0) && (sentAt - this.seedsAskedAt > SEED_INTERVAL.toNanos());
+		boolean alone = (this.keepers.view().epoch() == 0) && (sentAt - this.seedsAskedAt >= SEED_INTERVAL.toNanos());
 		if (alone) {
 			this.seedsAskedAt = sentAt;
-			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load),
-					(pulse) -> takeConfiguration(pulse, "seed", sentAt));
+			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load, true), (pulse) -> {
+				takeConfiguration(pulse, "seed", sentAt);
+				this.upstreams.take(pulse.getUpstreams());
+			});
 		}
-		this.keepers.beat((disk) -> beat(disk, usage, load), (member, pulse) -> heard(member, pulse, reported, sentAt));
+		Set<String> listSources = this.pulses.listSources(this.keepers.connectedMembers());
+		this.keepers.beat((disk) -> beat(disk, usage, load, listSources.contains(disk)),
+				(member, pulse) -> heard(member, pulse, reported, sentAt));
 	}
 
-	private Beat beat(String disk, List<Usage> usage, List<Load> load) {
-		Known known = this.pulses.get(disk);
+	private Beat beat(String disk, List<Usage> usage, List<Load> load, boolean withLists) {
+		KeeperPulses.Known known = this.pulses.known(disk);
 		Beat.Builder beat = Beat.newBuilder()
 			.setInstance(this.settings.instance())
 			.setCallerAddress(this.settings.callers().toString())
@@ -296,25 +278,19 @@
 			.setAccepting(isReady())
 			.addAllUsage(usage)
 			.setConfiguration(this.configuration.version())
+			.setConfigurationAgeMs(this.configuration.age().toMillis() + 1)
 			.setEntries((known != null) ? known.entriesVersion() : 0)
 			.addAllLoad(load)
-			.setContactAgeMs(sinceContact().toMillis());
+			.setContactAgeMs(sinceContact().toMillis())
+			.setPulseTimeMs((known != null) ? known.time() : 0)
+			.setWithLists(withLists)
+			.setUpstreams(this.upstreams.version());
 		if ((known != null) && (known.configuration() < this.configuration.version())) {
 			beat.setDocument(this.configuration.document());
-			beat.setConfigurationAgeMs(this.configuration.age().toMillis());
 		}
 		return beat.build();
 	}
 
-	private Duration sinceContact() {
-		Duration sinceProbe = this.clock.elapsed(this.probedAt);
-		return Stream.of(this.configurations, this.upstreamEntries, this.groups)
-			.map(KindCache::sinceAnswer)
-			.filter((since) -> since.compareTo(sinceProbe) < 0)
-			.min(Comparator.naturalOrder())
-			.orElse(sinceProbe);
-	}
-
 	private void takeConfiguration(Pulse pulse, String source, long sentAt) {
 		long confirmedAt = sentAt - TimeUnit.MILLISECONDS.toNanos(pulse.getConfigurationAgeMs());
 		if (!pulse.getDocument().isEmpty()) {
@@ -327,24 +303,16 @@
 
 	private void heard(Member member, Pulse pulse, Map<String, Long> reported, long sentAt) {
 		takeConfiguration(pulse, member.getName(), sentAt);
-		Known before = this.pulses.get(member.getDisk());
-		boolean sameList = (before != null) && (before.entriesVersion() == pulse.getEntries());
-		this.pulses.put(member.getDisk(), new Known(this.clock.nanoTime(), pulse.getEntries(),
-				sameList ? before.entries() : pulse.getEntryList(), pulse.getLoadList(), pulse.getConfiguration()));
+		this.pulses.heard(member.getDisk(), pulse);
 		this.contact.heard(member.getDisk(), pulse);
-		this.rates.setLevels(member.getDisk(), pulse.getLevelList(), reported);
-		List<Load> elsewhere = new ArrayList<>();
-		freshPulses().forEach((p) -> elsewhere.addAll(p.load()));
-		this.upstreams.setLoadElsewhere(elsewhere);
-	}
-
-	private List<Known> freshPulses() {
-		long now = this.clock.nanoTime();
-		return this.pulses.values().stream().filter((p) -> now - p.heardAt() < PULSE_LIFE.toNanos()).toList();
+		this.rates.setLevels(member.getDisk(), pulse, reported);
+		if (pulse.getWithLists()) {
+			this.upstreams.take(pulse.getUpstreams());
+			this.upstreams.setLoadElsewhere(this.pulses.loadElsewhere());
+		}
 	}
 
 	private void noteConfigurationAge() {
-		this.configuration.confirm(this.platformVersion, this.clock.nanoTime() - this.configurations.age().toNanos());
 		boolean stale = !this.server.isConfigurationFresh();
 		if (stale != this.configurationStale) {
 			this.configurationStale = stale;
@@ -357,7 +325,7 @@
 	// ---- Status
 
 	private boolean isReady() {
-		return !this.stopping && (this.configuration.current() != null);
+		return !this.stopping && (this.configuration.current() != null) && (this.upstreams.version() > 0);
 	}
 
 	private FullHttpResponse answerStatus(FullHttpRequest request) {
@@ -373,18 +341,9 @@
 		return StatusServer.response(HttpResponseStatus.NOT_FOUND, "text/plain", new byte[0]);
 	}
 
-	// The entries that any keeper heard lately, or the last known ones while none
-	// answers.
 	private List<String> addresses() {
-		Map<String, String> live = new TreeMap<>();
-		freshPulses().forEach((p) -> p.entries().forEach((e) -> live.put(e.getInstance(), e.getCallerAddress())));
-		if (!live.isEmpty()) {
-			this.lastAddresses = List.copyOf(live.values());
-		}
-		else if (this.lastAddresses.isEmpty() && isReady()) {
-			this.lastAddresses = List.of(this.settings.callers().toString());
-		}
-		return this.lastAddresses;
+		List<String> known = this.pulses.addresses();
+		return (known.isEmpty() && isReady()) ? List.of(this.settings.callers().toString()) : known;
 	}
 
 	private void onLoop(Runnable task) throws InterruptedException {
@@ -397,15 +356,26 @@
 	}
 
 	/**
-	 * What a keeper said last.
-	 *
-	 * @param heardAt when, on the monotonic clock
-	 * @param entriesVersion the version of its list of entries
-	 * @param entries the entries that it hears
-	 * @param load calls under way at upstreams
-	 * @param configuration the version of its configuration
+	 * Takes over what the platform itself says.
 	 */
-	private record Known(long heardAt, long entriesVersion, List<Entry> entries, List<Load> load, long configuration) {
+	private final class ProbeListener implements PlatformProbe.Listener {
+
+		@Override
+		public void configuration(StoredObject object, long askedAt) {
+			EntryNode.this.configuration.offer(object.spec(), askedAt, "platform");
+		}
+
+		@Override
+		public void upstreams(UpstreamNews news) {
+			EntryNode.this.loop.execute(() -> EntryNode.this.upstreams.take(news));
+		}
+
+		@Override
+		public void group(StoredObject object) {
+			GroupView view = GroupDocument.read(object.spec(), EntryNode.this.settings.tolerance());
+			EntryNode.this.loop.execute(() -> EntryNode.this.keepers.adopt(view));
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
@@ -1,11 +1,13 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
@@ -128,6 +130,14 @@
 		return this.limits.get(workspace);
 	}
 
+	/**
+	 * Returns the workspaces that have a rate limit.
+	 * @return their names
+	 */
+	public Set<String> limitedWorkspaces() {
+		return Collections.unmodifiableSet(this.limits.keySet());
+	}
+
 	/**
 	 * A pool of upstreams.
 	 *
--- a/mangorack/src/main/java/org/mangorack/relay/FleetContact.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetContact.java
@@ -26,7 +26,7 @@
 	static final Duration OUTAGE_AFTER = Duration.ofMillis(3000);
 
 	// A pulse that is older says nothing about the present.
-	private static final Duration PULSE_LIFE = Duration.ofMillis(700);
+	private static final Duration PULSE_LIFE = Duration.ofMillis(1000);
 
 	private final MonotonicClock clock;
 
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
@@ -0,0 +1,188 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.mangorack.keeper.proto.Entry;
+import org.mangorack.keeper.proto.Load;
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Pulse;
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * What the keepers said last, and which of them are asked for lists. Used by the thread
+ * for traffic only.
+ */
+final class KeeperPulses {
+
+	/**
+	 * A pulse that is older says nothing about the present: three of the longest
+	 * intervals of beats.
+	 */
+	static final Duration PULSE_LIFE = Duration.ofMillis(1200);
+
+	/**
+	 * A keeper that the platform has not answered for this long may have old lists. Its
+	 * watch of the configuration is answered more often than that.
+	 */
+	static final Duration CONTACT_LIMIT = Duration.ofMillis(2500);
+
+	/**
+	 * Lists that came within this time answer the same beat.
+	 */
+	static final Duration SAME_BEAT = Duration.ofMillis(100);
+
+	private final MonotonicClock clock;
+
+	private final String dataCentre;
+
+	private final Map<String, Known> pulses = new HashMap<>();
+
+	private List<String> lastAddresses = List.of();
+
+	private int turn;
+
+	KeeperPulses(MonotonicClock clock, String dataCentre) {
+		this.clock = clock;
+		this.dataCentre = dataCentre;
+	}
+
+	// ---- Beats
+
+	/**
+	 * Chooses the keepers that are asked for lists with the next beat: the nearest one
+	 * that the platform answers, and one of the others in turn, so that what one keeper
+	 * misses is heard from the next.
+	 * @param connected the keepers that are connected
+	 * @return their disks
+	 */
+	Set<String> listSources(List<Member> connected) {
+		Set<String> sources = new HashSet<>();
+		connected.stream()
+			.min(Comparator.comparing((Member m) -> !isInContact(m))
+				.thenComparing((m) -> !m.getZone().equals(this.dataCentre))
+				.thenComparing(Member::getDisk))
+			.ifPresent((nearest) -> sources.add(nearest.getDisk()));
+		if (!connected.isEmpty()) {
+			List<Member> ordered = connected.stream().sorted(Comparator.comparing(Member::getDisk)).toList();
+			this.turn = (this.turn + 1) % ordered.size();
+			sources.add(ordered.get(this.turn).getDisk());
+		}
+		return sources;
+	}
+
+	private boolean isInContact(Member member) {
+		Known known = this.pulses.get(member.getDisk());
+		return (known == null) || (known.contactAge().compareTo(CONTACT_LIMIT) < 0);
+	}
+
+	/**
+	 * Returns what a keeper said last.
+	 * @param disk the keeper
+	 * @return its last pulse, or {@code null} before the first
+	 */
+	Known known(String disk) {
+		return this.pulses.get(disk);
+	}
+
+	/**
+	 * Takes over what a keeper says.
+	 * @param disk the keeper
+	 * @param pulse its pulse
+	 */
+	void heard(String disk, Pulse pulse) {
+		Known before = this.pulses.get(disk);
+		long now = this.clock.nanoTime();
+		long listedAt = (before != null) ? before.listedAt() : (now - PULSE_LIFE.toNanos());
+		long version = (before != null) ? before.entriesVersion() : 0;
+		List<Entry> entries = (before != null) ? before.entries() : List.of();
+		List<Load> load = (before != null) ? before.load() : List.of();
+		if (pulse.getWithLists()) {
+			entries = (version == pulse.getEntries()) ? entries : pulse.getEntryList();
+			version = pulse.getEntries();
+			load = pulse.getLoadList();
+			listedAt = now;
+		}
+		this.pulses.put(disk, new Known(now, listedAt, version, entries, load, pulse.getConfiguration(),
+				pulse.getTimeMs(), Duration.ofMillis(pulse.getContactAgeMs())));
+		if (pulse.getWithLists()) {
+			refreshAddresses();
+		}
+	}
+
+	// ---- Accessors
+
+	/**
+	 * Returns the calls of other entries, by the newest lists only: load changes within a
+	 * fraction of a second.
+	 * @return calls under way by upstream, once for each keeper that listed them
+	 */
+	List<Load> loadElsewhere() {
+		long newest = this.pulses.values().stream().mapToLong(Known::listedAt).max().orElse(0);
+		List<Load> load = new ArrayList<>();
+		this.pulses.values()
+			.stream()
+			.filter((p) -> newest - p.listedAt() < SAME_BEAT.toNanos())
+			.forEach((p) -> load.addAll(p.load()));
+		return load;
+	}
+
+	/**
+	 * Returns the entries that any keeper heard lately, or the last known ones while no
+	 * keeper answers.
+	 * @return their addresses for callers
+	 */
+	List<String> addresses() {
+		refreshAddresses();
+		return this.lastAddresses;
+	}
+
+	private void refreshAddresses() {
+		Map<String, String> live = new TreeMap<>();
+		listedLately().forEach((p) -> p.entries().forEach((e) -> live.put(e.getInstance(), e.getCallerAddress())));
+		if (!live.isEmpty()) {
+			this.lastAddresses = List.copyOf(live.values());
+		}
+	}
+
+	/**
+	 * Tells whether some keeper that the platform answers was heard lately.
+	 * @return {@code true} if what keepers pass on is up to date
+	 */
+	boolean isInContact() {
+		long now = this.clock.nanoTime();
+		return this.pulses.values()
+			.stream()
+			.anyMatch(
+					(p) -> (now - p.heardAt() < PULSE_LIFE.toNanos()) && (p.contactAge().compareTo(CONTACT_LIMIT) < 0));
+	}
+
+	private List<Known> listedLately() {
+		long now = this.clock.nanoTime();
+		return this.pulses.values().stream().filter((p) -> now - p.listedAt() < PULSE_LIFE.toNanos()).toList();
+	}
+
+	/**
+	 * What a keeper said last.
+	 *
+	 * @param heardAt when, on the monotonic clock
+	 * @param listedAt when it last sent lists, on the monotonic clock
+	 * @param entriesVersion the version of its list of entries
+	 * @param entries the entries that it hears
+	 * @param load calls under way at upstreams
+	 * @param configuration the version of its configuration
+	 * @param time the time on the keeper's own clock, in milliseconds
+	 * @param contactAge how long ago the platform last answered it
+	 */
+	record Known(long heardAt, long listedAt, long entriesVersion, List<Entry> entries, List<Load> load,
+			long configuration, long time, Duration contactAge) {
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
@@ -0,0 +1,211 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+import com.google.protobuf.ByteString;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.keeper.GroupDocument;
+import org.mangorack.keeper.proto.UpstreamNews;
+import org.mangorack.keeper.proto.UpstreamObject;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectList;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.StoredObject;
+
+/**
+ * Asks the platform itself for what the keepers do not tell an entry. Entries do not
+ * watch the platform: each of its calls is priced, and a watch by each entry makes their
+ * number grow with the fleet. Used by one thread, but for {@link #setNeeds}.
+ */
+final class PlatformProbe {
+
+	/**
+	 * The time between questions of one entry in a small fleet.
+	 */
+	static final Duration INTERVAL = Duration.ofMillis(600);
+
+	/**
+	 * From this number of entries on, each asks less often, so that their questions
+	 * together stay as many. What one of them learns reaches the others by the keepers.
+	 */
+	static final int FULL_RATE_ENTRIES = 8;
+
+	/**
+	 * How long an entry waits for its seeds before it asks the platform for the group.
+	 */
+	static final Duration SEED_WAIT = Duration.ofMillis(1200);
+
+	/**
+	 * While there is no group in its first life, a fleet is just starting: nothing else
+	 * is asked for this many times.
+	 */
+	static final int TRIES_FOR_GROUP = 3;
+
+	private final ObjectStore store;
+
+	private final MonotonicClock clock;
+
+	private final Metrics metrics;
+
+	private final Listener listener;
+
+	private volatile Needs needs = Needs.NONE;
+
+	private volatile long answeredAt;
+
+	private long nextAt;
+
+	private int triesForGroup;
+
+	private boolean failing;
+
+	private long regainedAt;
+
+	PlatformProbe(ObjectStore store, MonotonicClock clock, Metrics metrics, Listener listener) {
+		this.store = store;
+		this.clock = clock;
+		this.metrics = metrics;
+		this.listener = listener;
+		this.answeredAt = clock.nanoTime() - Duration.ofDays(1).toNanos();
+		this.regainedAt = this.answeredAt;
+		this.nextAt = clock.nanoTime() + SEED_WAIT.toNanos();
+	}
+
+	/**
+	 * Sets what is needed from now on.
+	 * @param needs what the keepers do not tell
+	 */
+	void setNeeds(Needs needs) {
+		this.needs = needs;
+	}
+
+	/**
+	 * Returns how long ago the platform last answered a question.
+	 * @return the time since the answer
+	 */
+	Duration sinceAnswer() {
+		return this.clock.elapsed(this.answeredAt);
+	}
+
+	/**
+	 * Asks what is needed, if it is time to.
+	 */
+	void run() {
+		Needs now = this.needs;
+		if (now.isNone() || (this.clock.nanoTime() - this.nextAt < 0)) {
+			return;
+		}
+		double scale = Math.max(1, now.entries() / (double) FULL_RATE_ENTRIES);
+		double jitter = 0.75 + (ThreadLocalRandom.current().nextDouble() * 0.5);
+		this.nextAt = this.clock.nanoTime() + (long) (INTERVAL.toNanos() * scale * jitter);
+		try {
+			ask(now);
+		}
+		catch (StoreException ex) {
+			noteOutcome(ex);
+		}
+	}
+
+	private void ask(Needs now) throws StoreException {
+		if (now.group()) {
+			Optional<StoredObject> group = this.store.get(ObjectKind.KEEPER_GROUP, GroupDocument.NAME);
+			noteOutcome(null);
+			group.ifPresent(this.listener::group);
+			if (group.isEmpty() && (this.triesForGroup++ < TRIES_FOR_GROUP)) {
+				return;
+			}
+		}
+		if (now.configuration()) {
+			long askedAt = this.clock.nanoTime();
+			ObjectList list = this.store.list(ObjectKind.FLEET_CONFIGURATION);
+			noteOutcome(null);
+			list.items().forEach((object) -> this.listener.configuration(object, askedAt));
+		}
+		if (now.upstreams()) {
+			ObjectList list = this.store.list(ObjectKind.UPSTREAM);
+			noteOutcome(null);
+			this.listener.upstreams(news(list));
+		}
+	}
+
+	private void noteOutcome(StoreException failure) {
+		if (failure == null) {
+			this.answeredAt = this.clock.nanoTime();
+		}
+		else {
+			this.metrics.count("mangorack.platform.probes.failed", 1, "reason", failure.reason().name());
+		}
+		if ((failure != null) != this.failing) {
+			this.failing = failure != null;
+			this.regainedAt = this.failing ? this.regainedAt : this.clock.nanoTime();
+			EventLog.log(this.failing ? Event.PLATFORM_UNREACHABLE : Event.PLATFORM_REACHABLE, "needs", this.needs,
+					"cause", this.failing ? failure.getMessage() : "answered");
+		}
+	}
+
+	private UpstreamNews news(ObjectList list) {
+		UpstreamNews.Builder news = UpstreamNews.newBuilder()
+			.setVersion(KindCache.number(list.version()))
+			.setRegainedMs(this.clock.elapsed(this.regainedAt).toMillis())
+			.setWhole(true);
+		list.items()
+			.forEach((o) -> news.addUpstream(UpstreamObject.newBuilder()
+				.setName(o.name())
+				.setDocument(ByteString.copyFrom(Jsons.bytes(o.spec())))));
+		return news.build();
+	}
+
+	/**
+	 * What an entry has to ask the platform itself.
+	 *
+	 * @param configuration whether the configuration was not confirmed lately
+	 * @param upstreams whether no keeper has an up-to-date list of upstreams
+	 * @param group whether no keeper of the group is connected
+	 * @param entries how many entries there are
+	 */
+	record Needs(boolean configuration, boolean upstreams, boolean group, int entries) {
+
+		static final Needs NONE = new Needs(false, false, false, 0);
+
+		private boolean isNone() {
+			return !this.configuration && !this.upstreams && !this.group;
+		}
+
+	}
+
+	/**
+	 * Receives answers, on the thread that asks.
+	 */
+	interface Listener {
+
+		/**
+		 * Reports the configuration.
+		 * @param object the configuration
+		 * @param askedAt when it was certainly the newest one, on the monotonic clock
+		 */
+		void configuration(StoredObject object, long askedAt);
+
+		/**
+		 * Reports all upstreams.
+		 * @param news the list
+		 */
+		void upstreams(UpstreamNews news);
+
+		/**
+		 * Reports the group of keepers.
+		 * @param object the group
+		 */
+		void group(StoredObject object);
+
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/relay/RateGate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RateGate.java
@@ -6,9 +6,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 
@@ -16,6 +18,7 @@
 import org.mangorack.keeper.KeeperClient;
 import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Level;
+import org.mangorack.keeper.proto.Pulse;
 import org.mangorack.keeper.proto.Usage;
 import org.mangorack.observe.MonotonicClock;
 
@@ -27,9 +30,10 @@
 final class RateGate {
 
 	/**
-	 * A level that is older counts as unknown: a few intervals of beats.
+	 * A level that is older counts as unknown: two and a half of the longest intervals of
+	 * beats.
 	 */
-	static final Duration LEVEL_LIFE = Duration.ofMillis(700);
+	static final Duration LEVEL_LIFE = Duration.ofMillis(1000);
 
 	/**
 	 * The part of the burst that must be left for a request to be admitted at once. What
@@ -66,10 +70,13 @@
 
 	private final Map<String, Integer> beginnings = new HashMap<>();
 
-	private final Map<String, Map<String, Known>> levels = new HashMap<>();
+	private final Map<String, Known> levels = new HashMap<>();
 
-	RateGate(KeeperClient keepers, EventLoop loop, MonotonicClock clock) {
+	private final LongSupplier configurationVersion;
+
+	RateGate(KeeperClient keepers, LongSupplier configurationVersion, EventLoop loop, MonotonicClock clock) {
 		this.keepers = keepers;
+		this.configurationVersion = configurationVersion;
 		this.loop = loop;
 		this.clock = clock;
 	}
@@ -108,15 +115,13 @@
 	/**
 	 * Takes over the levels at a keeper.
 	 * @param disk the keeper
-	 * @param fresh the levels
-	 * @param reportedThen what was reported with the beat that they answer
+	 * @param pulse what it said; workspaces that it does not list are nearly full
+	 * @param reportedThen what was reported with the beat that it answers
 	 */
-	void setLevels(String disk, List<Level> fresh, Map<String, Long> reportedThen) {
-		long now = this.clock.nanoTime();
-		Map<String, Known> known = new HashMap<>();
-		fresh.forEach((l) -> known.put(l.getWorkspace(),
-				new Known(l.getCalls(), reportedThen.getOrDefault(l.getWorkspace(), 0L), l.getWarming(), now)));
-		this.levels.put(disk, known);
+	void setLevels(String disk, Pulse pulse, Map<String, Long> reportedThen) {
+		Map<String, Level> listed = new HashMap<>();
+		pulse.getLevelList().forEach((l) -> listed.put(l.getWorkspace(), l));
+		this.levels.put(disk, new Known(listed, pulse.getConfiguration(), reportedThen, this.clock.nanoTime()));
 	}
 
 	// ---- Admission
@@ -136,7 +141,7 @@
 			return;
 		}
 		double comfort = limit.burst() * (beginning ? BEGINNING_COMFORT : COMFORT);
-		if (level(workspace) > Math.max(2, comfort)) {
+		if (level(workspace, limit) > Math.max(2, comfort)) {
 			this.admitted.merge(workspace, 1L, Long::sum);
 			if (beginning) {
 				this.beginnings.merge(workspace, 1, Integer::sum);
@@ -177,30 +182,42 @@
 	}
 
 	// The lowest level that a majority of the keepers reports, or a negative number.
-	private double level(String workspace) {
+	private double level(String workspace, RateLimit limit) {
 		long now = this.clock.nanoTime();
 		long total = this.admitted.getOrDefault(workspace, 0L);
 		Set<String> heard = new HashSet<>();
 		double lowest = Double.MAX_VALUE;
-		for (Map.Entry<String, Map<String, Known>> e : this.levels.entrySet()) {
-			Known known = e.getValue().get(workspace);
-			if ((known != null) && !known.warming() && (now - known.heardAt() < LEVEL_LIFE.toNanos())) {
+		for (Map.Entry<String, Known> e : this.levels.entrySet()) {
+			Known known = e.getValue();
+			OptionalDouble calls = known.calls(workspace, limit, this.configurationVersion.getAsLong());
+			if (calls.isPresent() && (now - known.heardAt() < LEVEL_LIFE.toNanos())) {
 				heard.add(e.getKey());
-				lowest = Math.min(lowest, known.calls() - (total - known.reportedThen()));
+				long sinceThen = total - known.reportedThen().getOrDefault(workspace, 0L);
+				lowest = Math.min(lowest, calls.getAsDouble() - sinceThen);
 			}
 		}
 		return this.keepers.view().isMajority(heard) ? lowest : -1;
 	}
 
 	/**
-	 * The level of a bucket at a keeper.
+	 * The levels of the buckets at a keeper.
 	 *
-	 * @param calls the calls that may still be made
-	 * @param reportedThen what this entry had reported by then
-	 * @param warming whether the bucket may hold too little
-	 * @param heardAt when it was heard, on the monotonic clock
+	 * @param listed the buckets that are not nearly full
+	 * @param configuration the version that the keeper goes by
+	 * @param reportedThen what this entry had reported by then, by workspace
+	 * @param heardAt when they were heard, on the monotonic clock
 	 */
-	private record Known(double calls, long reportedThen, boolean warming, long heardAt) {
+	private record Known(Map<String, Level> listed, long configuration, Map<String, Long> reportedThen, long heardAt) {
+
+		private OptionalDouble calls(String workspace, RateLimit limit, long version) {
+			Level level = this.listed.get(workspace);
+			if (level != null) {
+				return level.getWarming() ? OptionalDouble.empty() : OptionalDouble.of(level.getCalls());
+			}
+			// An older configuration may not have this limit.
+			return (this.configuration >= version) ? OptionalDouble.of(limit.nearlyFull()) : OptionalDouble.empty();
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -1,5 +1,6 @@
 package org.mangorack.relay;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,15 +12,16 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 
+import org.mangorack.call.Jsons;
 import org.mangorack.keeper.proto.Load;
+import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
-import org.mangorack.platform.KindCache;
-import org.mangorack.platform.StoredObject;
 
 /**
  * The upstreams of all pools, and the choice among them. Used by the thread for traffic
@@ -51,8 +53,6 @@
 
 	private final EventLoop loop;
 
-	private final KindCache entries;
-
 	private final FleetProtocol protocol;
 
 	private final UpstreamClient client;
@@ -65,10 +65,18 @@
 
 	private final Set<String> unreadable = new HashSet<>();
 
-	UpstreamTable(EventLoop loop, KindCache entries, FleetProtocol protocol, UpstreamClient client,
-			MonotonicClock clock, String dataCentre) {
+	// What the platform holds, as far as it can be read.
+	private final Map<String, UpstreamEntry> announced = new HashMap<>();
+
+	private long version;
+
+	// When the platform was last heard again after a break, on the monotonic clock.
+	private long regainedAt;
+
+	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock,
+			String dataCentre) {
 		this.loop = loop;
-		this.entries = entries;
+		this.regainedAt = clock.nanoTime() - RETURN_LIMIT.toNanos();
 		this.protocol = protocol;
 		this.client = client;
 		this.clock = clock;
@@ -80,24 +88,58 @@
 	// ---- Knowledge
 
 	/**
-	 * Takes over the entries that the platform holds at present.
+	 * Returns which changes are known.
+	 * @return the version of the platform that the entries show; 0 before any
 	 */
-	void refresh() {
-		Map<String, StoredObject> objects = this.entries.objects();
-		Set<String> present = new HashSet<>();
-		objects.forEach((id, object) -> {
-			Optional<UpstreamEntry> entry = this.protocol.upstream(id, object.spec());
-			if (entry.isPresent()) {
-				present.add(id);
-				this.unreadable.remove(id);
-				update(entry.get());
-			}
-			else if (this.unreadable.add(id)) {
-				EventLog.log(Event.UPSTREAM_UNREADABLE, "upstream", id, "entry", object.spec());
+	long version() {
+		return this.version;
+	}
+
+	/**
+	 * Takes over what changed since the version that is known, or all entries. Older news
+	 * are ignored.
+	 * @param news the changes
+	 */
+	void take(UpstreamNews news) {
+		if (news.getVersion() <= this.version) {
+			return;
+		}
+		this.version = news.getVersion();
+		this.regainedAt = this.clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(news.getRegainedMs());
+		if (news.getWhole()) {
+			Set<String> listed = new HashSet<>();
+			news.getUpstreamList().forEach((u) -> listed.add(u.getName()));
+			this.announced.keySet().retainAll(listed);
+		}
+		news.getGoneList().forEach(this.announced::remove);
+		news.getUpstreamList().forEach((u) -> read(u.getName(), u.getDocument()));
+		retireMissing();
+	}
+
+	private void read(String id, ByteString document) {
+		Optional<UpstreamEntry> entry = Optional.empty();
+		try {
+			entry = this.protocol.upstream(id, Jsons.parse(document.toByteArray()));
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.UPSTREAM_UNREADABLE, ex, "upstream", id);
+		}
+		if (entry.isPresent()) {
+			this.announced.put(id, entry.get());
+			this.unreadable.remove(id);
+			update(entry.get());
+		}
+		else {
+			this.announced.remove(id);
+			if (this.unreadable.add(id)) {
+				EventLog.log(Event.UPSTREAM_UNREADABLE, "upstream", id, "entry", document.toStringUtf8());
 			}
-		});
+		}
+	}
+
+	private void retireMissing() {
 		for (Upstream u : List.copyOf(this.upstreams.values())) {
-			if (!present.contains(u.id())) {
+			if (!this.announced.containsKey(u.id())) {
 				missing(u);
 			}
 		}
@@ -200,10 +242,10 @@
 	}
 
 	private void missing(Upstream upstream) {
-		long sinceReturn = this.clock.nanoTime() - this.entries.regainedAt();
+		long sinceReturn = this.clock.nanoTime() - this.regainedAt;
 		long left = RETURN_LIMIT.toNanos() - sinceReturn;
 		if ((left > 0) && !upstream.entry().leaving()) {
-			this.loop.schedule(this::refresh, left + TimeUnit.MILLISECONDS.toNanos(1), TimeUnit.NANOSECONDS);
+			this.loop.schedule(this::retireMissing, left + TimeUnit.MILLISECONDS.toNanos(1), TimeUnit.NANOSECONDS);
 			return;
 		}
 		retire(upstream, "entry gone");
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/UpstreamListTests.java
@@ -0,0 +1,129 @@
+package org.mangorack.keeper;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.keeper.proto.UpstreamNews;
+import org.mangorack.keeper.proto.UpstreamObject;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.StoredObject;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link UpstreamList}.
+ */
+class UpstreamListTests {
+
+	private final Map<String, StoredObject> objects = new HashMap<>();
+
+	private KindCache.Copy copy = new KindCache.Copy(Map.of(), 0);
+
+	private final UpstreamList list = new UpstreamList(() -> this.copy, () -> Duration.ofSeconds(3));
+
+	@Test
+	void beforeTheFirstCopyThereIsNothingToTake() {
+		assertThat(this.list.news(0).getVersion()).isZero();
+	}
+
+	@Test
+	void anEntryWithoutAListGetsAllUpstreams() {
+		put("a", 3);
+		put("b", 5);
+		show(10);
+		UpstreamNews news = this.list.news(0).build();
+		assertThat(news.getWhole()).isTrue();
+		assertThat(names(news)).containsExactlyInAnyOrder("a", "b");
+		assertThat(news.getVersion()).isEqualTo(10);
+		assertThat(news.getRegainedMs()).isEqualTo(3000);
+	}
+
+	@Test
+	void anEntryThatIsUpToDateGetsNothing() {
+		put("a", 3);
+		show(10);
+		assertThat(names(this.list.news(10).build())).isEmpty();
+	}
+
+	@Test
+	void laterChangesAndRemovalsAreListedOnly() {
+		put("a", 3);
+		put("b", 5);
+		show(10);
+		this.list.news(0);
+		put("c", 12);
+		this.objects.remove("a");
+		show(14);
+		UpstreamNews news = this.list.news(10).build();
+		assertThat(news.getWhole()).isFalse();
+		assertThat(names(news)).containsExactly("c");
+		assertThat(news.getGoneList()).containsExactly("a");
+	}
+
+	/**
+	 * An entry that heard of version 11 from another keeper does not have a removal that
+	 * came after it.
+	 */
+	@Test
+	void aRemovalIsToldToAnEntryWhoseVersionIsBetween() {
+		put("a", 3);
+		show(10);
+		this.list.news(0);
+		this.objects.remove("a");
+		show(14);
+		assertThat(this.list.news(11).getGoneList()).containsExactly("a");
+		assertThat(this.list.news(14).getGoneList()).isEmpty();
+	}
+
+	@Test
+	void anUpstreamThatCameBackIsNotGone() {
+		put("a", 3);
+		show(10);
+		this.list.news(0);
+		this.objects.remove("a");
+		show(14);
+		this.list.news(10);
+		put("a", 16);
+		show(17);
+		UpstreamNews news = this.list.news(10).build();
+		assertThat(news.getGoneList()).isEmpty();
+		assertThat(names(news)).containsExactly("a");
+	}
+
+	@Test
+	void anEntryThatMissedAForgottenRemovalGetsAllUpstreams() {
+		for (int i = 0; i <= UpstreamList.MAX_REMOVALS; i++) {
+			put("u" + i, 1);
+		}
+		put("stays", 2);
+		show(10);
+		this.list.news(0);
+		for (int i = 0; i <= UpstreamList.MAX_REMOVALS; i++) {
+			this.objects.remove("u" + i);
+			show(11 + i);
+			this.list.news(0);
+		}
+		UpstreamNews news = this.list.news(10).build();
+		assertThat(news.getWhole()).isTrue();
+		assertThat(names(news)).containsExactly("stays");
+		assertThat(this.list.news(11).getWhole()).isFalse();
+	}
+
+	private void put(String name, long version) {
+		this.objects.put(name, new StoredObject(name, Long.toString(version), Jsons.object()));
+	}
+
+	private void show(long version) {
+		this.copy = new KindCache.Copy(Map.copyOf(this.objects), version);
+	}
+
+	private static List<String> names(UpstreamNews news) {
+		return news.getUpstreamList().stream().map(UpstreamObject::getName).toList();
+	}
+
+}
--- a/mangorack/src/test/java/org/mangorack/keeper/WorkspaceBucketsTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/WorkspaceBucketsTests.java
@@ -64,6 +64,27 @@
 		assertThat(drawn(buckets, call(), 100)).isEqualTo(3);
 	}
 
+	@Test
+	void onlyBucketsThatAreNotNearlyFullAreReported() {
+		WorkspaceBuckets buckets = buckets(10, 20);
+		advance(2);
+		assertThat(buckets.levels()).isEmpty();
+		drawn(buckets, call(), 5);
+		assertThat(buckets.levels()).singleElement().satisfies((level) -> assertThat(level.getCalls()).isEqualTo(15));
+		advance(0.4);
+		assertThat(buckets.levels()).isEmpty();
+	}
+
+	@Test
+	void aRaisedLimitMakesAFullBucketAReportedOne() {
+		FixedConfiguration configuration = new FixedConfiguration(new RateLimit(10, 20));
+		WorkspaceBuckets buckets = new WorkspaceBuckets(() -> this.now, configuration);
+		advance(2);
+		assertThat(buckets.levels()).isEmpty();
+		configuration.change(new RateLimit(10, 100));
+		assertThat(buckets.levels()).singleElement().satisfies((level) -> assertThat(level.getCalls()).isEqualTo(20));
+	}
+
 	@Test
 	void urgentProgramsBeginWhereOthersHaveToWait() {
 		WorkspaceBuckets buckets = buckets(80, 80);
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/relay/PlatformProbeTests.java
@@ -0,0 +1,183 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.keeper.proto.UpstreamNews;
+import org.mangorack.observe.Metrics;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectList;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.StoredObject;
+import org.mangorack.platform.WatchListener;
+import org.mangorack.relay.PlatformProbe.Needs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link PlatformProbe}, on a clock that the tests advance.
+ */
+class PlatformProbeTests {
+
+	private static final Needs ALL = new Needs(true, true, true, 4);
+
+	private long now = 1;
+
+	private final CountingStore store = new CountingStore();
+
+	private final List<String> heard = new ArrayList<>();
+
+	private final PlatformProbe probe = new PlatformProbe(this.store, () -> this.now, new Metrics(), new Listener());
+
+	@Test
+	void anEntryWhoseKeepersTellEverythingAsksNothing() {
+		run(60_000);
+		assertThat(this.store.calls).isEmpty();
+	}
+
+	@Test
+	void theSeedsAreWaitedForFirst() {
+		this.probe.setNeeds(ALL);
+		run((int) PlatformProbe.SEED_WAIT.toMillis() - 200);
+		assertThat(this.store.calls).isEmpty();
+	}
+
+	@Test
+	void whatIsNeededIsAskedAndPassedOn() {
+		this.probe.setNeeds(ALL);
+		run(1300);
+		assertThat(this.heard).containsExactly("group", "configuration", "upstreams of 42, whole");
+		assertThat(this.probe.sinceAnswer()).isLessThan(Duration.ofSeconds(1));
+	}
+
+	@Test
+	void whileTheFleetIsStartingOnlyTheGroupIsAskedFor() {
+		this.store.group = false;
+		this.probe.setNeeds(ALL);
+		run(2000);
+		assertThat(this.store.calls).isNotEmpty().containsOnly("keepergroups");
+		run(10_000);
+		assertThat(this.store.calls).contains("fleetconfigurations", "upstreams");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "4, 60, 150", "64, 8, 19", "350, 1, 4" })
+	void theLargerTheFleetTheFewerQuestionsOfEach(int entries, int least, int most) {
+		this.probe.setNeeds(new Needs(true, false, false, entries));
+		run(60_000);
+		assertThat(this.store.calls).hasSizeBetween(least, most);
+	}
+
+	@Test
+	void aPlatformThatDoesNotAnswerIsAskedAgain() {
+		this.probe.setNeeds(new Needs(true, true, false, 4));
+		this.store.failing = true;
+		run(5000);
+		assertThat(this.heard).isEmpty();
+		assertThat(this.probe.sinceAnswer()).isGreaterThan(Duration.ofHours(1));
+		this.store.failing = false;
+		run(2000);
+		assertThat(this.heard).contains("configuration", "upstreams of 42, whole");
+		assertThat(this.store.regainedMillis).as("time since the platform was back").isLessThan(2000);
+	}
+
+	private void run(int millis) {
+		for (int i = 0; i < millis; i += 100) {
+			this.now += Duration.ofMillis(100).toNanos();
+			this.probe.run();
+		}
+	}
+
+	/**
+	 * Notes what is passed on.
+	 */
+	private final class Listener implements PlatformProbe.Listener {
+
+		@Override
+		public void configuration(StoredObject object, long askedAt) {
+			PlatformProbeTests.this.heard.add("configuration");
+		}
+
+		@Override
+		public void upstreams(UpstreamNews news) {
+			PlatformProbeTests.this.heard
+				.add("upstreams of " + news.getVersion() + (news.getWhole() ? ", whole" : ", in part"));
+			PlatformProbeTests.this.store.regainedMillis = news.getRegainedMs();
+		}
+
+		@Override
+		public void group(StoredObject object) {
+			PlatformProbeTests.this.heard.add("group");
+		}
+
+	}
+
+	/**
+	 * Counts what is read.
+	 */
+	private static final class CountingStore implements ObjectStore {
+
+		private final List<String> calls = new ArrayList<>();
+
+		private boolean group = true;
+
+		private boolean failing;
+
+		private long regainedMillis;
+
+		private StoredObject read(ObjectKind kind) throws StoreException {
+			this.calls.add(kind.plural());
+			if (this.failing) {
+				throw new StoreException(StoreException.Reason.UNREACHABLE, "refused");
+			}
+			return new StoredObject("main", "1", Jsons.object());
+		}
+
+		@Override
+		public Optional<StoredObject> get(ObjectKind kind, String name) throws StoreException {
+			StoredObject object = read(kind);
+			return this.group ? Optional.of(object) : Optional.empty();
+		}
+
+		@Override
+		public ObjectList list(ObjectKind kind) throws StoreException {
+			return new ObjectList("42", List.of(read(kind)));
+		}
+
+		@Override
+		public StoredObject create(ObjectKind kind, String name, JsonNode spec) {
+			throw new UnsupportedOperationException("entries do not write");
+		}
+
+		@Override
+		public StoredObject update(ObjectKind kind, String name, String version, JsonNode spec) {
+			throw new UnsupportedOperationException("entries do not write");
+		}
+
+		@Override
+		public void updateStatus(ObjectKind kind, String name, JsonNode status) {
+			throw new UnsupportedOperationException("entries do not write");
+		}
+
+		@Override
+		public void delete(ObjectKind kind, String name, String version) {
+			throw new UnsupportedOperationException("entries do not write");
+		}
+
+		@Override
+		public void watch(ObjectKind kind, String version, WatchListener listener) {
+			throw new UnsupportedOperationException("entries do not watch");
+		}
+
+	}
+
+}
