Hold requests until a start knows enough; send callers of a cut-off entry elsewhere

Change: the directory answers 503 once no keeper sent lists for 2 s. Requests of the first moments wait for what the entry has to learn, 900 ms and 0.4 of their time at most, and the first beat to a majority is sent at once. Ruled out: reporting such an entry as not accepting, as then fewer entries are counted for the outage rule, which would feed on itself.

--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.bench.fleet.ScriptedUpstream.Received;
+import org.mangorack.http.HttpAddress;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -344,6 +345,15 @@
 		await(() -> directory().contains(this.fleet.callers().toString()));
 	}
 
+	@Test
+	void anEntryThatNoKeeperTellsOfOthersSendsCallersToAnotherDirectory() throws Exception {
+		HttpAddress asked = this.fleet.directory();
+		this.fleet.startEntry(0);
+		await(() -> directory(asked).contains(this.fleet.callers().toString()));
+		this.fleet.stopKeepers();
+		await(() -> directory(asked).startsWith("HTTP/1.1 503"));
+	}
+
 	@Test
 	void aStopEndsCallsUnderWayAndTellsCallersToLeave() throws Exception {
 		this.upstream.play((request, out, socket) -> {
@@ -387,7 +397,11 @@
 	}
 
 	private String directory() {
-		try (Socket socket = new Socket(this.fleet.directory().host(), this.fleet.directory().port())) {
+		return directory(this.fleet.directory());
+	}
+
+	private static String directory(HttpAddress asked) {
+		try (Socket socket = new Socket(asked.host(), asked.port())) {
 			socket.getOutputStream()
 				.write(ScriptedUpstream
 					.bytes("GET /resolution?name=check.example&region=r&zone=dc HTTP/1.1\r\nHost: d\r\n\r\n"));
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -76,6 +76,8 @@
 
 	private EntryNode entry;
 
+	private int entries;
+
 	TestFleetNodes() throws IOException {
 		this.store.start();
 	}
@@ -108,8 +110,8 @@
 		this.directory = freeAddress(ENTRY_HOST);
 		this.readiness = freeAddress(ENTRY_HOST);
 		this.entry = new EntryNode(
-				new EntrySettings("entry-1", "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
-						this.keeperAddresses, tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
+				new EntrySettings("entry-" + ++this.entries, "dc", this.callers, this.readiness, this.directory, null,
+						storeAddress(), this.keeperAddresses, tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
 				newStore(), new WireProtocol(), this.metrics);
 		this.entry.start();
 	}
@@ -131,9 +133,14 @@
 		this.keepers.add(keeper);
 	}
 
+	void stopKeepers() {
+		this.keepers.forEach(KeeperNode::stop);
+		this.keepers.clear();
+	}
+
 	@Override
 	public void close() {
-		this.keepers.forEach(KeeperNode::stop);
+		stopKeepers();
 		this.store.close();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -84,6 +84,9 @@
 	private Consumer<GroupView> onView = (v) -> {
 	};
 
+	private Runnable onConnected = () -> {
+	};
+
 	/**
 	 * Creates a client that knows no keeper yet.
 	 * @param loop the event loop that calls and answers run on
@@ -110,6 +113,14 @@
 		this.onView = listener;
 	}
 
+	/**
+	 * Sets what is told of connections.
+	 * @param listener runs after a member of the group was connected
+	 */
+	public void setConnectionListener(Runnable listener) {
+		this.onConnected = listener;
+	}
+
 	/**
 	 * Uses a view if it is newer than the present one.
 	 * @param newer the view
@@ -125,7 +136,7 @@
 		newer.all().forEach((m) -> {
 			wanted.add(m.getDisk());
 			this.links.computeIfAbsent(m.getDisk(), (disk) -> {
-				KeeperLink link = new KeeperLink(this.loop, m, this.clock, this::sendMissing);
+				KeeperLink link = new KeeperLink(this.loop, m, this.clock, this::memberConnected);
 				this.loop.execute(link::connect);
 				return link;
 			});
@@ -330,6 +341,11 @@
 		}
 	}
 
+	private void memberConnected() {
+		sendMissing();
+		this.onConnected.run();
+	}
+
 	private void sendMissing() {
 		for (GroupCall call : List.copyOf(this.calls)) {
 			call.sendMissing();
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -134,6 +134,8 @@
 
 	private boolean configurationStale;
 
+	private boolean beatenEarly;
+
 	private long seedsAskedAt;
 
 	private long keepersConnectedAt;
@@ -181,6 +183,7 @@
 		}
 		this.control.scheduleWithFixedDelay(new GuardedTask("probe", this.probe::run), PROBE_TICK.toMillis(),
 				PROBE_TICK.toMillis(), TimeUnit.MILLISECONDS);
+		this.keepers.setConnectionListener(this::keeperConnected);
 		this.loop.execute(this::beatAndSchedule);
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "entry", "callers",
 				this.settings.callers(), "tolerance", this.settings.tolerance());
@@ -262,6 +265,7 @@
 			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load, true), (pulse) -> {
 				takeConfiguration(pulse, "seed", sentAt);
 				this.upstreams.take(pulse.getUpstreams());
+				openIfPrepared();
 			});
 		}
 		Set<String> listSources = this.pulses.listSources(this.keepers.connectedMembers());
@@ -310,6 +314,25 @@
 			this.upstreams.take(pulse.getUpstreams());
 			this.upstreams.setLoadElsewhere(this.pulses.loadElsewhere());
 		}
+		openIfPrepared();
+	}
+
+	// The first beat to a majority need not wait for its turn: until then nothing is
+	// served.
+	private void keeperConnected() {
+		if (!this.server.gate().isOpen() && !this.beatenEarly && this.keepers.isServing()) {
+			this.beatenEarly = true;
+			beat();
+		}
+	}
+
+	private void openIfPrepared() {
+		boolean prepared = (this.configuration.current() != null) && (this.upstreams.version() > 0)
+				&& this.keepers.isServing();
+		if (prepared && !this.server.gate().isOpen()) {
+			this.server.gate().open();
+			noteConfigurationAge();
+		}
 	}
 
 	private void noteConfigurationAge() {
@@ -335,12 +358,20 @@
 					"text/plain", new byte[0]);
 		}
 		if (path.equals(this.protocol.directoryPath())) {
+			if (!isDirectoryCurrent()) {
+				return StatusServer.response(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", new byte[0]);
+			}
 			return StatusServer.response(HttpResponseStatus.OK, "application/json",
 					this.protocol.directory(addresses(), DIRECTORY_LIFE));
 		}
 		return StatusServer.response(HttpResponseStatus.NOT_FOUND, "text/plain", new byte[0]);
 	}
 
+	// An entry that never heard a list is alone or has just started.
+	private boolean isDirectoryCurrent() {
+		return this.pulses.isListed() || this.pulses.addresses().isEmpty();
+	}
+
 	private List<String> addresses() {
 		List<String> known = this.pulses.addresses();
 		return (known.isEmpty() && isReady()) ? List.of(this.settings.callers().toString()) : known;
--- a/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
@@ -34,6 +34,13 @@
 	 */
 	static final Duration CONTACT_LIMIT = Duration.ofMillis(2500);
 
+	/**
+	 * Lists that are older are no longer passed on to callers: this entry may be cut off
+	 * alone, and callers do better to ask another one. Keepers that were all killed send
+	 * lists again within this time.
+	 */
+	static final Duration LIST_LIFE = Duration.ofMillis(2000);
+
 	/**
 	 * Lists that came within this time answer the same beat.
 	 */
@@ -100,7 +107,7 @@
 	void heard(String disk, Pulse pulse) {
 		Known before = this.pulses.get(disk);
 		long now = this.clock.nanoTime();
-		long listedAt = (before != null) ? before.listedAt() : (now - PULSE_LIFE.toNanos());
+		long listedAt = (before != null) ? before.listedAt() : (now - LIST_LIFE.toNanos());
 		long version = (before != null) ? before.entriesVersion() : 0;
 		List<Entry> entries = (before != null) ? before.entries() : List.of();
 		List<Load> load = (before != null) ? before.load() : List.of();
@@ -144,6 +151,15 @@
 		return this.lastAddresses;
 	}
 
+	/**
+	 * Tells whether the addresses may be passed on.
+	 * @return {@code true} if some keeper sent lists lately
+	 */
+	boolean isListed() {
+		long now = this.clock.nanoTime();
+		return this.pulses.values().stream().anyMatch((p) -> now - p.listedAt() < LIST_LIFE.toNanos());
+	}
+
 	private void refreshAddresses() {
 		Map<String, String> live = new TreeMap<>();
 		listedLately().forEach((p) -> p.entries().forEach((e) -> live.put(e.getInstance(), e.getCallerAddress())));
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -126,6 +126,14 @@
 	// ---- Admission
 
 	void start() {
+		this.server.gate().pass(this.head.timeLeft(), () -> {
+			if (!this.ended) {
+				admit();
+			}
+		});
+	}
+
+	private void admit() {
 		this.configuration = this.server.configuration().current();
 		if (this.configuration == null) {
 			refuse(Refusal.unavailable("no_configuration", "no configuration is known yet", COME_BACK));
@@ -714,8 +722,7 @@
 
 		private void endWhole() {
 			RelayCall call = RelayCall.this;
-			boolean notRun = this.answer.notRun() || (this.answer.status() == 421);
-			if (notRun) {
+			if (this.answer.notRun()) {
 				noteNotRun();
 				retryOrGiveUp(this.upstream, Verdict.NOT_RUN,
 						this.upstream.id() + " answered " + this.answer.status() + " without running the request");
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -62,6 +62,8 @@
 
 	private final RateGate rates;
 
+	private final StartGate gate;
+
 	private final CallLog log;
 
 	private final RoutePaces paces = new RoutePaces();
@@ -88,6 +90,7 @@
 		this.client = client;
 		this.keepers = keepers;
 		this.rates = rates;
+		this.gate = new StartGate(loop, clock);
 		this.log = new CallLog(clock, metrics);
 		this.keepersServingAt = clock.nanoTime();
 	}
@@ -199,6 +202,10 @@
 		return this.rates;
 	}
 
+	StartGate gate() {
+		return this.gate;
+	}
+
 	RoutePaces paces() {
 		return this.paces;
 	}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/StartGate.java
@@ -0,0 +1,98 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+
+import org.mangorack.observe.MonotonicClock;
+
+/**
+ * Holds the requests that reach an entry before it knows enough to decide them: a
+ * configuration, the upstreams and a majority of the keepers. It learns them within
+ * fractions of a second, so a short wait serves a caller better than a refusal, of which
+ * few callers take more than one or two. Once open, the gate stays open. Used by the
+ * thread for traffic only.
+ */
+final class StartGate {
+
+	/**
+	 * The longest time that a request is held. An entry that has just started learns what
+	 * it needs in 200 ms from keepers that are up, in 700 ms if they start as well.
+	 */
+	static final Duration MAX_WAIT = Duration.ofMillis(900);
+
+	/**
+	 * The part of its time that a request is held at most, so that enough is left to
+	 * serve it.
+	 */
+	static final double WAIT_PART = 0.4;
+
+	/**
+	 * The gate opens this long after the start at the latest: what is still missing by
+	 * then may stay away for long, and requests that do not need it are served.
+	 */
+	static final Duration OPEN_AFTER = Duration.ofMillis(2500);
+
+	private final EventLoop loop;
+
+	private final MonotonicClock clock;
+
+	private final long startedAt;
+
+	private final Deque<Runnable> waiting = new ArrayDeque<>();
+
+	private boolean open;
+
+	StartGate(EventLoop loop, MonotonicClock clock) {
+		this.loop = loop;
+		this.clock = clock;
+		this.startedAt = clock.nanoTime();
+	}
+
+	/**
+	 * Tells whether requests pass at once.
+	 * @return {@code true} once the gate was opened or its time is over
+	 */
+	boolean isOpen() {
+		if (!this.open && (this.clock.elapsed(this.startedAt).compareTo(OPEN_AFTER) > 0)) {
+			open();
+		}
+		return this.open;
+	}
+
+	/**
+	 * Runs a task once the gate is open, or when its wait is over.
+	 * @param timeLeft the time that the caller waits, or {@code null} if it is not known
+	 * @param task the task, which runs once
+	 */
+	void pass(Duration timeLeft, Runnable task) {
+		if (isOpen()) {
+			task.run();
+			return;
+		}
+		long wait = MAX_WAIT.toNanos();
+		if (timeLeft != null) {
+			wait = Math.min(wait, (long) (timeLeft.toNanos() * WAIT_PART));
+		}
+		this.waiting.add(task);
+		this.loop.schedule(() -> {
+			if (this.waiting.remove(task)) {
+				task.run();
+			}
+		}, wait, TimeUnit.NANOSECONDS);
+	}
+
+	/**
+	 * Lets all requests pass, those that wait in their order.
+	 */
+	void open() {
+		this.open = true;
+		while (!this.waiting.isEmpty()) {
+			this.waiting.poll().run();
+		}
+	}
+
+}
--- a/mangorack/src/test/java/org/mangorack/relay/KeeperPulsesTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/KeeperPulsesTests.java
@@ -89,6 +89,19 @@
 		assertThat(this.pulses.isInContact()).isFalse();
 	}
 
+	@Test
+	void aListIsPassedOnOnlyWhileItIsCurrent() {
+		assertThat(this.pulses.isListed()).isFalse();
+		this.pulses.heard("d0", pulse(100).build());
+		assertThat(this.pulses.isListed()).isFalse();
+		this.pulses.heard("d0", listed(7, "e1").build());
+		advance(KeeperPulses.LIST_LIFE.toMillis() - 1);
+		this.pulses.heard("d0", pulse(100).build());
+		assertThat(this.pulses.isListed()).isTrue();
+		advance(1);
+		assertThat(this.pulses.isListed()).isFalse();
+	}
+
 	@Test
 	void oneKeeperInContactIsEnough() {
 		this.pulses.heard("d0", pulse(9000).build());
