--- a/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
@@ -25,7 +25,7 @@
 
 	private final Consumer<Boolean> done;
 
-	private final Set<String> holders = new HashSet<>();
+	private final Set<String> sentTurn = new HashSet<>();
 
 	private final Set<String> synced = new HashSet<>();
 
@@ -44,10 +44,10 @@
 
 	@Override
 	List<Member> targets() {
-		return this.settle.getCharged() ? super.targets() : holders();
+		return this.settle.getCharged() ? super.targets() : holdersOfTurn();
 	}
 
-	private List<Member> holders() {
+	private List<Member> holdersOfTurn() {
 		List<Member> ranked = client().placement(this.program);
 		int copies = view().tolerance() + 2;
 		boolean all = this.widened || view().isChanging();
@@ -57,9 +57,9 @@
 	@Override
 	Request.Builder request(Member member) {
 		Settle.Builder one = this.settle.clone();
-		if ((this.turn != null) && holders().contains(member)) {
+		if ((this.turn != null) && holdersOfTurn().contains(member)) {
 			one.setTurn(this.turn);
-			this.holders.add(member.getDisk());
+			this.sentTurn.add(member.getDisk());
 		}
 		return Request.newBuilder().setSettle(one);
 	}
@@ -69,14 +69,14 @@
 		if (!reply.getDurable()) {
 			return;
 		}
-		if ((this.turn == null) || this.holders.contains(member.getDisk())) {
+		if ((this.turn == null) || this.sentTurn.contains(member.getDisk())) {
 			this.synced.add(member.getDisk());
 		}
 		if (!this.reported && view().isDurable(this.synced)) {
 			this.reported = true;
 			this.done.accept(true);
 		}
-		if (this.reported && view().isMajority(this.synced) || (this.reported && (this.turn != null))) {
+		if (this.reported && ((this.turn != null) || view().isMajority(this.synced))) {
 			end();
 		}
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/UpstreamList.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/UpstreamList.java
@@ -6,11 +6,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 
-import com.google.protobuf.ByteString;
-
-import org.mangorack.call.Jsons;
 import org.mangorack.keeper.proto.UpstreamNews;
-import org.mangorack.keeper.proto.UpstreamObject;
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.StoredObject;
 
@@ -68,9 +64,7 @@
 		news.setWhole(whole);
 		this.known.forEach((name, object) -> {
 			if (whole || (KindCache.number(object.version()) > since)) {
-				news.addUpstream(UpstreamObject.newBuilder()
-					.setName(name)
-					.setDocument(ByteString.copyFrom(Jsons.bytes(object.spec()))));
+				news.addUpstream(UpstreamObjects.of(object));
 			}
 		});
 		if (!whole) {
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -238,16 +238,15 @@
 			this.keepersConnectedAt = now;
 		}
 		boolean lost = now - this.keepersConnectedAt > GROUP_LOST_AFTER.toNanos();
-		this.probe.setNeeds(
-				new PlatformProbe.Needs(this.configuration.age().compareTo(PROBE_AGE) > 0, !this.pulses.isInContact(),
-						lost || (this.keepers.view().epoch() == 0), this.pulses.addresses().size()));
+		this.probe.setNeeds(new PlatformProbe.Needs(this.configuration.age().compareTo(PROBE_AGE) > 0,
+				!this.pulses.isInContact(), lost || (this.keepers.view().epoch() == 0), this.pulses.entryCount()));
 	}
 
 	// ---- Beats
 
 	private void beatAndSchedule() {
 		this.beatTask.run();
-		double scale = Math.max(1, this.pulses.addresses().size() / (double) FULL_RATE_ENTRIES);
+		double scale = Math.max(1, this.pulses.entryCount() / (double) FULL_RATE_ENTRIES);
 		long interval = Math.min(MAX_BEAT_INTERVAL.toNanos(), (long) (BEAT_INTERVAL.toNanos() * scale));
 		this.loop.schedule(this::beatAndSchedule, interval, TimeUnit.NANOSECONDS);
 	}
@@ -369,7 +368,7 @@
 
 	// An entry that never heard a list is alone or has just started.
 	private boolean isDirectoryCurrent() {
-		return this.pulses.isListed() || this.pulses.addresses().isEmpty();
+		return this.pulses.isListed() || (this.pulses.entryCount() == 0);
 	}
 
 	private List<String> addresses() {
--- a/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
@@ -151,6 +151,14 @@
 		return this.lastAddresses;
 	}
 
+	/**
+	 * Returns how many entries there are.
+	 * @return the length of the newest list; 0 before any
+	 */
+	int entryCount() {
+		return this.lastAddresses.size();
+	}
+
 	/**
 	 * Tells whether the addresses may be passed on.
 	 * @return {@code true} if some keeper sent lists lately
--- a/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
+++ b/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
@@ -4,12 +4,9 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
-import com.google.protobuf.ByteString;
-
-import org.mangorack.call.Jsons;
 import org.mangorack.keeper.GroupDocument;
+import org.mangorack.keeper.UpstreamObjects;
 import org.mangorack.keeper.proto.UpstreamNews;
-import org.mangorack.keeper.proto.UpstreamObject;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
@@ -159,10 +156,7 @@
 			.setVersion(KindCache.number(list.version()))
 			.setRegainedMs(this.clock.elapsed(this.regainedAt).toMillis())
 			.setWhole(true);
-		list.items()
-			.forEach((o) -> news.addUpstream(UpstreamObject.newBuilder()
-				.setName(o.name())
-				.setDocument(ByteString.copyFrom(Jsons.bytes(o.spec())))));
+		list.items().forEach((o) -> news.addUpstream(UpstreamObjects.of(o)));
 		return news.build();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -11,7 +11,6 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 
 import org.mangorack.call.Refusal;
 import org.mangorack.call.Verdict;
@@ -60,9 +59,6 @@
 	 */
 	static final Duration ANSWER_MARGIN = Duration.ofMillis(10);
 
-	// An answer that is not streamed is passed on only when it is whole.
-	private static final int MAX_WHOLE_BYTES = 16 * 1024 * 1024;
-
 	private final RelayServer server;
 
 	private final CallerConnection caller;
@@ -123,6 +119,40 @@
 		this.arrivedAt = server.now();
 	}
 
+	// ---- Accessors
+
+	CallHead head() {
+		return this.head;
+	}
+
+	RelayRoute route() {
+		return this.route;
+	}
+
+	/**
+	 * Returns the workspace that the upstream is told.
+	 * @return its name, or {@code null} if the route is open
+	 */
+	String shownWorkspace() {
+		return (this.workspace != null) ? this.workspace.name() : null;
+	}
+
+	/**
+	 * Returns what collects the text of the turn.
+	 * @return the output, or {@code null} if the route keeps no turns
+	 */
+	ByteArrayOutputStream output() {
+		return this.output;
+	}
+
+	boolean isReservationDurable() {
+		return this.reservationDurable;
+	}
+
+	boolean isEnded() {
+		return this.ended;
+	}
+
 	// ---- Admission
 
 	void start() {
@@ -274,7 +304,7 @@
 		}
 		Upstream upstream = chosen.get();
 		this.connects++;
-		this.attempt = new Attempt(upstream);
+		this.attempt = new Attempt(this.server, this, upstream);
 		this.attempt.start();
 	}
 
@@ -295,7 +325,41 @@
 		return true;
 	}
 
-	private void retryOrGiveUp(Upstream upstream, Verdict verdict, String cause) {
+	/**
+	 * Notes that an attempt is being sent.
+	 * @return the time that is left for it
+	 */
+	Duration sending() {
+		this.sent = true;
+		this.attempts++;
+		return Duration.ofNanos(this.deadline - this.server.now());
+	}
+
+	/**
+	 * Waits for the first part of an answer, if another upstream may be asked instead.
+	 * @param left the time that is left
+	 * @param over runs when the wait is over
+	 */
+	void awaitAnswer(Duration left, Runnable over) {
+		if (this.route.rule() == RepeatRule.IDEMPOTENT) {
+			Duration patience = Duration.ofNanos((long) (left.toNanos() * PATIENCE));
+			cancel(this.patienceTask);
+			this.patienceTask = this.server.schedule(over,
+					(patience.compareTo(MIN_PATIENCE) > 0) ? patience : MIN_PATIENCE);
+		}
+	}
+
+	boolean mayTryAgain() {
+		return this.attempts < this.route.maxAttempts();
+	}
+
+	/**
+	 * Sends the request to another upstream, or refuses it if that is not allowed.
+	 * @param upstream the upstream that did not serve it
+	 * @param verdict whether it may have run it
+	 * @param cause why it did not
+	 */
+	void retryOrGiveUp(Upstream upstream, Verdict verdict, String cause) {
 		this.tried.add(upstream);
 		this.attempt = null;
 		this.lastVerdict = (this.lastVerdict == Verdict.MAY_HAVE_RUN) ? Verdict.MAY_HAVE_RUN : verdict;
@@ -303,8 +367,7 @@
 			.log(Event.ATTEMPT_FAILED, "request", this.head.requestId(), "upstream", upstream.id(), "attempt",
 					this.attempts, "verdict", verdict.wireName(), "cause", cause, "failures",
 					upstream.isAvoided(this.server.now()) ? "avoided" : "counted");
-		boolean mayRepeat = this.route.rule().allowsRetry(verdict) && (this.attempts < this.route.maxAttempts())
-				&& (this.connects < MAX_CONNECTS);
+		boolean mayRepeat = this.route.rule().allowsRetry(verdict) && mayTryAgain() && (this.connects < MAX_CONNECTS);
 		if (mayRepeat && (this.server.now() < this.deadline)) {
 			send();
 		}
@@ -324,7 +387,7 @@
 		if (this.ended) {
 			return;
 		}
-		if ((this.attempt != null) && this.attempt.streaming) {
+		if ((this.attempt != null) && this.attempt.isStreaming()) {
 			breakOff("the time of the request is over");
 			return;
 		}
@@ -354,11 +417,11 @@
 
 	// An upstream that left a request without an answer for long is avoided by others.
 	private void noteSilence() {
-		boolean silent = (this.attempt != null) && (this.attempt.answer == null)
+		boolean silent = (this.attempt != null) && !this.attempt.isAnswered()
 				&& (elapsed().compareTo(SILENCE_LIMIT) > 0);
 		if (silent) {
-			this.attempt.upstream.failed(this.server.now(), "no answer after " + elapsed().toMillis() + " ms");
-			this.server.client().closeIdle(this.attempt.upstream, true);
+			this.attempt.upstream().failed(this.server.now(), "no answer after " + elapsed().toMillis() + " ms");
+			this.server.client().closeIdle(this.attempt.upstream(), true);
 		}
 	}
 
@@ -382,7 +445,11 @@
 		this.caller.answer(refusal, this.head.requestId());
 	}
 
-	private void breakOff(String cause) {
+	/**
+	 * Closes the caller's connection in the midst of an answer.
+	 * @param cause why
+	 */
+	void breakOff(String cause) {
 		end();
 		settleBroken();
 		this.server.log()
@@ -392,6 +459,68 @@
 		this.caller.breakOff();
 	}
 
+	/**
+	 * Passes on an answer that is not streamed.
+	 * @param upstream the upstream
+	 * @param answer its head
+	 * @param content its body, which is released
+	 */
+	void answer(Upstream upstream, AnswerHead answer, ByteBuf content) {
+		settleBroken();
+		served(answer.status(), upstream);
+		this.caller.answer(answer.status(), answer.headers(), content);
+	}
+
+	/**
+	 * Begins to pass on a stream.
+	 * @param answer its head
+	 */
+	void beginStream(AnswerHead answer) {
+		this.caller.beginStream(answer.status(), answer.headers());
+	}
+
+	/**
+	 * Passes on whole events.
+	 * @param part the events, which are released
+	 */
+	void writeEvents(ByteBuf part) {
+		this.caller.writePart(part);
+	}
+
+	/**
+	 * Notes how many events the caller got.
+	 * @param passed the events of this attempt so far
+	 */
+	void setEvents(int passed) {
+		this.events = passed;
+	}
+
+	/**
+	 * Ends a stream, once its turn outlives a loss of power.
+	 * @param upstream the upstream
+	 * @param status the status of the answer
+	 */
+	void endStream(Upstream upstream, int status) {
+		if (!this.route.keepsTurns()) {
+			served(status, upstream);
+			this.caller.endStream();
+			return;
+		}
+		this.server.keepers()
+			.settle(program(), this.head.requestId(), tokens(), this.head.budget() != null, turn(), (kept) -> {
+				if (this.ended) {
+					return;
+				}
+				if (kept) {
+					served(status, upstream);
+					this.caller.endStream();
+				}
+				else {
+					breakOff("the turn was not confirmed by enough keepers");
+				}
+			});
+	}
+
 	private void served(int status, Upstream upstream) {
 		end();
 		if (CallLog.isSampled(this.head.requestId()) || (status >= 400)) {
@@ -443,7 +572,7 @@
 
 	// ---- Turns
 
-	private byte[] wholeBody() {
+	byte[] wholeBody() {
 		if (this.chain.isEmpty()) {
 			return this.body;
 		}
@@ -527,7 +656,7 @@
 		@Override
 		public void unavailable(String cause) {
 			if (RelayCall.this.sent && !RelayCall.this.ended && (RelayCall.this.attempt != null)
-					&& RelayCall.this.attempt.streaming) {
+					&& RelayCall.this.attempt.isStreaming()) {
 				breakOff(cause);
 			}
 			else if (RelayCall.this.sent) {
@@ -540,265 +669,4 @@
 
 	}
 
-	/**
-	 * One attempt at an upstream.
-	 */
-	private final class Attempt implements AnswerListener {
-
-		private final Upstream upstream;
-
-		private final ByteBuf held = Unpooled.buffer(512);
-
-		private UpstreamConnection connection;
-
-		private AnswerHead answer;
-
-		private EventStreamScanner scanner;
-
-		private boolean streaming;
-
-		private boolean headPassed;
-
-		private boolean whole;
-
-		private boolean over;
-
-		private boolean paceNoted;
-
-		private long sentAt;
-
-		// Bytes of the part of an event that waits for its end.
-		private int scannedBytes;
-
-		private Attempt(Upstream upstream) {
-			this.upstream = upstream;
-		}
-
-		private void start() {
-			this.upstream.began();
-			RelayCall.this.server.client().connect(this.upstream, (opened) -> {
-				if (this.over) {
-					if (opened != null) {
-						opened.close();
-					}
-					return;
-				}
-				if (opened == null) {
-					this.upstream.unreachable(RelayCall.this.server.now(), "no connection");
-					finished();
-					retryOrGiveUp(this.upstream, Verdict.NOT_RUN, "no connection to " + this.upstream.id());
-					return;
-				}
-				this.connection = opened;
-				send();
-			});
-		}
-
-		private void send() {
-			RelayCall call = RelayCall.this;
-			call.sent = true;
-			call.attempts++;
-			this.sentAt = call.server.now();
-			Duration left = Duration.ofNanos(call.deadline - call.server.now());
-			this.connection.send(call.head,
-					call.server.protocol()
-						.upstreamHeaders(call.head, this.upstream.entry(),
-								(call.workspace != null) ? call.workspace.name() : null, left),
-					Unpooled.wrappedBuffer(wholeBody()), this);
-			if (call.route.rule() == RepeatRule.IDEMPOTENT) {
-				Duration patience = Duration.ofNanos((long) (left.toNanos() * PATIENCE));
-				cancel(call.patienceTask);
-				call.patienceTask = call.server.schedule(this::patienceOver,
-						(patience.compareTo(MIN_PATIENCE) > 0) ? patience : MIN_PATIENCE);
-			}
-		}
-
-		private void patienceOver() {
-			RelayCall call = RelayCall.this;
-			if (!this.over && (this.answer == null) && (call.attempts < call.route.maxAttempts())) {
-				abort();
-				this.upstream.failed(call.server.now(), "no answer");
-				retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN, "no answer from " + this.upstream.id());
-			}
-		}
-
-		private void abort() {
-			if (!this.over) {
-				finished();
-				if (this.connection != null) {
-					this.connection.abort();
-				}
-			}
-		}
-
-		private void finished() {
-			if (!this.over) {
-				this.over = true;
-				this.upstream.ended();
-			}
-		}
-
-		@Override
-		public void head(AnswerHead received) {
-			this.answer = received;
-			this.streaming = (RelayCall.this.route.rule() == RepeatRule.STREAM) && received.isSuccess()
-					&& received.signed() && !received.notRun();
-			if (this.streaming) {
-				this.scanner = new EventStreamScanner(RelayCall.this.output);
-			}
-		}
-
-		@Override
-		public void data(ByteBuf bytes) {
-			if (this.over) {
-				return;
-			}
-			if (this.held.readableBytes() + bytes.readableBytes() > MAX_WHOLE_BYTES) {
-				abort();
-				retryOrGiveUp(this.upstream, Verdict.RAN, "the answer is longer than " + MAX_WHOLE_BYTES + " bytes");
-				return;
-			}
-			notePace();
-			this.held.writeBytes(bytes);
-			if (this.streaming) {
-				flushHeld();
-			}
-		}
-
-		private void notePace() {
-			RelayCall call = RelayCall.this;
-			if (!this.paceNoted && this.answer.isSuccess()) {
-				this.paceNoted = true;
-				Duration time = Duration.ofNanos(call.server.now() - this.sentAt);
-				this.upstream.answered(call.server.paces().pace(call.route.name(), time));
-			}
-		}
-
-		// Passes on whole events, but none before the reservation is durable.
-		private void flushHeld() {
-			RelayCall call = RelayCall.this;
-			if (!this.streaming || (this.over && !this.whole) || !call.reservationDurable) {
-				return;
-			}
-			if (!this.headPassed) {
-				this.headPassed = true;
-				call.caller.beginStream(this.answer.status(), this.answer.headers());
-			}
-			int unscanned = this.held.readableBytes() - this.scannedBytes;
-			int length = this.scanner.scan(this.held.slice(this.held.readerIndex() + this.scannedBytes, unscanned));
-			pass(length);
-			if (this.whole) {
-				endStream();
-			}
-		}
-
-		private void pass(int length) {
-			RelayCall call = RelayCall.this;
-			int whole = (length > 0) ? (this.scannedBytes + length) : 0;
-			int rest = this.held.readableBytes() - whole;
-			if (whole > 0) {
-				call.caller.writePart(this.held.readBytes(whole));
-				this.held.discardReadBytes();
-			}
-			this.scannedBytes = rest;
-			call.events = this.scanner.events();
-		}
-
-		@Override
-		public void end() {
-			if (this.over) {
-				return;
-			}
-			this.whole = true;
-			finished();
-			this.upstream.succeeded();
-			if (this.streaming) {
-				flushHeld();
-			}
-			else {
-				endWhole();
-			}
-		}
-
-		private void endWhole() {
-			RelayCall call = RelayCall.this;
-			if (this.answer.notRun()) {
-				noteNotRun();
-				retryOrGiveUp(this.upstream, Verdict.NOT_RUN,
-						this.upstream.id() + " answered " + this.answer.status() + " without running the request");
-			}
-			else if (this.answer.isSuccess() && !this.answer.signed()) {
-				this.upstream.failed(call.server.now(), "unsigned answer");
-				retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + " answered unsigned");
-			}
-			else if ((this.answer.status() >= 500) && (call.route.rule() == RepeatRule.IDEMPOTENT)
-					&& (call.attempts < call.route.maxAttempts())) {
-				this.upstream.failed(call.server.now(), "status " + this.answer.status());
-				retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN,
-						this.upstream.id() + " answered " + this.answer.status());
-			}
-			else {
-				settleBroken();
-				served(this.answer.status(), this.upstream);
-				call.caller.answer(this.answer.status(), this.answer.headers(), this.held);
-			}
-		}
-
-		private void noteNotRun() {
-			long now = RelayCall.this.server.now();
-			if (this.answer.status() == 421) {
-				this.upstream.unreachable(now, "another upstream has its address");
-			}
-			else {
-				this.upstream.full(now);
-			}
-		}
-
-		// The answer ends once its turn outlives a loss of power.
-		private void endStream() {
-			RelayCall call = RelayCall.this;
-			if (call.ended) {
-				return;
-			}
-			if (!this.scanner.isBetweenEvents() || (this.held.readableBytes() > 0)) {
-				breakOff("the stream of " + this.upstream.id() + " ended within an event");
-				return;
-			}
-			if (!call.route.keepsTurns()) {
-				served(this.answer.status(), this.upstream);
-				call.caller.endStream();
-				return;
-			}
-			call.server.keepers()
-				.settle(program(), call.head.requestId(), tokens(), call.head.budget() != null, turn(), (kept) -> {
-					if (call.ended) {
-						return;
-					}
-					if (kept) {
-						served(this.answer.status(), this.upstream);
-						call.caller.endStream();
-					}
-					else {
-						breakOff("the turn was not confirmed by enough keepers");
-					}
-				});
-		}
-
-		@Override
-		public void broke(String cause) {
-			if (this.over) {
-				return;
-			}
-			finished();
-			this.upstream.failed(RelayCall.this.server.now(), cause);
-			if (this.headPassed) {
-				breakOff(this.upstream.id() + ": " + cause);
-			}
-			else {
-				retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + ": " + cause);
-			}
-		}
-
-	}
-
 }
