Count the calls of stopping entries at upstreams

Their beats were dropped with their place in the list, so upstreams looked emptier during each rolling stop than they were. Test seen failing first.

--- a/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
@@ -45,25 +45,20 @@
 
 	void heard(Beat beat) {
 		Known before = this.entries.get(beat.getInstance());
-		if (!beat.getAccepting()) {
-			if (before != null) {
-				this.entries.remove(beat.getInstance());
-				this.version++;
-			}
-			return;
-		}
 		Entry entry = Entry.newBuilder()
 			.setInstance(beat.getInstance())
 			.setCallerAddress(beat.getCallerAddress())
 			.setZone(beat.getZone())
 			.build();
-		if ((before == null) || !before.entry().equals(entry)) {
+		boolean listed = beat.getAccepting();
+		boolean wasListed = (before != null) && before.listed();
+		if ((listed != wasListed) || (listed && !before.entry().equals(entry))) {
 			this.version++;
 		}
 		beat.getLoadList().forEach(this.paces::add);
 		long now = this.clock.nanoTime();
-		this.entries.put(beat.getInstance(),
-				new Known(entry, now, beat.getLoadList(), now - TimeUnit.MILLISECONDS.toNanos(beat.getContactAgeMs())));
+		this.entries.put(beat.getInstance(), new Known(entry, listed, now, beat.getLoadList(),
+				now - TimeUnit.MILLISECONDS.toNanos(beat.getContactAgeMs())));
 	}
 
 	/**
@@ -94,7 +89,7 @@
 	}
 
 	List<Entry> entries() {
-		return this.entries.values().stream().map(Known::entry).toList();
+		return this.entries.values().stream().filter(Known::listed).map(Known::entry).toList();
 	}
 
 	/**
@@ -125,11 +120,13 @@
 	 * An entry and when it was heard.
 	 *
 	 * @param entry the entry
+	 * @param listed whether callers may be sent to it; the calls of one that stops count
+	 * as well
 	 * @param heardAt when its last beat came, on the monotonic clock
 	 * @param load its calls under way
 	 * @param contactAt when the platform last answered it, on the monotonic clock
 	 */
-	private record Known(Entry entry, long heardAt, List<Load> load, long contactAt) {
+	private record Known(Entry entry, boolean listed, long heardAt, List<Load> load, long contactAt) {
 	}
 
 }
