Let a test wait for the port of a restarted instance

The test took for granted that an instance listens by then. It now waits until the instance answers 503 and looks once more 3 s later, so it sees the instance not ready twice instead of once; one that dies at its start still fails it.

--- a/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -128,6 +128,8 @@
 		this.fleet.kill(restarted);
 		this.fleet.platform.setDown(true);
 		this.fleet.launch(restarted);
+		this.fleet.await("the instance to answer that it is not ready",
+				() -> this.fleet.toOperators(restarted, "/readyz", "").status() == 503);
 		TimeUnit.SECONDS.sleep(3);
 		assertThat(this.fleet.toOperators(restarted, "/readyz", "").status()).isEqualTo(503);
 		this.fleet.platform.setDown(false);
