Keep an emptied keeper out of the group while its retirement is asked for

Cause: a reported end was taken out of the requests, so the keeper, no longer a member and not asked to leave, joined again half a second later. Test seen failing first.

--- a/bench/src/test/java/org/mangorack/bench/fleet/GroupChangeTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/GroupChangeTests.java
@@ -83,6 +83,17 @@
 		assertTurnsContinue();
 	}
 
+	@Test
+	void aKeeperThatWasEmptiedStaysOutWhileItRuns() throws Exception {
+		long before = epoch();
+		this.fleet.store().put("retirements", "keeper-0", TestFleetNodes.object("{\"duration_s\":10}"));
+		awaitEpoch(before + 2);
+		awaitStatus("completed");
+		TimeUnit.MILLISECONDS.sleep(1500);
+		assertThat(epoch()).isEqualTo(before + 2);
+		assertThat(group().path("members")).hasSize(3);
+	}
+
 	@Test
 	void aChangeWhoseAnswerIsLostIsMadeOnce() throws Exception {
 		long before = epoch();
