Leave the version of the list alone when a stopped entry falls silent

Since stopping entries are kept for their calls, the end of one raised the version although the list had not changed, and every entry got it once more. Test seen failing first.

--- a/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Entry;
@@ -66,9 +67,11 @@
 	 */
 	void expire() {
 		long now = this.clock.nanoTime();
-		if (this.entries.values().removeIf((e) -> now - e.heardAt() > SILENCE_LIMIT.toNanos())) {
+		Predicate<Known> silent = (e) -> now - e.heardAt() > SILENCE_LIMIT.toNanos();
+		if (this.entries.values().stream().anyMatch(silent.and(Known::listed))) {
 			this.version++;
 		}
+		this.entries.values().removeIf(silent);
 	}
 
 	/**
--- a/mangorack/src/test/java/org/mangorack/keeper/LiveEntriesTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/LiveEntriesTests.java
@@ -45,6 +45,16 @@
 		assertThat(this.entries.version()).isEqualTo(version);
 	}
 
+	@Test
+	void theEndOfAStoppedEntryIsNoNewList() {
+		this.entries.heard(beat("e1", false));
+		long version = this.entries.version();
+		advance(LiveEntries.SILENCE_LIMIT.toMillis() + 1);
+		this.entries.expire();
+		assertThat(this.entries.count()).isZero();
+		assertThat(this.entries.version()).isEqualTo(version);
+	}
+
 	@Test
 	void anEntryDoesNotHearOfItsOwnCalls() {
 		this.entries.heard(beat("e1", true));
