Call one piece of code where this work had written two

Links that are up, the members a turn is sent to first, a view named by a reply, the refusal after a failed attempt, the hook that ends the log last, and caches without a listener each had two to four copies. The check for a prepared start no longer counts keepers with each pulse once the gate is open.

--- a/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
@@ -35,22 +35,15 @@
 		super(client, KeeperClient.CALL_LIMIT);
 		this.wanted = turn;
 		this.listener = listener;
-		int copies = view().tolerance() + 2;
-		this.first = client.placement(program)
+		this.first = client.holders(program)
 			.stream()
-			.limit(copies)
-			.filter((m) -> isUp(m))
+			.filter((m) -> client.link(m).isPresent())
 			.min(Comparator.comparing((m) -> !m.getZone().equals(client.dataCentre())))
 			.map(Member::getDisk)
 			.orElse("");
 		this.widened = this.first.isEmpty();
 	}
 
-	private boolean isUp(Member m) {
-		KeeperLink link = client().link(m);
-		return (link != null) && link.isUp();
-	}
-
 	@Override
 	List<Member> targets() {
 		List<Member> all = super.targets();
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.mangorack.keeper.proto.Member;
@@ -67,11 +68,11 @@
 
 	final void sendMissing() {
 		for (Member m : targets()) {
-			KeeperLink link = this.client.link(m);
+			Optional<KeeperLink> link = this.client.link(m);
 			boolean idle = !this.finished.contains(m.getDisk()) && !this.outstanding.contains(m.getDisk());
-			if (!this.ended && idle && (link != null) && link.isUp()) {
+			if (!this.ended && idle && link.isPresent()) {
 				this.outstanding.add(m.getDisk());
-				link.send(request(m).setEpoch(view().epoch()), new Listener(m, link));
+				link.get().send(request(m).setEpoch(view().epoch()), new Listener(m, link.get()));
 			}
 		}
 	}
@@ -144,7 +145,7 @@
 				}
 				case STALE_VIEW -> {
 					call.outstanding.remove(this.member.getDisk());
-					call.client.adopt(GroupView.of(reply.getView(), view().tolerance()));
+					call.client.adoptView(reply);
 					sendMissing();
 				}
 				case UNKNOWN_VIEW -> {
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -8,11 +8,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
 
 import io.netty.channel.EventLoop;
@@ -152,6 +154,16 @@
 		sendMissing();
 	}
 
+	/**
+	 * Uses the view that a reply names, if it names one that is newer.
+	 * @param reply the reply
+	 */
+	void adoptView(Reply reply) {
+		if (reply.hasView()) {
+			adopt(GroupView.of(reply.getView(), this.view.tolerance()));
+		}
+	}
+
 	// ---- Accessors
 
 	/**
@@ -162,14 +174,6 @@
 		return this.view;
 	}
 
-	/**
-	 * Returns how many members are connected.
-	 * @return the number of links that are up
-	 */
-	int connected() {
-		return connectedMembers().size();
-	}
-
 	/**
 	 * Returns the members that are connected.
 	 * @return the members whose links are up
@@ -183,13 +187,8 @@
 	 * @return {@code true} if the connected members are a majority
 	 */
 	public boolean isServing() {
-		Set<String> up = new HashSet<>();
-		this.links.forEach((disk, link) -> {
-			if (link.isUp()) {
-				up.add(disk);
-			}
-		});
-		return this.view.isMajority(up);
+		return this.view
+			.isMajority(connectedMembers().stream().map(Member::getDisk).collect(Collectors.toUnmodifiableSet()));
 	}
 
 	// ---- Public API
@@ -256,9 +255,7 @@
 			link.send(request, new ReplyListener() {
 				@Override
 				public void replied(Reply reply) {
-					if (reply.hasView()) {
-						adopt(GroupView.of(reply.getView(), KeeperClient.this.view.tolerance()));
-					}
+					adoptView(reply);
 					pulse.accept(link.member(), reply.getPulse());
 				}
 
@@ -313,10 +310,10 @@
 	/**
 	 * Finds the link to a member.
 	 * @param member the member
-	 * @return the link, or {@code null} if there is none
+	 * @return the link, or empty if there is none that is up
 	 */
-	KeeperLink link(Member member) {
-		return this.links.get(member.getDisk());
+	Optional<KeeperLink> link(Member member) {
+		return Optional.ofNullable(this.links.get(member.getDisk())).filter(KeeperLink::isUp);
 	}
 
 	/**
@@ -325,10 +322,7 @@
 	 * @param request the request
 	 */
 	void tell(Member member, Request.Builder request) {
-		KeeperLink link = link(member);
-		if ((link != null) && link.isUp()) {
-			link.send(request.setEpoch(this.view.epoch()), ReplyListener.NONE);
-		}
+		link(member).ifPresent((l) -> l.send(request.setEpoch(this.view.epoch()), ReplyListener.NONE));
 	}
 
 	// ---- Helpers
@@ -386,6 +380,15 @@
 		return ranked;
 	}
 
+	/**
+	 * Returns the members that a turn is sent to first.
+	 * @param program the program
+	 * @return one more than have to sync it
+	 */
+	List<Member> holders(String program) {
+		return placement(program).stream().limit(this.view.tolerance() + 2L).toList();
+	}
+
 	private static long weight(String key, String disk) {
 		CRC32C crc = new CRC32C();
 		crc.update((key + "|" + disk).getBytes(StandardCharsets.UTF_8));
@@ -408,9 +411,7 @@
 
 		@Override
 		public void replied(Reply reply) {
-			if (reply.hasView()) {
-				adopt(GroupView.of(reply.getView(), KeeperClient.this.view.tolerance()));
-			}
+			adoptView(reply);
 			this.pulse.accept(reply.getPulse());
 			this.link.close();
 		}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -89,9 +89,7 @@
 		this.log.start();
 		ViewFile viewFile = new ViewFile(folder.resolve("view"), this.settings.tolerance());
 		GroupView view = viewFile.read().orElse(GroupView.unknown(this.settings.tolerance()));
-		KindCache upstreams = new KindCache(this.store, ObjectKind.UPSTREAM, this.clock, KindCache.SPARING_RETRY_DELAY,
-				() -> {
-				});
+		KindCache upstreams = KindCache.sparing(this.store, ObjectKind.UPSTREAM, this.clock);
 		this.service = new KeeperService(this.loops, turns, viewFile, disk, view, this.configuration,
 				new UpstreamList(upstreams::copy, upstreams::sinceRegained), this.clock);
 		try {
@@ -101,14 +99,10 @@
 			throw new IOException("the thread of the keeper does not run", ex);
 		}
 		this.service.start(this.settings.listen());
-		KindCache groups = new KindCache(this.store, ObjectKind.KEEPER_GROUP, this.clock, KindCache.SPARING_RETRY_DELAY,
-				() -> {
-				});
+		KindCache groups = KindCache.sparing(this.store, ObjectKind.KEEPER_GROUP, this.clock);
 		groups.start();
 		upstreams.start();
-		KindCache keepers = new KindCache(this.store, ObjectKind.KEEPER, this.clock, KindCache.SPARING_RETRY_DELAY,
-				() -> {
-				});
+		KindCache keepers = KindCache.sparing(this.store, ObjectKind.KEEPER, this.clock);
 		if (this.settings.firstStart()) {
 			keepers.start();
 		}
--- a/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
@@ -48,10 +48,8 @@
 	}
 
 	private List<Member> holdersOfTurn() {
-		List<Member> ranked = client().placement(this.program);
-		int copies = view().tolerance() + 2;
-		boolean all = this.widened || view().isChanging();
-		return (all || (this.turn == null)) ? ranked : ranked.subList(0, Math.min(copies, ranked.size()));
+		boolean all = this.widened || view().isChanging() || (this.turn == null);
+		return all ? client().placement(this.program) : client().holders(this.program);
 	}
 
 	@Override
--- a/mangorack/src/main/java/org/mangorack/observe/EventLog.java
+++ b/mangorack/src/main/java/org/mangorack/observe/EventLog.java
@@ -63,6 +63,18 @@
 		LogManager.shutdown();
 	}
 
+	/**
+	 * Does the last work of the process when it is asked to end, and then ends logging.
+	 * @param thread the name of the thread that does it
+	 * @param work the work
+	 */
+	public static void closeAfter(String thread, Runnable work) {
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			work.run();
+			close();
+		}, thread));
+	}
+
 	/**
 	 * Returns how many records were dropped because too many waited to be written.
 	 * @return the number since the start
--- a/mangorack/src/main/java/org/mangorack/operator/impl/ServeCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/ServeCommand.java
@@ -34,10 +34,7 @@
 		try {
 			EventLog.open();
 			Instance instance = new Instance(read.get());
-			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-				instance.drain();
-				EventLog.close();
-			}, "drain"));
+			EventLog.closeAfter("drain", instance::drain);
 			instance.start();
 			instance.awaitStop();
 			return ExitStatus.DONE;
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -91,6 +91,18 @@
 		this.thread.setDaemon(true);
 	}
 
+	/**
+	 * Creates a cache that is read from time to time, where calls are priced.
+	 * @param store the object API
+	 * @param kind the kind to copy
+	 * @param clock measures the age of the copy
+	 * @return a cache that is empty until it is started
+	 */
+	public static KindCache sparing(ObjectStore store, ObjectKind kind, MonotonicClock clock) {
+		return new KindCache(store, kind, clock, SPARING_RETRY_DELAY, () -> {
+		});
+	}
+
 	// ---- Life-cycle
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -299,7 +299,7 @@
 		if (!pulse.getDocument().isEmpty()) {
 			this.configuration.offer(pulse.getDocument(), confirmedAt, source);
 		}
-		else if (pulse.getConfiguration() == this.configuration.version()) {
+		else {
 			this.configuration.confirm(pulse.getConfiguration(), confirmedAt);
 		}
 	}
@@ -326,9 +326,12 @@
 	}
 
 	private void openIfPrepared() {
+		if (this.server.gate().isOpen()) {
+			return;
+		}
 		boolean prepared = (this.configuration.current() != null) && (this.upstreams.version() > 0)
 				&& this.keepers.isServing();
-		if (prepared && !this.server.gate().isOpen()) {
+		if (prepared) {
 			this.server.gate().open();
 			noteConfigurationAge();
 		}
@@ -353,17 +356,20 @@
 	private FullHttpResponse answerStatus(FullHttpRequest request) {
 		String path = request.uri().split("\\?", 2)[0];
 		if (path.equals(this.protocol.readinessPath())) {
-			return StatusServer.response(isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-					"text/plain", new byte[0]);
+			return empty(isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
 		}
 		if (path.equals(this.protocol.directoryPath())) {
 			if (!isDirectoryCurrent()) {
-				return StatusServer.response(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", new byte[0]);
+				return empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
 			}
 			return StatusServer.response(HttpResponseStatus.OK, "application/json",
 					this.protocol.directory(addresses(), DIRECTORY_LIFE));
 		}
-		return StatusServer.response(HttpResponseStatus.NOT_FOUND, "text/plain", new byte[0]);
+		return empty(HttpResponseStatus.NOT_FOUND);
+	}
+
+	private static FullHttpResponse empty(HttpResponseStatus status) {
+		return StatusServer.response(status, "text/plain", new byte[0]);
 	}
 
 	// An entry that never heard a list is alone or has just started.
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -298,8 +298,7 @@
 		}
 		if (chosen.isEmpty()) {
 			String detail = "no upstream of pool \"" + this.pool + "\" is left after " + this.attempts + " attempts";
-			refuse((this.lastVerdict == Verdict.NOT_RUN) ? Refusal.unavailable("no_upstream", detail, COME_BACK)
-					: Refusal.mayHaveRun(502, "no_upstream", detail));
+			refuseUnserved("no_upstream", detail);
 			return;
 		}
 		Upstream upstream = chosen.get();
@@ -313,9 +312,7 @@
 		this.configuration = this.server.configuration().current();
 		Workspace now = this.configuration.workspace(this.head.key()).orElse(null);
 		if (!this.server.isConfigurationFresh()) {
-			String detail = "the configuration was not confirmed lately";
-			refuse((this.lastVerdict == Verdict.NOT_RUN) ? Refusal.unavailable("configuration_stale", detail, COME_BACK)
-					: Refusal.mayHaveRun(502, "configuration_stale", detail));
+			refuseUnserved("configuration_stale", "the configuration was not confirmed lately");
 			return false;
 		}
 		if ((now == null) || !now.name().equals(this.workspace.name())) {
@@ -425,6 +422,12 @@
 		}
 	}
 
+	// Says that the request did not run only if no attempt may have run it.
+	private void refuseUnserved(String code, String detail) {
+		refuse((this.lastVerdict == Verdict.NOT_RUN) ? Refusal.unavailable(code, detail, COME_BACK)
+				: Refusal.mayHaveRun(502, code, detail));
+	}
+
 	private void refuse(Refusal refusal) {
 		if (this.ended) {
 			return;
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -334,13 +334,13 @@
 	private void awaitServing(int keepersUp) throws Exception {
 		long startedAt = System.nanoTime();
 		CompletableFuture<Integer> up = new CompletableFuture<>();
-		onLoop(() -> up.complete(this.client.connected()));
+		onLoop(() -> up.complete(this.client.connectedMembers().size()));
 		int count = up.get();
 		while (count != keepersUp) {
 			assertThat(System.nanoTime() - startedAt).isLessThan(TimeUnit.SECONDS.toNanos(LIMIT_SECONDS));
 			TimeUnit.MILLISECONDS.sleep(20);
 			CompletableFuture<Integer> again = new CompletableFuture<>();
-			onLoop(() -> again.complete(this.client.connected()));
+			onLoop(() -> again.complete(this.client.connectedMembers().size()));
 			count = again.get();
 		}
 	}
