Take no answer that broke off for a whole one

Cause: Bodies turned the failure of reading an answer into its text. A draw from a workspace's bucket whose owner stopped meanwhile then parsed "interrupted" as a number and failed the request with an internal error (1998). Ruled out: a wrong answer of the owner; the log shows the text of the link's error. Change: reading a body throws; a draw grants nothing, the root of a program is unknown, a report counts as not taken. New event 1606. Conclusion: the other readers of such answers had the same fault.

--- a/mangorack/src/main/java/org/mangorack/entry/Bodies.java
+++ b/mangorack/src/main/java/org/mangorack/entry/Bodies.java
@@ -14,19 +14,26 @@
 	private Bodies() {
 	}
 
-	static String text(CallAnswer answer) {
+	/**
+	 * Reads a body as text.
+	 * @param answer the answer
+	 * @return the whole body
+	 * @throws IOException if the answer broke off
+	 */
+	static String text(CallAnswer answer) throws IOException {
 		return new String(bytes(answer), StandardCharsets.UTF_8);
 	}
 
-	static byte[] bytes(CallAnswer answer) {
+	/**
+	 * Reads a body.
+	 * @param answer the answer
+	 * @return the whole body
+	 * @throws IOException if the answer broke off
+	 */
+	static byte[] bytes(CallAnswer answer) throws IOException {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
-		try {
-			answer.body().writeTo(out);
-			return out.toByteArray();
-		}
-		catch (IOException ex) {
-			return String.valueOf(ex.getMessage()).getBytes(StandardCharsets.UTF_8);
-		}
+		answer.body().writeTo(out);
+		return out.toByteArray();
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/entry/ProgramRouter.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ProgramRouter.java
@@ -1,5 +1,6 @@
 package org.mangorack.entry;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 
@@ -79,11 +80,15 @@
 			.setPath(program.program())
 			.setRoot(root);
 		CallAnswer answer = this.router.route(CallKind.ALIAS, shard(program), open);
-		String text = Bodies.text(answer);
+		String text;
+		try {
+			text = Bodies.text(answer);
+		}
+		catch (IOException ex) {
+			return Either.left(rootUnknown(program, ex.getMessage()));
+		}
 		if (answer.status() != 200) {
-			return Either.left(Refusal.unavailable("owner_unavailable",
-					"the root of program \"" + program.program() + "\" is not known at present: " + text,
-					Duration.ofSeconds(1)));
+			return Either.left(rootUnknown(program, text));
 		}
 		if (method.equals(RECORD) && !text.equals(root)) {
 			return Either.left(Refusal.notRun(409, "parent_conflict",
@@ -92,6 +97,12 @@
 		return Either.right(text);
 	}
 
+	private static Refusal rootUnknown(ProgramKey program, String cause) {
+		return Refusal.unavailable("owner_unavailable",
+				"the root of program \"" + program.program() + "\" is not known at present: " + cause,
+				Duration.ofSeconds(1));
+	}
+
 	private CallAnswer answerAlias(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
 		try {
 			ProgramKey program = new ProgramKey(new WorkspaceId(open.getWorkspace()), open.getPath());
--- a/mangorack/src/main/java/org/mangorack/entry/RateEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/RateEndpoint.java
@@ -1,5 +1,6 @@
 package org.mangorack.entry;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
@@ -12,6 +13,8 @@
 import org.mangorack.limit.BucketTable.Grant;
 import org.mangorack.limit.GrantSource;
 import org.mangorack.member.proto.CallOpen;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
 import org.mangorack.ownership.OwnedShard;
 import org.mangorack.ownership.ShardId;
 
@@ -40,11 +43,25 @@
 			.setMethod(Integer.toString(wanted))
 			.setTimeoutMillis(DRAW_TIMEOUT_MILLIS);
 		CallAnswer answer = this.router.route(CallKind.RATE, ShardId.of("rate|" + workspace.id()), open);
-		if (answer.status() != 200) {
+		return grant(answer);
+	}
+
+	// An answer that broke off grants nothing: the owner may have counted the calls,
+	// which
+	// is on the safe side of the rate.
+	static Optional<Grant> grant(CallAnswer answer) {
+		try {
+			String text = Bodies.text(answer);
+			if (answer.status() != 200) {
+				return Optional.empty();
+			}
+			String[] parts = text.split(" ");
+			return Optional.of(new Grant(Integer.parseInt(parts[0]), Duration.ofNanos(Long.parseLong(parts[1]))));
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.CALL_BROKE_OFF, "kind", CallKind.RATE.wireName(), "cause", ex.getMessage());
 			return Optional.empty();
 		}
-		String[] parts = Bodies.text(answer).split(" ");
-		return Optional.of(new Grant(Integer.parseInt(parts[0]), Duration.ofNanos(Long.parseLong(parts[1]))));
 	}
 
 	private CallAnswer answerDraw(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
--- a/mangorack/src/main/java/org/mangorack/entry/SlotEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/SlotEndpoint.java
@@ -24,6 +24,8 @@
 import org.mangorack.member.proto.SlotAssignment;
 import org.mangorack.member.proto.SlotReport;
 import org.mangorack.member.proto.SlotRequest;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
 import org.mangorack.ownership.OwnedShard;
 import org.mangorack.ownership.ShardId;
 
@@ -56,8 +58,8 @@
 			.setBody(request.toByteString())
 			.setTimeoutMillis(request.getMaxWaitMillis() + (int) ANSWER_MARGIN.toMillis());
 		CallAnswer answer = this.router.route(CallKind.SLOT, shard(request.getPool()), open, OWNER_LIMIT);
-		byte[] body = Bodies.bytes(answer);
 		try {
+			byte[] body = Bodies.bytes(answer);
 			if (answer.status() == 200) {
 				return Optional.of(Either.right(SlotAssignment.parseFrom(body)));
 			}
@@ -77,8 +79,14 @@
 			.setBody(report.toByteString())
 			.setTimeoutMillis((int) OWNER_LIMIT.toMillis());
 		CallAnswer answer = this.router.route(CallKind.SLOT_REPORT, shard(report.getPool()), open, OWNER_LIMIT);
-		Bodies.bytes(answer);
-		return answer.status() == 200;
+		try {
+			Bodies.bytes(answer);
+			return answer.status() == 200;
+		}
+		catch (IOException ex) {
+			EventLog.log(Event.CALL_BROKE_OFF, "kind", CallKind.SLOT_REPORT.wireName(), "cause", ex.getMessage());
+			return false;
+		}
 	}
 
 	static ShardId shard(String pool) {
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -88,6 +88,9 @@
 	/** Keyed work is accepted again. */
 	SERVING_RESUMED(1605, Level.INFO, "serving resumed"),
 
+	/** An answer of another instance broke off. */
+	CALL_BROKE_OFF(1606, Level.WARN, "call broke off"),
+
 	/** An upstream call failed. */
 	UPSTREAM_FAILED(1701, Level.WARN, "upstream call failed"),
 
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/entry/RateEndpointTests.java
@@ -0,0 +1,38 @@
+package org.mangorack.entry;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.limit.BucketTable.Grant;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RateEndpoint}: what an answer of the owner grants.
+ */
+class RateEndpointTests {
+
+	@Test
+	void aWholeAnswerGrantsCalls() {
+		assertThat(RateEndpoint.grant(CallAnswer.text(200, "3 500"))).contains(new Grant(3, Duration.ofNanos(500)));
+	}
+
+	@Test
+	void anAnswerThatBreaksOffGrantsNothing() {
+		CallAnswer broken = CallAnswer.stream(200, "text/plain", (out) -> {
+			out.write("3 5".getBytes(StandardCharsets.US_ASCII));
+			throw new IOException("interrupted");
+		});
+		assertThat(RateEndpoint.grant(broken)).isEmpty();
+	}
+
+	@Test
+	void aRefusalGrantsNothing() {
+		assertThat(RateEndpoint.grant(CallAnswer.text(404, "3 500"))).isEmpty();
+	}
+
+}
