Let the longest contact tell when the platform came back

Change: each pulse tells how long the platform has answered the keeper and whether it broke before; the longest contact of those heard lately decides (PlatformReturn). A missing upstream is used 1.6 s at most, whatever the platform went through. KindCache and PlatformProbe share ContactTracker. A fault of a cache's listener no longer ends its watch (KindCacheTests). Nodes can be closed where the process lives on. Ruled out: leaving upstreams, which are given up at once.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -5,9 +5,12 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import io.netty.channel.EventLoopGroup;
@@ -29,7 +32,7 @@
  * A keeper: the log on the disk, the service that entries call, and the changes of the
  * group.
  */
-public final class KeeperNode {
+public final class KeeperNode implements AutoCloseable {
 
 	private static final String IDENTITY = "disk-id";
 
@@ -48,6 +51,8 @@
 	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("keeper", true),
 			NioIoHandler.newFactory());
 
+	private final List<KindCache> caches = new ArrayList<>();
+
 	private final CountDownLatch stopped = new CountDownLatch(1);
 
 	private RecordLog log;
@@ -89,9 +94,9 @@
 		this.log.start();
 		ViewFile viewFile = new ViewFile(folder.resolve("view"), this.settings.tolerance());
 		GroupView view = viewFile.read().orElse(GroupView.unknown(this.settings.tolerance()));
-		KindCache upstreams = KindCache.sparing(this.store, ObjectKind.UPSTREAM, this.clock);
+		KindCache upstreams = cache(ObjectKind.UPSTREAM);
 		this.service = new KeeperService(this.loops, turns, viewFile, disk, view, this.configuration,
-				new UpstreamList(upstreams::copy, upstreams::sinceRegained), this.clock);
+				new UpstreamList(upstreams::copy, upstreams::contact), this.clock);
 		try {
 			this.loops.next().submit(() -> null).get();
 		}
@@ -99,10 +104,10 @@
 			throw new IOException("the thread of the keeper does not run", ex);
 		}
 		this.service.start(this.settings.listen());
-		KindCache groups = KindCache.sparing(this.store, ObjectKind.KEEPER_GROUP, this.clock);
+		KindCache groups = cache(ObjectKind.KEEPER_GROUP);
 		groups.start();
 		upstreams.start();
-		KindCache keepers = KindCache.sparing(this.store, ObjectKind.KEEPER, this.clock);
+		KindCache keepers = cache(ObjectKind.KEEPER);
 		if (this.settings.firstStart()) {
 			keepers.start();
 		}
@@ -139,6 +144,19 @@
 		this.stopped.countDown();
 	}
 
+	/**
+	 * Stops the keeper, unless it is stopped, and ends its threads, where the process
+	 * lives on.
+	 */
+	@Override
+	public void close() {
+		if (this.stopped.getCount() > 0) {
+			stop();
+		}
+		this.caches.forEach(KindCache::close);
+		this.loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+	}
+
 	/**
 	 * Waits until the keeper is stopped.
 	 * @throws InterruptedException if the thread is interrupted
@@ -149,6 +167,12 @@
 
 	// ---- Helpers
 
+	private KindCache cache(ObjectKind kind) {
+		KindCache cache = KindCache.sparing(this.store, kind, this.clock);
+		this.caches.add(cache);
+		return cache;
+	}
+
 	private void startMetrics(TurnStore turns) throws IOException {
 		if (this.settings.metrics() == null) {
 			return;
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -276,7 +276,8 @@
 			.setConfigurationAgeMs(this.configuration.age().toMillis() + 1)
 			.setContactAgeMs(this.configuration.sinceContact().toMillis())
 			.setEntriesContactAgeMs(this.entries.sinceContact().toMillis())
-			.setEntriesHeard(this.entries.count());
+			.setEntriesHeard(this.entries.count())
+			.setContact(this.upstreams.contact());
 		if (this.configuration.version() > beat.getConfiguration()) {
 			pulse.setDocument(this.configuration.document());
 		}
--- a/mangorack/src/main/java/org/mangorack/keeper/UpstreamList.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/UpstreamList.java
@@ -1,12 +1,13 @@
 package org.mangorack.keeper;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Supplier;
 
+import org.mangorack.keeper.proto.PlatformContact;
 import org.mangorack.keeper.proto.UpstreamNews;
+import org.mangorack.platform.ContactTracker;
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.StoredObject;
 
@@ -25,7 +26,7 @@
 
 	private final Supplier<KindCache.Copy> copies;
 
-	private final Supplier<Duration> sinceRegained;
+	private final Supplier<ContactTracker.Contact> contact;
 
 	// What is gone, with the version by which it was.
 	private final Map<String, Long> removals = new LinkedHashMap<>();
@@ -40,11 +41,24 @@
 	/**
 	 * Creates a list that is empty until the copy is.
 	 * @param copies the copy of the platform
-	 * @param sinceRegained how long ago the platform answered again after a break
+	 * @param contact the contact by which the copy is kept up to date
 	 */
-	UpstreamList(Supplier<KindCache.Copy> copies, Supplier<Duration> sinceRegained) {
+	UpstreamList(Supplier<KindCache.Copy> copies, Supplier<ContactTracker.Contact> contact) {
 		this.copies = copies;
-		this.sinceRegained = sinceRegained;
+		this.contact = contact;
+	}
+
+	/**
+	 * Returns what the copy knows of the platform.
+	 * @return the contact at present
+	 */
+	PlatformContact contact() {
+		ContactTracker.Contact now = this.contact.get();
+		return PlatformContact.newBuilder()
+			.setAnswering(now.answering())
+			.setLengthMs(now.length().toMillis())
+			.setBroken(now.broken())
+			.build();
 	}
 
 	/**
@@ -54,9 +68,7 @@
 	 */
 	UpstreamNews.Builder news(long since) {
 		refresh();
-		UpstreamNews.Builder news = UpstreamNews.newBuilder()
-			.setVersion(this.version)
-			.setRegainedMs(this.sinceRegained.get().toMillis());
+		UpstreamNews.Builder news = UpstreamNews.newBuilder().setVersion(this.version);
 		if (since >= this.version) {
 			return news;
 		}
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
@@ -384,6 +384,32 @@
     return upstreams_ == null ? org.mangorack.keeper.proto.UpstreamNews.getDefaultInstance() : upstreams_;
   }
 
+  public static final int CONTACT_FIELD_NUMBER = 14;
+  private org.mangorack.keeper.proto.PlatformContact contact_;
+  /**
+   * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+   * @return Whether the contact field is set.
+   */
+  @java.lang.Override
+  public boolean hasContact() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+   * @return The contact.
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.PlatformContact getContact() {
+    return contact_ == null ? org.mangorack.keeper.proto.PlatformContact.getDefaultInstance() : contact_;
+  }
+  /**
+   * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.PlatformContactOrBuilder getContactOrBuilder() {
+    return contact_ == null ? org.mangorack.keeper.proto.PlatformContact.getDefaultInstance() : contact_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -437,6 +463,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(13, getUpstreams());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(14, getContact());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -498,6 +527,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, getUpstreams());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, getContact());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -542,6 +575,11 @@
       if (!getUpstreams()
           .equals(other.getUpstreams())) return false;
     }
+    if (hasContact() != other.hasContact()) return false;
+    if (hasContact()) {
+      if (!getContact()
+          .equals(other.getContact())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -594,6 +632,10 @@
       hash = (37 * hash) + UPSTREAMS_FIELD_NUMBER;
       hash = (53 * hash) + getUpstreams().hashCode();
     }
+    if (hasContact()) {
+      hash = (37 * hash) + CONTACT_FIELD_NUMBER;
+      hash = (53 * hash) + getContact().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -728,6 +770,7 @@
         internalGetEntryFieldBuilder();
         internalGetLoadFieldBuilder();
         internalGetUpstreamsFieldBuilder();
+        internalGetContactFieldBuilder();
       }
     }
     @java.lang.Override
@@ -769,6 +812,11 @@
         upstreamsBuilder_.dispose();
         upstreamsBuilder_ = null;
       }
+      contact_ = null;
+      if (contactBuilder_ != null) {
+        contactBuilder_.dispose();
+        contactBuilder_ = null;
+      }
       return this;
     }
 
@@ -867,6 +915,12 @@
             : upstreamsBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.contact_ = contactBuilder_ == null
+            ? contact_
+            : contactBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -990,6 +1044,9 @@
       if (other.hasUpstreams()) {
         mergeUpstreams(other.getUpstreams());
       }
+      if (other.hasContact()) {
+        mergeContact(other.getContact());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1107,6 +1164,13 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetContactFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2553,6 +2617,127 @@
       return upstreamsBuilder_;
     }
 
+    private org.mangorack.keeper.proto.PlatformContact contact_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.PlatformContact, org.mangorack.keeper.proto.PlatformContact.Builder, org.mangorack.keeper.proto.PlatformContactOrBuilder> contactBuilder_;
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     * @return Whether the contact field is set.
+     */
+    public boolean hasContact() {
+      return ((bitField0_ & 0x00002000) != 0);
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     * @return The contact.
+     */
+    public org.mangorack.keeper.proto.PlatformContact getContact() {
+      if (contactBuilder_ == null) {
+        return contact_ == null ? org.mangorack.keeper.proto.PlatformContact.getDefaultInstance() : contact_;
+      } else {
+        return contactBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     */
+    public Builder setContact(org.mangorack.keeper.proto.PlatformContact value) {
+      if (contactBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        contact_ = value;
+      } else {
+        contactBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     */
+    public Builder setContact(
+        org.mangorack.keeper.proto.PlatformContact.Builder builderForValue) {
+      if (contactBuilder_ == null) {
+        contact_ = builderForValue.build();
+      } else {
+        contactBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     */
+    public Builder mergeContact(org.mangorack.keeper.proto.PlatformContact value) {
+      if (contactBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0) &&
+          contact_ != null &&
+          contact_ != org.mangorack.keeper.proto.PlatformContact.getDefaultInstance()) {
+          getContactBuilder().mergeFrom(value);
+        } else {
+          contact_ = value;
+        }
+      } else {
+        contactBuilder_.mergeFrom(value);
+      }
+      if (contact_ != null) {
+        bitField0_ |= 0x00002000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     */
+    public Builder clearContact() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      contact_ = null;
+      if (contactBuilder_ != null) {
+        contactBuilder_.dispose();
+        contactBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     */
+    public org.mangorack.keeper.proto.PlatformContact.Builder getContactBuilder() {
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return internalGetContactFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     */
+    public org.mangorack.keeper.proto.PlatformContactOrBuilder getContactOrBuilder() {
+      if (contactBuilder_ != null) {
+        return contactBuilder_.getMessageOrBuilder();
+      } else {
+        return contact_ == null ?
+            org.mangorack.keeper.proto.PlatformContact.getDefaultInstance() : contact_;
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.PlatformContact, org.mangorack.keeper.proto.PlatformContact.Builder, org.mangorack.keeper.proto.PlatformContactOrBuilder> 
+        internalGetContactFieldBuilder() {
+      if (contactBuilder_ == null) {
+        contactBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.mangorack.keeper.proto.PlatformContact, org.mangorack.keeper.proto.PlatformContact.Builder, org.mangorack.keeper.proto.PlatformContactOrBuilder>(
+                getContact(),
+                getParentForChildren(),
+                isClean());
+        contact_ = null;
+      }
+      return contactBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Pulse)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
@@ -238,4 +238,19 @@
    * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
    */
   org.mangorack.keeper.proto.UpstreamNewsOrBuilder getUpstreamsOrBuilder();
+
+  /**
+   * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+   * @return Whether the contact field is set.
+   */
+  boolean hasContact();
+  /**
+   * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+   * @return The contact.
+   */
+  org.mangorack.keeper.proto.PlatformContact getContact();
+  /**
+   * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
+   */
+  org.mangorack.keeper.proto.PlatformContactOrBuilder getContactOrBuilder();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/UpstreamNews.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/UpstreamNews.java
@@ -158,21 +158,6 @@
     return gone_.getByteString(index);
   }
 
-  public static final int REGAINED_MS_FIELD_NUMBER = 5;
-  private long regainedMs_ = 0L;
-  /**
-   * <pre>
-   * Time since the platform answered the keeper again after a break.
-   * </pre>
-   *
-   * <code>uint64 regained_ms = 5;</code>
-   * @return The regainedMs.
-   */
-  @java.lang.Override
-  public long getRegainedMs() {
-    return regainedMs_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -199,9 +184,6 @@
     for (int i = 0; i < gone_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, gone_.getRaw(i));
     }
-    if (regainedMs_ != 0L) {
-      output.writeUInt64(5, regainedMs_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -231,10 +213,6 @@
       size += dataSize;
       size += 1 * getGoneList().size();
     }
-    if (regainedMs_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(5, regainedMs_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -258,8 +236,6 @@
         .equals(other.getUpstreamList())) return false;
     if (!getGoneList()
         .equals(other.getGoneList())) return false;
-    if (getRegainedMs()
-        != other.getRegainedMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -285,9 +261,6 @@
       hash = (37 * hash) + GONE_FIELD_NUMBER;
       hash = (53 * hash) + getGoneList().hashCode();
     }
-    hash = (37 * hash) + REGAINED_MS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRegainedMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -434,7 +407,6 @@
       bitField0_ = (bitField0_ & ~0x00000004);
       gone_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-      regainedMs_ = 0L;
       return this;
     }
 
@@ -491,9 +463,6 @@
         gone_.makeImmutable();
         result.gone_ = gone_;
       }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.regainedMs_ = regainedMs_;
-      }
     }
 
     @java.lang.Override
@@ -550,9 +519,6 @@
         }
         onChanged();
       }
-      if (other.getRegainedMs() != 0L) {
-        setRegainedMs(other.getRegainedMs());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -608,11 +574,6 @@
               gone_.add(s);
               break;
             } // case 34
-            case 40: {
-              regainedMs_ = input.readUInt64();
-              bitField0_ |= 0x00000010;
-              break;
-            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1069,50 +1030,6 @@
       return this;
     }
 
-    private long regainedMs_ ;
-    /**
-     * <pre>
-     * Time since the platform answered the keeper again after a break.
-     * </pre>
-     *
-     * <code>uint64 regained_ms = 5;</code>
-     * @return The regainedMs.
-     */
-    @java.lang.Override
-    public long getRegainedMs() {
-      return regainedMs_;
-    }
-    /**
-     * <pre>
-     * Time since the platform answered the keeper again after a break.
-     * </pre>
-     *
-     * <code>uint64 regained_ms = 5;</code>
-     * @param value The regainedMs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRegainedMs(long value) {
-
-      regainedMs_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Time since the platform answered the keeper again after a break.
-     * </pre>
-     *
-     * <code>uint64 regained_ms = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRegainedMs() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      regainedMs_ = 0L;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.UpstreamNews)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/UpstreamNewsOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/UpstreamNewsOrBuilder.java
@@ -78,14 +78,4 @@
    */
   com.google.protobuf.ByteString
       getGoneBytes(int index);
-
-  /**
-   * <pre>
-   * Time since the platform answered the keeper again after a break.
-   * </pre>
-   *
-   * <code>uint64 regained_ms = 5;</code>
-   * @return The regainedMs.
-   */
-  long getRegainedMs();
 }
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -32,6 +32,8 @@
 
 	private final MonotonicClock clock;
 
+	private final ContactTracker contact;
+
 	private final Duration maxRetryDelay;
 
 	private final Runnable onChange;
@@ -50,10 +52,6 @@
 
 	private volatile long answeredAt;
 
-	private volatile boolean broken;
-
-	private volatile long regainedAt;
-
 	private Duration retryDelay = RETRY_DELAY;
 
 	private volatile boolean closed;
@@ -85,7 +83,7 @@
 		this.clock = clock;
 		this.onChange = onChange;
 		this.lastContact = clock.nanoTime() - Duration.ofDays(1).toNanos();
-		this.regainedAt = this.lastContact;
+		this.contact = new ContactTracker(clock);
 		this.answeredAt = this.lastContact;
 		this.thread = new Thread(this::run, "watch-" + kind.plural());
 		this.thread.setDaemon(true);
@@ -164,19 +162,11 @@
 	}
 
 	/**
-	 * Returns how long ago contact was last regained after a break.
-	 * @return the time since then, long when it never broke
-	 */
-	public Duration sinceRegained() {
-		return this.clock.elapsed(this.regainedAt);
-	}
-
-	/**
-	 * Tells whether the last call failed.
-	 * @return {@code true} until the platform answers again
+	 * Returns for how long the platform has answered.
+	 * @return the contact at present
 	 */
-	public boolean isBroken() {
-		return this.broken;
+	public ContactTracker.Contact contact() {
+		return this.contact.contact();
 	}
 
 	/**
@@ -246,16 +236,13 @@
 		this.answeredAt = this.clock.nanoTime();
 		this.lastContact = Math.max(this.lastContact, time);
 		this.retryDelay = RETRY_DELAY;
-		if (this.broken) {
-			this.broken = false;
-			this.regainedAt = this.clock.nanoTime();
+		if (this.contact.answered()) {
 			EventLog.log(Event.WATCH_REGAINED, "kind", this.kind.plural());
 		}
 	}
 
 	private void noteBreak(StoreException cause) {
-		if (!this.broken) {
-			this.broken = true;
+		if (this.contact.failed()) {
 			EventLog.log(Event.WATCH_RESTARTED, "kind", this.kind.plural(), "cause", cause.getMessage());
 		}
 	}
@@ -270,10 +257,20 @@
 		this.copy = new Copy(this.objects, number(list.version()));
 		noteContact(asked);
 		this.listed.countDown();
-		this.onChange.run();
+		tellListener();
 		return list.version();
 	}
 
+	// A fault of the listener must not end the watch nor make it list anew.
+	private void tellListener() {
+		try {
+			this.onChange.run();
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "place", "listener of " + this.kind.plural());
+		}
+	}
+
 	private void pause() {
 		try {
 			long millis = this.retryDelay.toMillis();
@@ -312,7 +309,7 @@
 			next.put(object.name(), object);
 			KindCache.this.objects = Map.copyOf(next);
 			noteChange(object.version());
-			KindCache.this.onChange.run();
+			tellListener();
 		}
 
 		@Override
@@ -321,7 +318,7 @@
 			next.remove(object.name());
 			KindCache.this.objects = Map.copyOf(next);
 			noteChange(object.version());
-			KindCache.this.onChange.run();
+			tellListener();
 		}
 
 		@Override
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -27,6 +27,7 @@
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.PlatformContact;
 import org.mangorack.keeper.proto.Pulse;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.keeper.proto.Usage;
@@ -36,6 +37,7 @@
 import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.ContactTracker;
 import org.mangorack.platform.ObjectStore;
 import org.mangorack.platform.StoredObject;
 
@@ -43,7 +45,7 @@
  * An entry: the addresses for callers, the beats to the keepers and the copies of what
  * the platform holds.
  */
-public final class EntryNode {
+public final class EntryNode implements AutoCloseable {
 
 	/**
 	 * The time between beats in a small fleet. Levels of buckets and the list of entries
@@ -217,6 +219,16 @@
 		this.stopped.countDown();
 	}
 
+	/**
+	 * Ends at once and cuts all calls, where the process lives on.
+	 */
+	@Override
+	public void close() {
+		this.control.shutdownNow();
+		this.loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+		this.stopped.countDown();
+	}
+
 	/**
 	 * Waits until the entry is stopped.
 	 * @throws InterruptedException if the thread is interrupted
@@ -307,6 +319,9 @@
 	private void heard(Member member, Pulse pulse, Map<String, Long> reported, long sentAt) {
 		takeConfiguration(pulse, member.getName(), sentAt);
 		this.pulses.heard(member.getDisk(), pulse);
+		PlatformContact platform = pulse.getContact();
+		this.upstreams.heardPlatform(member.getDisk(), new ContactTracker.Contact(platform.getAnswering(),
+				Duration.ofMillis(platform.getLengthMs()), platform.getBroken()));
 		this.contact.heard(member.getDisk(), pulse);
 		this.rates.setLevels(member.getDisk(), pulse, reported);
 		if (pulse.getWithLists()) {
@@ -402,8 +417,11 @@
 		}
 
 		@Override
-		public void upstreams(UpstreamNews news) {
-			EntryNode.this.loop.execute(() -> EntryNode.this.upstreams.take(news));
+		public void upstreams(UpstreamNews news, ContactTracker.Contact contact) {
+			EntryNode.this.loop.execute(() -> {
+				EntryNode.this.upstreams.heardPlatform("", contact);
+				EntryNode.this.upstreams.take(news);
+			});
 		}
 
 		@Override
--- a/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
+++ b/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
@@ -11,6 +11,7 @@
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.ContactTracker;
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.ObjectKind;
 import org.mangorack.platform.ObjectList;
@@ -55,6 +56,8 @@
 
 	private final Listener listener;
 
+	private final ContactTracker contact;
+
 	private volatile Needs needs = Needs.NONE;
 
 	private volatile long answeredAt;
@@ -63,17 +66,13 @@
 
 	private boolean waitedForGroup;
 
-	private boolean failing;
-
-	private long regainedAt;
-
 	PlatformProbe(ObjectStore store, MonotonicClock clock, Metrics metrics, Listener listener) {
 		this.store = store;
 		this.clock = clock;
 		this.metrics = metrics;
 		this.listener = listener;
 		this.answeredAt = clock.nanoTime() - Duration.ofDays(1).toNanos();
-		this.regainedAt = this.answeredAt;
+		this.contact = new ContactTracker(clock);
 		this.nextAt = clock.nanoTime() + SEED_WAIT.toNanos();
 	}
 
@@ -104,6 +103,9 @@
 		double scale = Math.max(1, now.entries() / (double) FULL_RATE_ENTRIES);
 		double jitter = 0.75 + (ThreadLocalRandom.current().nextDouble() * 0.5);
 		this.nextAt = this.clock.nanoTime() + (long) (INTERVAL.toNanos() * scale * jitter);
+		if (this.contact.contact().answering() && (sinceAnswer().compareTo(KeeperPulses.CONTACT_LIMIT) > 0)) {
+			this.contact.forget();
+		}
 		try {
 			ask(now);
 		}
@@ -132,29 +134,29 @@
 		if (now.upstreams()) {
 			ObjectList list = this.store.list(ObjectKind.UPSTREAM);
 			noteOutcome(null);
-			this.listener.upstreams(news(list));
+			this.listener.upstreams(news(list), this.contact.contact());
 		}
 	}
 
 	private void noteOutcome(StoreException failure) {
+		boolean changed;
 		if (failure == null) {
 			this.answeredAt = this.clock.nanoTime();
+			changed = this.contact.answered();
 		}
 		else {
+			changed = this.contact.failed();
 			this.metrics.count("mangorack.platform.probes.failed", 1, "reason", failure.reason().name());
 		}
-		if ((failure != null) != this.failing) {
-			this.failing = failure != null;
-			this.regainedAt = this.failing ? this.regainedAt : this.clock.nanoTime();
-			EventLog.log(this.failing ? Event.PLATFORM_UNREACHABLE : Event.PLATFORM_REACHABLE, "needs", this.needs,
-					"cause", this.failing ? failure.getMessage() : "answered");
+		if (changed) {
+			EventLog.log((failure != null) ? Event.PLATFORM_UNREACHABLE : Event.PLATFORM_REACHABLE, "needs", this.needs,
+					"cause", (failure != null) ? failure.getMessage() : "answered");
 		}
 	}
 
 	private UpstreamNews news(ObjectList list) {
 		UpstreamNews.Builder news = UpstreamNews.newBuilder()
 			.setVersion(KindCache.number(list.version()))
-			.setRegainedMs(this.clock.elapsed(this.regainedAt).toMillis())
 			.setWhole(true);
 		list.items().forEach((o) -> news.addUpstream(UpstreamObjects.of(o)));
 		return news.build();
@@ -193,8 +195,9 @@
 		/**
 		 * Reports all upstreams.
 		 * @param news the list
+		 * @param contact for how long the platform has answered these questions
 		 */
-		void upstreams(UpstreamNews news);
+		void upstreams(UpstreamNews news, ContactTracker.Contact contact);
 
 		/**
 		 * Reports the group of keepers.
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -22,6 +22,7 @@
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.ContactTracker;
 
 /**
  * The upstreams of all pools, and the choice among them. Used by the thread for traffic
@@ -35,6 +36,13 @@
 	 */
 	static final Duration RETURN_LIMIT = Duration.ofMillis(2100);
 
+	/**
+	 * How long a missing upstream is used at most, whatever the platform went through. An
+	 * upstream may stop two seconds after its entry is gone; the rest is for the way of
+	 * the news and of the request.
+	 */
+	static final Duration MISSING_LIMIT = Duration.ofMillis(1600);
+
 	/**
 	 * The load up to which requests of one object stay with one upstream.
 	 */
@@ -65,15 +73,17 @@
 	// What the platform holds, as far as it can be read.
 	private final Map<String, UpstreamEntry> announced = new HashMap<>();
 
-	private long version;
+	// When upstreams that are still used were first missing, on the monotonic clock.
+	private final Map<Upstream, Long> missingSince = new HashMap<>();
+
+	private final PlatformReturn platformReturn;
 
-	// When the platform was last heard again after a break, on the monotonic clock.
-	private long regainedAt;
+	private long version;
 
 	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock,
 			String dataCentre) {
 		this.loop = loop;
-		this.regainedAt = clock.nanoTime() - RETURN_LIMIT.toNanos();
+		this.platformReturn = new PlatformReturn(clock);
 		this.protocol = protocol;
 		this.client = client;
 		this.clock = clock;
@@ -92,6 +102,15 @@
 		return this.version;
 	}
 
+	/**
+	 * Takes over what a source of news knows of the platform.
+	 * @param source a keeper, or this entry's own questions
+	 * @param contact for how long the platform has answered it
+	 */
+	void heardPlatform(String source, ContactTracker.Contact contact) {
+		this.platformReturn.heard(source, contact);
+	}
+
 	/**
 	 * Takes over what changed since the version that is known, or all entries. Older news
 	 * are ignored.
@@ -102,7 +121,6 @@
 			return;
 		}
 		this.version = news.getVersion();
-		this.regainedAt = this.clock.nanoTime() - TimeUnit.MILLISECONDS.toNanos(news.getRegainedMs());
 		if (news.getWhole()) {
 			Set<String> listed = new HashSet<>();
 			news.getUpstreamList().forEach((u) -> listed.add(u.getName()));
@@ -135,6 +153,7 @@
 	}
 
 	private void retireMissing() {
+		this.missingSince.keySet().removeIf((u) -> !u.isInUse() || this.announced.containsKey(u.id()));
 		for (Upstream u : List.copyOf(this.upstreams.values())) {
 			if (!this.announced.containsKey(u.id())) {
 				missing(u);
@@ -236,12 +255,15 @@
 	}
 
 	private void missing(Upstream upstream) {
-		long sinceReturn = this.clock.nanoTime() - this.regainedAt;
-		long left = RETURN_LIMIT.toNanos() - sinceReturn;
+		long now = this.clock.nanoTime();
+		long since = this.missingSince.computeIfAbsent(upstream, (u) -> now);
+		long left = Math.min(RETURN_LIMIT.toNanos() - this.platformReturn.sinceReturn().toNanos(),
+				MISSING_LIMIT.toNanos() - (now - since));
 		if ((left > 0) && !upstream.entry().leaving()) {
 			this.loop.schedule(this::retireMissing, left + TimeUnit.MILLISECONDS.toNanos(1), TimeUnit.NANOSECONDS);
 			return;
 		}
+		this.missingSince.remove(upstream);
 		retire(upstream, "entry gone");
 	}
 
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -15,6 +15,7 @@
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.ContactTracker;
 import org.mangorack.platform.KindCache;
 
 /**
@@ -60,7 +61,9 @@
 		ViewFile file = new ViewFile(this.folder.resolve("view"), 1);
 		GroupView view = file.read().orElse(GroupView.unknown(1));
 		this.service = new KeeperService(this.loops, turns, file, this.disk, view, this.configuration,
-				new UpstreamList(() -> new KindCache.Copy(Map.of(), 0), () -> Duration.ZERO), MonotonicClock.SYSTEM);
+				new UpstreamList(() -> new KindCache.Copy(Map.of(), 0),
+						() -> new ContactTracker.Contact(true, Duration.ZERO, false)),
+				MonotonicClock.SYSTEM);
 		bind();
 		this.port = this.service.port();
 		return this;
--- a/mangorack/src/test/java/org/mangorack/keeper/UpstreamListTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/UpstreamListTests.java
@@ -10,6 +10,7 @@
 import org.mangorack.call.Jsons;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.keeper.proto.UpstreamObject;
+import org.mangorack.platform.ContactTracker;
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.StoredObject;
 
@@ -24,7 +25,8 @@
 
 	private KindCache.Copy copy = new KindCache.Copy(Map.of(), 0);
 
-	private final UpstreamList list = new UpstreamList(() -> this.copy, () -> Duration.ofSeconds(3));
+	private final UpstreamList list = new UpstreamList(() -> this.copy,
+			() -> new ContactTracker.Contact(true, Duration.ofSeconds(3), true));
 
 	@Test
 	void beforeTheFirstCopyThereIsNothingToTake() {
@@ -40,7 +42,9 @@
 		assertThat(news.getWhole()).isTrue();
 		assertThat(names(news)).containsExactlyInAnyOrder("a", "b");
 		assertThat(news.getVersion()).isEqualTo(10);
-		assertThat(news.getRegainedMs()).isEqualTo(3000);
+		assertThat(this.list.contact().getAnswering()).isTrue();
+		assertThat(this.list.contact().getLengthMs()).isEqualTo(3000);
+		assertThat(this.list.contact().getBroken()).isTrue();
 	}
 
 	@Test
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/platform/KindCacheTests.java
@@ -0,0 +1,61 @@
+package org.mangorack.platform;
+
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.call.Jsons;
+import org.mangorack.observe.MonotonicClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link KindCache}.
+ */
+class KindCacheTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	private final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+
+	@Test
+	void aListenerThatFailsDoesNotEndTheWatch() throws InterruptedException {
+		try (KindCache cache = new KindCache(store(), ObjectKind.UPSTREAM, MonotonicClock.SYSTEM, this::fail)) {
+			cache.start();
+			this.changes.add("a");
+			assertThat(this.seen.poll(LIMIT.toMillis(), TimeUnit.MILLISECONDS)).isEqualTo("asked");
+			this.changes.add("b");
+			while (cache.object("b").isEmpty()) {
+				assertThat(this.seen.poll(LIMIT.toMillis(), TimeUnit.MILLISECONDS)).isEqualTo("asked");
+			}
+			assertThat(cache.contact().answering()).isTrue();
+		}
+	}
+
+	private void fail() {
+		throw new IllegalStateException("a fault of the listener");
+	}
+
+	// Each watch reports the next change and tells that it was asked for it.
+	private ObjectStore store() {
+		return (ObjectStore) Proxy.newProxyInstance(ObjectStore.class.getClassLoader(),
+				new Class<?>[] { ObjectStore.class }, (proxy, method, arguments) -> {
+					if (method.getName().equals("list")) {
+						return new ObjectList("1", List.of());
+					}
+					String name = this.changes.take();
+					this.seen.add("asked");
+					WatchListener listener = (WatchListener) arguments[2];
+					listener.changed(new StoredObject(name, "2", Jsons.object()));
+					return null;
+				});
+	}
+
+}
--- a/mangorack/src/test/java/org/mangorack/relay/PlatformProbeTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/PlatformProbeTests.java
@@ -13,6 +13,7 @@
 import org.mangorack.call.Jsons;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.observe.Metrics;
+import org.mangorack.platform.ContactTracker;
 import org.mangorack.platform.ObjectKind;
 import org.mangorack.platform.ObjectList;
 import org.mangorack.platform.ObjectStore;
@@ -34,6 +35,8 @@
 
 	private final CountingStore store = new CountingStore();
 
+	private ContactTracker.Contact contact;
+
 	private final List<String> heard = new ArrayList<>();
 
 	private final PlatformProbe probe = new PlatformProbe(this.store, () -> this.now, new Metrics(), new Listener());
@@ -87,7 +90,22 @@
 		this.store.failing = false;
 		run(2000);
 		assertThat(this.heard).contains("configuration", "upstreams of 42, whole");
-		assertThat(this.store.regainedMillis).as("time since the platform was back").isLessThan(2000);
+		assertThat(this.contact.broken()).isTrue();
+		assertThat(this.contact.length()).as("time since the platform was back").isLessThan(Duration.ofSeconds(2));
+	}
+
+	@Test
+	void nothingIsSaidOfTheTimeInWhichNothingWasAsked() {
+		Needs upstreams = new Needs(false, true, false, 4);
+		this.probe.setNeeds(upstreams);
+		run(10_000);
+		assertThat(this.contact.length()).isGreaterThan(Duration.ofSeconds(5));
+		this.probe.setNeeds(Needs.NONE);
+		run(10_000);
+		this.probe.setNeeds(upstreams);
+		run(1000);
+		assertThat(this.contact.broken()).isFalse();
+		assertThat(this.contact.length()).isLessThan(Duration.ofSeconds(1));
 	}
 
 	private void run(int millis) {
@@ -108,10 +126,10 @@
 		}
 
 		@Override
-		public void upstreams(UpstreamNews news) {
+		public void upstreams(UpstreamNews news, ContactTracker.Contact contact) {
 			PlatformProbeTests.this.heard
 				.add("upstreams of " + news.getVersion() + (news.getWhole() ? ", whole" : ", in part"));
-			PlatformProbeTests.this.store.regainedMillis = news.getRegainedMs();
+			PlatformProbeTests.this.contact = contact;
 		}
 
 		@Override
@@ -132,8 +150,6 @@
 
 		private boolean failing;
 
-		private long regainedMillis;
-
 		private StoredObject read(ObjectKind kind) throws StoreException {
 			this.calls.add(kind.plural());
 			if (this.failing) {
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamTableTests.java
@@ -0,0 +1,152 @@
+package org.mangorack.relay;
+
+import java.lang.reflect.Proxy;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.http.HttpAddress;
+import org.mangorack.keeper.proto.UpstreamNews;
+import org.mangorack.keeper.proto.UpstreamObject;
+import org.mangorack.observe.Metrics;
+import org.mangorack.platform.ContactTracker;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link UpstreamTable}: how long an upstream is used whose entry is gone. On a
+ * clock that the tests advance.
+ */
+class UpstreamTableTests {
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private long now = 1;
+
+	private final FleetProtocol protocol = protocol();
+
+	private final UpstreamTable table = new UpstreamTable(this.channel.eventLoop(), this.protocol,
+			new UpstreamClient(this.channel.eventLoop(), this.protocol, () -> this.now, new Metrics()), () -> this.now,
+			"dc");
+
+	private final ContactTracker first = new ContactTracker(() -> this.now);
+
+	private final ContactTracker second = new ContactTracker(() -> this.now);
+
+	private long version;
+
+	@BeforeEach
+	void announce() {
+		this.first.answered();
+		this.second.answered();
+		this.table.take(news().addUpstream(object()).build());
+		advance(10_000);
+		assertThat(isInUse()).isTrue();
+	}
+
+	@Test
+	void anUpstreamWhoseEntryIsGoneIsNotUsedAnyMore() {
+		remove();
+		assertThat(isInUse()).isFalse();
+	}
+
+	@Test
+	void aKeeperThatLostThePlatformAloneKeepsNoUpstreamInUse() {
+		this.second.failed();
+		hear();
+		advance(8000);
+		this.second.answered();
+		remove();
+		assertThat(isInUse()).isFalse();
+	}
+
+	@Test
+	void afterAnOutageAMissingUpstreamMayComeBack() {
+		outage();
+		remove();
+		assertThat(isInUse()).isTrue();
+		advance(1500);
+		this.table.take(news().addUpstream(object()).build());
+		advance(5000);
+		assertThat(isInUse()).isTrue();
+	}
+
+	@Test
+	void anUpstreamThatDoesNotComeBackIsGivenUpBeforeItMayStop() {
+		outage();
+		remove();
+		advance(UpstreamTable.MISSING_LIMIT.toMillis() - 1);
+		assertThat(isInUse()).isTrue();
+		advance(3);
+		assertThat(isInUse()).isFalse();
+	}
+
+	@Test
+	void longAfterAnOutageNothingIsWaitedFor() {
+		outage();
+		for (int i = 0; i < 10; i++) {
+			advance(300);
+		}
+		remove();
+		assertThat(isInUse()).isFalse();
+	}
+
+	private void outage() {
+		this.first.failed();
+		this.second.failed();
+		hear();
+		advance(5000);
+		this.second.answered();
+	}
+
+	private void remove() {
+		hear();
+		this.table.take(news().addGone("u-1").build());
+	}
+
+	private void hear() {
+		this.table.heardPlatform("first", this.first.contact());
+		this.table.heardPlatform("second", this.second.contact());
+	}
+
+	private boolean isInUse() {
+		return this.table.choose("pool", Set.of(), null).isPresent();
+	}
+
+	// Keepers go on being heard meanwhile.
+	private void advance(long millis) {
+		for (long left = millis; left > 0; left -= 100) {
+			long step = Math.min(left, 100);
+			this.now += TimeUnit.MILLISECONDS.toNanos(step);
+			hear();
+			this.channel.advanceTimeBy(step, TimeUnit.MILLISECONDS);
+			this.channel.runScheduledPendingTasks();
+		}
+	}
+
+	private UpstreamNews.Builder news() {
+		return UpstreamNews.newBuilder().setVersion(++this.version);
+	}
+
+	private static UpstreamObject.Builder object() {
+		return UpstreamObject.newBuilder().setName("u-1").setDocument(ByteString.copyFromUtf8("{}"));
+	}
+
+	// Only entries of upstreams are read here.
+	private static FleetProtocol protocol() {
+		UpstreamEntry entry = new UpstreamEntry("u-1", "pool", new HttpAddress("127.0.0.1", 9), "dc", 8, false, 1);
+		return (FleetProtocol) Proxy.newProxyInstance(FleetProtocol.class.getClassLoader(),
+				new Class<?>[] { FleetProtocol.class }, (proxy, method, arguments) -> {
+					if (method.getName().equals("upstream")) {
+						return Optional.of(entry);
+					}
+					throw new UnsupportedOperationException(method.getName());
+				});
+	}
+
+}
