End all parts of a fleet of tests

Cause: TestFleetNodes left its entries and watches running. An entry of an earlier test whose configuration had version 2 called the keeper of a later one that had got an old port, and brought it that configuration; no turn was served for 60 s. Shown: on a scratch copy whose second fleet is given the first one's port, the test fails in the same way, and passes with this change.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -74,6 +74,8 @@
 
 	private HttpAddress readiness;
 
+	private final List<AutoCloseable> resources = new ArrayList<>();
+
 	private EntryNode entry;
 
 	private int entries;
@@ -113,6 +115,7 @@
 				new EntrySettings("entry-" + ++this.entries, "dc", this.callers, this.readiness, this.directory, null,
 						storeAddress(), this.keeperAddresses, tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
 				newStore(), new WireProtocol(), this.metrics);
+		this.resources.add(this.entry);
 		this.entry.start();
 	}
 
@@ -127,6 +130,7 @@
 		KeeperNode keeper = new KeeperNode(
 				new KeeperSettings(name, "dc", address, null, storeAddress(), folder, tolerance, first), client, watch,
 				new PlatformRetirements(client, retirements), this.metrics);
+		this.resources.addAll(List.of(watch, retirements, keeper));
 		keeper.start();
 		watch.start();
 		retirements.start();
@@ -138,9 +142,17 @@
 		this.keepers.clear();
 	}
 
+	// What went on running would call the next fleet as soon as that uses a port again.
 	@Override
-	public void close() {
-		stopKeepers();
+	public void close() throws IOException {
+		try {
+			for (AutoCloseable resource : this.resources) {
+				resource.close();
+			}
+		}
+		catch (Exception ex) {
+			throw new IOException("a part of the fleet cannot be closed", ex);
+		}
 		this.store.close();
 	}
 
@@ -158,6 +170,10 @@
 		return this.entry;
 	}
 
+	HttpAddress keeperAddress(int index) {
+		return this.keeperAddresses.get(index);
+	}
+
 	HttpAddress callers() {
 		return this.callers;
 	}
@@ -299,13 +315,15 @@
 	 */
 	void awaitServing() throws IOException, InterruptedException {
 		long startedAt = System.nanoTime();
+		String answer = "";
 		for (int i = 0; TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startedAt) < 60; i++) {
-			if (exchange(request("POST", "/turns/x", "warm-" + i, "", "x")).startsWith("HTTP/1.1 200")) {
+			answer = exchange(request("POST", "/turns/x", "warm-" + i, "", "x"));
+			if (answer.startsWith("HTTP/1.1 200")) {
 				return;
 			}
 			TimeUnit.MILLISECONDS.sleep(100);
 		}
-		throw new IllegalStateException("no turn was served within 60 s");
+		throw new IllegalStateException("no turn was served within 60 s; the last answer was: " + answer);
 	}
 
 	private static HttpAddress freeAddress(String host) throws IOException {
