Call off a group change whose joining disk fell silent

Cause: a change whose joiner is lost for good stood until it made no progress for 12 s; meanwhile both sets had to agree, so one more loss stopped the group. Change: members ask the joiner for a sign of life at each step of a change and call it off once it has been silent for as long as a member may be (3.5 s), provided that most members answer. The log event names the cause.

--- a/bench/src/test/java/org/mangorack/bench/fleet/GroupChangeTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/GroupChangeTests.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -105,6 +107,21 @@
 		assertTurnsContinue();
 	}
 
+	@Test
+	void aChangeWhoseJoiningDiskIsLostIsCalledOff() throws Exception {
+		long before = epoch();
+		ObjectNode changing = group().deepCopy();
+		changing.put("epoch", before + 1);
+		ArrayNode next = changing.putArray("next");
+		next.addAll((ArrayNode) changing.path("members"));
+		ObjectNode lost = next.get(0).deepCopy();
+		next.add(lost.put("instance", "keeper-9").put("disk", "lost").put("port", 1));
+		this.fleet.store().put("keepergroups", "main", changing);
+		awaitEpoch(before + 2);
+		assertThat(group().path("members")).hasSize(4);
+		assertTurnsContinue();
+	}
+
 	@Test
 	void turnsGoOnWhileTheStoreRefusesEverything() throws Exception {
 		this.fleet.store().setRefusing(true);
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -47,8 +47,9 @@
 final class GroupMembership implements AutoCloseable {
 
 	/**
-	 * How long a member must stay silent before another disk takes its place. Longer than
-	 * a restart, as a member that keeps its disk needs no copy.
+	 * How long a member must stay silent before another disk takes its place, and a
+	 * joining disk before its change is called off. Longer than a restart, as a disk that
+	 * is kept needs no copy.
 	 */
 	static final Duration REPLACE_AFTER = Duration.ofMillis(3500);
 
@@ -64,7 +65,8 @@
 	static final Duration SUCCESSOR_WAIT = Duration.ofMillis(1500);
 
 	/**
-	 * A change that makes no progress for this long is called off by a member.
+	 * A change that makes no progress for this long is called off by a member, though all
+	 * answer.
 	 */
 	static final Duration STUCK_AFTER = Duration.ofSeconds(12);
 
@@ -293,13 +295,16 @@
 		return silentMember(view);
 	}
 
-	// A member counts as silent only while most others answer; else this keeper is cut
-	// off.
 	private Optional<Member> silentMember(GroupView view) throws InterruptedException {
+		return askAll(view) ? view.members().stream().filter(this::isSilent).findFirst() : Optional.empty();
+	}
+
+	// Asks all keepers of a view for a sign of life. None counts as silent unless most
+	// members answer; else this keeper is cut off.
+	private boolean askAll(GroupView view) throws InterruptedException {
 		Set<String> answering = new HashSet<>();
-		for (Member m : view.members()) {
-			Optional<Reply> reply = this.peers.call(m, adoptRequest(view), CALL_LIMIT);
-			if (reply.filter((r) -> r.getStatus() == Status.OK).isPresent()) {
+		for (Member m : view.all()) {
+			if (m.getDisk().equals(this.self.getDisk()) || isAnswering(m, view)) {
 				answering.add(m.getDisk());
 				this.silentSince.remove(m.getDisk());
 			}
@@ -309,12 +314,20 @@
 		}
 		if (!view.isExhaustive(answering)) {
 			this.silentSince.clear();
-			return Optional.empty();
+			return false;
 		}
-		return view.members().stream().filter((m) -> {
-			Long since = this.silentSince.get(m.getDisk());
-			return (since != null) && (this.clock.elapsed(since).compareTo(REPLACE_AFTER) > 0);
-		}).findFirst();
+		return true;
+	}
+
+	private boolean isAnswering(Member member, GroupView view) throws InterruptedException {
+		return this.peers.call(member, adoptRequest(view), CALL_LIMIT)
+			.filter((r) -> r.getStatus() == Status.OK)
+			.isPresent();
+	}
+
+	private boolean isSilent(Member member) {
+		Long since = this.silentSince.get(member.getDisk());
+		return (since != null) && (this.clock.elapsed(since).compareTo(REPLACE_AFTER) > 0);
 	}
 
 	// ---- Leaving
@@ -359,16 +372,29 @@
 					this.self.getName());
 			write(object, new GroupView(view.epoch() + 1, view.members(), next, this.tolerance));
 		}
-		else if (!joining && !leaving && view.isMember(disk)
-				&& (this.clock.elapsed(this.changingSince).compareTo(STUCK_AFTER) > 0)) {
-			EventLog.log(Event.GROUP_CHANGE, "change", "call off", "epoch", view.epoch() + 1);
+		else if (!joining && !leaving && view.isMember(disk) && (isStuck() || isJoinerSilent(view))) {
+			EventLog.log(Event.GROUP_CHANGE, "change", "call off", "epoch", view.epoch() + 1, "cause",
+					isStuck() ? "no progress" : "joiner silent");
 			write(object, new GroupView(view.epoch() + 1, view.members(), List.of(), this.tolerance));
 		}
 	}
 
+	private boolean isStuck() {
+		return this.clock.elapsed(this.changingSince).compareTo(STUCK_AFTER) > 0;
+	}
+
+	private boolean isJoinerSilent(GroupView view) throws InterruptedException {
+		List<Member> joiners = joiners(view);
+		return !joiners.isEmpty() && askAll(view) && joiners.stream().allMatch(this::isSilent);
+	}
+
+	private static List<Member> joiners(GroupView view) {
+		return view.next().stream().filter((m) -> !view.isMember(m.getDisk())).toList();
+	}
+
 	// Finds this instance's former disk, if it was lost while it was the one joining.
 	private Member lostJoiner(GroupView view) {
-		List<Member> joiners = view.next().stream().filter((m) -> !view.isMember(m.getDisk())).toList();
+		List<Member> joiners = joiners(view);
 		boolean lost = (joiners.size() == 1) && joiners.get(0).getName().equals(this.self.getName())
 				&& !joiners.get(0).getDisk().equals(this.self.getDisk());
 		return lost ? joiners.get(0) : null;
