Let programs that have begun overdraw the bucket of their workspace

Cause: on grown sites about 1,100 answers 429 went to workspaces with rates of 7 to 48 requests a second, whose programs send many calls at once (sub-agents, tools), more than the small burst. The users' rule counts five seconds and leaves a tenth and twenty calls for counting; what programs have spent is wasted by such a refusal. Change: programs that have begun may take a third of that tolerance beyond the burst. Beginnings see the burst as configured, and wait until the overdraft is paid back. Ruled out: a window of five seconds counted exactly: it stops a workspace altogether after its limit is lowered, and cannot be kept over a restart without writes.

--- a/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
@@ -72,6 +72,17 @@
 
 		private static final double NEARLY_FULL = 0.9;
 
+		// A third of what the users' rule leaves for counting over many instances: a
+		// tenth
+		// and twenty calls beyond what rate and burst allow within five seconds. If all
+		// keepers lose their buckets at once it may be used twice; the last third is for
+		// calls that are admitted before they are counted.
+		private static final double RESERVE_PART = 0.035;
+
+		private static final double RESERVE_CALLS = 7;
+
+		private static final double WINDOW_SECONDS = 5;
+
 		/**
 		 * Returns the level of a bucket from which on keepers do not report it.
 		 * @return the calls that may be made at once at least
@@ -80,6 +91,15 @@
 			return NEARLY_FULL * Math.max(1, this.burst);
 		}
 
+		/**
+		 * Returns how far programs that have begun may overdraw a bucket. They send many
+		 * calls at once, and a refused one wastes what the program used before.
+		 * @return the calls beyond the burst
+		 */
+		public double reserve() {
+			return RESERVE_CALLS + (RESERVE_PART * ((WINDOW_SECONDS * this.perSecond) + this.burst));
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/WorkspaceBuckets.java
@@ -20,7 +20,8 @@
  * <p>
  * A program that has begun will make more calls, and refusing one of them wastes all that
  * came before. So while a workspace is near its rate, programs begin only as fast as the
- * rate divided by the calls of a program, which is observed. Used by one thread.
+ * rate divided by the calls of a program, which is observed, and those that have begun
+ * may overdraw the bucket a little. Used by one thread.
  */
 final class WorkspaceBuckets {
 
@@ -195,9 +196,11 @@
 		}
 
 		private Duration wait(Draw draw) {
-			boolean free = this.calls >= Math.max(1, this.limit.burst() * FREE_LEVEL);
-			if (!draw.getBeginning() || free) {
-				return time(1 - this.calls);
+			if (!draw.getBeginning()) {
+				return time(1 - this.limit.reserve() - this.calls);
+			}
+			if (this.calls >= Math.max(1, this.limit.burst() * FREE_LEVEL)) {
+				return Duration.ZERO;
 			}
 			double neededBeginnings = 1 + (draw.getUrgent() ? 0 : (maxBeginnings() * URGENT_RESERVE));
 			Duration forCalls = time(1 + (this.limit.burst() * BEGUN_RESERVE) - this.calls);
