Count a turn as kept only by members that were sent it

Cause: during a change of the group every member is sent the turn. A member that had finished the change refused it (stale view) and was then asked again under the newer view, in which it is no holder: only the charge was sent, but it still counted for the turn. A turn could be reported as durable while one member, or none, held it; the next turn got 404. Change: a member that was sent the turn once is sent it with every further try. Test: KeeperClientTests.aTurnThatWasRefusedDuringAChangeIsKeptByThoseThatCountForIt, seen failing first. Not kept: keepers that listen before they read their turns.

--- a/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
@@ -72,11 +72,10 @@
 
 		private static final double NEARLY_FULL = 0.9;
 
-		// A third of what the users' rule leaves for counting over many instances: a
-		// tenth
-		// and twenty calls beyond what rate and burst allow within five seconds. If all
-		// keepers lose their buckets at once it may be used twice; the last third is for
-		// calls that are admitted before they are counted.
+		// A third of what the users' rule leaves for counting: a tenth and twenty calls
+		// beyond what rate and burst allow within five seconds. If all keepers lose their
+		// buckets at once it may be used twice; the last third is for calls that are
+		// admitted before they are counted.
 		private static final double RESERVE_PART = 0.035;
 
 		private static final double RESERVE_CALLS = 7;
--- a/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
@@ -56,9 +56,14 @@
 	Request.Builder request(Member member) {
 		Settle.Builder one = this.settle.clone();
 		if ((this.turn != null) && holdersOfTurn().contains(member)) {
-			one.setTurn(this.turn);
 			this.sentTurn.add(member.getDisk());
 		}
+		// A member that refused the turn under an older view counts for it once it
+		// accepts,
+		// so it gets the turn again even if it is no holder in the newer one.
+		if (this.sentTurn.contains(member.getDisk())) {
+			one.setTurn(this.turn);
+		}
 		return Request.newBuilder().setSettle(one);
 	}
 
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -212,6 +213,36 @@
 			.isGreaterThanOrEqualTo(2);
 	}
 
+	/**
+	 * During a change every member is sent the turn. The keepers have finished the change
+	 * and refuse that; the turn must not count as kept by one that was then sent only the
+	 * charge.
+	 */
+	@Test
+	void aTurnThatWasRefusedDuringAChangeIsKeptByThoseThatCountForIt() throws Exception {
+		awaitServing(4);
+		onLoop(() -> this.client.adopt(new GroupView(2, members(0, 1, 2, 3), members(0, 1, 2, 3), 1)));
+		CompletableFuture<List<Member>> holders = new CompletableFuture<>();
+		onLoop(() -> holders.complete(this.client.holders("p")));
+		Set<String> killed = Set.of(holders.get().get(0).getDisk(), holders.get().get(1).getDisk());
+		List<TestKeeper> left = new ArrayList<>();
+		for (TestKeeper k : this.keepers) {
+			if (killed.contains(k.member().getDisk())) {
+				k.kill();
+			}
+			else {
+				k.adopt(new GroupView(3, members(0, 1, 2, 3), List.of(), 1));
+				left.add(k);
+			}
+		}
+		awaitServing(2);
+		CompletableFuture<Boolean> kept = new CompletableFuture<>();
+		Turn turn = Turn.newBuilder().setId("t1").setWorkspace("w").setRetentionMs(60_000).build();
+		onLoop(() -> this.client.settle("p", "a1", 1, true, turn, kept::complete));
+		assertThat(kept.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+		assertThat(left).allSatisfy((k) -> assertThat(k.turnIds()).containsExactly("t1"));
+	}
+
 	@Test
 	void aBucketGrantsNoMoreThanItsBurstAndReserve() throws Exception {
 		awaitServing(4);
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -4,6 +4,7 @@
 import java.net.BindException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.locks.LockSupport;
@@ -103,6 +104,10 @@
 		return this.service;
 	}
 
+	List<String> turnIds() {
+		return this.loops.next().submit(() -> this.service.turns().turnIds()).syncUninterruptibly().getNow();
+	}
+
 	void adopt(GroupView view) throws InterruptedException {
 		try {
 			this.loops.next().submit(() -> {
