Keep how long an upstream is missing with the upstream, and offer a view by one call

Reading the change again: the times of missing upstreams lay in a map beside the table that had to be pruned with each news; they are now a part of the upstream, reset by its entry. Asking a keeper for a sign of life repeated the call by which a view is offered; both use one. A change in which nobody joins is told by the list of joiners. Whether a change is stuck is worked out once, so that the log names the cause that decided. Two comments that the formatter had torn.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -53,9 +53,8 @@
 
 	private static final int READ_LIMIT_MS = 20_000;
 
-	// Outgoing connections have 127.0.0.1 as their own address, so none of them can take
-	// a
-	// port of these two between its choice and the bind.
+	// Outgoing connections have 127.0.0.1 as their own address, so none can take a port
+	// of these two between its choice and the bind.
 	private static final String ENTRY_HOST = "127.0.0.3";
 
 	private static final String KEEPER_HOST = "127.0.0.2";
--- a/mangorack/src/main/java/org/mangorack/entry/RateEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/RateEndpoint.java
@@ -46,9 +46,8 @@
 		return grant(answer);
 	}
 
-	// An answer that broke off grants nothing: the owner may have counted the calls,
-	// which
-	// is on the safe side of the rate.
+	// An answer that broke off grants nothing. If the owner counted the calls, the rate
+	// is kept all the same.
 	static Optional<Grant> grant(CallAnswer answer) {
 		try {
 			String text = Bodies.text(answer);
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -304,7 +304,7 @@
 	private boolean askAll(GroupView view) throws InterruptedException {
 		Set<String> answering = new HashSet<>();
 		for (Member m : view.all()) {
-			if (m.getDisk().equals(this.self.getDisk()) || isAnswering(m, view)) {
+			if (m.getDisk().equals(this.self.getDisk()) || offer(view, m).isPresent()) {
 				answering.add(m.getDisk());
 				this.silentSince.remove(m.getDisk());
 			}
@@ -319,12 +319,6 @@
 		return true;
 	}
 
-	private boolean isAnswering(Member member, GroupView view) throws InterruptedException {
-		return this.peers.call(member, adoptRequest(view), CALL_LIMIT)
-			.filter((r) -> r.getStatus() == Status.OK)
-			.isPresent();
-	}
-
 	private boolean isSilent(Member member) {
 		Long since = this.silentSince.get(member.getDisk());
 		return (since != null) && (this.clock.elapsed(since).compareTo(REPLACE_AFTER) > 0);
@@ -358,8 +352,8 @@
 		}
 		String disk = this.self.getDisk();
 		boolean joining = view.isNext(disk) && !view.isMember(disk);
-		boolean leaving = view.isMember(disk) && !view.isNext(disk)
-				&& view.next().stream().allMatch((m) -> view.isMember(m.getDisk()));
+		boolean leaving = view.isMember(disk) && !view.isNext(disk) && joiners(view).isEmpty();
+		boolean stuck = this.clock.elapsed(this.changingSince).compareTo(STUCK_AFTER) > 0;
 		if ((joining && copyFromMembers(view)) || (leaving && pushToNext(view))) {
 			EventLog.log(Event.DISK_CAUGHT_UP, "epoch", view.epoch(), "joining", joining);
 			write(object, new GroupView(view.epoch() + 1, view.next(), List.of(), this.tolerance));
@@ -372,17 +366,13 @@
 					this.self.getName());
 			write(object, new GroupView(view.epoch() + 1, view.members(), next, this.tolerance));
 		}
-		else if (!joining && !leaving && view.isMember(disk) && (isStuck() || isJoinerSilent(view))) {
+		else if (!joining && !leaving && view.isMember(disk) && (stuck || isJoinerSilent(view))) {
 			EventLog.log(Event.GROUP_CHANGE, "change", "call off", "epoch", view.epoch() + 1, "cause",
-					isStuck() ? "no progress" : "joiner silent");
+					stuck ? "no progress" : "joiner silent");
 			write(object, new GroupView(view.epoch() + 1, view.members(), List.of(), this.tolerance));
 		}
 	}
 
-	private boolean isStuck() {
-		return this.clock.elapsed(this.changingSince).compareTo(STUCK_AFTER) > 0;
-	}
-
 	private boolean isJoinerSilent(GroupView view) throws InterruptedException {
 		List<Member> joiners = joiners(view);
 		return !joiners.isEmpty() && askAll(view) && joiners.stream().allMatch(this::isSilent);
@@ -493,13 +483,12 @@
 	}
 
 	private boolean adoptedBy(Member member, GroupView view) throws InterruptedException {
-		return this.peers.call(member, adoptRequest(view), CALL_LIMIT)
-			.filter((r) -> (r.getStatus() == Status.OK) && (r.getView().getEpoch() >= view.epoch()))
-			.isPresent();
+		return offer(view, member).filter((r) -> r.getView().getEpoch() >= view.epoch()).isPresent();
 	}
 
-	private static Request.Builder adoptRequest(GroupView view) {
-		return Request.newBuilder().setAdopt(Adopt.newBuilder().setView(view.toProto()));
+	private Optional<Reply> offer(GroupView view, Member member) throws InterruptedException {
+		Request.Builder request = Request.newBuilder().setAdopt(Adopt.newBuilder().setView(view.toProto()));
+		return this.peers.call(member, request, CALL_LIMIT).filter((r) -> r.getStatus() == Status.OK);
 	}
 
 	private void write(StoredObject object, GroupView view) throws StoreException, InterruptedException {
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -55,6 +55,10 @@
 
 	private long avoidedUntil;
 
+	private boolean missing;
+
+	private long missingSince;
+
 	Upstream(UpstreamEntry entry, long now) {
 		this.entry = entry;
 		this.avoidedUntil = now;
@@ -68,6 +72,20 @@
 
 	void setEntry(UpstreamEntry entry) {
 		this.entry = entry;
+		this.missing = false;
+	}
+
+	/**
+	 * Notes that the platform holds no entry of it.
+	 * @param now the time on the monotonic clock
+	 * @return how long this has been so
+	 */
+	Duration noteMissing(long now) {
+		if (!this.missing) {
+			this.missing = true;
+			this.missingSince = now;
+		}
+		return Duration.ofNanos(now - this.missingSince);
 	}
 
 	String id() {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -73,9 +73,6 @@
 	// What the platform holds, as far as it can be read.
 	private final Map<String, UpstreamEntry> announced = new HashMap<>();
 
-	// When upstreams that are still used were first missing, on the monotonic clock.
-	private final Map<Upstream, Long> missingSince = new HashMap<>();
-
 	private final PlatformReturn platformReturn;
 
 	private long version;
@@ -153,7 +150,6 @@
 	}
 
 	private void retireMissing() {
-		this.missingSince.keySet().removeIf((u) -> !u.isInUse() || this.announced.containsKey(u.id()));
 		for (Upstream u : List.copyOf(this.upstreams.values())) {
 			if (!this.announced.containsKey(u.id())) {
 				missing(u);
@@ -255,15 +251,13 @@
 	}
 
 	private void missing(Upstream upstream) {
-		long now = this.clock.nanoTime();
-		long since = this.missingSince.computeIfAbsent(upstream, (u) -> now);
-		long left = Math.min(RETURN_LIMIT.toNanos() - this.platformReturn.sinceReturn().toNanos(),
-				MISSING_LIMIT.toNanos() - (now - since));
+		Duration missing = upstream.noteMissing(this.clock.nanoTime());
+		long left = Math.min(RETURN_LIMIT.minus(this.platformReturn.sinceReturn()).toNanos(),
+				MISSING_LIMIT.minus(missing).toNanos());
 		if ((left > 0) && !upstream.entry().leaving()) {
 			this.loop.schedule(this::retireMissing, left + TimeUnit.MILLISECONDS.toNanos(1), TimeUnit.NANOSECONDS);
 			return;
 		}
-		this.missingSince.remove(upstream);
 		retire(upstream, "entry gone");
 	}
 
