Hold token budgets on every streaming route, not only where turns are kept

Keeping turns and reserving tokens are two conditions now; a stream that is not kept settles its charge when it ends.

Ruled out: a gap in the ledger or in the settlement. The same tests pass on a route that keeps turns with the former code. Tests: BudgetTests, on both kinds of route.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -119,13 +119,30 @@
 	}
 
 	void startKeeper(String name, Path folder, int tolerance, boolean first) throws IOException, InterruptedException {
+		HttpAddress address = freeAddress(KEEPER_HOST);
+		this.keeperAddresses.add(address);
+		startKeeper(name, address, folder, tolerance, first);
+	}
+
+	/**
+	 * Starts a keeper that was stopped, with its disk and at its address.
+	 * @param index the keeper, in the order of the first starts
+	 * @param folder the folder of its data
+	 * @param tolerance how many disks may be lost
+	 * @throws IOException if the port is taken
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void restartKeeper(int index, Path folder, int tolerance) throws IOException, InterruptedException {
+		startKeeper("keeper-" + index, this.keeperAddresses.get(index), folder, tolerance, false);
+	}
+
+	private void startKeeper(String name, HttpAddress address, Path folder, int tolerance, boolean first)
+			throws IOException, InterruptedException {
 		PlatformStore client = newStore();
 		ConfigurationWatch watch = new ConfigurationWatch(client,
 				new ConfigurationHolder(new WireProtocol(), MonotonicClock.SYSTEM), MonotonicClock.SYSTEM);
 		KindCache retirements = new KindCache(client, ObjectKind.RETIREMENT, MonotonicClock.SYSTEM, () -> {
 		});
-		HttpAddress address = freeAddress(KEEPER_HOST);
-		this.keeperAddresses.add(address);
 		KeeperNode keeper = new KeeperNode(
 				new KeeperSettings(name, "dc", address, null, storeAddress(), folder, tolerance, first), client, watch,
 				new PlatformRetirements(client, retirements), this.metrics);
@@ -197,7 +214,7 @@
 	// ---- Configuration
 
 	/**
-	 * Writes a configuration with four routes and two workspaces.
+	 * Writes a configuration with five routes and two workspaces.
 	 * @param version the version
 	 * @param changes fields that replace those of the usual configuration
 	 * @throws IOException if the document cannot be read
@@ -207,6 +224,8 @@
 				{"routes":[
 				{"name":"turns","host":"check.example","path_prefix":"/turns/","kind":"streaming","timeout_ms":4000,
 				"service":"pool","max_attempts":2,"retains_context":true,"retention_s":60,"sticky_sessions":true},
+				{"name":"dialog","host":"check.example","path_prefix":"/dialog/","kind":"streaming","timeout_ms":4000,
+				"service":"pool","max_attempts":3,"retains_context":false,"retention_s":60,"resumable":true},
 				{"name":"read","host":"check.example","path_prefix":"/read/","kind":"safe","timeout_ms":4000,
 				"service":"pool","max_attempts":2},
 				{"name":"write","host":"check.example","path_prefix":"/write/","kind":"unsafe","timeout_ms":4000,
@@ -223,9 +242,20 @@
 	}
 
 	void addUpstream(String id, ScriptedUpstream upstream) {
+		addUpstream(id, upstream, 1);
+	}
+
+	/**
+	 * Announces an upstream as ready.
+	 * @param id its id
+	 * @param upstream the upstream
+	 * @param born the time of its start
+	 */
+	void addUpstream(String id, ScriptedUpstream upstream, long born) {
 		ObjectNode entryOf = MAPPER.createObjectNode();
 		entryOf.put("service", "pool").put("address", upstream.address()).put("zone", "dc").put("version", "1");
 		entryOf.put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0).put("seq", 1);
+		entryOf.put("born", born);
 		this.store.put("servers", id, entryOf);
 	}
 
@@ -242,14 +272,29 @@
 	 * @throws IOException if the connection breaks
 	 */
 	String exchange(String request) throws IOException {
-		try (Socket socket = connect()) {
+		return exchange(this.callers, request);
+	}
+
+	/**
+	 * Sends bytes to an entry on a connection of their own and reads what comes back.
+	 * @param entryCallers the address for callers of the entry
+	 * @param request the bytes
+	 * @return all bytes until the entry closes or the answer is whole
+	 * @throws IOException if the connection breaks
+	 */
+	static String exchange(HttpAddress entryCallers, String request) throws IOException {
+		try (Socket socket = connect(entryCallers)) {
 			socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
 			return readAnswer(socket);
 		}
 	}
 
 	Socket connect() throws IOException {
-		Socket socket = new Socket(this.callers.host(), this.callers.port());
+		return connect(this.callers);
+	}
+
+	private static Socket connect(HttpAddress entryCallers) throws IOException {
+		Socket socket = new Socket(entryCallers.host(), entryCallers.port());
 		socket.setSoTimeout(READ_LIMIT_MS);
 		return socket;
 	}
@@ -316,7 +361,7 @@
 		long startedAt = System.nanoTime();
 		String answer = "";
 		for (int i = 0; TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startedAt) < 60; i++) {
-			answer = exchange(request("POST", "/turns/x", "warm-" + i, "", "x"));
+			answer = exchange(request("POST", "/turns/x", "warm-" + this.entries + "-" + i, "", "x"));
 			if (answer.startsWith("HTTP/1.1 200")) {
 				return;
 			}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -245,19 +245,15 @@
 
 	private void admitted() {
 		this.pool = this.route.pool(ThreadLocalRandom.current().nextDouble());
-		if (!this.route.keepsTurns()) {
-			this.chainReady = true;
-			this.reservationDurable = true;
-			sendIfReady();
-			return;
-		}
-		if (this.server.isKeeperGroupAway()) {
+		if ((this.route.keepsTurns() || isBudgeted()) && this.server.isKeeperGroupAway()) {
 			refuse(Refusal.unavailable("keepers_away", "too few keepers are connected", COME_BACK));
 			return;
 		}
-		this.output = new ByteArrayOutputStream(1024);
-		this.chainReady = (this.head.previousTurn() == null);
-		this.reserved = (this.head.budget() == null);
+		if (this.route.keepsTurns()) {
+			this.output = new ByteArrayOutputStream(1024);
+		}
+		this.chainReady = !this.route.keepsTurns() || (this.head.previousTurn() == null);
+		this.reserved = !isBudgeted();
 		this.reservationDurable = this.reserved;
 		if (!this.reserved) {
 			this.server.keepers()
@@ -270,6 +266,11 @@
 		sendIfReady();
 	}
 
+	// Only events of streams hold tokens. Whether the turn is kept makes no difference.
+	private boolean isBudgeted() {
+		return (this.head.budget() != null) && (this.route.rule() == RepeatRule.STREAM);
+	}
+
 	private String program() {
 		return workspaceName() + "/" + ((this.head.program() != null) ? this.head.program() : this.head.requestId());
 	}
@@ -281,8 +282,7 @@
 	// ---- Attempts
 
 	private void sendIfReady() {
-		boolean ready = this.chainReady && (this.reserved || (this.head.budget() == null) || !this.route.keepsTurns());
-		if (ready && !this.ended && (this.attempt == null)) {
+		if (this.chainReady && this.reserved && !this.ended && (this.attempt == null)) {
 			send();
 		}
 	}
@@ -404,7 +404,7 @@
 		if (!this.ended) {
 			noteSilence();
 			end();
-			settleBroken();
+			settleCharge();
 			this.server.log()
 				.log(Event.RELAY_ABANDONED, "request", this.head.requestId(), "route", routeName(), "sent", this.sent,
 						"afterMillis", elapsed().toMillis(), "events", this.events);
@@ -433,7 +433,7 @@
 			return;
 		}
 		end();
-		settleBroken();
+		settleCharge();
 		if (refusal.verdict() == Verdict.NOT_RUN) {
 			giveBackRate();
 		}
@@ -454,7 +454,7 @@
 	 */
 	void breakOff(String cause) {
 		end();
-		settleBroken();
+		settleCharge();
 		this.server.log()
 			.log(Event.RELAY_BROKEN, "request", this.head.requestId(), "route", routeName(), "workspace",
 					workspaceName(), "cause", cause, "events", this.events, "afterMillis", elapsed().toMillis());
@@ -469,7 +469,7 @@
 	 * @param content its body, which is released
 	 */
 	void answer(Upstream upstream, AnswerHead answer, ByteBuf content) {
-		settleBroken();
+		settleCharge();
 		served(answer.status(), upstream);
 		this.caller.answer(answer.status(), answer.headers(), content);
 	}
@@ -505,23 +505,23 @@
 	 */
 	void endStream(Upstream upstream, int status) {
 		if (!this.route.keepsTurns()) {
+			settleCharge();
 			served(status, upstream);
 			this.caller.endStream();
 			return;
 		}
-		this.server.keepers()
-			.settle(program(), this.head.requestId(), tokens(), this.head.budget() != null, turn(), (kept) -> {
-				if (this.ended) {
-					return;
-				}
-				if (kept) {
-					served(status, upstream);
-					this.caller.endStream();
-				}
-				else {
-					breakOff("the turn was not confirmed by enough keepers");
-				}
-			});
+		this.server.keepers().settle(program(), this.head.requestId(), tokens(), isBudgeted(), turn(), (kept) -> {
+			if (this.ended) {
+				return;
+			}
+			if (kept) {
+				served(status, upstream);
+				this.caller.endStream();
+			}
+			else {
+				breakOff("the turn was not confirmed by enough keepers");
+			}
+		});
 	}
 
 	private void served(int status, Upstream upstream) {
@@ -545,9 +545,9 @@
 		}
 	}
 
-	// An attempt that did not end whole is charged with what its caller may have got.
-	private void settleBroken() {
-		if ((this.route != null) && this.route.keepsTurns() && (this.head.budget() != null) && (this.pool != null)) {
+	// Replaces the reservation by what the caller may have got.
+	private void settleCharge() {
+		if ((this.pool != null) && isBudgeted()) {
 			this.server.keepers().settle(program(), this.head.requestId(), tokens(), true, null, (done) -> {
 			});
 		}
