--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -29,6 +30,7 @@
 import org.mangorack.keeper.proto.Batch;
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Charge;
+import org.mangorack.keeper.proto.Departure;
 import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Drawn;
 import org.mangorack.keeper.proto.Listing;
@@ -66,6 +68,8 @@
 
 	private final LiveEntries entries;
 
+	private final Departures departures;
+
 	private final UpstreamList upstreams;
 
 	private final ConfigurationRelay configuration;
@@ -97,6 +101,7 @@
 		this.clock = clock;
 		this.buckets = new WorkspaceBuckets(clock, configuration);
 		this.entries = new LiveEntries(clock);
+		this.departures = new Departures(clock);
 	}
 
 	// ---- Life-cycle
@@ -268,6 +273,7 @@
 		Beat beat = request.getBeat();
 		this.entries.heard(beat);
 		this.buckets.use(beat.getUsageList());
+		beat.getDepartureList().forEach(this.departures::note);
 		takeConfiguration(beat);
 		Pulse.Builder pulse = Pulse.newBuilder()
 			.setTimeMs(TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime()))
@@ -299,6 +305,11 @@
 		if (this.entries.version() != beat.getEntries()) {
 			pulse.addAllEntry(this.entries.entries());
 		}
+		List<Departure> leaving = this.departures.all(Departures.LIFE);
+		pulse.setDepartures(this.departures.version());
+		if (this.departures.version() != beat.getDepartures()) {
+			pulse.addAllDeparture(leaving);
+		}
 	}
 
 	// A beat may have been held up on its way, but it was sent after the pulse that it
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
@@ -38,6 +38,7 @@
     usage_ = java.util.Collections.emptyList();
     load_ = java.util.Collections.emptyList();
     document_ = com.google.protobuf.ByteString.EMPTY;
+    departure_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -379,6 +380,82 @@
     return upstreams_;
   }
 
+  public static final int DEPARTURE_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<org.mangorack.keeper.proto.Departure> departure_;
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.mangorack.keeper.proto.Departure> getDepartureList() {
+    return departure_;
+  }
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.mangorack.keeper.proto.DepartureOrBuilder> 
+      getDepartureOrBuilderList() {
+    return departure_;
+  }
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  @java.lang.Override
+  public int getDepartureCount() {
+    return departure_.size();
+  }
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.Departure getDeparture(int index) {
+    return departure_.get(index);
+  }
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.DepartureOrBuilder getDepartureOrBuilder(
+      int index) {
+    return departure_.get(index);
+  }
+
+  public static final int DEPARTURES_FIELD_NUMBER = 16;
+  private long departures_ = 0L;
+  /**
+   * <pre>
+   * Version of the list of departures that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 departures = 16;</code>
+   * @return The departures.
+   */
+  @java.lang.Override
+  public long getDepartures() {
+    return departures_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -435,6 +512,12 @@
     if (upstreams_ != 0L) {
       output.writeUInt64(14, upstreams_);
     }
+    for (int i = 0; i < departure_.size(); i++) {
+      output.writeMessage(15, departure_.get(i));
+    }
+    if (departures_ != 0L) {
+      output.writeUInt64(16, departures_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -497,6 +580,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(14, upstreams_);
     }
+    for (int i = 0; i < departure_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, departure_.get(i));
+    }
+    if (departures_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(16, departures_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -540,6 +631,10 @@
         != other.getWithLists()) return false;
     if (getUpstreams()
         != other.getUpstreams()) return false;
+    if (!getDepartureList()
+        .equals(other.getDepartureList())) return false;
+    if (getDepartures()
+        != other.getDepartures()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -591,6 +686,13 @@
     hash = (37 * hash) + UPSTREAMS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getUpstreams());
+    if (getDepartureCount() > 0) {
+      hash = (37 * hash) + DEPARTURE_FIELD_NUMBER;
+      hash = (53 * hash) + getDepartureList().hashCode();
+    }
+    hash = (37 * hash) + DEPARTURES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDepartures());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -752,6 +854,14 @@
       pulseTimeMs_ = 0L;
       withLists_ = false;
       upstreams_ = 0L;
+      if (departureBuilder_ == null) {
+        departure_ = java.util.Collections.emptyList();
+      } else {
+        departure_ = null;
+        departureBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
+      departures_ = 0L;
       return this;
     }
 
@@ -803,6 +913,15 @@
       } else {
         result.load_ = loadBuilder_.build();
       }
+      if (departureBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          departure_ = java.util.Collections.unmodifiableList(departure_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.departure_ = departure_;
+      } else {
+        result.departure_ = departureBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.mangorack.keeper.proto.Beat result) {
@@ -843,6 +962,9 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.upstreams_ = upstreams_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.departures_ = departures_;
+      }
     }
 
     @java.lang.Override
@@ -951,6 +1073,35 @@
       if (other.getUpstreams() != 0L) {
         setUpstreams(other.getUpstreams());
       }
+      if (departureBuilder_ == null) {
+        if (!other.departure_.isEmpty()) {
+          if (departure_.isEmpty()) {
+            departure_ = other.departure_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureDepartureIsMutable();
+            departure_.addAll(other.departure_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.departure_.isEmpty()) {
+          if (departureBuilder_.isEmpty()) {
+            departureBuilder_.dispose();
+            departureBuilder_ = null;
+            departure_ = other.departure_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            departureBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDepartureFieldBuilder() : null;
+          } else {
+            departureBuilder_.addAllMessages(other.departure_);
+          }
+        }
+      }
+      if (other.getDepartures() != 0L) {
+        setDepartures(other.getDepartures());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1063,6 +1214,24 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 122: {
+              org.mangorack.keeper.proto.Departure m =
+                  input.readMessage(
+                      org.mangorack.keeper.proto.Departure.parser(),
+                      extensionRegistry);
+              if (departureBuilder_ == null) {
+                ensureDepartureIsMutable();
+                departure_.add(m);
+              } else {
+                departureBuilder_.addMessage(m);
+              }
+              break;
+            } // case 122
+            case 128: {
+              departures_ = input.readUInt64();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2148,6 +2317,362 @@
       return this;
     }
 
+    private java.util.List<org.mangorack.keeper.proto.Departure> departure_ =
+      java.util.Collections.emptyList();
+    private void ensureDepartureIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        departure_ = new java.util.ArrayList<org.mangorack.keeper.proto.Departure>(departure_);
+        bitField0_ |= 0x00004000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder> departureBuilder_;
+
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public java.util.List<org.mangorack.keeper.proto.Departure> getDepartureList() {
+      if (departureBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(departure_);
+      } else {
+        return departureBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public int getDepartureCount() {
+      if (departureBuilder_ == null) {
+        return departure_.size();
+      } else {
+        return departureBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public org.mangorack.keeper.proto.Departure getDeparture(int index) {
+      if (departureBuilder_ == null) {
+        return departure_.get(index);
+      } else {
+        return departureBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder setDeparture(
+        int index, org.mangorack.keeper.proto.Departure value) {
+      if (departureBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDepartureIsMutable();
+        departure_.set(index, value);
+        onChanged();
+      } else {
+        departureBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder setDeparture(
+        int index, org.mangorack.keeper.proto.Departure.Builder builderForValue) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        departureBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder addDeparture(org.mangorack.keeper.proto.Departure value) {
+      if (departureBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDepartureIsMutable();
+        departure_.add(value);
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder addDeparture(
+        int index, org.mangorack.keeper.proto.Departure value) {
+      if (departureBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDepartureIsMutable();
+        departure_.add(index, value);
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder addDeparture(
+        org.mangorack.keeper.proto.Departure.Builder builderForValue) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.add(builderForValue.build());
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder addDeparture(
+        int index, org.mangorack.keeper.proto.Departure.Builder builderForValue) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder addAllDeparture(
+        java.lang.Iterable<? extends org.mangorack.keeper.proto.Departure> values) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, departure_);
+        onChanged();
+      } else {
+        departureBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder clearDeparture() {
+      if (departureBuilder_ == null) {
+        departure_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
+        onChanged();
+      } else {
+        departureBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public Builder removeDeparture(int index) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.remove(index);
+        onChanged();
+      } else {
+        departureBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public org.mangorack.keeper.proto.Departure.Builder getDepartureBuilder(
+        int index) {
+      return internalGetDepartureFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public org.mangorack.keeper.proto.DepartureOrBuilder getDepartureOrBuilder(
+        int index) {
+      if (departureBuilder_ == null) {
+        return departure_.get(index);  } else {
+        return departureBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public java.util.List<? extends org.mangorack.keeper.proto.DepartureOrBuilder> 
+         getDepartureOrBuilderList() {
+      if (departureBuilder_ != null) {
+        return departureBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(departure_);
+      }
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public org.mangorack.keeper.proto.Departure.Builder addDepartureBuilder() {
+      return internalGetDepartureFieldBuilder().addBuilder(
+          org.mangorack.keeper.proto.Departure.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public org.mangorack.keeper.proto.Departure.Builder addDepartureBuilder(
+        int index) {
+      return internalGetDepartureFieldBuilder().addBuilder(
+          index, org.mangorack.keeper.proto.Departure.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Upstreams that told the sender lately that they leave.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+     */
+    public java.util.List<org.mangorack.keeper.proto.Departure.Builder> 
+         getDepartureBuilderList() {
+      return internalGetDepartureFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder> 
+        internalGetDepartureFieldBuilder() {
+      if (departureBuilder_ == null) {
+        departureBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder>(
+                departure_,
+                ((bitField0_ & 0x00004000) != 0),
+                getParentForChildren(),
+                isClean());
+        departure_ = null;
+      }
+      return departureBuilder_;
+    }
+
+    private long departures_ ;
+    /**
+     * <pre>
+     * Version of the list of departures that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 departures = 16;</code>
+     * @return The departures.
+     */
+    @java.lang.Override
+    public long getDepartures() {
+      return departures_;
+    }
+    /**
+     * <pre>
+     * Version of the list of departures that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 departures = 16;</code>
+     * @param value The departures to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDepartures(long value) {
+
+      departures_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the list of departures that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 departures = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDepartures() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      departures_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Beat)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
@@ -175,4 +175,58 @@
    * @return The upstreams.
    */
   long getUpstreams();
+
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  java.util.List<org.mangorack.keeper.proto.Departure> 
+      getDepartureList();
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  org.mangorack.keeper.proto.Departure getDeparture(int index);
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  int getDepartureCount();
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  java.util.List<? extends org.mangorack.keeper.proto.DepartureOrBuilder> 
+      getDepartureOrBuilderList();
+  /**
+   * <pre>
+   * Upstreams that told the sender lately that they leave.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 15;</code>
+   */
+  org.mangorack.keeper.proto.DepartureOrBuilder getDepartureOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Version of the list of departures that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 departures = 16;</code>
+   * @return The departures.
+   */
+  long getDepartures();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -86,6 +86,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_mangorack_keeper_Beat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_keeper_Departure_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_keeper_Departure_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_mangorack_keeper_Usage_descriptor;
   static final 
@@ -224,7 +229,7 @@
       "ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005Fetch\022" +
       "\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026.m" +
       "angorack.keeper.Turn\022\017\n\007missing\030\002 \001(\t\022\020\n" +
-      "\010complete\030\003 \001(\010\"\315\002\n\004Beat\022\020\n\010instance\030\001 \001" +
+      "\010complete\030\003 \001(\010\"\221\003\n\004Beat\022\020\n\010instance\030\001 \001" +
       "(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t" +
       "\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.man" +
       "gorack.keeper.Usage\022\025\n\rconfiguration\030\006 \001" +
@@ -232,50 +237,56 @@
       "orack.keeper.Load\022\026\n\016contact_age_ms\030\t \001(" +
       "\004\022\020\n\010document\030\n \001(\014\022\034\n\024configuration_age" +
       "_ms\030\013 \001(\004\022\025\n\rpulse_time_ms\030\014 \001(\003\022\022\n\nwith" +
-      "_lists\030\r \001(\010\022\021\n\tupstreams\030\016 \001(\004\"=\n\005Usage" +
-      "\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022\022\n\nbe" +
-      "ginnings\030\003 \001(\021\"X\n\004Load\022\020\n\010upstream\030\001 \001(\t" +
-      "\022\r\n\005calls\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\020\n\010pace" +
-      "_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\"\260\003\n\005Pulse\022&\n\005le" +
-      "vel\030\001 \003(\0132\027.mangorack.keeper.Level\022\025\n\rco" +
-      "nfiguration\030\002 \001(\004\022\034\n\024configuration_age_m" +
-      "s\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\022\017\n\007entries\030\005 \001" +
-      "(\004\022&\n\005entry\030\006 \003(\0132\027.mangorack.keeper.Ent" +
-      "ry\022$\n\004load\030\007 \003(\0132\026.mangorack.keeper.Load" +
-      "\022\026\n\016contact_age_ms\030\010 \001(\004\022\036\n\026entries_cont" +
-      "act_age_ms\030\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\022" +
-      "\017\n\007time_ms\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\t" +
-      "upstreams\030\r \001(\0132\036.mangorack.keeper.Upstr" +
-      "eamNews\0222\n\007contact\030\016 \001(\0132!.mangorack.kee" +
-      "per.PlatformContact\"G\n\017PlatformContact\022\021" +
-      "\n\tanswering\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006" +
-      "broken\030\003 \001(\010\"v\n\014UpstreamNews\022\017\n\007version\030" +
-      "\001 \001(\004\022\r\n\005whole\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 " +
-      ".mangorack.keeper.UpstreamObject\022\014\n\004gone" +
-      "\030\004 \003(\tJ\004\010\005\020\006\"0\n\016UpstreamObject\022\014\n\004name\030\001" +
-      " \001(\t\022\020\n\010document\030\002 \001(\014\"?\n\005Entry\022\020\n\010insta" +
-      "nce\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zon" +
-      "e\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005c" +
-      "alls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n\tw" +
-      "orkspace\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urg" +
-      "ent\030\003 \001(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017" +
-      "\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Ado" +
-      "pt\022$\n\004view\030\001 \001(\0132\026.mangorack.keeper.View" +
-      "\"\013\n\tInventory\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221" +
-      "\n\007program\030\002 \003(\0132 .mangorack.keeper.Progr" +
-      "amCharges\"K\n\016ProgramCharges\022\017\n\007program\030\001" +
-      " \001(\t\022(\n\006charge\030\002 \003(\0132\030.mangorack.keeper." +
-      "Charge\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n" +
-      "\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`\n\005S" +
-      "tore\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Tu" +
-      "rn\0221\n\007program\030\002 \003(\0132 .mangorack.keeper.P" +
-      "rogramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030" +
-      "\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keeper.T" +
-      "urnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack.keepe" +
-      "r.ProgramChargesH\000B\006\n\004body*N\n\006Status\022\006\n\002" +
-      "OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n" +
-      "\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.mangor" +
-      "ack.keeper.protoB\013KeeperProtoP\001b\006proto3"
+      "_lists\030\r \001(\010\022\021\n\tupstreams\030\016 \001(\004\022.\n\tdepar" +
+      "ture\030\017 \003(\0132\033.mangorack.keeper.Departure\022" +
+      "\022\n\ndepartures\030\020 \001(\004\"R\n\tDeparture\022\020\n\010upst" +
+      "ream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\022\n\nstarted_a" +
+      "t\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\004\"=\n\005Usage\022\021\n\twork" +
+      "space\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022\022\n\nbeginnings" +
+      "\030\003 \001(\021\"X\n\004Load\022\020\n\010upstream\030\001 \001(\t\022\r\n\005call" +
+      "s\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\020\n\010pace_sum\030\004 \001" +
+      "(\001\022\014\n\004pace\030\005 \001(\001\"\364\003\n\005Pulse\022&\n\005level\030\001 \003(" +
+      "\0132\027.mangorack.keeper.Level\022\025\n\rconfigurat" +
+      "ion\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003 \001(\004\022" +
+      "\020\n\010document\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022&\n\005en" +
+      "try\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004lo" +
+      "ad\030\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016cont" +
+      "act_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_" +
+      "ms\030\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_" +
+      "ms\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstream" +
+      "s\030\r \001(\0132\036.mangorack.keeper.UpstreamNews\022" +
+      "2\n\007contact\030\016 \001(\0132!.mangorack.keeper.Plat" +
+      "formContact\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdepar" +
+      "ture\030\020 \003(\0132\033.mangorack.keeper.Departure\"" +
+      "G\n\017PlatformContact\022\021\n\tanswering\030\001 \001(\010\022\021\n" +
+      "\tlength_ms\030\002 \001(\004\022\016\n\006broken\030\003 \001(\010\"v\n\014Upst" +
+      "reamNews\022\017\n\007version\030\001 \001(\004\022\r\n\005whole\030\002 \001(\010" +
+      "\0222\n\010upstream\030\003 \003(\0132 .mangorack.keeper.Up" +
+      "streamObject\022\014\n\004gone\030\004 \003(\tJ\004\010\005\020\006\"0\n\016Upst" +
+      "reamObject\022\014\n\004name\030\001 \001(\t\022\020\n\010document\030\002 \001" +
+      "(\014\"?\n\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_" +
+      "address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\t" +
+      "workspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warmin" +
+      "g\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\022\021\n\tbe" +
+      "ginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(\010\022\022\n\ncorrect" +
+      "ion\030\004 \001(\021\"*\n\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010r" +
+      "etry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.m" +
+      "angorack.keeper.View\"\013\n\tInventory\"J\n\007Lis" +
+      "ting\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .ma" +
+      "ngorack.keeper.ProgramCharges\"K\n\016Program" +
+      "Charges\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030\002 \003(\013" +
+      "2\030.mangorack.keeper.Charge\"\024\n\004Copy\022\014\n\004tu" +
+      "rn\030\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangor" +
+      "ack.keeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026" +
+      ".mangorack.keeper.Turn\0221\n\007program\030\002 \003(\0132" +
+      " .mangorack.keeper.ProgramCharges\"\202\001\n\010Lo" +
+      "gEntry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132" +
+      "\026.mangorack.keeper.TurnH\000\0223\n\007charges\030\003 \001" +
+      "(\0132 .mangorack.keeper.ProgramChargesH\000B\006" +
+      "\n\004body*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001" +
+      "\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_" +
+      "DISK\020\004B+\n\032org.mangorack.keeper.protoB\013Ke" +
+      "eperProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -352,111 +363,117 @@
     internal_static_mangorack_keeper_Beat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Beat_descriptor,
-        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "Document", "ConfigurationAgeMs", "PulseTimeMs", "WithLists", "Upstreams", });
-    internal_static_mangorack_keeper_Usage_descriptor =
+        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "Document", "ConfigurationAgeMs", "PulseTimeMs", "WithLists", "Upstreams", "Departure", "Departures", });
+    internal_static_mangorack_keeper_Departure_descriptor =
       getDescriptor().getMessageType(12);
+    internal_static_mangorack_keeper_Departure_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_keeper_Departure_descriptor,
+        new java.lang.String[] { "Upstream", "Address", "StartedAt", "AgeMs", });
+    internal_static_mangorack_keeper_Usage_descriptor =
+      getDescriptor().getMessageType(13);
     internal_static_mangorack_keeper_Usage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Usage_descriptor,
         new java.lang.String[] { "Workspace", "Calls", "Beginnings", });
     internal_static_mangorack_keeper_Load_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_mangorack_keeper_Load_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Load_descriptor,
         new java.lang.String[] { "Upstream", "Calls", "Answers", "PaceSum", "Pace", });
     internal_static_mangorack_keeper_Pulse_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_mangorack_keeper_Pulse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Pulse_descriptor,
-        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Document", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", "TimeMs", "WithLists", "Upstreams", "Contact", });
+        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Document", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", "TimeMs", "WithLists", "Upstreams", "Contact", "Departures", "Departure", });
     internal_static_mangorack_keeper_PlatformContact_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_mangorack_keeper_PlatformContact_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_PlatformContact_descriptor,
         new java.lang.String[] { "Answering", "LengthMs", "Broken", });
     internal_static_mangorack_keeper_UpstreamNews_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_mangorack_keeper_UpstreamNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_UpstreamNews_descriptor,
         new java.lang.String[] { "Version", "Whole", "Upstream", "Gone", });
     internal_static_mangorack_keeper_UpstreamObject_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_mangorack_keeper_UpstreamObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_UpstreamObject_descriptor,
         new java.lang.String[] { "Name", "Document", });
     internal_static_mangorack_keeper_Entry_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_mangorack_keeper_Entry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Entry_descriptor,
         new java.lang.String[] { "Instance", "CallerAddress", "Zone", });
     internal_static_mangorack_keeper_Level_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_mangorack_keeper_Level_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Level_descriptor,
         new java.lang.String[] { "Workspace", "Calls", "Warming", });
     internal_static_mangorack_keeper_Draw_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_mangorack_keeper_Draw_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Draw_descriptor,
         new java.lang.String[] { "Workspace", "Beginning", "Urgent", "Correction", });
     internal_static_mangorack_keeper_Drawn_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_mangorack_keeper_Drawn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Drawn_descriptor,
         new java.lang.String[] { "Granted", "RetryMs", });
     internal_static_mangorack_keeper_Adopt_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_mangorack_keeper_Adopt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Adopt_descriptor,
         new java.lang.String[] { "View", });
     internal_static_mangorack_keeper_Inventory_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_mangorack_keeper_Inventory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Inventory_descriptor,
         new java.lang.String[] { });
     internal_static_mangorack_keeper_Listing_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_mangorack_keeper_Listing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Listing_descriptor,
         new java.lang.String[] { "Turn", "Program", });
     internal_static_mangorack_keeper_ProgramCharges_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_mangorack_keeper_ProgramCharges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_ProgramCharges_descriptor,
         new java.lang.String[] { "Program", "Charge", });
     internal_static_mangorack_keeper_Copy_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_mangorack_keeper_Copy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Copy_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Batch_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_mangorack_keeper_Batch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Batch_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Store_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_mangorack_keeper_Store_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Store_descriptor,
         new java.lang.String[] { "Turn", "Program", });
     internal_static_mangorack_keeper_LogEntry_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_mangorack_keeper_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_LogEntry_descriptor,
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
@@ -32,6 +32,7 @@
     document_ = com.google.protobuf.ByteString.EMPTY;
     entry_ = java.util.Collections.emptyList();
     load_ = java.util.Collections.emptyList();
+    departure_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -410,6 +411,82 @@
     return contact_ == null ? org.mangorack.keeper.proto.PlatformContact.getDefaultInstance() : contact_;
   }
 
+  public static final int DEPARTURES_FIELD_NUMBER = 15;
+  private long departures_ = 0L;
+  /**
+   * <pre>
+   * Version of the list of departures.
+   * </pre>
+   *
+   * <code>uint64 departures = 15;</code>
+   * @return The departures.
+   */
+  @java.lang.Override
+  public long getDepartures() {
+    return departures_;
+  }
+
+  public static final int DEPARTURE_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.mangorack.keeper.proto.Departure> departure_;
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.mangorack.keeper.proto.Departure> getDepartureList() {
+    return departure_;
+  }
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.mangorack.keeper.proto.DepartureOrBuilder> 
+      getDepartureOrBuilderList() {
+    return departure_;
+  }
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  @java.lang.Override
+  public int getDepartureCount() {
+    return departure_.size();
+  }
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.Departure getDeparture(int index) {
+    return departure_.get(index);
+  }
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.DepartureOrBuilder getDepartureOrBuilder(
+      int index) {
+    return departure_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -466,6 +543,12 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(14, getContact());
     }
+    if (departures_ != 0L) {
+      output.writeUInt64(15, departures_);
+    }
+    for (int i = 0; i < departure_.size(); i++) {
+      output.writeMessage(16, departure_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -531,6 +614,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, getContact());
     }
+    if (departures_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(15, departures_);
+    }
+    for (int i = 0; i < departure_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, departure_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -580,6 +671,10 @@
       if (!getContact()
           .equals(other.getContact())) return false;
     }
+    if (getDepartures()
+        != other.getDepartures()) return false;
+    if (!getDepartureList()
+        .equals(other.getDepartureList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -636,6 +731,13 @@
       hash = (37 * hash) + CONTACT_FIELD_NUMBER;
       hash = (53 * hash) + getContact().hashCode();
     }
+    hash = (37 * hash) + DEPARTURES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDepartures());
+    if (getDepartureCount() > 0) {
+      hash = (37 * hash) + DEPARTURE_FIELD_NUMBER;
+      hash = (53 * hash) + getDepartureList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -771,6 +873,7 @@
         internalGetLoadFieldBuilder();
         internalGetUpstreamsFieldBuilder();
         internalGetContactFieldBuilder();
+        internalGetDepartureFieldBuilder();
       }
     }
     @java.lang.Override
@@ -817,6 +920,14 @@
         contactBuilder_.dispose();
         contactBuilder_ = null;
       }
+      departures_ = 0L;
+      if (departureBuilder_ == null) {
+        departure_ = java.util.Collections.emptyList();
+      } else {
+        departure_ = null;
+        departureBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
       return this;
     }
 
@@ -877,6 +988,15 @@
       } else {
         result.load_ = loadBuilder_.build();
       }
+      if (departureBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          departure_ = java.util.Collections.unmodifiableList(departure_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.departure_ = departure_;
+      } else {
+        result.departure_ = departureBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.mangorack.keeper.proto.Pulse result) {
@@ -921,6 +1041,9 @@
             : contactBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.departures_ = departures_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1047,6 +1170,35 @@
       if (other.hasContact()) {
         mergeContact(other.getContact());
       }
+      if (other.getDepartures() != 0L) {
+        setDepartures(other.getDepartures());
+      }
+      if (departureBuilder_ == null) {
+        if (!other.departure_.isEmpty()) {
+          if (departure_.isEmpty()) {
+            departure_ = other.departure_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureDepartureIsMutable();
+            departure_.addAll(other.departure_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.departure_.isEmpty()) {
+          if (departureBuilder_.isEmpty()) {
+            departureBuilder_.dispose();
+            departureBuilder_ = null;
+            departure_ = other.departure_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            departureBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDepartureFieldBuilder() : null;
+          } else {
+            departureBuilder_.addAllMessages(other.departure_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1171,6 +1323,24 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 114
+            case 120: {
+              departures_ = input.readUInt64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
+            case 130: {
+              org.mangorack.keeper.proto.Departure m =
+                  input.readMessage(
+                      org.mangorack.keeper.proto.Departure.parser(),
+                      extensionRegistry);
+              if (departureBuilder_ == null) {
+                ensureDepartureIsMutable();
+                departure_.add(m);
+              } else {
+                departureBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2738,6 +2908,362 @@
       return contactBuilder_;
     }
 
+    private long departures_ ;
+    /**
+     * <pre>
+     * Version of the list of departures.
+     * </pre>
+     *
+     * <code>uint64 departures = 15;</code>
+     * @return The departures.
+     */
+    @java.lang.Override
+    public long getDepartures() {
+      return departures_;
+    }
+    /**
+     * <pre>
+     * Version of the list of departures.
+     * </pre>
+     *
+     * <code>uint64 departures = 15;</code>
+     * @param value The departures to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDepartures(long value) {
+
+      departures_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the list of departures.
+     * </pre>
+     *
+     * <code>uint64 departures = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDepartures() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      departures_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.mangorack.keeper.proto.Departure> departure_ =
+      java.util.Collections.emptyList();
+    private void ensureDepartureIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        departure_ = new java.util.ArrayList<org.mangorack.keeper.proto.Departure>(departure_);
+        bitField0_ |= 0x00008000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder> departureBuilder_;
+
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public java.util.List<org.mangorack.keeper.proto.Departure> getDepartureList() {
+      if (departureBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(departure_);
+      } else {
+        return departureBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public int getDepartureCount() {
+      if (departureBuilder_ == null) {
+        return departure_.size();
+      } else {
+        return departureBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public org.mangorack.keeper.proto.Departure getDeparture(int index) {
+      if (departureBuilder_ == null) {
+        return departure_.get(index);
+      } else {
+        return departureBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder setDeparture(
+        int index, org.mangorack.keeper.proto.Departure value) {
+      if (departureBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDepartureIsMutable();
+        departure_.set(index, value);
+        onChanged();
+      } else {
+        departureBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder setDeparture(
+        int index, org.mangorack.keeper.proto.Departure.Builder builderForValue) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        departureBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder addDeparture(org.mangorack.keeper.proto.Departure value) {
+      if (departureBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDepartureIsMutable();
+        departure_.add(value);
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder addDeparture(
+        int index, org.mangorack.keeper.proto.Departure value) {
+      if (departureBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDepartureIsMutable();
+        departure_.add(index, value);
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder addDeparture(
+        org.mangorack.keeper.proto.Departure.Builder builderForValue) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.add(builderForValue.build());
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder addDeparture(
+        int index, org.mangorack.keeper.proto.Departure.Builder builderForValue) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        departureBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder addAllDeparture(
+        java.lang.Iterable<? extends org.mangorack.keeper.proto.Departure> values) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, departure_);
+        onChanged();
+      } else {
+        departureBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder clearDeparture() {
+      if (departureBuilder_ == null) {
+        departure_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+      } else {
+        departureBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public Builder removeDeparture(int index) {
+      if (departureBuilder_ == null) {
+        ensureDepartureIsMutable();
+        departure_.remove(index);
+        onChanged();
+      } else {
+        departureBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public org.mangorack.keeper.proto.Departure.Builder getDepartureBuilder(
+        int index) {
+      return internalGetDepartureFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public org.mangorack.keeper.proto.DepartureOrBuilder getDepartureOrBuilder(
+        int index) {
+      if (departureBuilder_ == null) {
+        return departure_.get(index);  } else {
+        return departureBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public java.util.List<? extends org.mangorack.keeper.proto.DepartureOrBuilder> 
+         getDepartureOrBuilderList() {
+      if (departureBuilder_ != null) {
+        return departureBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(departure_);
+      }
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public org.mangorack.keeper.proto.Departure.Builder addDepartureBuilder() {
+      return internalGetDepartureFieldBuilder().addBuilder(
+          org.mangorack.keeper.proto.Departure.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public org.mangorack.keeper.proto.Departure.Builder addDepartureBuilder(
+        int index) {
+      return internalGetDepartureFieldBuilder().addBuilder(
+          index, org.mangorack.keeper.proto.Departure.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * All departures, if the list changed.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+     */
+    public java.util.List<org.mangorack.keeper.proto.Departure.Builder> 
+         getDepartureBuilderList() {
+      return internalGetDepartureFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder> 
+        internalGetDepartureFieldBuilder() {
+      if (departureBuilder_ == null) {
+        departureBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder>(
+                departure_,
+                ((bitField0_ & 0x00008000) != 0),
+                getParentForChildren(),
+                isClean());
+        departure_ = null;
+      }
+      return departureBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Pulse)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
@@ -253,4 +253,58 @@
    * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
    */
   org.mangorack.keeper.proto.PlatformContactOrBuilder getContactOrBuilder();
+
+  /**
+   * <pre>
+   * Version of the list of departures.
+   * </pre>
+   *
+   * <code>uint64 departures = 15;</code>
+   * @return The departures.
+   */
+  long getDepartures();
+
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  java.util.List<org.mangorack.keeper.proto.Departure> 
+      getDepartureList();
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  org.mangorack.keeper.proto.Departure getDeparture(int index);
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  int getDepartureCount();
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  java.util.List<? extends org.mangorack.keeper.proto.DepartureOrBuilder> 
+      getDepartureOrBuilderList();
+  /**
+   * <pre>
+   * All departures, if the list changed.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Departure departure = 16;</code>
+   */
+  org.mangorack.keeper.proto.DepartureOrBuilder getDepartureOrBuilder(
+      int index);
 }
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -276,6 +276,7 @@
 			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load, true), (pulse) -> {
 				takeConfiguration(pulse, "seed", sentAt);
 				this.upstreams.take(pulse.getUpstreams());
+				this.upstreams.takeDepartures(pulse.getDepartureList());
 				openIfPrepared();
 			});
 		}
@@ -296,6 +297,8 @@
 			.setConfigurationAgeMs(this.configuration.age().toMillis() + 1)
 			.setEntries((known != null) ? known.entriesVersion() : 0)
 			.addAllLoad(load)
+			.addAllDeparture(this.upstreams.departures())
+			.setDepartures((known != null) ? known.departuresVersion() : 0)
 			.setContactAgeMs(sinceContact().toMillis())
 			.setPulseTimeMs((known != null) ? known.time() : 0)
 			.setWithLists(withLists)
@@ -326,6 +329,7 @@
 		this.rates.setLevels(member.getDisk(), pulse, reported);
 		if (pulse.getWithLists()) {
 			this.upstreams.take(pulse.getUpstreams());
+			this.upstreams.takeDepartures(pulse.getDepartureList());
 			this.upstreams.setLoadElsewhere(this.pulses.loadElsewhere());
 		}
 		openIfPrepared();
--- a/mangorack/src/main/java/org/mangorack/relay/FleetProtocol.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetProtocol.java
@@ -96,9 +96,11 @@
 	 * @param requestId the request that it answers, or {@code null}
 	 * @param notRun whether the upstream says that it did not run the request
 	 * @param signed whether it is certainly an answer of an upstream
+	 * @param leaving whether the upstream says that it leaves
 	 * @param headers the headers that the caller gets
 	 */
-	record AnswerHead(int status, String requestId, boolean notRun, boolean signed, HttpHeaders headers) {
+	record AnswerHead(int status, String requestId, boolean notRun, boolean signed, boolean leaving,
+			HttpHeaders headers) {
 
 		/**
 		 * Tells whether the request succeeded.
--- a/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
@@ -109,15 +109,17 @@
 		long now = this.clock.nanoTime();
 		long listedAt = (before != null) ? before.listedAt() : (now - LIST_LIFE.toNanos());
 		long version = (before != null) ? before.entriesVersion() : 0;
+		long departures = (before != null) ? before.departuresVersion() : 0;
 		List<Entry> entries = (before != null) ? before.entries() : List.of();
 		List<Load> load = (before != null) ? before.load() : List.of();
 		if (pulse.getWithLists()) {
 			entries = (version == pulse.getEntries()) ? entries : pulse.getEntryList();
 			version = pulse.getEntries();
+			departures = pulse.getDepartures();
 			load = pulse.getLoadList();
 			listedAt = now;
 		}
-		this.pulses.put(disk, new Known(now, listedAt, version, entries, load, pulse.getConfiguration(),
+		this.pulses.put(disk, new Known(now, listedAt, version, departures, entries, load, pulse.getConfiguration(),
 				pulse.getTimeMs(), Duration.ofMillis(pulse.getContactAgeMs())));
 		if (pulse.getWithLists()) {
 			refreshAddresses();
@@ -199,14 +201,15 @@
 	 * @param heardAt when, on the monotonic clock
 	 * @param listedAt when it last sent lists, on the monotonic clock
 	 * @param entriesVersion the version of its list of entries
+	 * @param departuresVersion the version of its list of departures
 	 * @param entries the entries that it hears
 	 * @param load calls under way at upstreams
 	 * @param configuration the version of its configuration
 	 * @param time the time on the keeper's own clock, in milliseconds
 	 * @param contactAge how long ago the platform last answered it
 	 */
-	record Known(long heardAt, long listedAt, long entriesVersion, List<Entry> entries, List<Load> load,
-			long configuration, long time, Duration contactAge) {
+	record Known(long heardAt, long listedAt, long entriesVersion, long departuresVersion, List<Entry> entries,
+			List<Load> load, long configuration, long time, Duration contactAge) {
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -55,6 +55,8 @@
 
 	private long avoidedUntil;
 
+	private boolean departing;
+
 	private boolean missing;
 
 	private long missingSince;
@@ -97,7 +99,19 @@
 	}
 
 	boolean isInUse() {
-		return this.inUse && !this.entry.leaving();
+		return this.inUse && !this.entry.leaving() && !this.departing;
+	}
+
+	/**
+	 * Tells whether it said in an answer that it leaves.
+	 * @return {@code true} if it did, whatever its entry says
+	 */
+	boolean isDeparting() {
+		return this.departing;
+	}
+
+	void setDeparting() {
+		this.departing = true;
 	}
 
 	void setInUse(boolean inUse) {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
@@ -12,6 +12,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 
@@ -109,6 +111,20 @@
 		}
 	}
 
+	/**
+	 * Notes that an upstream said in an answer that it leaves. Its idle connections are
+	 * closed, and it gets no further requests.
+	 * @param upstream the upstream
+	 */
+	void departing(Upstream upstream) {
+		if (!upstream.isDeparting()) {
+			upstream.setDeparting();
+			closeIdle(upstream, true);
+			EventLog.log(Event.UPSTREAM_OUT_OF_USE, "upstream", upstream.id(), "cause", "says that it leaves",
+					"underWay", upstream.underWay());
+		}
+	}
+
 	private UpstreamConnection takeIdle(Upstream upstream) {
 		while (!upstream.idle().isEmpty()) {
 			UpstreamConnection connection = upstream.idle().pop();
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -174,6 +174,9 @@
 			return;
 		}
 		AnswerHead head = this.protocol.answerHead(response);
+		if (head.leaving()) {
+			this.client.departing(this.upstream);
+		}
 		if (head.status() < 200) {
 			this.skipping = true;
 			return;
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -16,6 +16,8 @@
 import io.netty.channel.EventLoop;
 
 import org.mangorack.call.Jsons;
+import org.mangorack.keeper.Departures;
+import org.mangorack.keeper.proto.Departure;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.observe.Event;
@@ -54,6 +56,12 @@
 	 */
 	static final double STICKY_PACE = 1.6;
 
+	/**
+	 * How long keepers are told of a departure: several beats, so that one that gets lost
+	 * does no harm.
+	 */
+	static final Duration DEPARTURE_NEWS = Duration.ofSeconds(3);
+
 	private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
 	private final EventLoop loop;
@@ -73,6 +81,11 @@
 	// What the platform holds, as far as it can be read.
 	private final Map<String, UpstreamEntry> announced = new HashMap<>();
 
+	// Departures that this entry was told by the upstreams themselves.
+	private final Departures ownDepartures;
+
+	private final Departures heardDepartures;
+
 	private final PlatformReturn platformReturn;
 
 	private long version;
@@ -81,6 +94,8 @@
 			String dataCentre) {
 		this.loop = loop;
 		this.platformReturn = new PlatformReturn(clock);
+		this.ownDepartures = new Departures(clock);
+		this.heardDepartures = new Departures(clock);
 		this.protocol = protocol;
 		this.client = client;
 		this.clock = clock;
@@ -188,6 +203,42 @@
 			.toList();
 	}
 
+	/**
+	 * Returns what other entries are to know of upstreams that leave.
+	 * @return the latest departures that this entry was told by the upstreams
+	 */
+	List<Departure> departures() {
+		this.upstreams.values()
+			.stream()
+			.filter(Upstream::isDeparting)
+			.map((u) -> start(u.entry()))
+			.filter((start) -> !this.heardDepartures.contains(start))
+			.forEach(this.ownDepartures::note);
+		return this.ownDepartures.all(DEPARTURE_NEWS);
+	}
+
+	/**
+	 * Takes over what other entries were told by upstreams.
+	 * @param departures starts of upstreams that leave
+	 */
+	void takeDepartures(List<Departure> departures) {
+		for (Departure d : departures) {
+			Upstream known = this.upstreams.get(d.getUpstream());
+			boolean news = this.heardDepartures.note(d) && (known != null);
+			if (news && start(known.entry()).equals(d.toBuilder().clearAgeMs().build())) {
+				this.client.departing(known);
+			}
+		}
+	}
+
+	private static Departure start(UpstreamEntry entry) {
+		return Departure.newBuilder()
+			.setUpstream(entry.id())
+			.setAddress(entry.address().toString())
+			.setStartedAt(entry.startedAt())
+			.build();
+	}
+
 	// ---- Choice
 
 	/**
@@ -236,9 +287,13 @@
 			if (known != null) {
 				retire(known, "started again");
 			}
-			this.upstreams.put(entry.id(), new Upstream(entry, this.clock.nanoTime()));
+			Upstream fresh = new Upstream(entry, this.clock.nanoTime());
+			this.upstreams.put(entry.id(), fresh);
 			EventLog.log(Event.UPSTREAM_IN_USE, "upstream", entry.id(), "pool", entry.pool(), "address",
 					entry.address(), "leaving", entry.leaving());
+			if (this.heardDepartures.contains(start(entry))) {
+				this.client.departing(fresh);
+			}
 			return;
 		}
 		boolean leaves = entry.leaving() && !known.entry().leaving();
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/DeparturesTests.java
@@ -0,0 +1,67 @@
+package org.mangorack.keeper;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.keeper.proto.Departure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link Departures}, on a clock that the tests advance.
+ */
+class DeparturesTests {
+
+	private long now = 1;
+
+	private final Departures departures = new Departures(() -> this.now);
+
+	@Test
+	void aDepartureKeepsItsAgeOnItsWay() {
+		this.departures.note(departure(1, 500));
+		advance(Duration.ofMillis(250));
+		assertThat(this.departures.all(Departures.LIFE)).extracting(Departure::getAgeMs).containsExactly(750L);
+	}
+
+	@Test
+	void aDepartureIsNewOnceOnly() {
+		assertThat(this.departures.note(departure(1, 0))).isTrue();
+		long version = this.departures.version();
+		assertThat(this.departures.note(departure(1, 0))).isFalse();
+		assertThat(this.departures.version()).isEqualTo(version);
+		assertThat(this.departures.all(Departures.LIFE)).hasSize(1);
+	}
+
+	@Test
+	void anotherStartUnderTheSameIdDoesNotLeave() {
+		this.departures.note(departure(1, 0));
+		assertThat(this.departures.contains(departure(1, 0))).isTrue();
+		assertThat(this.departures.contains(departure(2, 0))).isFalse();
+		assertThat(this.departures.contains(departure(1, 0).toBuilder().setAddress("b:1").build())).isFalse();
+	}
+
+	@Test
+	void aDepartureThatIsOldOrArrivesOldIsForgotten() {
+		this.departures.note(departure(1, 0));
+		long version = this.departures.version();
+		advance(Departures.LIFE.plusMillis(1));
+		assertThat(this.departures.note(departure(2, Departures.LIFE.toMillis()))).isFalse();
+		assertThat(this.departures.all(Departures.LIFE)).isEmpty();
+		assertThat(this.departures.version()).isGreaterThan(version);
+	}
+
+	private void advance(Duration time) {
+		this.now += time.toNanos();
+	}
+
+	private static Departure departure(long start, long ageMillis) {
+		return Departure.newBuilder()
+			.setUpstream("u")
+			.setAddress("a:1")
+			.setStartedAt(start)
+			.setAgeMs(ageMillis)
+			.build();
+	}
+
+}
--- a/mangorack/src/test/java/org/mangorack/relay/UpstreamTableTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamTableTests.java
@@ -1,6 +1,7 @@
 package org.mangorack.relay;
 
 import java.lang.reflect.Proxy;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.mangorack.http.HttpAddress;
+import org.mangorack.keeper.proto.Departure;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.keeper.proto.UpstreamObject;
 import org.mangorack.observe.Metrics;
@@ -96,6 +98,47 @@
 		assertThat(isInUse()).isFalse();
 	}
 
+	@Test
+	void anUpstreamThatAnotherEntryWasToldLeavesIsNotUsed() {
+		this.table.takeDepartures(List.of(departure(1)));
+		assertThat(isInUse()).isFalse();
+		this.table.take(news().addUpstream(object()).build());
+		assertThat(isInUse()).isFalse();
+	}
+
+	@Test
+	void aDepartureThatIsHeardBeforeTheUpstreamHolds() {
+		remove();
+		this.table.takeDepartures(List.of(departure(1)));
+		this.table.take(news().addUpstream(object()).build());
+		assertThat(isInUse()).isFalse();
+	}
+
+	@Test
+	void theDepartureOfAnEarlierStartDoesNotHold() {
+		this.table.takeDepartures(List.of(departure(0)));
+		assertThat(isInUse()).isTrue();
+	}
+
+	@Test
+	void onlyWhatTheUpstreamItselfSaidIsPassedOnAndForAShortTime() {
+		Upstream upstream = this.table.choose("pool", Set.of(), null).orElseThrow();
+		upstream.setDeparting();
+		assertThat(this.table.departures()).containsExactly(departure(1));
+		advance(UpstreamTable.DEPARTURE_NEWS.toMillis() + 1);
+		assertThat(this.table.departures()).isEmpty();
+	}
+
+	@Test
+	void whatAnotherEntryWasToldIsNotPassedOn() {
+		this.table.takeDepartures(List.of(departure(1)));
+		assertThat(this.table.departures()).isEmpty();
+	}
+
+	private static Departure departure(long start) {
+		return Departure.newBuilder().setUpstream("u-1").setAddress("127.0.0.1:9").setStartedAt(start).build();
+	}
+
 	private void outage() {
 		this.first.failed();
 		this.second.failed();
