Resume streams on routes that allow it, at another upstream and within one answer

Cause: `resumable` was not read. Such a stream was taken as not repeatable, so a break cost the turn, before its first event as well as after it. A resumable stream is idempotent now. RelayCall's stream became a type of its own (StreamedAnswer): it knows the last whole event that the caller got, across attempts. After a break, an end within an event or a silence another upstream is asked to go on after that event, within the attempts of the route and the time left; the caller keeps the first head with its signature. A run that begins again, skips an event or sends ids that are no numbers is not joined. The caller's own Last-Event-Id is passed on as it is. The turn's charge is what the caller got, whatever was run for it. A stream that has begun is now broken off wherever it would have been refused; before, two places decided that by themselves.

Tests: ResumedStreamTests, StreamedAnswerTests, EventStreamScannerTests; not run against the former code, which sends no second attempt for a stream.

--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ResumedStreamTests.java
@@ -0,0 +1,199 @@
+package org.mangorack.bench.fleet;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mangorack.bench.fleet.ScriptedUpstream.Received;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Streams that break off on a route whose streams may be resumed.
+ */
+class ResumedStreamTests {
+
+	private static final String LAST_EVENT = "Last-Event-Id";
+
+	private static final String WHOLE = event(1) + event(2) + event(3);
+
+	private static final String END = "0\r\n\r\n";
+
+	@TempDir
+	Path folder;
+
+	private TestFleetNodes fleet;
+
+	private ScriptedUpstream upstream;
+
+	// What the upstream sends in answer to each attempt; an answer without an end is cut.
+	private volatile List<String> parts = List.of();
+
+	private volatile String heads = "";
+
+	@BeforeEach
+	void start() throws Exception {
+		this.upstream = new ScriptedUpstream((request, out, socket) -> {
+			int attempt = attempts(request.header("Request-Id")).size();
+			if (attempt > this.parts.size()) {
+				out.write(ScriptedUpstream.stream(request, "one"));
+				return true;
+			}
+			String part = this.parts.get(attempt - 1);
+			boolean plain = part.startsWith("HTTP/1.1");
+			out.write(ScriptedUpstream.bytes(plain ? part.replace("ID", request.header("Request-Id"))
+					: (ScriptedUpstream.streamHead(request)
+						.replace("Signature: s", "Signature: s" + attempt)
+						.replace("Content-Type", this.heads + "Content-Type") + part)));
+			out.flush();
+			return plain || part.endsWith(END);
+		});
+		this.fleet = new TestFleetNodes();
+		this.fleet.start(this.folder, 1, 0);
+		this.fleet.addUpstream("u-1", this.upstream);
+		this.fleet.awaitServing();
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.fleet.close();
+		this.upstream.close();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "id: 2\nda", "id: 2\ndata: two\n", "id", "id: 2\n" })
+	void aStreamThatBreaksGoesOnAfterTheLastWholeEvent(String torn) throws Exception {
+		this.parts = List.of(chunk(event(1) + torn), chunk(event(2)) + chunk(event(3)) + END);
+		String answer = call("r1", "");
+		assertThat(answer).containsOnlyOnce("HTTP/1.1 200").contains("Signature: s1").doesNotContain("Signature: s2");
+		assertThat(events(answer)).isEqualTo(WHOLE);
+		assertThat(TestFleetNodes.isWhole(answer)).isTrue();
+		assertThat(attempts("r1")).extracting((r) -> r.header(LAST_EVENT)).containsExactly(null, "1");
+	}
+
+	@Test
+	void aStreamThatEndsWithinAnEventGoesOn() throws Exception {
+		this.parts = List.of(chunk(event(1) + "id: 2\ndata: t") + END, chunk(event(2) + event(3)) + END);
+		assertThat(events(call("r1", ""))).isEqualTo(WHOLE);
+	}
+
+	@Test
+	void aStreamThatBreaksBeforeItsFirstEventBeginsAnew() throws Exception {
+		this.parts = List.of("", chunk("id: 1\nd"), chunk(WHOLE) + END);
+		assertThat(events(call("r1", ""))).isEqualTo(WHOLE);
+		assertThat(attempts("r1")).extracting((r) -> r.header(LAST_EVENT)).containsOnlyNulls().hasSize(3);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1", "3", "7", "x", "0" })
+	void aRunThatDoesNotGoOnThereIsNotJoined(String id) throws Exception {
+		this.parts = List.of(chunk(event(1)), chunk("id: " + id + "\ndata: other\n\n" + event(2)) + END,
+				chunk("id: " + id + "\ndata: other\n\n" + event(2)) + END);
+		String answer = call("r1", "");
+		assertThat(TestFleetNodes.isWhole(answer)).isFalse();
+		assertThat(events(answer)).isEqualTo(event(1));
+	}
+
+	@Test
+	void anotherUpstreamMayStillGoOnWhereOneDidNot() throws Exception {
+		this.parts = List.of(chunk(event(1)), chunk(event(1) + event(2)) + END, chunk(event(2) + event(3)) + END);
+		assertThat(events(call("r1", ""))).isEqualTo(WHOLE);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 500 Failed\r\nRequest-Id: ID\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\noops",
+			"HTTP/1.1 404 Gone\r\nRequest-Id: ID\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\noops" })
+	void aRefusedResumptionIsTriedAgainAndNeverJoined(String refusal) throws Exception {
+		this.parts = List.of(chunk(event(1)), refusal, chunk(event(2) + event(3)) + END);
+		assertThat(events(call("r1", ""))).isEqualTo(WHOLE);
+		this.parts = List.of(chunk(event(1)), refusal, refusal);
+		String answer = call("r2", "");
+		assertThat(TestFleetNodes.isWhole(answer)).isFalse();
+		assertThat(events(answer)).isEqualTo(event(1));
+	}
+
+	@Test
+	void theAttemptsOfTheRouteAndTheTimeLeftHold() throws Exception {
+		this.parts = List.of(chunk(event(1)), chunk(event(2)), chunk(event(3)), chunk(event(4)) + END);
+		assertThat(TestFleetNodes.isWhole(call("r1", ""))).isFalse();
+		List<Integer> left = attempts("r1").stream().map((r) -> Integer.parseInt(r.header("Time-Remaining"))).toList();
+		assertThat(left).hasSize(3).isSortedAccordingTo((a, b) -> b - a).allMatch((ms) -> ms <= 4000);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "1", "99", "many", "-1" })
+	void thePlaceThatTheCallerNamesIsPassedOn(String place) throws Exception {
+		this.parts = List.of(chunk(event(2)), chunk(event(3)) + END);
+		assertThat(events(call("r1", "Last-Event-Id: " + place + "\r\n"))).isEqualTo(event(2) + event(3));
+		assertThat(attempts("r1")).extracting((r) -> r.header(LAST_EVENT)).containsExactly(place, "2");
+	}
+
+	@Test
+	void anUpstreamThatSaidItLeavesIsNotResumedAt() throws Exception {
+		this.heads = "Server-Leaving: 1\r\n";
+		this.parts = List.of(chunk(event(1)), chunk(event(2) + event(3)) + END);
+		assertThat(TestFleetNodes.isWhole(call("r1", ""))).isFalse();
+		assertThat(attempts("r1")).hasSize(1);
+	}
+
+	@Test
+	void aResumedRunIsChargedOnceForWhatTheCallerGot() throws Exception {
+		String budget = "Program: p\r\nToken-Budget: 50\r\nToken-Counts: 1,30\r\n";
+		this.parts = List.of(chunk(event(1)), chunk(event(2)) + END);
+		assertThat(TestFleetNodes.isWhole(call("r1", budget))).isTrue();
+		assertThat(call("r2", budget)).startsWith("HTTP/1.1 200");
+		assertThat(call("r3", budget)).startsWith("HTTP/1.1 402");
+	}
+
+	@Test
+	void aStreamThatMayNotBeResumedIsCut() throws Exception {
+		this.parts = List.of(chunk(event(1)), chunk(event(2)) + END);
+		String answer = this.fleet.exchange(TestFleetNodes.request("POST", "/turns/1", "r1", "", "x"));
+		assertThat(TestFleetNodes.isWhole(answer)).isFalse();
+		assertThat(attempts("r1")).hasSize(1);
+	}
+
+	// ---- Helpers
+
+	private String call(String id, String headers) throws IOException {
+		return this.fleet.exchange(TestFleetNodes.request("POST", "/dialog/1", id, headers, "x"));
+	}
+
+	private List<Received> attempts(String id) {
+		return this.upstream.received().stream().filter((r) -> id.equals(r.header("Request-Id"))).toList();
+	}
+
+	private static String event(int id) {
+		return "id: " + id + "\ndata: e" + id + "\n\n";
+	}
+
+	private static String chunk(String content) {
+		return content.isEmpty() ? "" : ScriptedUpstream.chunk(content);
+	}
+
+	// The content of all chunks that arrived whole.
+	private static String events(String answer) {
+		StringBuilder content = new StringBuilder();
+		int at = answer.indexOf("\r\n\r\n") + 4;
+		while (at < answer.length()) {
+			int end = answer.indexOf("\r\n", at);
+			int length = (end < 0) ? 0 : Integer.parseInt(answer.substring(at, end), 16);
+			if (length == 0) {
+				break;
+			}
+			content.append(answer, end + 2, end + 2 + length);
+			at = end + 2 + length + 2;
+		}
+		return content.toString();
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -166,6 +166,9 @@
 	/** The caller left before its answer was whole. */
 	RELAY_ABANDONED(2104, Level.INFO, "request abandoned by caller"),
 
+	/** A stream that broke off goes on at another upstream. */
+	STREAM_RESUMED(2105, Level.INFO, "stream resumed"),
+
 	/** An attempt at an upstream failed. */
 	ATTEMPT_FAILED(2111, Level.INFO, "attempt failed"),
 
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -34,8 +34,6 @@
 
 	private boolean streaming;
 
-	private boolean headPassed;
-
 	private boolean whole;
 
 	private boolean over;
@@ -102,8 +100,8 @@
 		Duration left = this.call.sending();
 		this.sentAt = this.server.now();
 		CallHead head = this.call.head();
-		this.connection.send(head,
-				this.server.protocol().upstreamHeaders(head, this.upstream.entry(), this.call.shownWorkspace(), left),
+		this.connection.send(head, this.server.protocol()
+			.upstreamHeaders(head, this.upstream.entry(), this.call.shownWorkspace(), left, this.call.lastEventId()),
 				Unpooled.wrappedBuffer(this.call.wholeBody()), this);
 		this.call.awaitAnswer(left, this::patienceOver);
 	}
@@ -138,10 +136,11 @@
 	@Override
 	public void head(AnswerHead received) {
 		this.answer = received;
-		this.streaming = (this.call.route().rule() == RepeatRule.STREAM) && received.isSuccess() && received.signed()
+		this.streaming = this.call.route().rule().isStreamed() && received.isSuccess() && received.signed()
 				&& !received.notRun();
 		if (this.streaming) {
-			this.scanner = new EventStreamScanner(this.call.output());
+			this.call.stream().runBegins();
+			this.scanner = new EventStreamScanner(this.call.stream()::accept);
 		}
 	}
 
@@ -178,14 +177,18 @@
 		if (!this.streaming || (this.over && !this.whole) || !this.call.isReservationDurable()) {
 			return;
 		}
-		if (!this.headPassed) {
-			this.headPassed = true;
+		if (!this.call.stream().isBegun()) {
 			this.call.beginStream(this.answer);
 		}
 		int unscanned = this.held.readableBytes() - this.scannedBytes;
 		int length = this.scanner.scan(this.held.slice(this.held.readerIndex() + this.scannedBytes, unscanned));
 		pass(length);
-		if (this.whole) {
+		if (this.scanner.isRefused()) {
+			abort();
+			this.call.retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN,
+					this.upstream.id() + " does not go on after event " + this.call.stream().lastEventId());
+		}
+		else if (this.whole) {
 			endStream();
 		}
 	}
@@ -198,7 +201,6 @@
 			this.held.discardReadBytes();
 		}
 		this.scannedBytes = rest;
-		this.call.setEvents(this.scanner.events());
 	}
 
 	@Override
@@ -227,12 +229,15 @@
 			this.upstream.failed(this.server.now(), "unsigned answer");
 			this.call.retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + " answered unsigned");
 		}
-		else if ((this.answer.status() >= 500) && (this.call.route().rule() == RepeatRule.IDEMPOTENT)
-				&& this.call.mayTryAgain()) {
+		else if ((this.answer.status() >= 500) && this.call.route().rule().isIdempotent() && this.call.mayTryAgain()) {
 			this.upstream.failed(this.server.now(), "status " + this.answer.status());
 			this.call.retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN,
 					this.upstream.id() + " answered " + this.answer.status());
 		}
+		else if (this.call.isStreamBegun()) {
+			this.call.retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN,
+					this.upstream.id() + " answered " + this.answer.status() + " instead of going on");
+		}
 		else {
 			this.call.answer(this.upstream, this.answer, this.held);
 		}
@@ -253,7 +258,8 @@
 			return;
 		}
 		if (!this.scanner.isBetweenEvents() || (this.held.readableBytes() > 0)) {
-			this.call.breakOff("the stream of " + this.upstream.id() + " ended within an event");
+			this.call.retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN,
+					"the stream of " + this.upstream.id() + " ended within an event");
 			return;
 		}
 		this.call.endStream(this.upstream, this.answer.status());
@@ -266,12 +272,7 @@
 		}
 		finished();
 		this.upstream.failed(this.server.now(), cause);
-		if (this.headPassed) {
-			this.call.breakOff(this.upstream.id() + ": " + cause);
-		}
-		else {
-			this.call.retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + ": " + cause);
-		}
+		this.call.retryOrGiveUp(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + ": " + cause);
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/CallHead.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallHead.java
@@ -17,11 +17,14 @@
  * @param budget the tokens that all turns of the program may generate, or {@code null}
  * @param maxTokens the most tokens that this turn generates; 0 if it does not say
  * @param previousTurn the turn that this one continues, or {@code null}
+ * @param lastEventId the last event that the caller has of a stream which broke off, or
+ * {@code null}
  * @param affinity names the object that the request concerns, or {@code null}
  * @param headers all headers
  */
 public record CallHead(String method, String target, String host, String requestId, Duration timeLeft, String key,
-		String program, Long budget, int maxTokens, String previousTurn, String affinity, HttpHeaders headers) {
+		String program, Long budget, int maxTokens, String previousTurn, String lastEventId, String affinity,
+		HttpHeaders headers) {
 
 	/**
 	 * Returns the path without the query.
--- a/mangorack/src/main/java/org/mangorack/relay/EventStreamScanner.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EventStreamScanner.java
@@ -1,42 +1,49 @@
 package org.mangorack.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 import io.netty.buffer.ByteBuf;
 
 /**
- * Finds whole events in the bytes of an event stream and keeps their data. Bytes after
- * the last whole event wait for more.
+ * Finds whole events in the bytes of an event stream. Bytes after the last whole event
+ * wait for more.
  */
 final class EventStreamScanner {
 
 	private static final byte[] DATA = { 'd', 'a', 't', 'a', ':' };
 
+	private static final byte[] ID = { 'i', 'd', ':' };
+
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
 
-	private final ByteArrayOutputStream output;
+	private final ByteArrayOutputStream data = new ByteArrayOutputStream(256);
+
+	private final EventReceiver receiver;
+
+	private String id;
 
 	private boolean dataSeen;
 
-	private int events;
+	private boolean refused;
 
 	/**
 	 * Creates a scanner.
-	 * @param output receives the data of each event followed by a line feed, or
-	 * {@code null} if it is not kept
+	 * @param receiver gets each whole event that carries data
 	 */
-	EventStreamScanner(ByteArrayOutputStream output) {
-		this.output = output;
+	EventStreamScanner(EventReceiver receiver) {
+		this.receiver = receiver;
 	}
 
 	/**
 	 * Scans bytes.
 	 * @param bytes the next bytes of the stream; their indexes stay as they are
-	 * @return how many of them belong to whole events
+	 * @return how many of them belong to whole events that were taken
 	 */
 	int scan(ByteBuf bytes) {
 		int whole = 0;
-		for (int i = bytes.readerIndex(); i < bytes.writerIndex(); i++) {
+		for (int i = bytes.readerIndex(); (i < bytes.writerIndex()) && !this.refused; i++) {
 			byte b = bytes.getByte(i);
 			if (b != '\n') {
 				if (b != '\r') {
@@ -46,7 +53,7 @@
 			}
 			if (this.line.size() == 0) {
 				endEvent();
-				whole = i + 1 - bytes.readerIndex();
+				whole = this.refused ? whole : (i + 1 - bytes.readerIndex());
 			}
 			else {
 				endLine();
@@ -56,11 +63,11 @@
 	}
 
 	/**
-	 * Returns the number of whole events.
-	 * @return the events that carried data
+	 * Tells whether an event was not taken. Nothing is scanned after it.
+	 * @return {@code true} if the receiver refused an event
 	 */
-	int events() {
-		return this.events;
+	boolean isRefused() {
+		return this.refused;
 	}
 
 	/**
@@ -74,39 +81,51 @@
 	private void endLine() {
 		byte[] bytes = this.line.toByteArray();
 		this.line.reset();
-		if (!startsWithData(bytes)) {
-			return;
-		}
-		if (this.output != null) {
+		if (startsWith(bytes, DATA)) {
 			if (this.dataSeen) {
-				this.output.write('\n');
+				this.data.write('\n');
 			}
-			int from = ((bytes.length > DATA.length) && (bytes[DATA.length] == ' ')) ? (DATA.length + 1) : DATA.length;
-			this.output.write(bytes, from, bytes.length - from);
+			int from = valueStart(bytes, DATA);
+			this.data.write(bytes, from, bytes.length - from);
+			this.dataSeen = true;
+		}
+		else if (startsWith(bytes, ID)) {
+			int from = valueStart(bytes, ID);
+			this.id = new String(bytes, from, bytes.length - from, StandardCharsets.UTF_8);
 		}
-		this.dataSeen = true;
 	}
 
 	private void endEvent() {
 		if (this.dataSeen) {
+			this.refused = !this.receiver.event(this.id, this.data.toByteArray());
 			this.dataSeen = false;
-			this.events++;
-			if (this.output != null) {
-				this.output.write('\n');
-			}
+			this.data.reset();
 		}
+		this.id = null;
 	}
 
-	private static boolean startsWithData(byte[] bytes) {
-		if (bytes.length < DATA.length) {
-			return false;
-		}
-		for (int i = 0; i < DATA.length; i++) {
-			if (bytes[i] != DATA[i]) {
-				return false;
-			}
-		}
-		return true;
+	private static int valueStart(byte[] line, byte[] field) {
+		return ((line.length > field.length) && (line[field.length] == ' ')) ? (field.length + 1) : field.length;
+	}
+
+	private static boolean startsWith(byte[] line, byte[] field) {
+		return (line.length >= field.length) && (Arrays.mismatch(line, 0, field.length, field, 0, field.length) < 0);
+	}
+
+	/**
+	 * Receives events.
+	 */
+	@FunctionalInterface
+	interface EventReceiver {
+
+		/**
+		 * Receives a whole event.
+		 * @param id its id, or {@code null} if it has none
+		 * @param data its data, lines separated by line feeds
+		 * @return whether it is taken
+		 */
+		boolean event(String id, byte[] data);
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/FleetProtocol.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetProtocol.java
@@ -50,9 +50,12 @@
 	 * @param upstream the upstream
 	 * @param workspace the workspace of the caller's key, or {@code null}
 	 * @param timeLeft how long the answer is of use
+	 * @param lastEventId the event after which a stream goes on, or {@code null} if it
+	 * goes on where the caller said or from its start
 	 * @return the headers
 	 */
-	HttpHeaders upstreamHeaders(CallHead head, UpstreamEntry upstream, String workspace, Duration timeLeft);
+	HttpHeaders upstreamHeaders(CallHead head, UpstreamEntry upstream, String workspace, Duration timeLeft,
+			String lastEventId);
 
 	/**
 	 * Reads the head of an upstream's answer.
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -105,9 +105,7 @@
 
 	private String pool;
 
-	private ByteArrayOutputStream output;
-
-	private int events;
+	private StreamedAnswer stream;
 
 	private Verdict lastVerdict = Verdict.NOT_RUN;
 
@@ -138,11 +136,23 @@
 	}
 
 	/**
-	 * Returns what collects the text of the turn.
-	 * @return the output, or {@code null} if the route keeps no turns
+	 * Returns the stream that the caller gets.
+	 * @return the stream, or {@code null} if the route has none
+	 */
+	StreamedAnswer stream() {
+		return this.stream;
+	}
+
+	boolean isStreamBegun() {
+		return (this.stream != null) && this.stream.isBegun();
+	}
+
+	/**
+	 * Returns where the next attempt has to go on.
+	 * @return the id of the last event that the caller got, or {@code null}
 	 */
-	ByteArrayOutputStream output() {
-		return this.output;
+	String lastEventId() {
+		return (this.stream != null) ? this.stream.lastEventId() : null;
 	}
 
 	boolean isReservationDurable() {
@@ -249,8 +259,9 @@
 			refuse(Refusal.unavailable("keepers_away", "too few keepers are connected", COME_BACK));
 			return;
 		}
-		if (this.route.keepsTurns()) {
-			this.output = new ByteArrayOutputStream(1024);
+		if (this.route.rule().isStreamed()) {
+			this.stream = new StreamedAnswer(this.route.rule().isIdempotent(), this.route.keepsTurns(),
+					this.head.lastEventId());
 		}
 		this.chainReady = !this.route.keepsTurns() || (this.head.previousTurn() == null);
 		this.reserved = !isBudgeted();
@@ -268,7 +279,7 @@
 
 	// Only events of streams hold tokens. Whether the turn is kept makes no difference.
 	private boolean isBudgeted() {
-		return (this.head.budget() != null) && (this.route.rule() == RepeatRule.STREAM);
+		return (this.head.budget() != null) && this.route.rule().isStreamed();
 	}
 
 	private String program() {
@@ -302,6 +313,11 @@
 			return;
 		}
 		Upstream upstream = chosen.get();
+		if (isStreamBegun()) {
+			this.server.log()
+				.log(Event.STREAM_RESUMED, "request", this.head.requestId(), "upstream", upstream.id(), "afterEvent",
+						lastEventId(), "attempt", this.attempts + 1);
+		}
 		this.connects++;
 		this.attempt = new Attempt(this.server, this, upstream);
 		this.attempt.start();
@@ -338,7 +354,7 @@
 	 * @param over runs when the wait is over
 	 */
 	void awaitAnswer(Duration left, Runnable over) {
-		if (this.route.rule() == RepeatRule.IDEMPOTENT) {
+		if (this.route.rule().isIdempotent()) {
 			Duration patience = Duration.ofNanos((long) (left.toNanos() * PATIENCE));
 			cancel(this.patienceTask);
 			this.patienceTask = this.server.schedule(over,
@@ -364,7 +380,8 @@
 			.log(Event.ATTEMPT_FAILED, "request", this.head.requestId(), "upstream", upstream.id(), "attempt",
 					this.attempts, "verdict", verdict.wireName(), "cause", cause, "failures",
 					upstream.isAvoided(this.server.now()) ? "avoided" : "counted");
-		boolean mayRepeat = this.route.rule().allowsRetry(verdict) && mayTryAgain() && (this.connects < MAX_CONNECTS);
+		boolean mayRepeat = this.route.rule().allowsRetry(verdict) && mayTryAgain() && (this.connects < MAX_CONNECTS)
+				&& ((this.stream == null) || this.stream.mayBeSentAgain());
 		if (mayRepeat && (this.server.now() < this.deadline)) {
 			send();
 		}
@@ -384,10 +401,6 @@
 		if (this.ended) {
 			return;
 		}
-		if ((this.attempt != null) && this.attempt.isStreaming()) {
-			breakOff("the time of the request is over");
-			return;
-		}
 		noteSilence();
 		if (this.sent) {
 			refuse(Refusal.mayHaveRun(504, "upstream_slow", "no whole answer came in time"));
@@ -407,7 +420,7 @@
 			settleCharge();
 			this.server.log()
 				.log(Event.RELAY_ABANDONED, "request", this.head.requestId(), "route", routeName(), "sent", this.sent,
-						"afterMillis", elapsed().toMillis(), "events", this.events);
+						"afterMillis", elapsed().toMillis(), "events", events());
 			this.server.record(workspaceName(), routeName(), "abandoned", elapsed());
 		}
 	}
@@ -432,6 +445,10 @@
 		if (this.ended) {
 			return;
 		}
+		if (isStreamBegun()) {
+			breakOff(refusal.detail());
+			return;
+		}
 		end();
 		settleCharge();
 		if (refusal.verdict() == Verdict.NOT_RUN) {
@@ -457,7 +474,7 @@
 		settleCharge();
 		this.server.log()
 			.log(Event.RELAY_BROKEN, "request", this.head.requestId(), "route", routeName(), "workspace",
-					workspaceName(), "cause", cause, "events", this.events, "afterMillis", elapsed().toMillis());
+					workspaceName(), "cause", cause, "events", events(), "afterMillis", elapsed().toMillis());
 		this.server.record(workspaceName(), routeName(), "broken", elapsed());
 		this.caller.breakOff();
 	}
@@ -479,6 +496,7 @@
 	 * @param answer its head
 	 */
 	void beginStream(AnswerHead answer) {
+		this.stream.begin();
 		this.caller.beginStream(answer.status(), answer.headers());
 	}
 
@@ -490,14 +508,6 @@
 		this.caller.writePart(part);
 	}
 
-	/**
-	 * Notes how many events the caller got.
-	 * @param passed the events of this attempt so far
-	 */
-	void setEvents(int passed) {
-		this.events = passed;
-	}
-
 	/**
 	 * Ends a stream, once its turn outlives a loss of power.
 	 * @param upstream the upstream
@@ -530,7 +540,7 @@
 			this.server.log()
 				.log(Event.RELAY_SERVED, "request", this.head.requestId(), "status", status, "route", routeName(),
 						"workspace", workspaceName(), "program", this.head.program(), "upstream", upstream.id(),
-						"attempts", this.attempts, "afterMillis", elapsed().toMillis(), "events", this.events,
+						"attempts", this.attempts, "afterMillis", elapsed().toMillis(), "events", events(),
 						"configuration", this.configuration.version());
 		}
 		this.server.record(workspaceName(), routeName(), (status < 400) ? "ok" : "upstream_" + status, elapsed());
@@ -553,10 +563,14 @@
 		}
 	}
 
+	private int events() {
+		return (this.stream != null) ? this.stream.events() : 0;
+	}
+
 	private int tokens() {
 		int perEvent = (this.configuration.pool(this.pool) != null)
 				? this.configuration.pool(this.pool).tokensPerEvent() : 0;
-		return this.events * perEvent;
+		return events() * perEvent;
 	}
 
 	private static void cancel(Future<?> task) {
@@ -593,7 +607,7 @@
 			.setId(this.head.requestId())
 			.setWorkspace(workspaceName())
 			.setInput(ByteString.copyFrom(this.body))
-			.setOutput(ByteString.copyFrom(this.output.toByteArray()))
+			.setOutput(ByteString.copyFrom(this.stream.output()))
 			.setRetentionMs(this.route.retention().toMillis());
 		if (this.head.previousTurn() != null) {
 			turn.setPrevious(this.head.previousTurn());
@@ -658,11 +672,7 @@
 
 		@Override
 		public void unavailable(String cause) {
-			if (RelayCall.this.sent && !RelayCall.this.ended && (RelayCall.this.attempt != null)
-					&& RelayCall.this.attempt.isStreaming()) {
-				breakOff(cause);
-			}
-			else if (RelayCall.this.sent) {
+			if (RelayCall.this.sent) {
 				refuse(Refusal.mayHaveRun(502, "reservation_lost", cause));
 			}
 			else {
--- a/mangorack/src/test/java/org/mangorack/relay/EventStreamScannerTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/EventStreamScannerTests.java
@@ -23,45 +23,65 @@
 
 	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
+	private int events;
+
+	private final EventStreamScanner scanner = new EventStreamScanner(this::take);
+
 	@Property(seed = "3")
 	void theOutputDoesNotDependOnWhereTheStreamIsCut(@ForAll @IntRange(min = 0, max = 85) int first,
 			@ForAll @IntRange(min = 0, max = 85) int second) {
 		int low = Math.min(Math.min(first, second), STREAM.length());
 		int high = Math.min(Math.max(first, second), STREAM.length());
-		ByteArrayOutputStream kept = new ByteArrayOutputStream();
-		EventStreamScanner scanner = new EventStreamScanner(kept);
-		scanner.scan(bytes(STREAM.substring(0, low)));
-		scanner.scan(bytes(STREAM.substring(low, high)));
-		scanner.scan(bytes(STREAM.substring(high)));
-		assertThat(kept.toString(StandardCharsets.UTF_8)).isEqualTo("one\ntwo\nth\nree\n");
-		assertThat(scanner.events()).isEqualTo(3);
-		assertThat(scanner.isBetweenEvents()).isTrue();
+		StringBuilder kept = new StringBuilder();
+		EventStreamScanner cut = new EventStreamScanner((id, data) -> {
+			kept.append(id).append(' ').append(new String(data, StandardCharsets.UTF_8)).append('|');
+			return true;
+		});
+		cut.scan(bytes(STREAM.substring(0, low)));
+		cut.scan(bytes(STREAM.substring(low, high)));
+		cut.scan(bytes(STREAM.substring(high)));
+		assertThat(kept.toString()).isEqualTo("1 one|2 two|3 th\nree|");
+		assertThat(cut.isBetweenEvents()).isTrue();
 	}
 
 	@Test
 	void onlyWholeEventsCountAsPassable() {
-		EventStreamScanner scanner = new EventStreamScanner(this.output);
-		assertThat(scanner.scan(bytes("id: 1\ndata: one\n\nid: 2\nda"))).isEqualTo("id: 1\ndata: one\n\n".length());
-		assertThat(scanner.isBetweenEvents()).isFalse();
-		assertThat(scanner.events()).isEqualTo(1);
+		assertThat(this.scanner.scan(bytes("id: 1\ndata: one\n\nid: 2\nda")))
+			.isEqualTo("id: 1\ndata: one\n\n".length());
+		assertThat(this.scanner.isBetweenEvents()).isFalse();
+		assertThat(this.events).isEqualTo(1);
 	}
 
 	@ParameterizedTest
 	@ValueSource(strings = { ": a comment\n\n", "id: 4\n\n", "\n\n" })
 	void linesWithoutDataAreNoEvent(String text) {
-		EventStreamScanner scanner = new EventStreamScanner(this.output);
-		scanner.scan(bytes(text));
-		assertThat(scanner.events()).isZero();
+		this.scanner.scan(bytes(text));
+		assertThat(this.events).isZero();
 		assertThat(this.output.size()).isZero();
 	}
 
 	@Test
 	void carriageReturnsEndLinesToo() {
-		EventStreamScanner scanner = new EventStreamScanner(this.output);
-		scanner.scan(bytes("data: one\r\n\r\n"));
+		this.scanner.scan(bytes("data: one\r\n\r\n"));
 		assertThat(this.output.toString(StandardCharsets.UTF_8)).isEqualTo("one\n");
 	}
 
+	@Test
+	void nothingIsScannedAfterAnEventThatWasNotTaken() {
+		EventStreamScanner choosy = new EventStreamScanner((id, data) -> !id.equals("2"));
+		assertThat(choosy.scan(bytes("id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n")))
+			.isEqualTo("id: 1\ndata: one\n\n".length());
+		assertThat(choosy.isRefused()).isTrue();
+		assertThat(choosy.scan(bytes("id: 1\ndata: one\n\n"))).isZero();
+	}
+
+	private boolean take(String id, byte[] data) {
+		this.events++;
+		this.output.writeBytes(data);
+		this.output.write('\n');
+		return true;
+	}
+
 	private static ByteBuf bytes(String text) {
 		return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
 	}
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/relay/StreamedAnswerTests.java
@@ -0,0 +1,80 @@
+package org.mangorack.relay;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link StreamedAnswer}.
+ */
+class StreamedAnswerTests {
+
+	private final StreamedAnswer stream = new StreamedAnswer(true, true, null);
+
+	@Test
+	void aSecondRunGoesOnAfterTheLastEvent() {
+		run(this.stream, "1 2");
+		assertThat(this.stream.lastEventId()).isEqualTo("2");
+		assertThat(run(this.stream, "3 4")).isEqualTo("3 4");
+		assertThat(new String(this.stream.output(), StandardCharsets.UTF_8)).isEqualTo("d1\nd2\nd3\nd4\n");
+		assertThat(this.stream.events()).isEqualTo(4);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1 2, 1 2 3, ''", "1 2, 2 3, ''", "1 2, 4 5, ''", "1 2, x 3, ''", "1 2, 3 5 6, 3", "1 2, 3 3, 3",
+			"1 3, 2 4, ''", "1 3, 5 7, 5 7" })
+	void aSecondRunWithOtherEventsIsNotJoined(String first, String second, String taken) {
+		run(this.stream, first);
+		assertThat(run(this.stream, second)).isEqualTo(taken);
+	}
+
+	@Test
+	void aRunOfWhichTheCallerGotNothingMayBeginAnywhere() {
+		run(this.stream, "");
+		assertThat(this.stream.lastEventId()).isNull();
+		assertThat(run(this.stream, "1 2")).isEqualTo("1 2");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "x", "-1", "1.5", "99999999999999999999" })
+	void aStreamWhoseIdsAreNoNumbersIsNotResumed(String id) {
+		run(this.stream, "1 " + id);
+		assertThat(this.stream.mayBeSentAgain()).isFalse();
+	}
+
+	@Test
+	void aStreamThatIsNotResumableIsNotSentAgainOnceItBegan() {
+		StreamedAnswer once = new StreamedAnswer(false, false, null);
+		assertThat(once.mayBeSentAgain()).isTrue();
+		assertThat(run(once, "1 1 x")).isEqualTo("1 1 x");
+		assertThat(once.mayBeSentAgain()).isFalse();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "5, 6 7, 8, 8", "5, 6 7, 1, ''", "many, 6 7, 8, 8", "99, 6 7, 8, 8" })
+	void aCallerMayHaveResumedBefore(String callers, String first, String second, String taken) {
+		StreamedAnswer later = new StreamedAnswer(true, false, callers);
+		assertThat(run(later, first)).isEqualTo(first);
+		assertThat(run(later, second)).isEqualTo(taken);
+	}
+
+	// Returns the ids of the events that were taken, up to the first that was not.
+	private static String run(StreamedAnswer stream, String ids) {
+		stream.runBegins();
+		stream.begin();
+		StringBuilder taken = new StringBuilder();
+		for (String id : ids.isEmpty() ? new String[0] : ids.split(" ")) {
+			if (!stream.accept(id, ("d" + id).getBytes(StandardCharsets.UTF_8))) {
+				break;
+			}
+			taken.append(taken.isEmpty() ? "" : " ").append(id);
+		}
+		return taken.toString();
+	}
+
+}
