Count no wait for an owner as a wait for the rate

Cause, as the code reads: a call that meets a handover of its bucket asks again for up to eight seconds until an owner answers. The new owner starts with an empty bucket, and the first denial was then measured against the two seconds that a call may wait for a grant, though nearly all of that time had passed without an owner. A grant that came too late to be used counted as a denial as well. Now the wait for the rate begins with the first denial in time, and a late grant is an owner out of reach. Test: RateLimiterTests, on a clock; two of four cases fail with the former code.

--- a/mangorack/src/main/java/org/mangorack/limit/RateLimiter.java
+++ b/mangorack/src/main/java/org/mangorack/limit/RateLimiter.java
@@ -59,14 +59,20 @@
 	public Either<Refusal, Void> acquire(Workspace workspace) {
 		Account account = this.accounts.computeIfAbsent(workspace.id(), (id) -> new Account());
 		long startedAt = this.clock.nanoTime();
+		Long deniedSince = null;
 		account.arrived(startedAt);
 		while (true) {
 			Draw draw = account.takeOrDraw(workspace);
 			if (draw.taken()) {
 				return Either.right(null);
 			}
+			// Until the first denial a call waits for an owner, not for its rate.
+			if (draw.ownerReached() && (deniedSince == null)) {
+				deniedSince = this.clock.nanoTime();
+			}
 			Duration limit = draw.ownerReached() ? this.maxWait : OWNER_LIMIT;
-			boolean tooLate = this.clock.elapsed(startedAt).plus(draw.retryIn()).compareTo(limit) > 0;
+			Duration waited = this.clock.elapsed(draw.ownerReached() ? deniedSince : startedAt);
+			boolean tooLate = waited.plus(draw.retryIn()).compareTo(limit) > 0;
 			if (tooLate || !sleep(draw.retryIn())) {
 				return Either.left(draw.ownerReached() ? exceeded(workspace, draw.retryIn()) : ownerOut(workspace));
 			}
@@ -128,8 +134,12 @@
 			if (grant.isEmpty()) {
 				return new Draw(false, false, OWNER_RETRY);
 			}
-			boolean inTime = RateLimiter.this.clock.nanoTime() - now < GRANT_LIFE.toNanos();
-			this.granted = inTime ? grant.get().calls() : 0;
+			if (RateLimiter.this.clock.nanoTime() - now >= GRANT_LIFE.toNanos()) {
+				// A grant that came too late says nothing of the rate.
+				this.granted = 0;
+				return new Draw(false, false, OWNER_RETRY);
+			}
+			this.granted = grant.get().calls();
 			this.expiresAt = now + GRANT_LIFE.toNanos();
 			if (this.granted == 0) {
 				return new Draw(false, true, grant.get().retryIn());
@@ -144,7 +154,7 @@
 	 * The outcome of one try.
 	 *
 	 * @param taken whether the call was counted
-	 * @param ownerReached whether the owner of the bucket answered
+	 * @param ownerReached whether the owner of the bucket answered in time
 	 * @param retryIn how long to wait before the next try
 	 */
 	private record Draw(boolean taken, boolean ownerReached, Duration retryIn) {
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/limit/RateLimiterTests.java
@@ -0,0 +1,72 @@
+package org.mangorack.limit;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.call.WorkspaceId;
+import org.mangorack.config.Workspace;
+import org.mangorack.limit.BucketTable.Grant;
+import org.mangorack.observe.ManualClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link RateLimiter}: how long a call waits for a grant. On a clock that each
+ * draw advances.
+ */
+class RateLimiterTests {
+
+	private static final Duration MAX_WAIT = Duration.ofMillis(250);
+
+	private static final Workspace WORKSPACE = new Workspace(new WorkspaceId("w"), 2000, 4000, 1, 10,
+			Duration.ofMinutes(1), 0, Set.of());
+
+	private static final Optional<Grant> NO_OWNER = Optional.empty();
+
+	private static final Optional<Grant> NOTHING_YET = Optional.of(new Grant(0, Duration.ofMillis(1)));
+
+	private static final Optional<Grant> GRANTED = Optional.of(new Grant(1, Duration.ZERO));
+
+	private final ManualClock clock = new ManualClock();
+
+	@Test
+	void theTimeWithoutAnOwnerIsNoWaitForTheRate() {
+		assertThat(
+				acquire(Duration.ofMillis(100), List.of(NO_OWNER, NO_OWNER, NO_OWNER, NO_OWNER, NOTHING_YET, GRANTED)))
+			.isEqualTo("taken");
+	}
+
+	@Test
+	void aGrantThatComesTooLateIsNoRefusalForTheRate() {
+		assertThat(acquire(Duration.ofMillis(500), Collections.nCopies(20, GRANTED))).isEqualTo("rate_unavailable");
+	}
+
+	@Test
+	void aCallBeyondTheRateIsRefusedAfterItsWait() {
+		assertThat(
+				acquire(Duration.ofMillis(100), List.of(NOTHING_YET, NOTHING_YET, NOTHING_YET, NOTHING_YET, GRANTED)))
+			.isEqualTo("rate_exceeded");
+	}
+
+	@Test
+	void anOwnerThatStaysAwayIsNotWaitedForWithoutEnd() {
+		assertThat(acquire(Duration.ofSeconds(3), List.of(NO_OWNER, NO_OWNER, NO_OWNER, GRANTED)))
+			.isEqualTo("rate_unavailable");
+	}
+
+	private String acquire(Duration perDraw, List<Optional<Grant>> answers) {
+		Iterator<Optional<Grant>> next = answers.iterator();
+		RateLimiter limiter = new RateLimiter((workspace, wanted) -> {
+			this.clock.advance(perDraw);
+			return next.next();
+		}, this.clock, MAX_WAIT);
+		return limiter.acquire(WORKSPACE).fold((refusal) -> refusal.code(), (taken) -> "taken");
+	}
+
+}
