--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -67,10 +67,6 @@
 		return this.answer != null;
 	}
 
-	boolean isStreaming() {
-		return this.streaming;
-	}
-
 	// ---- Public API
 
 	/**
