Work out departures once a beat, and share the set-up of the fleet's tests

Read again as a newcomer; no behaviour is changed and the tests keep their assertions. An entry worked out its departures anew for each keeper that a beat goes to; it does so once, as for the load. A keeper built the list of departures for every beat only to let old ones expire; asking for the version does that now, and the list is built when it is sent. UpstreamTable compared starts by taking the age off a message itself; it asks Departures. Five test classes started the same fleet line by line and two had a sleep of their own, while a third waited for a latch that nobody counts down; they call one method each.

--- a/bench/src/test/java/org/mangorack/bench/fleet/BudgetTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/BudgetTests.java
@@ -40,9 +40,7 @@
 			return true;
 		});
 		this.fleet = new TestFleetNodes();
-		this.fleet.start(this.folder, 1, 0);
-		this.fleet.addUpstream("u-1", this.upstream);
-		this.fleet.awaitServing();
+		this.fleet.startServing(this.folder, this.upstream);
 	}
 
 	@AfterEach
@@ -67,7 +65,7 @@
 		this.fleet.awaitServing();
 		CountDownLatch refused = new CountDownLatch(1);
 		this.upstream.play((request, out, socket) -> {
-			await(refused, 2000);
+			await(refused);
 			out.write(ScriptedUpstream.stream(request, "one", "two"));
 			return true;
 		});
@@ -86,7 +84,7 @@
 					+ ScriptedUpstream.chunk("id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n")));
 			out.flush();
 			// No event is passed on before the reservation is synced.
-			await(new CountDownLatch(1), 700);
+			ScriptedUpstream.sleep(700);
 			return false;
 		});
 		assertThat(TestFleetNodes.isWhole(turn(path, "t1", BUDGET))).isFalse();
@@ -163,9 +161,9 @@
 		});
 	}
 
-	private static void await(CountDownLatch latch, long millis) {
+	private static void await(CountDownLatch latch) {
 		try {
-			latch.await(millis, TimeUnit.MILLISECONDS);
+			latch.await(2, TimeUnit.SECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
@@ -40,9 +40,7 @@
 			return true;
 		});
 		this.fleet = new TestFleetNodes();
-		this.fleet.start(this.folder, 1, 0);
-		this.fleet.addUpstream("u-1", this.upstream);
-		this.fleet.awaitServing();
+		this.fleet.startServing(this.folder, this.upstream);
 	}
 
 	@AfterEach
@@ -357,7 +355,7 @@
 	@Test
 	void aStopEndsCallsUnderWayAndTellsCallersToLeave() throws Exception {
 		this.upstream.play((request, out, socket) -> {
-			sleep(1500);
+			ScriptedUpstream.sleep(1500);
 			out.write(ScriptedUpstream.plain(request, "done"));
 			return true;
 		});
@@ -412,20 +410,11 @@
 		}
 	}
 
-	private static void sleep(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	private static void await(Supplier<Boolean> condition) {
 		long startedAt = System.nanoTime();
 		while (!condition.get()) {
 			assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startedAt)).isLessThan(30);
-			sleep(50);
+			ScriptedUpstream.sleep(50);
 		}
 	}
 
--- a/bench/src/test/java/org/mangorack/bench/fleet/LeavingUpstreamTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/LeavingUpstreamTests.java
@@ -58,9 +58,7 @@
 			return true;
 		});
 		this.fleet = new TestFleetNodes();
-		this.fleet.start(this.folder, 1, 0);
-		this.fleet.addUpstream("u-1", this.leaving);
-		this.fleet.awaitServing();
+		this.fleet.startServing(this.folder, this.leaving);
 	}
 
 	@AfterEach
--- a/bench/src/test/java/org/mangorack/bench/fleet/ResumedStreamTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ResumedStreamTests.java
@@ -57,9 +57,7 @@
 			return plain || part.endsWith(END);
 		});
 		this.fleet = new TestFleetNodes();
-		this.fleet.start(this.folder, 1, 0);
-		this.fleet.addUpstream("u-1", this.upstream);
-		this.fleet.awaitServing();
+		this.fleet.startServing(this.folder, this.upstream);
 	}
 
 	@AfterEach
--- a/bench/src/test/java/org/mangorack/bench/fleet/ScriptedUpstream.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ScriptedUpstream.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * An upstream whose answers a test writes byte by byte.
@@ -99,6 +100,19 @@
 		return text.getBytes(StandardCharsets.ISO_8859_1);
 	}
 
+	/**
+	 * Waits within a script or test.
+	 * @param millis the time in milliseconds
+	 */
+	static void sleep(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static void daemon(Runnable task) {
 		Thread thread = new Thread(task, "scripted-upstream");
 		thread.setDaemon(true);
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -101,6 +101,19 @@
 		startEntry(tolerance);
 	}
 
+	/**
+	 * Starts one keeper and an entry before one upstream, and waits until they serve.
+	 * @param folder receives the data of the keeper
+	 * @param upstream the upstream, which gets the id u-1
+	 * @throws IOException if a port is taken
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void startServing(Path folder, ScriptedUpstream upstream) throws IOException, InterruptedException {
+		start(folder, 1, 0);
+		addUpstream("u-1", upstream);
+		awaitServing();
+	}
+
 	/**
 	 * Starts another entry, which calls go to from then on. Its seeds are the keepers.
 	 * @param tolerance how many disks may be lost
--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -32,9 +32,7 @@
 			return true;
 		});
 		this.fleet = new TestFleetNodes();
-		this.fleet.start(this.folder, 1, 0);
-		this.fleet.addUpstream("u-1", this.upstream);
-		this.fleet.awaitServing();
+		this.fleet.startServing(this.folder, this.upstream);
 	}
 
 	@AfterEach
@@ -49,7 +47,7 @@
 			byte[] answer = ScriptedUpstream.plain(request, "for " + request.header("Request-Id"));
 			out.write(answer);
 			out.flush();
-			sleep(30);
+			ScriptedUpstream.sleep(30);
 			out.write(answer);
 			return true;
 		});
@@ -57,7 +55,7 @@
 			assertThat(call("GET", "/read/1", "r" + i)).startsWith("HTTP/1.1 200").endsWith("for r" + i);
 			// Some of the copies come while the connection is idle, others in the next
 			// call.
-			sleep(10 * (i % 4));
+			ScriptedUpstream.sleep(10 * (i % 4));
 		}
 	}
 
@@ -66,7 +64,7 @@
 		this.upstream.play((request, out, socket) -> {
 			write(out, ScriptedUpstream.streamHead(request));
 			for (int id = 1; id <= 4; id++) {
-				sleep(700);
+				ScriptedUpstream.sleep(700);
 				write(out, ScriptedUpstream.chunk("id: " + id + "\ndata: e" + id + "\n\n"));
 			}
 			write(out, "0\r\n\r\n");
@@ -83,7 +81,7 @@
 			write(out,
 					ScriptedUpstream.streamHead(request) + ScriptedUpstream.chunk("id: 1\ndata: e1\n\nid: 2\ndata: "));
 			for (int i = 0; i < 150; i++) {
-				sleep(100);
+				ScriptedUpstream.sleep(100);
 				write(out, ScriptedUpstream.chunk("."));
 			}
 			return false;
@@ -97,7 +95,7 @@
 	@Test
 	void theWorkOfASilentUpstreamIsNeitherStartedAgainNorGivenUp() throws Exception {
 		ScriptedUpstream.Script late = (request, out, socket) -> {
-			sleep(2500);
+			ScriptedUpstream.sleep(2500);
 			out.write(ScriptedUpstream.plain(request, "late"));
 			return true;
 		};
@@ -125,13 +123,4 @@
 		out.flush();
 	}
 
-	private static void sleep(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/Departures.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/Departures.java
@@ -43,6 +43,7 @@
 	 * @return the version of the list
 	 */
 	public long version() {
+		expire();
 		return this.version;
 	}
 
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -30,7 +29,6 @@
 import org.mangorack.keeper.proto.Batch;
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Charge;
-import org.mangorack.keeper.proto.Departure;
 import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Drawn;
 import org.mangorack.keeper.proto.Listing;
@@ -305,10 +303,9 @@
 		if (this.entries.version() != beat.getEntries()) {
 			pulse.addAllEntry(this.entries.entries());
 		}
-		List<Departure> leaving = this.departures.all(Departures.LIFE);
 		pulse.setDepartures(this.departures.version());
 		if (this.departures.version() != beat.getDepartures()) {
-			pulse.addAllDeparture(leaving);
+			pulse.addAllDeparture(this.departures.all(Departures.LIFE));
 		}
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -25,6 +25,7 @@
 import org.mangorack.keeper.GroupView;
 import org.mangorack.keeper.KeeperClient;
 import org.mangorack.keeper.proto.Beat;
+import org.mangorack.keeper.proto.Departure;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.PlatformContact;
@@ -270,10 +271,11 @@
 		List<Usage> usage = this.rates.takeUsage();
 		Map<String, Long> reported = this.rates.reported();
 		List<Load> load = this.upstreams.takeLoad();
+		List<Departure> departures = this.upstreams.departures();
 		boolean alone = (this.keepers.view().epoch() == 0) && (sentAt - this.seedsAskedAt >= SEED_INTERVAL.toNanos());
 		if (alone) {
 			this.seedsAskedAt = sentAt;
-			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load, true), (pulse) -> {
+			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load, departures, true), (pulse) -> {
 				takeConfiguration(pulse, "seed", sentAt);
 				this.upstreams.take(pulse.getUpstreams());
 				this.upstreams.takeDepartures(pulse.getDepartureList());
@@ -281,11 +283,11 @@
 			});
 		}
 		Set<String> listSources = this.pulses.listSources(this.keepers.connectedMembers());
-		this.keepers.beat((disk) -> beat(disk, usage, load, listSources.contains(disk)),
+		this.keepers.beat((disk) -> beat(disk, usage, load, departures, listSources.contains(disk)),
 				(member, pulse) -> heard(member, pulse, reported, sentAt));
 	}
 
-	private Beat beat(String disk, List<Usage> usage, List<Load> load, boolean withLists) {
+	private Beat beat(String disk, List<Usage> usage, List<Load> load, List<Departure> departures, boolean withLists) {
 		KeeperPulses.Known known = this.pulses.known(disk);
 		Beat.Builder beat = Beat.newBuilder()
 			.setInstance(this.settings.instance())
@@ -297,7 +299,7 @@
 			.setConfigurationAgeMs(this.configuration.age().toMillis() + 1)
 			.setEntries((known != null) ? known.entriesVersion() : 0)
 			.addAllLoad(load)
-			.addAllDeparture(this.upstreams.departures())
+			.addAllDeparture(departures)
 			.setDepartures((known != null) ? known.departuresVersion() : 0)
 			.setContactAgeMs(sinceContact().toMillis())
 			.setPulseTimeMs((known != null) ? known.time() : 0)
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -225,7 +225,7 @@
 		for (Departure d : departures) {
 			Upstream known = this.upstreams.get(d.getUpstream());
 			boolean news = this.heardDepartures.note(d) && (known != null);
-			if (news && start(known.entry()).equals(d.toBuilder().clearAgeMs().build())) {
+			if (news && this.heardDepartures.contains(start(known.entry()))) {
 				this.client.departing(known);
 			}
 		}
