Log and count the configuration documents that come from other instances

The logs could not tell a late configuration that was never learned from one that was copied too often: nothing said how many documents an instance gets, from whom, how large they are and how long they take to read. Event 1503 and the metrics mangorack_configuration_received, _received_bytes and _read do. No logic is changed.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -153,7 +153,8 @@
 			throws IOException, InterruptedException {
 		PlatformStore client = newStore();
 		ConfigurationWatch watch = new ConfigurationWatch(client,
-				new ConfigurationHolder(new WireProtocol(), MonotonicClock.SYSTEM), MonotonicClock.SYSTEM);
+				new ConfigurationHolder(new WireProtocol(), MonotonicClock.SYSTEM, this.metrics),
+				MonotonicClock.SYSTEM);
 		KindCache retirements = new KindCache(client, ObjectKind.RETIREMENT, MonotonicClock.SYSTEM, () -> {
 		});
 		KeeperNode keeper = new KeeperNode(
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -67,6 +67,9 @@
 	/** A stored configuration could not be read. */
 	CONFIGURATION_UNREADABLE(1502, Level.ERROR, "configuration unreadable"),
 
+	/** A document of the configuration came from another instance. */
+	CONFIGURATION_RECEIVED(1503, Level.INFO, "configuration received"),
+
 	/** A key was created. */
 	KEY_CREATED(1511, Level.INFO, "key created"),
 
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -11,6 +11,7 @@
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 
 /**
@@ -23,16 +24,20 @@
 
 	private final MonotonicClock clock;
 
+	private final Metrics metrics;
+
 	private volatile State state;
 
 	/**
 	 * Creates a holder without a configuration.
 	 * @param protocol reads documents
 	 * @param clock the time source
+	 * @param metrics counts documents and times their reading
 	 */
-	public ConfigurationHolder(FleetProtocol protocol, MonotonicClock clock) {
+	public ConfigurationHolder(FleetProtocol protocol, MonotonicClock clock, Metrics metrics) {
 		this.protocol = protocol;
 		this.clock = clock;
+		this.metrics = metrics;
 		this.state = new State(null, ByteString.EMPTY, clock.nanoTime() - Duration.ofDays(1).toNanos());
 	}
 
@@ -130,7 +135,17 @@
 	 */
 	public void offer(ByteString document, long confirmedAt, String source) {
 		try {
-			offer(Jsons.parse(document.toByteArray()), confirmedAt, source);
+			long startedAt = this.clock.nanoTime();
+			long before = version();
+			long version = offer(Jsons.parse(document.toByteArray()), confirmedAt, source);
+			Duration taken = this.clock.elapsed(startedAt);
+			boolean used = version > before;
+			String usedTag = Boolean.toString(used);
+			this.metrics.count("mangorack.configuration.received", 1, "used", usedTag);
+			this.metrics.count("mangorack.configuration.received.bytes", document.size(), "used", usedTag);
+			this.metrics.timer("mangorack.configuration.read").record(taken);
+			EventLog.log(Event.CONFIGURATION_RECEIVED, "version", version, "bytes", document.size(), "source", source,
+					"used", used, "readMillis", taken.toMillis());
 		}
 		catch (IOException ex) {
 			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "source", source);
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -158,7 +158,7 @@
 		this.keepersConnectedAt = this.clock.nanoTime();
 		this.protocol = protocol;
 		this.metrics = metrics;
-		this.configuration = new ConfigurationHolder(protocol, this.clock);
+		this.configuration = new ConfigurationHolder(protocol, this.clock, metrics);
 		this.keepers = new KeeperClient(this.loop, this.clock, settings.dataCentre(), settings.tolerance());
 		UpstreamClient client = new UpstreamClient(this.loop, protocol, this.clock, metrics);
 		this.upstreams = new UpstreamTable(this.loop, protocol, client, this.clock, settings.dataCentre());
--- a/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.mangorack.call.Jsons;
+import org.mangorack.observe.Metrics;
 import org.mangorack.relay.FleetConfiguration.CallerLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -21,7 +22,7 @@
 
 	private long now = 100 * SECOND;
 
-	private final ConfigurationHolder holder = new ConfigurationHolder(protocol(), () -> this.now);
+	private final ConfigurationHolder holder = new ConfigurationHolder(protocol(), () -> this.now, new Metrics());
 
 	@Test
 	void theVersionNeverGoesBack() {
