--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ConfigurationSpreadTests.java
@@ -0,0 +1,90 @@
+package org.mangorack.bench.fleet;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.mangorack.http.HttpAddress;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for the way of a configuration from the platform to all instances.
+ */
+class ConfigurationSpreadTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	// Several beats, in which instances that still name the version before would be sent
+	// another copy.
+	private static final Duration AFTERWARDS = Duration.ofSeconds(1);
+
+	private static final int KEEPERS = 3;
+
+	private static final int ENTRIES = 4;
+
+	private static final int ROUTES = 1400;
+
+	@Test
+	void aLargeConfigurationReachesEachInstanceInOneCopyAtMost(@TempDir Path folder)
+			throws IOException, InterruptedException {
+		try (TestFleetNodes fleet = new TestFleetNodes()) {
+			fleet.start(folder, KEEPERS, 1);
+			List<HttpAddress> callers = new ArrayList<>(List.of(fleet.callers()));
+			while (callers.size() < ENTRIES) {
+				fleet.startEntry(1);
+				callers.add(fleet.callers());
+			}
+			for (HttpAddress entry : callers) {
+				awaitStatus(entry, "/read/x", 503);
+			}
+			double before = fleet.documentsReceived();
+			fleet.configure(2, withMoreRoutes(ROUTES));
+			for (HttpAddress entry : callers) {
+				awaitStatus(entry, "/added-" + (ROUTES - 1) + "/x", 503);
+			}
+			TimeUnit.MILLISECONDS.sleep(AFTERWARDS.toMillis());
+			assertThat(fleet.documentsReceived() - before).isBetween((double) ENTRIES, (double) (ENTRIES + KEEPERS));
+		}
+	}
+
+	// The fleet has no upstream, so a request on a known route gets 503.
+	private static void awaitStatus(HttpAddress entry, String path, int status)
+			throws IOException, InterruptedException {
+		long startedAt = System.nanoTime();
+		String answer = "";
+		for (int i = 0; System.nanoTime() - startedAt < LIMIT.toNanos(); i++) {
+			answer = TestFleetNodes.exchange(entry, TestFleetNodes.request("GET", path, "probe-" + i, "", ""));
+			if (answer.startsWith("HTTP/1.1 " + status) && answer.contains("no_upstream")) {
+				return;
+			}
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		throw new IllegalStateException("no " + status + " for " + path + " at " + entry + ": " + answer);
+	}
+
+	private static ObjectNode withMoreRoutes(int count) throws IOException {
+		ObjectNode changes = TestFleetNodes.object("{\"routes\":[]}");
+		ArrayNode routes = (ArrayNode) changes.get("routes");
+		for (int i = 0; i < count; i++) {
+			routes.addObject()
+				.put("name", "added-" + i)
+				.put("host", TestFleetNodes.HOST)
+				.put("path_prefix", "/added-" + i + "/")
+				.put("kind", "safe")
+				.put("timeout_ms", 4000)
+				.put("service", "pool")
+				.put("max_attempts", 2);
+		}
+		return changes;
+	}
+
+}
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -17,6 +17,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.core.instrument.Counter;
 
 import org.mangorack.bench.standin.FleetStoreStandIn;
 import org.mangorack.http.HttpAddress;
@@ -216,6 +217,19 @@
 		return this.readiness;
 	}
 
+	/**
+	 * Returns how many configuration documents instances got from each other.
+	 * @return the number of documents, used or not
+	 */
+	double documentsReceived() {
+		return this.metrics.registry()
+			.find("mangorack.configuration.received")
+			.counters()
+			.stream()
+			.mapToDouble(Counter::count)
+			.sum();
+	}
+
 	PlatformStore newStore() {
 		return new PlatformStore(storeAddress(), new PooledHttpClient(Duration.ofSeconds(1)), (kind) -> WATCH,
 				MonotonicClock.SYSTEM, this.metrics);
--- a/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Set;
 
-import com.google.protobuf.ByteString;
+import org.mangorack.keeper.proto.ConfigurationDocument;
 
 /**
  * The newest configuration that a keeper knows, for entries that the platform refuses.
@@ -29,12 +29,13 @@
 	Duration sinceContact();
 
 	/**
-	 * Takes over a configuration that another instance has.
-	 * @param fresh its document
+	 * Takes over a configuration that another instance has. It is in force some time
+	 * later.
+	 * @param document its document
 	 * @param confirmedAt when it was certainly the newest one, on the monotonic clock
 	 * @param source the instance, for the log
 	 */
-	void offer(ByteString fresh, long confirmedAt, String source);
+	void offer(ConfigurationDocument document, long confirmedAt, String source);
 
 	/**
 	 * Notes that a version was the newest one.
@@ -44,10 +45,10 @@
 	void confirm(long version, long time);
 
 	/**
-	 * Returns the document as the platform holds it.
-	 * @return the bytes
+	 * Returns the document to pass on.
+	 * @return the document without its age; of version 0 before any is known
 	 */
-	ByteString document();
+	ConfigurationDocument document();
 
 	/**
 	 * Returns the rate limit of a workspace.
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -22,7 +21,9 @@
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Adopt;
 import org.mangorack.keeper.proto.Beat;
+import org.mangorack.keeper.proto.ConfigurationDocument;
 import org.mangorack.keeper.proto.Draw;
+import org.mangorack.keeper.proto.FetchConfiguration;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Pulse;
 import org.mangorack.keeper.proto.Reply;
@@ -242,9 +243,9 @@
 	/**
 	 * Sends a beat to every connected member.
 	 * @param beat makes the beat of a member from its disk
-	 * @param pulse receives the answer of a member
+	 * @param listener receives the answer of a member
 	 */
-	public void beat(Function<String, Beat> beat, BiConsumer<Member, Pulse> pulse) {
+	public void beat(Function<String, Beat> beat, PulseListener listener) {
 		for (KeeperLink link : List.copyOf(this.links.values())) {
 			if (!link.isUp()) {
 				continue;
@@ -256,7 +257,7 @@
 				@Override
 				public void replied(Reply reply) {
 					adoptView(reply);
-					pulse.accept(link.member(), reply.getPulse());
+					listener.heard(link.member(), reply.getPulse(), new LinkSource(link));
 				}
 
 				@Override
@@ -272,9 +273,9 @@
 	 * Does nothing once a group is known.
 	 * @param seeds addresses of keepers, which may be wrong
 	 * @param beat the beat to send
-	 * @param pulse receives the answer of a keeper
+	 * @param listener receives the answer of a keeper
 	 */
-	public void askSeeds(List<HttpAddress> seeds, Beat beat, Consumer<Pulse> pulse) {
+	public void askSeeds(List<HttpAddress> seeds, Beat beat, PulseListener listener) {
 		for (HttpAddress seed : seeds) {
 			Member member = Member.newBuilder()
 				.setName(seed.toString())
@@ -283,7 +284,7 @@
 				.build();
 			KeeperLink[] link = new KeeperLink[1];
 			link[0] = new KeeperLink(this.loop, member, this.clock,
-					() -> link[0].send(Request.newBuilder().setBeat(beat), new SeedReply(link[0], pulse)));
+					() -> link[0].send(Request.newBuilder().setBeat(beat), new SeedReply(link[0], listener)));
 			link[0].connect();
 			this.loop.schedule(link[0]::close, KeeperLink.SILENCE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
 		}
@@ -395,6 +396,62 @@
 		return crc.getValue();
 	}
 
+	/**
+	 * Receives what keepers answer to beats.
+	 */
+	@FunctionalInterface
+	public interface PulseListener {
+
+		/**
+		 * Reports the answer of a keeper.
+		 * @param member the keeper
+		 * @param pulse its answer
+		 * @param source the keeper, for its configuration
+		 */
+		void heard(Member member, Pulse pulse, ConfigurationSource source);
+
+	}
+
+	/**
+	 * Exchanges configuration documents on a link.
+	 */
+	private static class LinkSource implements ConfigurationSource {
+
+		private final KeeperLink link;
+
+		LinkSource(KeeperLink link) {
+			this.link = link;
+		}
+
+		@Override
+		public String name() {
+			return this.link.member().getName();
+		}
+
+		@Override
+		public void fetch(long known, Consumer<Optional<ConfigurationDocument>> done) {
+			Request.Builder request = Request.newBuilder()
+				.setFetchConfiguration(FetchConfiguration.newBuilder().setKnown(known));
+			this.link.send(request, new ReplyListener() {
+				@Override
+				public void replied(Reply reply) {
+					done.accept(Optional.of(reply.getConfiguration()).filter((c) -> c.getVersion() > known));
+				}
+
+				@Override
+				public void broke() {
+					done.accept(Optional.empty());
+				}
+			});
+		}
+
+		@Override
+		public void offer(ConfigurationDocument document) {
+			this.link.send(Request.newBuilder().setOfferConfiguration(document), ReplyListener.NONE);
+		}
+
+	}
+
 	/**
 	 * Takes over what a seed says and closes the link to it.
 	 */
@@ -402,18 +459,31 @@
 
 		private final KeeperLink link;
 
-		private final Consumer<Pulse> pulse;
+		private final PulseListener listener;
+
+		private boolean fetching;
 
-		private SeedReply(KeeperLink link, Consumer<Pulse> pulse) {
+		private SeedReply(KeeperLink link, PulseListener listener) {
 			this.link = link;
-			this.pulse = pulse;
+			this.listener = listener;
 		}
 
 		@Override
 		public void replied(Reply reply) {
 			adoptView(reply);
-			this.pulse.accept(reply.getPulse());
-			this.link.close();
+			this.listener.heard(this.link.member(), reply.getPulse(), new LinkSource(this.link) {
+				@Override
+				public void fetch(long known, Consumer<Optional<ConfigurationDocument>> done) {
+					SeedReply.this.fetching = true;
+					super.fetch(known, (document) -> {
+						done.accept(document);
+						SeedReply.this.link.close();
+					});
+				}
+			});
+			if (!this.fetching) {
+				this.link.close();
+			}
 		}
 
 		@Override
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -11,6 +11,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -88,7 +89,8 @@
 				@Override
 				protected void initChannel(SocketChannel ch) {
 					ch.pipeline()
-						.addLast(new ProtobufVarint32FrameDecoder(), new ProtobufDecoder(Reply.getDefaultInstance()),
+						.addLast(new ArrivalNote(), new ProtobufVarint32FrameDecoder(),
+								new ProtobufDecoder(Reply.getDefaultInstance()),
 								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
 				}
 			})
@@ -169,6 +171,19 @@
 		scheduleConnect();
 	}
 
+	/**
+	 * Notes when bytes arrive. A long reply on a narrow link is no silence.
+	 */
+	private final class ArrivalNote extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext ctx, Object message) {
+			KeeperLink.this.lastReceived = KeeperLink.this.clock.nanoTime();
+			ctx.fireChannelRead(message);
+		}
+
+	}
+
 	/**
 	 * Matches replies with requests.
 	 */
@@ -197,7 +212,6 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, Reply reply) {
 			KeeperLink link = KeeperLink.this;
-			link.lastReceived = link.clock.nanoTime();
 			boolean last = reply.getDurable() || (reply.getStatusValue() != 0);
 			Pending waiting = last ? link.pending.remove(reply.getId()) : link.pending.get(reply.getId());
 			if (waiting != null) {
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -10,6 +10,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -29,6 +30,7 @@
 import org.mangorack.keeper.proto.Batch;
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Charge;
+import org.mangorack.keeper.proto.ConfigurationDocument;
 import org.mangorack.keeper.proto.Draw;
 import org.mangorack.keeper.proto.Drawn;
 import org.mangorack.keeper.proto.Listing;
@@ -55,6 +57,12 @@
 
 	private static final Duration LIVENESS_INTERVAL = Duration.ofMillis(200);
 
+	/**
+	 * How long an entry may take to send a configuration that this keeper wants, before
+	 * another one is asked.
+	 */
+	private static final Duration OFFER_LIMIT = Duration.ofSeconds(1);
+
 	// For what was confirmed at a time that is not known.
 	private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
 
@@ -72,6 +80,8 @@
 
 	private final ConfigurationRelay configuration;
 
+	private final ConfigurationTransfers transfers;
+
 	private final ViewFile viewFile;
 
 	private final String disk;
@@ -83,6 +93,8 @@
 
 	private volatile GroupView view;
 
+	private long configurationWantedAt;
+
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
 	private Channel listening;
@@ -100,6 +112,8 @@
 		this.buckets = new WorkspaceBuckets(clock, configuration);
 		this.entries = new LiveEntries(clock);
 		this.departures = new Departures(clock);
+		this.transfers = new ConfigurationTransfers(loops.next(), clock);
+		this.configurationWantedAt = clock.nanoTime() - OFFER_LIMIT.toNanos();
 	}
 
 	// ---- Life-cycle
@@ -224,6 +238,7 @@
 			case COPY -> out.accept(durable()
 				.setBatch(Batch.newBuilder().addAllTurn(this.turns.turns(request.getCopy().getTurnList()))));
 			case STORE -> store(request.getStore(), out);
+			case OFFER_CONFIGURATION -> takeOffer(request.getOfferConfiguration(), out);
 			default -> out.accept(Reply.newBuilder().setStatus(Status.FAILED));
 		}
 	}
@@ -282,9 +297,7 @@
 			.setEntriesContactAgeMs(this.entries.sinceContact().toMillis())
 			.setEntriesHeard(this.entries.count())
 			.setContact(this.upstreams.contact());
-		if (this.configuration.version() > beat.getConfiguration()) {
-			pulse.setDocument(this.configuration.document());
-		}
+		pulse.setConfigurationWanted(wantsConfiguration(beat));
 		if (beat.getWithLists()) {
 			addLists(beat, pulse);
 		}
@@ -317,12 +330,34 @@
 		boolean known = (beat.getPulseTimeMs() != 0) && (sentAfter <= now);
 		long confirmedAt = known ? (sentAfter - TimeUnit.MILLISECONDS.toNanos(beat.getConfigurationAgeMs()))
 				: (now - UNKNOWN_AGE.toNanos());
-		if (!beat.getDocument().isEmpty()) {
-			this.configuration.offer(beat.getDocument(), confirmedAt, beat.getInstance());
+		this.configuration.confirm(beat.getConfiguration(), confirmedAt);
+	}
+
+	// One entry at a time is asked for a newer configuration.
+	private boolean wantsConfiguration(Beat beat) {
+		long now = this.clock.nanoTime();
+		boolean wanted = (beat.getConfiguration() > this.configuration.version())
+				&& (now - this.configurationWantedAt > OFFER_LIMIT.toNanos());
+		if (wanted) {
+			this.configurationWantedAt = now;
 		}
-		else {
-			this.configuration.confirm(beat.getConfiguration(), confirmedAt);
+		return wanted;
+	}
+
+	// An offer does not tell when it was sent, so it confirms nothing; the next beat
+	// does.
+	private void takeOffer(ConfigurationDocument document, Consumer<Reply.Builder> out) {
+		this.configuration.offer(document, this.clock.nanoTime() - UNKNOWN_AGE.toNanos(), "entry");
+		out.accept(durable());
+	}
+
+	private Reply.Builder newerConfiguration(long known) {
+		Reply.Builder reply = durable();
+		if (this.configuration.version() > known) {
+			reply.setConfiguration(
+					this.configuration.document().toBuilder().setAgeMs(this.configuration.age().toMillis() + 1));
 		}
+		return reply;
 	}
 
 	private void draw(Draw draw, Consumer<Reply.Builder> out) {
@@ -390,13 +425,24 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, Request request) {
-			KeeperService.this.handle(request, (reply) -> {
+			KeeperService service = KeeperService.this;
+			if (request.hasFetchConfiguration()) {
+				long known = request.getFetchConfiguration().getKnown();
+				service.transfers
+					.add((end) -> write(ctx, request, service.newerConfiguration(known)).addListener((f) -> end.run()));
+				return;
+			}
+			service.handle(request, (reply) -> {
 				if (ctx.channel().isActive()) {
-					ctx.writeAndFlush(reply.setId(request.getId()).build());
+					write(ctx, request, reply);
 				}
 			});
 		}
 
+		private static ChannelFuture write(ChannelHandlerContext ctx, Request request, Reply.Builder reply) {
+			return ctx.writeAndFlush(reply.setId(request.getId()).build());
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 			EventLog.log(Event.KEEPER_CALLER_LOST, "peer", ctx.channel().remoteAddress(), "cause", cause);
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
@@ -37,7 +37,6 @@
     zone_ = "";
     usage_ = java.util.Collections.emptyList();
     load_ = java.util.Collections.emptyList();
-    document_ = com.google.protobuf.ByteString.EMPTY;
     departure_ = java.util.Collections.emptyList();
   }
 
@@ -305,21 +304,6 @@
     return contactAgeMs_;
   }
 
-  public static final int DOCUMENT_FIELD_NUMBER = 10;
-  private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
-  /**
-   * <pre>
-   * The configuration document, if it is newer than the one the keeper last named.
-   * </pre>
-   *
-   * <code>bytes document = 10;</code>
-   * @return The document.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getDocument() {
-    return document_;
-  }
-
   public static final int CONFIGURATION_AGE_MS_FIELD_NUMBER = 11;
   private long configurationAgeMs_ = 0L;
   /**
@@ -497,9 +481,6 @@
     if (contactAgeMs_ != 0L) {
       output.writeUInt64(9, contactAgeMs_);
     }
-    if (!document_.isEmpty()) {
-      output.writeBytes(10, document_);
-    }
     if (configurationAgeMs_ != 0L) {
       output.writeUInt64(11, configurationAgeMs_);
     }
@@ -560,10 +541,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, contactAgeMs_);
     }
-    if (!document_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(10, document_);
-    }
     if (configurationAgeMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(11, configurationAgeMs_);
@@ -621,8 +598,6 @@
         .equals(other.getLoadList())) return false;
     if (getContactAgeMs()
         != other.getContactAgeMs()) return false;
-    if (!getDocument()
-        .equals(other.getDocument())) return false;
     if (getConfigurationAgeMs()
         != other.getConfigurationAgeMs()) return false;
     if (getPulseTimeMs()
@@ -672,8 +647,6 @@
     hash = (37 * hash) + CONTACT_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getContactAgeMs());
-    hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
-    hash = (53 * hash) + getDocument().hashCode();
     hash = (37 * hash) + CONFIGURATION_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationAgeMs());
@@ -849,7 +822,6 @@
       }
       bitField0_ = (bitField0_ & ~0x00000080);
       contactAgeMs_ = 0L;
-      document_ = com.google.protobuf.ByteString.EMPTY;
       configurationAgeMs_ = 0L;
       pulseTimeMs_ = 0L;
       withLists_ = false;
@@ -860,7 +832,7 @@
         departure_ = null;
         departureBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00004000);
+      bitField0_ = (bitField0_ & ~0x00002000);
       departures_ = 0L;
       return this;
     }
@@ -914,9 +886,9 @@
         result.load_ = loadBuilder_.build();
       }
       if (departureBuilder_ == null) {
-        if (((bitField0_ & 0x00004000) != 0)) {
+        if (((bitField0_ & 0x00002000) != 0)) {
           departure_ = java.util.Collections.unmodifiableList(departure_);
-          bitField0_ = (bitField0_ & ~0x00004000);
+          bitField0_ = (bitField0_ & ~0x00002000);
         }
         result.departure_ = departure_;
       } else {
@@ -948,21 +920,18 @@
         result.contactAgeMs_ = contactAgeMs_;
       }
       if (((from_bitField0_ & 0x00000200) != 0)) {
-        result.document_ = document_;
-      }
-      if (((from_bitField0_ & 0x00000400) != 0)) {
         result.configurationAgeMs_ = configurationAgeMs_;
       }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
+      if (((from_bitField0_ & 0x00000400) != 0)) {
         result.pulseTimeMs_ = pulseTimeMs_;
       }
-      if (((from_bitField0_ & 0x00001000) != 0)) {
+      if (((from_bitField0_ & 0x00000800) != 0)) {
         result.withLists_ = withLists_;
       }
-      if (((from_bitField0_ & 0x00002000) != 0)) {
+      if (((from_bitField0_ & 0x00001000) != 0)) {
         result.upstreams_ = upstreams_;
       }
-      if (((from_bitField0_ & 0x00008000) != 0)) {
+      if (((from_bitField0_ & 0x00004000) != 0)) {
         result.departures_ = departures_;
       }
     }
@@ -1058,9 +1027,6 @@
       if (other.getContactAgeMs() != 0L) {
         setContactAgeMs(other.getContactAgeMs());
       }
-      if (!other.getDocument().isEmpty()) {
-        setDocument(other.getDocument());
-      }
       if (other.getConfigurationAgeMs() != 0L) {
         setConfigurationAgeMs(other.getConfigurationAgeMs());
       }
@@ -1077,7 +1043,7 @@
         if (!other.departure_.isEmpty()) {
           if (departure_.isEmpty()) {
             departure_ = other.departure_;
-            bitField0_ = (bitField0_ & ~0x00004000);
+            bitField0_ = (bitField0_ & ~0x00002000);
           } else {
             ensureDepartureIsMutable();
             departure_.addAll(other.departure_);
@@ -1090,7 +1056,7 @@
             departureBuilder_.dispose();
             departureBuilder_ = null;
             departure_ = other.departure_;
-            bitField0_ = (bitField0_ & ~0x00004000);
+            bitField0_ = (bitField0_ & ~0x00002000);
             departureBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetDepartureFieldBuilder() : null;
@@ -1189,29 +1155,24 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
-            case 82: {
-              document_ = input.readBytes();
-              bitField0_ |= 0x00000200;
-              break;
-            } // case 82
             case 88: {
               configurationAgeMs_ = input.readUInt64();
-              bitField0_ |= 0x00000400;
+              bitField0_ |= 0x00000200;
               break;
             } // case 88
             case 96: {
               pulseTimeMs_ = input.readInt64();
-              bitField0_ |= 0x00000800;
+              bitField0_ |= 0x00000400;
               break;
             } // case 96
             case 104: {
               withLists_ = input.readBool();
-              bitField0_ |= 0x00001000;
+              bitField0_ |= 0x00000800;
               break;
             } // case 104
             case 112: {
               upstreams_ = input.readUInt64();
-              bitField0_ |= 0x00002000;
+              bitField0_ |= 0x00001000;
               break;
             } // case 112
             case 122: {
@@ -1229,7 +1190,7 @@
             } // case 122
             case 128: {
               departures_ = input.readUInt64();
-              bitField0_ |= 0x00008000;
+              bitField0_ |= 0x00004000;
               break;
             } // case 128
             default: {
@@ -2097,50 +2058,6 @@
       return this;
     }
 
-    private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
-    /**
-     * <pre>
-     * The configuration document, if it is newer than the one the keeper last named.
-     * </pre>
-     *
-     * <code>bytes document = 10;</code>
-     * @return The document.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getDocument() {
-      return document_;
-    }
-    /**
-     * <pre>
-     * The configuration document, if it is newer than the one the keeper last named.
-     * </pre>
-     *
-     * <code>bytes document = 10;</code>
-     * @param value The document to set.
-     * @return This builder for chaining.
-     */
-    public Builder setDocument(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      document_ = value;
-      bitField0_ |= 0x00000200;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * The configuration document, if it is newer than the one the keeper last named.
-     * </pre>
-     *
-     * <code>bytes document = 10;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearDocument() {
-      bitField0_ = (bitField0_ & ~0x00000200);
-      document_ = getDefaultInstance().getDocument();
-      onChanged();
-      return this;
-    }
-
     private long configurationAgeMs_ ;
     /**
      * <pre>
@@ -2166,7 +2083,7 @@
     public Builder setConfigurationAgeMs(long value) {
 
       configurationAgeMs_ = value;
-      bitField0_ |= 0x00000400;
+      bitField0_ |= 0x00000200;
       onChanged();
       return this;
     }
@@ -2179,7 +2096,7 @@
      * @return This builder for chaining.
      */
     public Builder clearConfigurationAgeMs() {
-      bitField0_ = (bitField0_ & ~0x00000400);
+      bitField0_ = (bitField0_ & ~0x00000200);
       configurationAgeMs_ = 0L;
       onChanged();
       return this;
@@ -2210,7 +2127,7 @@
     public Builder setPulseTimeMs(long value) {
 
       pulseTimeMs_ = value;
-      bitField0_ |= 0x00000800;
+      bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
@@ -2223,7 +2140,7 @@
      * @return This builder for chaining.
      */
     public Builder clearPulseTimeMs() {
-      bitField0_ = (bitField0_ & ~0x00000800);
+      bitField0_ = (bitField0_ & ~0x00000400);
       pulseTimeMs_ = 0L;
       onChanged();
       return this;
@@ -2254,7 +2171,7 @@
     public Builder setWithLists(boolean value) {
 
       withLists_ = value;
-      bitField0_ |= 0x00001000;
+      bitField0_ |= 0x00000800;
       onChanged();
       return this;
     }
@@ -2267,7 +2184,7 @@
      * @return This builder for chaining.
      */
     public Builder clearWithLists() {
-      bitField0_ = (bitField0_ & ~0x00001000);
+      bitField0_ = (bitField0_ & ~0x00000800);
       withLists_ = false;
       onChanged();
       return this;
@@ -2298,7 +2215,7 @@
     public Builder setUpstreams(long value) {
 
       upstreams_ = value;
-      bitField0_ |= 0x00002000;
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
@@ -2311,7 +2228,7 @@
      * @return This builder for chaining.
      */
     public Builder clearUpstreams() {
-      bitField0_ = (bitField0_ & ~0x00002000);
+      bitField0_ = (bitField0_ & ~0x00001000);
       upstreams_ = 0L;
       onChanged();
       return this;
@@ -2320,9 +2237,9 @@
     private java.util.List<org.mangorack.keeper.proto.Departure> departure_ =
       java.util.Collections.emptyList();
     private void ensureDepartureIsMutable() {
-      if (!((bitField0_ & 0x00004000) != 0)) {
+      if (!((bitField0_ & 0x00002000) != 0)) {
         departure_ = new java.util.ArrayList<org.mangorack.keeper.proto.Departure>(departure_);
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00002000;
        }
     }
 
@@ -2516,7 +2433,7 @@
     public Builder clearDeparture() {
       if (departureBuilder_ == null) {
         departure_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00004000);
+        bitField0_ = (bitField0_ & ~0x00002000);
         onChanged();
       } else {
         departureBuilder_.clear();
@@ -2621,7 +2538,7 @@
         departureBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder>(
                 departure_,
-                ((bitField0_ & 0x00004000) != 0),
+                ((bitField0_ & 0x00002000) != 0),
                 getParentForChildren(),
                 isClean());
         departure_ = null;
@@ -2654,7 +2571,7 @@
     public Builder setDepartures(long value) {
 
       departures_ = value;
-      bitField0_ |= 0x00008000;
+      bitField0_ |= 0x00004000;
       onChanged();
       return this;
     }
@@ -2667,7 +2584,7 @@
      * @return This builder for chaining.
      */
     public Builder clearDepartures() {
-      bitField0_ = (bitField0_ & ~0x00008000);
+      bitField0_ = (bitField0_ & ~0x00004000);
       departures_ = 0L;
       onChanged();
       return this;
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
@@ -126,16 +126,6 @@
    */
   long getContactAgeMs();
 
-  /**
-   * <pre>
-   * The configuration document, if it is newer than the one the keeper last named.
-   * </pre>
-   *
-   * <code>bytes document = 10;</code>
-   * @return The document.
-   */
-  com.google.protobuf.ByteString getDocument();
-
   /**
    * <pre>
    * Age of the sender's knowledge that this is the newest configuration.
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -106,6 +106,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_mangorack_keeper_Pulse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_keeper_FetchConfiguration_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_keeper_FetchConfiguration_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_keeper_ConfigurationDocument_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_keeper_ConfigurationDocument_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_mangorack_keeper_PlatformContact_descriptor;
   static final 
@@ -195,7 +205,7 @@
       " \001(\t\022\014\n\004port\030\004 \001(\r\022\014\n\004zone\030\005 \001(\t\"h\n\004View" +
       "\022\r\n\005epoch\030\001 \001(\004\022)\n\007members\030\002 \003(\0132\030.mango" +
       "rack.keeper.Member\022&\n\004next\030\003 \003(\0132\030.mango" +
-      "rack.keeper.Member\"\274\003\n\007Request\022\n\n\002id\030\001 \001" +
+      "rack.keeper.Member\"\311\004\n\007Request\022\n\n\002id\030\001 \001" +
       "(\004\022\r\n\005epoch\030\002 \001(\004\022\014\n\004disk\030\014 \001(\t\022,\n\007reser" +
       "ve\030\003 \001(\0132\031.mangorack.keeper.ReserveH\000\022*\n" +
       "\006settle\030\004 \001(\0132\030.mangorack.keeper.SettleH" +
@@ -206,87 +216,95 @@
       "optH\000\0220\n\tinventory\030\t \001(\0132\033.mangorack.kee" +
       "per.InventoryH\000\022&\n\004copy\030\n \001(\0132\026.mangorac" +
       "k.keeper.CopyH\000\022(\n\005store\030\013 \001(\0132\027.mangora" +
-      "ck.keeper.StoreH\000B\006\n\004body\"\200\003\n\005Reply\022\n\n\002i" +
-      "d\030\001 \001(\004\022(\n\006status\030\002 \001(\0162\030.mangorack.keep" +
-      "er.Status\022\017\n\007durable\030\003 \001(\010\022$\n\004view\030\004 \001(\013" +
-      "2\026.mangorack.keeper.View\022,\n\007charges\030\005 \001(" +
-      "\0132\031.mangorack.keeper.ChargesH\000\022(\n\005chain\030" +
-      "\006 \001(\0132\027.mangorack.keeper.ChainH\000\022(\n\005puls" +
-      "e\030\007 \001(\0132\027.mangorack.keeper.PulseH\000\022(\n\005dr" +
-      "awn\030\010 \001(\0132\027.mangorack.keeper.DrawnH\000\022,\n\007" +
-      "listing\030\t \001(\0132\031.mangorack.keeper.Listing" +
-      "H\000\022(\n\005batch\030\n \001(\0132\027.mangorack.keeper.Bat" +
-      "chH\000B\006\n\004body\":\n\006Charge\022\017\n\007attempt\030\001 \001(\t\022" +
-      "\016\n\006tokens\030\002 \001(\r\022\017\n\007settled\030\003 \001(\010\"3\n\007Char" +
-      "ges\022(\n\006charge\030\001 \003(\0132\030.mangorack.keeper.C" +
-      "harge\";\n\007Reserve\022\017\n\007program\030\001 \001(\t\022\017\n\007att" +
-      "empt\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\"q\n\006Settle\022\017\n\007" +
-      "program\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\t\022\016\n\006tokens" +
-      "\030\003 \001(\r\022\017\n\007charged\030\004 \001(\010\022$\n\004turn\030\005 \001(\0132\026." +
-      "mangorack.keeper.Turn\"\177\n\004Turn\022\n\n\002id\030\001 \001(" +
-      "\t\022\021\n\tworkspace\030\002 \001(\t\022\020\n\010previous\030\003 \001(\t\022\r" +
-      "\n\005input\030\004 \001(\014\022\016\n\006output\030\005 \001(\014\022\021\n\tstored_" +
-      "ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005Fetch\022" +
-      "\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026.m" +
-      "angorack.keeper.Turn\022\017\n\007missing\030\002 \001(\t\022\020\n" +
-      "\010complete\030\003 \001(\010\"\221\003\n\004Beat\022\020\n\010instance\030\001 \001" +
-      "(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t" +
-      "\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.man" +
-      "gorack.keeper.Usage\022\025\n\rconfiguration\030\006 \001" +
-      "(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.mang" +
-      "orack.keeper.Load\022\026\n\016contact_age_ms\030\t \001(" +
-      "\004\022\020\n\010document\030\n \001(\014\022\034\n\024configuration_age" +
-      "_ms\030\013 \001(\004\022\025\n\rpulse_time_ms\030\014 \001(\003\022\022\n\nwith" +
-      "_lists\030\r \001(\010\022\021\n\tupstreams\030\016 \001(\004\022.\n\tdepar" +
-      "ture\030\017 \003(\0132\033.mangorack.keeper.Departure\022" +
-      "\022\n\ndepartures\030\020 \001(\004\"R\n\tDeparture\022\020\n\010upst" +
-      "ream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\022\n\nstarted_a" +
-      "t\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\004\"=\n\005Usage\022\021\n\twork" +
-      "space\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022\022\n\nbeginnings" +
-      "\030\003 \001(\021\"X\n\004Load\022\020\n\010upstream\030\001 \001(\t\022\r\n\005call" +
-      "s\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\020\n\010pace_sum\030\004 \001" +
-      "(\001\022\014\n\004pace\030\005 \001(\001\"\364\003\n\005Pulse\022&\n\005level\030\001 \003(" +
-      "\0132\027.mangorack.keeper.Level\022\025\n\rconfigurat" +
-      "ion\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003 \001(\004\022" +
-      "\020\n\010document\030\004 \001(\014\022\017\n\007entries\030\005 \001(\004\022&\n\005en" +
-      "try\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004lo" +
-      "ad\030\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016cont" +
-      "act_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_" +
-      "ms\030\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_" +
-      "ms\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstream" +
-      "s\030\r \001(\0132\036.mangorack.keeper.UpstreamNews\022" +
-      "2\n\007contact\030\016 \001(\0132!.mangorack.keeper.Plat" +
-      "formContact\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdepar" +
-      "ture\030\020 \003(\0132\033.mangorack.keeper.Departure\"" +
-      "G\n\017PlatformContact\022\021\n\tanswering\030\001 \001(\010\022\021\n" +
-      "\tlength_ms\030\002 \001(\004\022\016\n\006broken\030\003 \001(\010\"v\n\014Upst" +
-      "reamNews\022\017\n\007version\030\001 \001(\004\022\r\n\005whole\030\002 \001(\010" +
-      "\0222\n\010upstream\030\003 \003(\0132 .mangorack.keeper.Up" +
-      "streamObject\022\014\n\004gone\030\004 \003(\tJ\004\010\005\020\006\"0\n\016Upst" +
-      "reamObject\022\014\n\004name\030\001 \001(\t\022\020\n\010document\030\002 \001" +
-      "(\014\"?\n\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_" +
-      "address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\t" +
-      "workspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warmin" +
-      "g\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\022\021\n\tbe" +
-      "ginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(\010\022\022\n\ncorrect" +
-      "ion\030\004 \001(\021\"*\n\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010r" +
-      "etry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.m" +
-      "angorack.keeper.View\"\013\n\tInventory\"J\n\007Lis" +
-      "ting\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .ma" +
-      "ngorack.keeper.ProgramCharges\"K\n\016Program" +
-      "Charges\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030\002 \003(\013" +
-      "2\030.mangorack.keeper.Charge\"\024\n\004Copy\022\014\n\004tu" +
-      "rn\030\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangor" +
-      "ack.keeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026" +
-      ".mangorack.keeper.Turn\0221\n\007program\030\002 \003(\0132" +
-      " .mangorack.keeper.ProgramCharges\"\202\001\n\010Lo" +
-      "gEntry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132" +
-      "\026.mangorack.keeper.TurnH\000\0223\n\007charges\030\003 \001" +
-      "(\0132 .mangorack.keeper.ProgramChargesH\000B\006" +
-      "\n\004body*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001" +
-      "\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_" +
-      "DISK\020\004B+\n\032org.mangorack.keeper.protoB\013Ke" +
-      "eperProtoP\001b\006proto3"
+      "ck.keeper.StoreH\000\022C\n\023fetch_configuration" +
+      "\030\r \001(\0132$.mangorack.keeper.FetchConfigura" +
+      "tionH\000\022F\n\023offer_configuration\030\016 \001(\0132\'.ma" +
+      "ngorack.keeper.ConfigurationDocumentH\000B\006" +
+      "\n\004body\"\302\003\n\005Reply\022\n\n\002id\030\001 \001(\004\022(\n\006status\030\002" +
+      " \001(\0162\030.mangorack.keeper.Status\022\017\n\007durabl" +
+      "e\030\003 \001(\010\022$\n\004view\030\004 \001(\0132\026.mangorack.keeper" +
+      ".View\022,\n\007charges\030\005 \001(\0132\031.mangorack.keepe" +
+      "r.ChargesH\000\022(\n\005chain\030\006 \001(\0132\027.mangorack.k" +
+      "eeper.ChainH\000\022(\n\005pulse\030\007 \001(\0132\027.mangorack" +
+      ".keeper.PulseH\000\022(\n\005drawn\030\010 \001(\0132\027.mangora" +
+      "ck.keeper.DrawnH\000\022,\n\007listing\030\t \001(\0132\031.man" +
+      "gorack.keeper.ListingH\000\022(\n\005batch\030\n \001(\0132\027" +
+      ".mangorack.keeper.BatchH\000\022@\n\rconfigurati" +
+      "on\030\013 \001(\0132\'.mangorack.keeper.Configuratio" +
+      "nDocumentH\000B\006\n\004body\":\n\006Charge\022\017\n\007attempt" +
+      "\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\022\017\n\007settled\030\003 \001(\010\"" +
+      "3\n\007Charges\022(\n\006charge\030\001 \003(\0132\030.mangorack.k" +
+      "eeper.Charge\";\n\007Reserve\022\017\n\007program\030\001 \001(\t" +
+      "\022\017\n\007attempt\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\"q\n\006Set" +
+      "tle\022\017\n\007program\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\t\022\016\n" +
+      "\006tokens\030\003 \001(\r\022\017\n\007charged\030\004 \001(\010\022$\n\004turn\030\005" +
+      " \001(\0132\026.mangorack.keeper.Turn\"\177\n\004Turn\022\n\n\002" +
+      "id\030\001 \001(\t\022\021\n\tworkspace\030\002 \001(\t\022\020\n\010previous\030" +
+      "\003 \001(\t\022\r\n\005input\030\004 \001(\014\022\016\n\006output\030\005 \001(\014\022\021\n\t" +
+      "stored_ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n" +
+      "\005Fetch\022\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 " +
+      "\003(\0132\026.mangorack.keeper.Turn\022\017\n\007missing\030\002" +
+      " \001(\t\022\020\n\010complete\030\003 \001(\010\"\205\003\n\004Beat\022\020\n\010insta" +
+      "nce\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zon" +
+      "e\030\003 \001(\t\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(" +
+      "\0132\027.mangorack.keeper.Usage\022\025\n\rconfigurat" +
+      "ion\030\006 \001(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\013" +
+      "2\026.mangorack.keeper.Load\022\026\n\016contact_age_" +
+      "ms\030\t \001(\004\022\034\n\024configuration_age_ms\030\013 \001(\004\022\025" +
+      "\n\rpulse_time_ms\030\014 \001(\003\022\022\n\nwith_lists\030\r \001(" +
+      "\010\022\021\n\tupstreams\030\016 \001(\004\022.\n\tdeparture\030\017 \003(\0132" +
+      "\033.mangorack.keeper.Departure\022\022\n\ndepartur" +
+      "es\030\020 \001(\004J\004\010\n\020\013\"R\n\tDeparture\022\020\n\010upstream\030" +
+      "\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001" +
+      "(\003\022\016\n\006age_ms\030\004 \001(\004\"=\n\005Usage\022\021\n\tworkspace" +
+      "\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022\022\n\nbeginnings\030\003 \001(" +
+      "\021\"X\n\004Load\022\020\n\010upstream\030\001 \001(\t\022\r\n\005calls\030\002 \001" +
+      "(\r\022\017\n\007answers\030\003 \001(\r\022\020\n\010pace_sum\030\004 \001(\001\022\014\n" +
+      "\004pace\030\005 \001(\001\"\206\004\n\005Pulse\022&\n\005level\030\001 \003(\0132\027.m" +
+      "angorack.keeper.Level\022\025\n\rconfiguration\030\002" +
+      " \001(\004\022\034\n\024configuration_age_ms\030\003 \001(\004\022\017\n\007en" +
+      "tries\030\005 \001(\004\022&\n\005entry\030\006 \003(\0132\027.mangorack.k" +
+      "eeper.Entry\022$\n\004load\030\007 \003(\0132\026.mangorack.ke" +
+      "eper.Load\022\026\n\016contact_age_ms\030\010 \001(\004\022\036\n\026ent" +
+      "ries_contact_age_ms\030\t \001(\004\022\025\n\rentries_hea" +
+      "rd\030\n \001(\r\022\017\n\007time_ms\030\013 \001(\003\022\022\n\nwith_lists\030" +
+      "\014 \001(\010\0221\n\tupstreams\030\r \001(\0132\036.mangorack.kee" +
+      "per.UpstreamNews\0222\n\007contact\030\016 \001(\0132!.mang" +
+      "orack.keeper.PlatformContact\022\022\n\ndepartur" +
+      "es\030\017 \001(\004\022.\n\tdeparture\030\020 \003(\0132\033.mangorack." +
+      "keeper.Departure\022\034\n\024configuration_wanted" +
+      "\030\021 \001(\010J\004\010\004\020\005\"#\n\022FetchConfiguration\022\r\n\005kn" +
+      "own\030\001 \001(\004\"I\n\025ConfigurationDocument\022\017\n\007ve" +
+      "rsion\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\022\016\n\006age_ms\030\003" +
+      " \001(\004\"G\n\017PlatformContact\022\021\n\tanswering\030\001 \001" +
+      "(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006broken\030\003 \001(\010\"v\n" +
+      "\014UpstreamNews\022\017\n\007version\030\001 \001(\004\022\r\n\005whole\030" +
+      "\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .mangorack.keep" +
+      "er.UpstreamObject\022\014\n\004gone\030\004 \003(\tJ\004\010\005\020\006\"0\n" +
+      "\016UpstreamObject\022\014\n\004name\030\001 \001(\t\022\020\n\010documen" +
+      "t\030\002 \001(\014\"?\n\005Entry\022\020\n\010instance\030\001 \001(\t\022\026\n\016ca" +
+      "ller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Leve" +
+      "l\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007w" +
+      "arming\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\022" +
+      "\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(\010\022\022\n\nco" +
+      "rrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007granted\030\001 \001(\010" +
+      "\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001(" +
+      "\0132\026.mangorack.keeper.View\"\013\n\tInventory\"J" +
+      "\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002 \003(\013" +
+      "2 .mangorack.keeper.ProgramCharges\"K\n\016Pr" +
+      "ogramCharges\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030" +
+      "\002 \003(\0132\030.mangorack.keeper.Charge\"\024\n\004Copy\022" +
+      "\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.m" +
+      "angorack.keeper.Turn\"`\n\005Store\022$\n\004turn\030\001 " +
+      "\003(\0132\026.mangorack.keeper.Turn\0221\n\007program\030\002" +
+      " \003(\0132 .mangorack.keeper.ProgramCharges\"\202" +
+      "\001\n\010LogEntry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002" +
+      " \001(\0132\026.mangorack.keeper.TurnH\000\0223\n\007charge" +
+      "s\030\003 \001(\0132 .mangorack.keeper.ProgramCharge" +
+      "sH\000B\006\n\004body*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_V" +
+      "IEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nW" +
+      "RONG_DISK\020\004B+\n\032org.mangorack.keeper.prot" +
+      "oB\013KeeperProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -309,13 +327,13 @@
     internal_static_mangorack_keeper_Request_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Request_descriptor,
-        new java.lang.String[] { "Id", "Epoch", "Disk", "Reserve", "Settle", "Fetch", "Beat", "Draw", "Adopt", "Inventory", "Copy", "Store", "Body", });
+        new java.lang.String[] { "Id", "Epoch", "Disk", "Reserve", "Settle", "Fetch", "Beat", "Draw", "Adopt", "Inventory", "Copy", "Store", "FetchConfiguration", "OfferConfiguration", "Body", });
     internal_static_mangorack_keeper_Reply_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_mangorack_keeper_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Reply_descriptor,
-        new java.lang.String[] { "Id", "Status", "Durable", "View", "Charges", "Chain", "Pulse", "Drawn", "Listing", "Batch", "Body", });
+        new java.lang.String[] { "Id", "Status", "Durable", "View", "Charges", "Chain", "Pulse", "Drawn", "Listing", "Batch", "Configuration", "Body", });
     internal_static_mangorack_keeper_Charge_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_mangorack_keeper_Charge_fieldAccessorTable = new
@@ -363,7 +381,7 @@
     internal_static_mangorack_keeper_Beat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Beat_descriptor,
-        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "Document", "ConfigurationAgeMs", "PulseTimeMs", "WithLists", "Upstreams", "Departure", "Departures", });
+        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "ConfigurationAgeMs", "PulseTimeMs", "WithLists", "Upstreams", "Departure", "Departures", });
     internal_static_mangorack_keeper_Departure_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_mangorack_keeper_Departure_fieldAccessorTable = new
@@ -387,93 +405,105 @@
     internal_static_mangorack_keeper_Pulse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Pulse_descriptor,
-        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Document", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", "TimeMs", "WithLists", "Upstreams", "Contact", "Departures", "Departure", });
-    internal_static_mangorack_keeper_PlatformContact_descriptor =
+        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", "TimeMs", "WithLists", "Upstreams", "Contact", "Departures", "Departure", "ConfigurationWanted", });
+    internal_static_mangorack_keeper_FetchConfiguration_descriptor =
       getDescriptor().getMessageType(16);
+    internal_static_mangorack_keeper_FetchConfiguration_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_keeper_FetchConfiguration_descriptor,
+        new java.lang.String[] { "Known", });
+    internal_static_mangorack_keeper_ConfigurationDocument_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_mangorack_keeper_ConfigurationDocument_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_keeper_ConfigurationDocument_descriptor,
+        new java.lang.String[] { "Version", "Content", "AgeMs", });
+    internal_static_mangorack_keeper_PlatformContact_descriptor =
+      getDescriptor().getMessageType(18);
     internal_static_mangorack_keeper_PlatformContact_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_PlatformContact_descriptor,
         new java.lang.String[] { "Answering", "LengthMs", "Broken", });
     internal_static_mangorack_keeper_UpstreamNews_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_mangorack_keeper_UpstreamNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_UpstreamNews_descriptor,
         new java.lang.String[] { "Version", "Whole", "Upstream", "Gone", });
     internal_static_mangorack_keeper_UpstreamObject_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_mangorack_keeper_UpstreamObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_UpstreamObject_descriptor,
         new java.lang.String[] { "Name", "Document", });
     internal_static_mangorack_keeper_Entry_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_mangorack_keeper_Entry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Entry_descriptor,
         new java.lang.String[] { "Instance", "CallerAddress", "Zone", });
     internal_static_mangorack_keeper_Level_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_mangorack_keeper_Level_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Level_descriptor,
         new java.lang.String[] { "Workspace", "Calls", "Warming", });
     internal_static_mangorack_keeper_Draw_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_mangorack_keeper_Draw_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Draw_descriptor,
         new java.lang.String[] { "Workspace", "Beginning", "Urgent", "Correction", });
     internal_static_mangorack_keeper_Drawn_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_mangorack_keeper_Drawn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Drawn_descriptor,
         new java.lang.String[] { "Granted", "RetryMs", });
     internal_static_mangorack_keeper_Adopt_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_mangorack_keeper_Adopt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Adopt_descriptor,
         new java.lang.String[] { "View", });
     internal_static_mangorack_keeper_Inventory_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_mangorack_keeper_Inventory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Inventory_descriptor,
         new java.lang.String[] { });
     internal_static_mangorack_keeper_Listing_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_mangorack_keeper_Listing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Listing_descriptor,
         new java.lang.String[] { "Turn", "Program", });
     internal_static_mangorack_keeper_ProgramCharges_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_mangorack_keeper_ProgramCharges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_ProgramCharges_descriptor,
         new java.lang.String[] { "Program", "Charge", });
     internal_static_mangorack_keeper_Copy_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_mangorack_keeper_Copy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Copy_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Batch_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_mangorack_keeper_Batch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Batch_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Store_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_mangorack_keeper_Store_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Store_descriptor,
         new java.lang.String[] { "Turn", "Program", });
     internal_static_mangorack_keeper_LogEntry_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_mangorack_keeper_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_LogEntry_descriptor,
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
@@ -29,7 +29,6 @@
   }
   private Pulse() {
     level_ = java.util.Collections.emptyList();
-    document_ = com.google.protobuf.ByteString.EMPTY;
     entry_ = java.util.Collections.emptyList();
     load_ = java.util.Collections.emptyList();
     departure_ = java.util.Collections.emptyList();
@@ -136,21 +135,6 @@
     return configurationAgeMs_;
   }
 
-  public static final int DOCUMENT_FIELD_NUMBER = 4;
-  private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
-  /**
-   * <pre>
-   * The configuration document, if it is newer than the one of the beat.
-   * </pre>
-   *
-   * <code>bytes document = 4;</code>
-   * @return The document.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getDocument() {
-    return document_;
-  }
-
   public static final int ENTRIES_FIELD_NUMBER = 5;
   private long entries_ = 0L;
   /**
@@ -487,6 +471,21 @@
     return departure_.get(index);
   }
 
+  public static final int CONFIGURATION_WANTED_FIELD_NUMBER = 17;
+  private boolean configurationWanted_ = false;
+  /**
+   * <pre>
+   * Whether the sender of the beat is to offer its configuration, which is newer than the keeper's.
+   * </pre>
+   *
+   * <code>bool configuration_wanted = 17;</code>
+   * @return The configurationWanted.
+   */
+  @java.lang.Override
+  public boolean getConfigurationWanted() {
+    return configurationWanted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -510,9 +509,6 @@
     if (configurationAgeMs_ != 0L) {
       output.writeUInt64(3, configurationAgeMs_);
     }
-    if (!document_.isEmpty()) {
-      output.writeBytes(4, document_);
-    }
     if (entries_ != 0L) {
       output.writeUInt64(5, entries_);
     }
@@ -549,6 +545,9 @@
     for (int i = 0; i < departure_.size(); i++) {
       output.writeMessage(16, departure_.get(i));
     }
+    if (configurationWanted_ != false) {
+      output.writeBool(17, configurationWanted_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -570,10 +569,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, configurationAgeMs_);
     }
-    if (!document_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(4, document_);
-    }
     if (entries_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, entries_);
@@ -622,6 +617,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, departure_.get(i));
     }
+    if (configurationWanted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(17, configurationWanted_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -643,8 +642,6 @@
         != other.getConfiguration()) return false;
     if (getConfigurationAgeMs()
         != other.getConfigurationAgeMs()) return false;
-    if (!getDocument()
-        .equals(other.getDocument())) return false;
     if (getEntries()
         != other.getEntries()) return false;
     if (!getEntryList()
@@ -675,6 +672,8 @@
         != other.getDepartures()) return false;
     if (!getDepartureList()
         .equals(other.getDepartureList())) return false;
+    if (getConfigurationWanted()
+        != other.getConfigurationWanted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -696,8 +695,6 @@
     hash = (37 * hash) + CONFIGURATION_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationAgeMs());
-    hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
-    hash = (53 * hash) + getDocument().hashCode();
     hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEntries());
@@ -738,6 +735,9 @@
       hash = (37 * hash) + DEPARTURE_FIELD_NUMBER;
       hash = (53 * hash) + getDepartureList().hashCode();
     }
+    hash = (37 * hash) + CONFIGURATION_WANTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfigurationWanted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -889,7 +889,6 @@
       bitField0_ = (bitField0_ & ~0x00000001);
       configuration_ = 0L;
       configurationAgeMs_ = 0L;
-      document_ = com.google.protobuf.ByteString.EMPTY;
       entries_ = 0L;
       if (entryBuilder_ == null) {
         entry_ = java.util.Collections.emptyList();
@@ -897,14 +896,14 @@
         entry_ = null;
         entryBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000010);
       if (loadBuilder_ == null) {
         load_ = java.util.Collections.emptyList();
       } else {
         load_ = null;
         loadBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000020);
       contactAgeMs_ = 0L;
       entriesContactAgeMs_ = 0L;
       entriesHeard_ = 0;
@@ -927,7 +926,8 @@
         departure_ = null;
         departureBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00008000);
+      bitField0_ = (bitField0_ & ~0x00004000);
+      configurationWanted_ = false;
       return this;
     }
 
@@ -971,27 +971,27 @@
         result.level_ = levelBuilder_.build();
       }
       if (entryBuilder_ == null) {
-        if (((bitField0_ & 0x00000020) != 0)) {
+        if (((bitField0_ & 0x00000010) != 0)) {
           entry_ = java.util.Collections.unmodifiableList(entry_);
-          bitField0_ = (bitField0_ & ~0x00000020);
+          bitField0_ = (bitField0_ & ~0x00000010);
         }
         result.entry_ = entry_;
       } else {
         result.entry_ = entryBuilder_.build();
       }
       if (loadBuilder_ == null) {
-        if (((bitField0_ & 0x00000040) != 0)) {
+        if (((bitField0_ & 0x00000020) != 0)) {
           load_ = java.util.Collections.unmodifiableList(load_);
-          bitField0_ = (bitField0_ & ~0x00000040);
+          bitField0_ = (bitField0_ & ~0x00000020);
         }
         result.load_ = load_;
       } else {
         result.load_ = loadBuilder_.build();
       }
       if (departureBuilder_ == null) {
-        if (((bitField0_ & 0x00008000) != 0)) {
+        if (((bitField0_ & 0x00004000) != 0)) {
           departure_ = java.util.Collections.unmodifiableList(departure_);
-          bitField0_ = (bitField0_ & ~0x00008000);
+          bitField0_ = (bitField0_ & ~0x00004000);
         }
         result.departure_ = departure_;
       } else {
@@ -1008,42 +1008,42 @@
         result.configurationAgeMs_ = configurationAgeMs_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.document_ = document_;
-      }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.entries_ = entries_;
       }
-      if (((from_bitField0_ & 0x00000080) != 0)) {
+      if (((from_bitField0_ & 0x00000040) != 0)) {
         result.contactAgeMs_ = contactAgeMs_;
       }
-      if (((from_bitField0_ & 0x00000100) != 0)) {
+      if (((from_bitField0_ & 0x00000080) != 0)) {
         result.entriesContactAgeMs_ = entriesContactAgeMs_;
       }
-      if (((from_bitField0_ & 0x00000200) != 0)) {
+      if (((from_bitField0_ & 0x00000100) != 0)) {
         result.entriesHeard_ = entriesHeard_;
       }
-      if (((from_bitField0_ & 0x00000400) != 0)) {
+      if (((from_bitField0_ & 0x00000200) != 0)) {
         result.timeMs_ = timeMs_;
       }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
+      if (((from_bitField0_ & 0x00000400) != 0)) {
         result.withLists_ = withLists_;
       }
       int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00001000) != 0)) {
+      if (((from_bitField0_ & 0x00000800) != 0)) {
         result.upstreams_ = upstreamsBuilder_ == null
             ? upstreams_
             : upstreamsBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00002000) != 0)) {
+      if (((from_bitField0_ & 0x00001000) != 0)) {
         result.contact_ = contactBuilder_ == null
             ? contact_
             : contactBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
-      if (((from_bitField0_ & 0x00004000) != 0)) {
+      if (((from_bitField0_ & 0x00002000) != 0)) {
         result.departures_ = departures_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.configurationWanted_ = configurationWanted_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1091,9 +1091,6 @@
       if (other.getConfigurationAgeMs() != 0L) {
         setConfigurationAgeMs(other.getConfigurationAgeMs());
       }
-      if (!other.getDocument().isEmpty()) {
-        setDocument(other.getDocument());
-      }
       if (other.getEntries() != 0L) {
         setEntries(other.getEntries());
       }
@@ -1101,7 +1098,7 @@
         if (!other.entry_.isEmpty()) {
           if (entry_.isEmpty()) {
             entry_ = other.entry_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000010);
           } else {
             ensureEntryIsMutable();
             entry_.addAll(other.entry_);
@@ -1114,7 +1111,7 @@
             entryBuilder_.dispose();
             entryBuilder_ = null;
             entry_ = other.entry_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000010);
             entryBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetEntryFieldBuilder() : null;
@@ -1127,7 +1124,7 @@
         if (!other.load_.isEmpty()) {
           if (load_.isEmpty()) {
             load_ = other.load_;
-            bitField0_ = (bitField0_ & ~0x00000040);
+            bitField0_ = (bitField0_ & ~0x00000020);
           } else {
             ensureLoadIsMutable();
             load_.addAll(other.load_);
@@ -1140,7 +1137,7 @@
             loadBuilder_.dispose();
             loadBuilder_ = null;
             load_ = other.load_;
-            bitField0_ = (bitField0_ & ~0x00000040);
+            bitField0_ = (bitField0_ & ~0x00000020);
             loadBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetLoadFieldBuilder() : null;
@@ -1177,7 +1174,7 @@
         if (!other.departure_.isEmpty()) {
           if (departure_.isEmpty()) {
             departure_ = other.departure_;
-            bitField0_ = (bitField0_ & ~0x00008000);
+            bitField0_ = (bitField0_ & ~0x00004000);
           } else {
             ensureDepartureIsMutable();
             departure_.addAll(other.departure_);
@@ -1190,7 +1187,7 @@
             departureBuilder_.dispose();
             departureBuilder_ = null;
             departure_ = other.departure_;
-            bitField0_ = (bitField0_ & ~0x00008000);
+            bitField0_ = (bitField0_ & ~0x00004000);
             departureBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetDepartureFieldBuilder() : null;
@@ -1199,6 +1196,9 @@
           }
         }
       }
+      if (other.getConfigurationWanted() != false) {
+        setConfigurationWanted(other.getConfigurationWanted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1248,14 +1248,9 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
-            case 34: {
-              document_ = input.readBytes();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 34
             case 40: {
               entries_ = input.readUInt64();
-              bitField0_ |= 0x00000010;
+              bitField0_ |= 0x00000008;
               break;
             } // case 40
             case 50: {
@@ -1286,46 +1281,46 @@
             } // case 58
             case 64: {
               contactAgeMs_ = input.readUInt64();
-              bitField0_ |= 0x00000080;
+              bitField0_ |= 0x00000040;
               break;
             } // case 64
             case 72: {
               entriesContactAgeMs_ = input.readUInt64();
-              bitField0_ |= 0x00000100;
+              bitField0_ |= 0x00000080;
               break;
             } // case 72
             case 80: {
               entriesHeard_ = input.readUInt32();
-              bitField0_ |= 0x00000200;
+              bitField0_ |= 0x00000100;
               break;
             } // case 80
             case 88: {
               timeMs_ = input.readInt64();
-              bitField0_ |= 0x00000400;
+              bitField0_ |= 0x00000200;
               break;
             } // case 88
             case 96: {
               withLists_ = input.readBool();
-              bitField0_ |= 0x00000800;
+              bitField0_ |= 0x00000400;
               break;
             } // case 96
             case 106: {
               input.readMessage(
                   internalGetUpstreamsFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00001000;
+              bitField0_ |= 0x00000800;
               break;
             } // case 106
             case 114: {
               input.readMessage(
                   internalGetContactFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00002000;
+              bitField0_ |= 0x00001000;
               break;
             } // case 114
             case 120: {
               departures_ = input.readUInt64();
-              bitField0_ |= 0x00004000;
+              bitField0_ |= 0x00002000;
               break;
             } // case 120
             case 130: {
@@ -1341,6 +1336,11 @@
               }
               break;
             } // case 130
+            case 136: {
+              configurationWanted_ = input.readBool();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 136
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1746,50 +1746,6 @@
       return this;
     }
 
-    private com.google.protobuf.ByteString document_ = com.google.protobuf.ByteString.EMPTY;
-    /**
-     * <pre>
-     * The configuration document, if it is newer than the one of the beat.
-     * </pre>
-     *
-     * <code>bytes document = 4;</code>
-     * @return The document.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getDocument() {
-      return document_;
-    }
-    /**
-     * <pre>
-     * The configuration document, if it is newer than the one of the beat.
-     * </pre>
-     *
-     * <code>bytes document = 4;</code>
-     * @param value The document to set.
-     * @return This builder for chaining.
-     */
-    public Builder setDocument(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      document_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * The configuration document, if it is newer than the one of the beat.
-     * </pre>
-     *
-     * <code>bytes document = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearDocument() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      document_ = getDefaultInstance().getDocument();
-      onChanged();
-      return this;
-    }
-
     private long entries_ ;
     /**
      * <code>uint64 entries = 5;</code>
@@ -1807,7 +1763,7 @@
     public Builder setEntries(long value) {
 
       entries_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
@@ -1816,7 +1772,7 @@
      * @return This builder for chaining.
      */
     public Builder clearEntries() {
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000008);
       entries_ = 0L;
       onChanged();
       return this;
@@ -1825,9 +1781,9 @@
     private java.util.List<org.mangorack.keeper.proto.Entry> entry_ =
       java.util.Collections.emptyList();
     private void ensureEntryIsMutable() {
-      if (!((bitField0_ & 0x00000020) != 0)) {
+      if (!((bitField0_ & 0x00000010) != 0)) {
         entry_ = new java.util.ArrayList<org.mangorack.keeper.proto.Entry>(entry_);
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
        }
     }
 
@@ -2021,7 +1977,7 @@
     public Builder clearEntry() {
       if (entryBuilder_ == null) {
         entry_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
       } else {
         entryBuilder_.clear();
@@ -2126,7 +2082,7 @@
         entryBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.mangorack.keeper.proto.Entry, org.mangorack.keeper.proto.Entry.Builder, org.mangorack.keeper.proto.EntryOrBuilder>(
                 entry_,
-                ((bitField0_ & 0x00000020) != 0),
+                ((bitField0_ & 0x00000010) != 0),
                 getParentForChildren(),
                 isClean());
         entry_ = null;
@@ -2137,9 +2093,9 @@
     private java.util.List<org.mangorack.keeper.proto.Load> load_ =
       java.util.Collections.emptyList();
     private void ensureLoadIsMutable() {
-      if (!((bitField0_ & 0x00000040) != 0)) {
+      if (!((bitField0_ & 0x00000020) != 0)) {
         load_ = new java.util.ArrayList<org.mangorack.keeper.proto.Load>(load_);
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
        }
     }
 
@@ -2333,7 +2289,7 @@
     public Builder clearLoad() {
       if (loadBuilder_ == null) {
         load_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000020);
         onChanged();
       } else {
         loadBuilder_.clear();
@@ -2438,7 +2394,7 @@
         loadBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.mangorack.keeper.proto.Load, org.mangorack.keeper.proto.Load.Builder, org.mangorack.keeper.proto.LoadOrBuilder>(
                 load_,
-                ((bitField0_ & 0x00000040) != 0),
+                ((bitField0_ & 0x00000020) != 0),
                 getParentForChildren(),
                 isClean());
         load_ = null;
@@ -2471,7 +2427,7 @@
     public Builder setContactAgeMs(long value) {
 
       contactAgeMs_ = value;
-      bitField0_ |= 0x00000080;
+      bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
@@ -2484,7 +2440,7 @@
      * @return This builder for chaining.
      */
     public Builder clearContactAgeMs() {
-      bitField0_ = (bitField0_ & ~0x00000080);
+      bitField0_ = (bitField0_ & ~0x00000040);
       contactAgeMs_ = 0L;
       onChanged();
       return this;
@@ -2515,7 +2471,7 @@
     public Builder setEntriesContactAgeMs(long value) {
 
       entriesContactAgeMs_ = value;
-      bitField0_ |= 0x00000100;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
@@ -2528,7 +2484,7 @@
      * @return This builder for chaining.
      */
     public Builder clearEntriesContactAgeMs() {
-      bitField0_ = (bitField0_ & ~0x00000100);
+      bitField0_ = (bitField0_ & ~0x00000080);
       entriesContactAgeMs_ = 0L;
       onChanged();
       return this;
@@ -2559,7 +2515,7 @@
     public Builder setEntriesHeard(int value) {
 
       entriesHeard_ = value;
-      bitField0_ |= 0x00000200;
+      bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
@@ -2572,7 +2528,7 @@
      * @return This builder for chaining.
      */
     public Builder clearEntriesHeard() {
-      bitField0_ = (bitField0_ & ~0x00000200);
+      bitField0_ = (bitField0_ & ~0x00000100);
       entriesHeard_ = 0;
       onChanged();
       return this;
@@ -2603,7 +2559,7 @@
     public Builder setTimeMs(long value) {
 
       timeMs_ = value;
-      bitField0_ |= 0x00000400;
+      bitField0_ |= 0x00000200;
       onChanged();
       return this;
     }
@@ -2616,7 +2572,7 @@
      * @return This builder for chaining.
      */
     public Builder clearTimeMs() {
-      bitField0_ = (bitField0_ & ~0x00000400);
+      bitField0_ = (bitField0_ & ~0x00000200);
       timeMs_ = 0L;
       onChanged();
       return this;
@@ -2647,7 +2603,7 @@
     public Builder setWithLists(boolean value) {
 
       withLists_ = value;
-      bitField0_ |= 0x00000800;
+      bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
@@ -2660,7 +2616,7 @@
      * @return This builder for chaining.
      */
     public Builder clearWithLists() {
-      bitField0_ = (bitField0_ & ~0x00000800);
+      bitField0_ = (bitField0_ & ~0x00000400);
       withLists_ = false;
       onChanged();
       return this;
@@ -2674,7 +2630,7 @@
      * @return Whether the upstreams field is set.
      */
     public boolean hasUpstreams() {
-      return ((bitField0_ & 0x00001000) != 0);
+      return ((bitField0_ & 0x00000800) != 0);
     }
     /**
      * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
@@ -2699,7 +2655,7 @@
       } else {
         upstreamsBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00001000;
+      bitField0_ |= 0x00000800;
       onChanged();
       return this;
     }
@@ -2713,7 +2669,7 @@
       } else {
         upstreamsBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00001000;
+      bitField0_ |= 0x00000800;
       onChanged();
       return this;
     }
@@ -2722,7 +2678,7 @@
      */
     public Builder mergeUpstreams(org.mangorack.keeper.proto.UpstreamNews value) {
       if (upstreamsBuilder_ == null) {
-        if (((bitField0_ & 0x00001000) != 0) &&
+        if (((bitField0_ & 0x00000800) != 0) &&
           upstreams_ != null &&
           upstreams_ != org.mangorack.keeper.proto.UpstreamNews.getDefaultInstance()) {
           getUpstreamsBuilder().mergeFrom(value);
@@ -2733,7 +2689,7 @@
         upstreamsBuilder_.mergeFrom(value);
       }
       if (upstreams_ != null) {
-        bitField0_ |= 0x00001000;
+        bitField0_ |= 0x00000800;
         onChanged();
       }
       return this;
@@ -2742,7 +2698,7 @@
      * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
      */
     public Builder clearUpstreams() {
-      bitField0_ = (bitField0_ & ~0x00001000);
+      bitField0_ = (bitField0_ & ~0x00000800);
       upstreams_ = null;
       if (upstreamsBuilder_ != null) {
         upstreamsBuilder_.dispose();
@@ -2755,7 +2711,7 @@
      * <code>.mangorack.keeper.UpstreamNews upstreams = 13;</code>
      */
     public org.mangorack.keeper.proto.UpstreamNews.Builder getUpstreamsBuilder() {
-      bitField0_ |= 0x00001000;
+      bitField0_ |= 0x00000800;
       onChanged();
       return internalGetUpstreamsFieldBuilder().getBuilder();
     }
@@ -2795,7 +2751,7 @@
      * @return Whether the contact field is set.
      */
     public boolean hasContact() {
-      return ((bitField0_ & 0x00002000) != 0);
+      return ((bitField0_ & 0x00001000) != 0);
     }
     /**
      * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
@@ -2820,7 +2776,7 @@
       } else {
         contactBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00002000;
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
@@ -2834,7 +2790,7 @@
       } else {
         contactBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00002000;
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
@@ -2843,7 +2799,7 @@
      */
     public Builder mergeContact(org.mangorack.keeper.proto.PlatformContact value) {
       if (contactBuilder_ == null) {
-        if (((bitField0_ & 0x00002000) != 0) &&
+        if (((bitField0_ & 0x00001000) != 0) &&
           contact_ != null &&
           contact_ != org.mangorack.keeper.proto.PlatformContact.getDefaultInstance()) {
           getContactBuilder().mergeFrom(value);
@@ -2854,7 +2810,7 @@
         contactBuilder_.mergeFrom(value);
       }
       if (contact_ != null) {
-        bitField0_ |= 0x00002000;
+        bitField0_ |= 0x00001000;
         onChanged();
       }
       return this;
@@ -2863,7 +2819,7 @@
      * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
      */
     public Builder clearContact() {
-      bitField0_ = (bitField0_ & ~0x00002000);
+      bitField0_ = (bitField0_ & ~0x00001000);
       contact_ = null;
       if (contactBuilder_ != null) {
         contactBuilder_.dispose();
@@ -2876,7 +2832,7 @@
      * <code>.mangorack.keeper.PlatformContact contact = 14;</code>
      */
     public org.mangorack.keeper.proto.PlatformContact.Builder getContactBuilder() {
-      bitField0_ |= 0x00002000;
+      bitField0_ |= 0x00001000;
       onChanged();
       return internalGetContactFieldBuilder().getBuilder();
     }
@@ -2933,7 +2889,7 @@
     public Builder setDepartures(long value) {
 
       departures_ = value;
-      bitField0_ |= 0x00004000;
+      bitField0_ |= 0x00002000;
       onChanged();
       return this;
     }
@@ -2946,7 +2902,7 @@
      * @return This builder for chaining.
      */
     public Builder clearDepartures() {
-      bitField0_ = (bitField0_ & ~0x00004000);
+      bitField0_ = (bitField0_ & ~0x00002000);
       departures_ = 0L;
       onChanged();
       return this;
@@ -2955,9 +2911,9 @@
     private java.util.List<org.mangorack.keeper.proto.Departure> departure_ =
       java.util.Collections.emptyList();
     private void ensureDepartureIsMutable() {
-      if (!((bitField0_ & 0x00008000) != 0)) {
+      if (!((bitField0_ & 0x00004000) != 0)) {
         departure_ = new java.util.ArrayList<org.mangorack.keeper.proto.Departure>(departure_);
-        bitField0_ |= 0x00008000;
+        bitField0_ |= 0x00004000;
        }
     }
 
@@ -3151,7 +3107,7 @@
     public Builder clearDeparture() {
       if (departureBuilder_ == null) {
         departure_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00008000);
+        bitField0_ = (bitField0_ & ~0x00004000);
         onChanged();
       } else {
         departureBuilder_.clear();
@@ -3256,7 +3212,7 @@
         departureBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.mangorack.keeper.proto.Departure, org.mangorack.keeper.proto.Departure.Builder, org.mangorack.keeper.proto.DepartureOrBuilder>(
                 departure_,
-                ((bitField0_ & 0x00008000) != 0),
+                ((bitField0_ & 0x00004000) != 0),
                 getParentForChildren(),
                 isClean());
         departure_ = null;
@@ -3264,6 +3220,50 @@
       return departureBuilder_;
     }
 
+    private boolean configurationWanted_ ;
+    /**
+     * <pre>
+     * Whether the sender of the beat is to offer its configuration, which is newer than the keeper's.
+     * </pre>
+     *
+     * <code>bool configuration_wanted = 17;</code>
+     * @return The configurationWanted.
+     */
+    @java.lang.Override
+    public boolean getConfigurationWanted() {
+      return configurationWanted_;
+    }
+    /**
+     * <pre>
+     * Whether the sender of the beat is to offer its configuration, which is newer than the keeper's.
+     * </pre>
+     *
+     * <code>bool configuration_wanted = 17;</code>
+     * @param value The configurationWanted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationWanted(boolean value) {
+
+      configurationWanted_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender of the beat is to offer its configuration, which is newer than the keeper's.
+     * </pre>
+     *
+     * <code>bool configuration_wanted = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationWanted() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      configurationWanted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Pulse)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
@@ -70,16 +70,6 @@
    */
   long getConfigurationAgeMs();
 
-  /**
-   * <pre>
-   * The configuration document, if it is newer than the one of the beat.
-   * </pre>
-   *
-   * <code>bytes document = 4;</code>
-   * @return The document.
-   */
-  com.google.protobuf.ByteString getDocument();
-
   /**
    * <code>uint64 entries = 5;</code>
    * @return The entries.
@@ -307,4 +297,14 @@
    */
   org.mangorack.keeper.proto.DepartureOrBuilder getDepartureOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Whether the sender of the beat is to offer its configuration, which is newer than the keeper's.
+   * </pre>
+   *
+   * <code>bool configuration_wanted = 17;</code>
+   * @return The configurationWanted.
+   */
+  boolean getConfigurationWanted();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Reply.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Reply.java
@@ -57,6 +57,7 @@
     DRAWN(8),
     LISTING(9),
     BATCH(10),
+    CONFIGURATION(11),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -80,6 +81,7 @@
         case 8: return DRAWN;
         case 9: return LISTING;
         case 10: return BATCH;
+        case 11: return CONFIGURATION;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -351,6 +353,37 @@
     return org.mangorack.keeper.proto.Batch.getDefaultInstance();
   }
 
+  public static final int CONFIGURATION_FIELD_NUMBER = 11;
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+   * @return Whether the configuration field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfiguration() {
+    return bodyCase_ == 11;
+  }
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+   * @return The configuration.
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.ConfigurationDocument getConfiguration() {
+    if (bodyCase_ == 11) {
+       return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+    }
+    return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+  }
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder getConfigurationOrBuilder() {
+    if (bodyCase_ == 11) {
+       return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+    }
+    return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -395,6 +428,9 @@
     if (bodyCase_ == 10) {
       output.writeMessage(10, (org.mangorack.keeper.proto.Batch) body_);
     }
+    if (bodyCase_ == 11) {
+      output.writeMessage(11, (org.mangorack.keeper.proto.ConfigurationDocument) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -444,6 +480,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(10, (org.mangorack.keeper.proto.Batch) body_);
     }
+    if (bodyCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (org.mangorack.keeper.proto.ConfigurationDocument) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -495,6 +535,10 @@
         if (!getBatch()
             .equals(other.getBatch())) return false;
         break;
+      case 11:
+        if (!getConfiguration()
+            .equals(other.getConfiguration())) return false;
+        break;
       case 0:
       default:
     }
@@ -546,6 +590,10 @@
         hash = (37 * hash) + BATCH_FIELD_NUMBER;
         hash = (53 * hash) + getBatch().hashCode();
         break;
+      case 11:
+        hash = (37 * hash) + CONFIGURATION_FIELD_NUMBER;
+        hash = (53 * hash) + getConfiguration().hashCode();
+        break;
       case 0:
       default:
     }
@@ -712,6 +760,9 @@
       if (batchBuilder_ != null) {
         batchBuilder_.clear();
       }
+      if (configurationBuilder_ != null) {
+        configurationBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -794,6 +845,10 @@
           batchBuilder_ != null) {
         result.body_ = batchBuilder_.build();
       }
+      if (bodyCase_ == 11 &&
+          configurationBuilder_ != null) {
+        result.body_ = configurationBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -845,6 +900,10 @@
           mergeBatch(other.getBatch());
           break;
         }
+        case CONFIGURATION: {
+          mergeConfiguration(other.getConfiguration());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -939,6 +998,13 @@
               bodyCase_ = 10;
               break;
             } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetConfigurationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 11;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2071,6 +2137,148 @@
       return batchBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.ConfigurationDocument, org.mangorack.keeper.proto.ConfigurationDocument.Builder, org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder> configurationBuilder_;
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     * @return Whether the configuration field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfiguration() {
+      return bodyCase_ == 11;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     * @return The configuration.
+     */
+    @java.lang.Override
+    public org.mangorack.keeper.proto.ConfigurationDocument getConfiguration() {
+      if (configurationBuilder_ == null) {
+        if (bodyCase_ == 11) {
+          return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+        }
+        return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 11) {
+          return configurationBuilder_.getMessage();
+        }
+        return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     */
+    public Builder setConfiguration(org.mangorack.keeper.proto.ConfigurationDocument value) {
+      if (configurationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        configurationBuilder_.setMessage(value);
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     */
+    public Builder setConfiguration(
+        org.mangorack.keeper.proto.ConfigurationDocument.Builder builderForValue) {
+      if (configurationBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        configurationBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     */
+    public Builder mergeConfiguration(org.mangorack.keeper.proto.ConfigurationDocument value) {
+      if (configurationBuilder_ == null) {
+        if (bodyCase_ == 11 &&
+            body_ != org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance()) {
+          body_ = org.mangorack.keeper.proto.ConfigurationDocument.newBuilder((org.mangorack.keeper.proto.ConfigurationDocument) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 11) {
+          configurationBuilder_.mergeFrom(value);
+        } else {
+          configurationBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     */
+    public Builder clearConfiguration() {
+      if (configurationBuilder_ == null) {
+        if (bodyCase_ == 11) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 11) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        configurationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     */
+    public org.mangorack.keeper.proto.ConfigurationDocument.Builder getConfigurationBuilder() {
+      return internalGetConfigurationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     */
+    @java.lang.Override
+    public org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder getConfigurationOrBuilder() {
+      if ((bodyCase_ == 11) && (configurationBuilder_ != null)) {
+        return configurationBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 11) {
+          return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+        }
+        return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.ConfigurationDocument, org.mangorack.keeper.proto.ConfigurationDocument.Builder, org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder> 
+        internalGetConfigurationFieldBuilder() {
+      if (configurationBuilder_ == null) {
+        if (!(bodyCase_ == 11)) {
+          body_ = org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+        }
+        configurationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.mangorack.keeper.proto.ConfigurationDocument, org.mangorack.keeper.proto.ConfigurationDocument.Builder, org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder>(
+                (org.mangorack.keeper.proto.ConfigurationDocument) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 11;
+      onChanged();
+      return configurationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Reply)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/ReplyOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/ReplyOrBuilder.java
@@ -142,5 +142,20 @@
    */
   org.mangorack.keeper.proto.BatchOrBuilder getBatchOrBuilder();
 
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+   * @return Whether the configuration field is set.
+   */
+  boolean hasConfiguration();
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+   * @return The configuration.
+   */
+  org.mangorack.keeper.proto.ConfigurationDocument getConfiguration();
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument configuration = 11;</code>
+   */
+  org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder getConfigurationOrBuilder();
+
   org.mangorack.keeper.proto.Reply.BodyCase getBodyCase();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Request.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Request.java
@@ -59,6 +59,8 @@
     INVENTORY(9),
     COPY(10),
     STORE(11),
+    FETCH_CONFIGURATION(13),
+    OFFER_CONFIGURATION(14),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -85,6 +87,8 @@
         case 9: return INVENTORY;
         case 10: return COPY;
         case 11: return STORE;
+        case 13: return FETCH_CONFIGURATION;
+        case 14: return OFFER_CONFIGURATION;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -452,6 +456,68 @@
     return org.mangorack.keeper.proto.Store.getDefaultInstance();
   }
 
+  public static final int FETCH_CONFIGURATION_FIELD_NUMBER = 13;
+  /**
+   * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+   * @return Whether the fetchConfiguration field is set.
+   */
+  @java.lang.Override
+  public boolean hasFetchConfiguration() {
+    return bodyCase_ == 13;
+  }
+  /**
+   * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+   * @return The fetchConfiguration.
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.FetchConfiguration getFetchConfiguration() {
+    if (bodyCase_ == 13) {
+       return (org.mangorack.keeper.proto.FetchConfiguration) body_;
+    }
+    return org.mangorack.keeper.proto.FetchConfiguration.getDefaultInstance();
+  }
+  /**
+   * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.FetchConfigurationOrBuilder getFetchConfigurationOrBuilder() {
+    if (bodyCase_ == 13) {
+       return (org.mangorack.keeper.proto.FetchConfiguration) body_;
+    }
+    return org.mangorack.keeper.proto.FetchConfiguration.getDefaultInstance();
+  }
+
+  public static final int OFFER_CONFIGURATION_FIELD_NUMBER = 14;
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+   * @return Whether the offerConfiguration field is set.
+   */
+  @java.lang.Override
+  public boolean hasOfferConfiguration() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+   * @return The offerConfiguration.
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.ConfigurationDocument getOfferConfiguration() {
+    if (bodyCase_ == 14) {
+       return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+    }
+    return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+  }
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder getOfferConfigurationOrBuilder() {
+    if (bodyCase_ == 14) {
+       return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+    }
+    return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -502,6 +568,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(disk_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 12, disk_);
     }
+    if (bodyCase_ == 13) {
+      output.writeMessage(13, (org.mangorack.keeper.proto.FetchConfiguration) body_);
+    }
+    if (bodyCase_ == 14) {
+      output.writeMessage(14, (org.mangorack.keeper.proto.ConfigurationDocument) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -558,6 +630,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(disk_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(12, disk_);
     }
+    if (bodyCase_ == 13) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, (org.mangorack.keeper.proto.FetchConfiguration) body_);
+    }
+    if (bodyCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (org.mangorack.keeper.proto.ConfigurationDocument) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -617,6 +697,14 @@
         if (!getStore()
             .equals(other.getStore())) return false;
         break;
+      case 13:
+        if (!getFetchConfiguration()
+            .equals(other.getFetchConfiguration())) return false;
+        break;
+      case 14:
+        if (!getOfferConfiguration()
+            .equals(other.getOfferConfiguration())) return false;
+        break;
       case 0:
       default:
     }
@@ -676,6 +764,14 @@
         hash = (37 * hash) + STORE_FIELD_NUMBER;
         hash = (53 * hash) + getStore().hashCode();
         break;
+      case 13:
+        hash = (37 * hash) + FETCH_CONFIGURATION_FIELD_NUMBER;
+        hash = (53 * hash) + getFetchConfiguration().hashCode();
+        break;
+      case 14:
+        hash = (37 * hash) + OFFER_CONFIGURATION_FIELD_NUMBER;
+        hash = (53 * hash) + getOfferConfiguration().hashCode();
+        break;
       case 0:
       default:
     }
@@ -840,6 +936,12 @@
       if (storeBuilder_ != null) {
         storeBuilder_.clear();
       }
+      if (fetchConfigurationBuilder_ != null) {
+        fetchConfigurationBuilder_.clear();
+      }
+      if (offerConfigurationBuilder_ != null) {
+        offerConfigurationBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -926,6 +1028,14 @@
           storeBuilder_ != null) {
         result.body_ = storeBuilder_.build();
       }
+      if (bodyCase_ == 13 &&
+          fetchConfigurationBuilder_ != null) {
+        result.body_ = fetchConfigurationBuilder_.build();
+      }
+      if (bodyCase_ == 14 &&
+          offerConfigurationBuilder_ != null) {
+        result.body_ = offerConfigurationBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -988,6 +1098,14 @@
           mergeStore(other.getStore());
           break;
         }
+        case FETCH_CONFIGURATION: {
+          mergeFetchConfiguration(other.getFetchConfiguration());
+          break;
+        }
+        case OFFER_CONFIGURATION: {
+          mergeOfferConfiguration(other.getOfferConfiguration());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1096,6 +1214,20 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 98
+            case 106: {
+              input.readMessage(
+                  internalGetFetchConfigurationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 13;
+              break;
+            } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetOfferConfigurationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 14;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2574,6 +2706,290 @@
       return storeBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.FetchConfiguration, org.mangorack.keeper.proto.FetchConfiguration.Builder, org.mangorack.keeper.proto.FetchConfigurationOrBuilder> fetchConfigurationBuilder_;
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     * @return Whether the fetchConfiguration field is set.
+     */
+    @java.lang.Override
+    public boolean hasFetchConfiguration() {
+      return bodyCase_ == 13;
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     * @return The fetchConfiguration.
+     */
+    @java.lang.Override
+    public org.mangorack.keeper.proto.FetchConfiguration getFetchConfiguration() {
+      if (fetchConfigurationBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          return (org.mangorack.keeper.proto.FetchConfiguration) body_;
+        }
+        return org.mangorack.keeper.proto.FetchConfiguration.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 13) {
+          return fetchConfigurationBuilder_.getMessage();
+        }
+        return org.mangorack.keeper.proto.FetchConfiguration.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     */
+    public Builder setFetchConfiguration(org.mangorack.keeper.proto.FetchConfiguration value) {
+      if (fetchConfigurationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        fetchConfigurationBuilder_.setMessage(value);
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     */
+    public Builder setFetchConfiguration(
+        org.mangorack.keeper.proto.FetchConfiguration.Builder builderForValue) {
+      if (fetchConfigurationBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        fetchConfigurationBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     */
+    public Builder mergeFetchConfiguration(org.mangorack.keeper.proto.FetchConfiguration value) {
+      if (fetchConfigurationBuilder_ == null) {
+        if (bodyCase_ == 13 &&
+            body_ != org.mangorack.keeper.proto.FetchConfiguration.getDefaultInstance()) {
+          body_ = org.mangorack.keeper.proto.FetchConfiguration.newBuilder((org.mangorack.keeper.proto.FetchConfiguration) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 13) {
+          fetchConfigurationBuilder_.mergeFrom(value);
+        } else {
+          fetchConfigurationBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     */
+    public Builder clearFetchConfiguration() {
+      if (fetchConfigurationBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        fetchConfigurationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     */
+    public org.mangorack.keeper.proto.FetchConfiguration.Builder getFetchConfigurationBuilder() {
+      return internalGetFetchConfigurationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     */
+    @java.lang.Override
+    public org.mangorack.keeper.proto.FetchConfigurationOrBuilder getFetchConfigurationOrBuilder() {
+      if ((bodyCase_ == 13) && (fetchConfigurationBuilder_ != null)) {
+        return fetchConfigurationBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 13) {
+          return (org.mangorack.keeper.proto.FetchConfiguration) body_;
+        }
+        return org.mangorack.keeper.proto.FetchConfiguration.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.FetchConfiguration, org.mangorack.keeper.proto.FetchConfiguration.Builder, org.mangorack.keeper.proto.FetchConfigurationOrBuilder> 
+        internalGetFetchConfigurationFieldBuilder() {
+      if (fetchConfigurationBuilder_ == null) {
+        if (!(bodyCase_ == 13)) {
+          body_ = org.mangorack.keeper.proto.FetchConfiguration.getDefaultInstance();
+        }
+        fetchConfigurationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.mangorack.keeper.proto.FetchConfiguration, org.mangorack.keeper.proto.FetchConfiguration.Builder, org.mangorack.keeper.proto.FetchConfigurationOrBuilder>(
+                (org.mangorack.keeper.proto.FetchConfiguration) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 13;
+      onChanged();
+      return fetchConfigurationBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.ConfigurationDocument, org.mangorack.keeper.proto.ConfigurationDocument.Builder, org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder> offerConfigurationBuilder_;
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     * @return Whether the offerConfiguration field is set.
+     */
+    @java.lang.Override
+    public boolean hasOfferConfiguration() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     * @return The offerConfiguration.
+     */
+    @java.lang.Override
+    public org.mangorack.keeper.proto.ConfigurationDocument getOfferConfiguration() {
+      if (offerConfigurationBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+        }
+        return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 14) {
+          return offerConfigurationBuilder_.getMessage();
+        }
+        return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     */
+    public Builder setOfferConfiguration(org.mangorack.keeper.proto.ConfigurationDocument value) {
+      if (offerConfigurationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        offerConfigurationBuilder_.setMessage(value);
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     */
+    public Builder setOfferConfiguration(
+        org.mangorack.keeper.proto.ConfigurationDocument.Builder builderForValue) {
+      if (offerConfigurationBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        offerConfigurationBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     */
+    public Builder mergeOfferConfiguration(org.mangorack.keeper.proto.ConfigurationDocument value) {
+      if (offerConfigurationBuilder_ == null) {
+        if (bodyCase_ == 14 &&
+            body_ != org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance()) {
+          body_ = org.mangorack.keeper.proto.ConfigurationDocument.newBuilder((org.mangorack.keeper.proto.ConfigurationDocument) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 14) {
+          offerConfigurationBuilder_.mergeFrom(value);
+        } else {
+          offerConfigurationBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     */
+    public Builder clearOfferConfiguration() {
+      if (offerConfigurationBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        offerConfigurationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     */
+    public org.mangorack.keeper.proto.ConfigurationDocument.Builder getOfferConfigurationBuilder() {
+      return internalGetOfferConfigurationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     */
+    @java.lang.Override
+    public org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder getOfferConfigurationOrBuilder() {
+      if ((bodyCase_ == 14) && (offerConfigurationBuilder_ != null)) {
+        return offerConfigurationBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 14) {
+          return (org.mangorack.keeper.proto.ConfigurationDocument) body_;
+        }
+        return org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.ConfigurationDocument, org.mangorack.keeper.proto.ConfigurationDocument.Builder, org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder> 
+        internalGetOfferConfigurationFieldBuilder() {
+      if (offerConfigurationBuilder_ == null) {
+        if (!(bodyCase_ == 14)) {
+          body_ = org.mangorack.keeper.proto.ConfigurationDocument.getDefaultInstance();
+        }
+        offerConfigurationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.mangorack.keeper.proto.ConfigurationDocument, org.mangorack.keeper.proto.ConfigurationDocument.Builder, org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder>(
+                (org.mangorack.keeper.proto.ConfigurationDocument) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 14;
+      onChanged();
+      return offerConfigurationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Request)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/RequestOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/RequestOrBuilder.java
@@ -181,5 +181,35 @@
    */
   org.mangorack.keeper.proto.StoreOrBuilder getStoreOrBuilder();
 
+  /**
+   * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+   * @return Whether the fetchConfiguration field is set.
+   */
+  boolean hasFetchConfiguration();
+  /**
+   * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+   * @return The fetchConfiguration.
+   */
+  org.mangorack.keeper.proto.FetchConfiguration getFetchConfiguration();
+  /**
+   * <code>.mangorack.keeper.FetchConfiguration fetch_configuration = 13;</code>
+   */
+  org.mangorack.keeper.proto.FetchConfigurationOrBuilder getFetchConfigurationOrBuilder();
+
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+   * @return Whether the offerConfiguration field is set.
+   */
+  boolean hasOfferConfiguration();
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+   * @return The offerConfiguration.
+   */
+  org.mangorack.keeper.proto.ConfigurationDocument getOfferConfiguration();
+  /**
+   * <code>.mangorack.keeper.ConfigurationDocument offer_configuration = 14;</code>
+   */
+  org.mangorack.keeper.proto.ConfigurationDocumentOrBuilder getOfferConfigurationOrBuilder();
+
   org.mangorack.keeper.proto.Request.BodyCase getBodyCase();
 }
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -3,12 +3,19 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.protobuf.ByteString;
 
+import org.mangorack.call.Compression;
 import org.mangorack.call.Jsons;
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
+import org.mangorack.keeper.proto.ConfigurationDocument;
+import org.mangorack.observe.DaemonThreads;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
@@ -20,25 +27,57 @@
  */
 public final class ConfigurationHolder {
 
+	/**
+	 * The largest document that is taken from another instance, several times what the
+	 * platform stores in an object.
+	 */
+	static final int MAX_DOCUMENT_BYTES = 16 * 1024 * 1024;
+
+	private static final Duration READER_IDLE_LIMIT = Duration.ofSeconds(5);
+
 	private final FleetProtocol protocol;
 
 	private final MonotonicClock clock;
 
 	private final Metrics metrics;
 
+	private final Executor reader;
+
 	private volatile State state;
 
 	/**
-	 * Creates a holder without a configuration.
+	 * Creates a holder without a configuration that reads the documents of other
+	 * instances on a thread of its own.
 	 * @param protocol reads documents
 	 * @param clock the time source
 	 * @param metrics counts documents and times their reading
 	 */
 	public ConfigurationHolder(FleetProtocol protocol, MonotonicClock clock, Metrics metrics) {
+		this(protocol, clock, metrics, newReader());
+	}
+
+	/**
+	 * Creates a holder without a configuration.
+	 * @param protocol reads documents
+	 * @param clock the time source
+	 * @param metrics counts documents and times their reading
+	 * @param reader runs the reading of documents of other instances
+	 */
+	ConfigurationHolder(FleetProtocol protocol, MonotonicClock clock, Metrics metrics, Executor reader) {
 		this.protocol = protocol;
 		this.clock = clock;
 		this.metrics = metrics;
-		this.state = new State(null, ByteString.EMPTY, clock.nanoTime() - Duration.ofDays(1).toNanos());
+		this.reader = reader;
+		this.state = new State(null, ConfigurationDocument.getDefaultInstance(),
+				clock.nanoTime() - Duration.ofDays(1).toNanos());
+	}
+
+	// The thread ends when idle: documents come seldom.
+	private static Executor newReader() {
+		ThreadPoolExecutor executor = new ThreadPoolExecutor(1, 1, READER_IDLE_LIMIT.toMillis(), TimeUnit.MILLISECONDS,
+				new LinkedBlockingQueue<>(), DaemonThreads.named("configuration"));
+		executor.allowCoreThreadTimeOut(true);
+		return executor;
 	}
 
 	// ---- Accessors
@@ -69,10 +108,10 @@
 	}
 
 	/**
-	 * Returns the document as the platform holds it.
-	 * @return the bytes; empty before any is known
+	 * Returns the document of the configuration, to pass on.
+	 * @return the document without its age; of version 0 before any is known
 	 */
-	public ByteString document() {
+	public ConfigurationDocument document() {
 		return this.state.document();
 	}
 
@@ -98,27 +137,25 @@
 	// ---- Public API
 
 	/**
-	 * Takes over a document unless it is older than the one in use.
+	 * Takes over a document of the platform unless it is older than the one in use.
 	 * @param document the document
 	 * @param confirmedAt when it was certainly the newest one, on the monotonic clock
 	 * @param source where it comes from, for the log
 	 * @return the version of the document, or 0 if it cannot be read
 	 */
-	public synchronized long offer(JsonNode document, long confirmedAt, String source) {
+	public long offer(JsonNode document, long confirmedAt, String source) {
+		long version = this.protocol.configurationVersion(document);
+		if ((version > 0) && (version <= version())) {
+			confirm(version, confirmedAt);
+			return version;
+		}
 		try {
 			FleetConfiguration read = this.protocol.configuration(document);
-			if (read.version() > version()) {
-				EventLog.log(Event.CONFIGURATION_IN_FORCE, "version", read.version(), "before", version(), "source",
-						source, "ageMillis", this.clock.elapsed(confirmedAt).toMillis());
-				// What was known of the version before held until then, so this one is as
-				// fresh.
-				long known = this.state.confirmedAt();
-				this.state = new State(read, ByteString.copyFrom(Jsons.bytes(document)),
-						(known - confirmedAt > 0) ? known : confirmedAt);
-			}
-			else if (read.version() == version()) {
-				confirm(read.version(), confirmedAt);
-			}
+			ConfigurationDocument packed = ConfigurationDocument.newBuilder()
+				.setVersion(read.version())
+				.setContent(ByteString.copyFrom(Compression.compress(Jsons.bytes(document))))
+				.build();
+			put(read, packed, confirmedAt, source);
 			return read.version();
 		}
 		catch (IOException ex) {
@@ -128,28 +165,22 @@
 	}
 
 	/**
-	 * Takes over a document as bytes.
+	 * Takes over a document of another instance unless it is older than the one in use.
+	 * It is read on another thread, as a large one takes long.
 	 * @param document the document
 	 * @param confirmedAt when it was certainly the newest one, on the monotonic clock
 	 * @param source where it comes from, for the log
+	 * @param done runs once it is in force or was found to be of no use, on any thread
 	 */
-	public void offer(ByteString document, long confirmedAt, String source) {
-		try {
-			long startedAt = this.clock.nanoTime();
-			long before = version();
-			long version = offer(Jsons.parse(document.toByteArray()), confirmedAt, source);
-			Duration taken = this.clock.elapsed(startedAt);
-			boolean used = version > before;
-			String usedTag = Boolean.toString(used);
-			this.metrics.count("mangorack.configuration.received", 1, "used", usedTag);
-			this.metrics.count("mangorack.configuration.received.bytes", document.size(), "used", usedTag);
-			this.metrics.timer("mangorack.configuration.read").record(taken);
-			EventLog.log(Event.CONFIGURATION_RECEIVED, "version", version, "bytes", document.size(), "source", source,
-					"used", used, "readMillis", taken.toMillis());
-		}
-		catch (IOException ex) {
-			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "source", source);
-		}
+	public void take(ConfigurationDocument document, long confirmedAt, String source, Runnable done) {
+		this.reader.execute(() -> {
+			try {
+				read(document, confirmedAt, source);
+			}
+			finally {
+				done.run();
+			}
+		});
 	}
 
 	/**
@@ -164,14 +195,59 @@
 		}
 	}
 
+	// ---- Helpers
+
+	private void read(ConfigurationDocument document, long confirmedAt, String source) {
+		long startedAt = this.clock.nanoTime();
+		boolean used = document.getVersion() > version();
+		try {
+			if (used) {
+				byte[] bytes = Compression.decompress(document.getContent().toByteArray(), MAX_DOCUMENT_BYTES);
+				FleetConfiguration read = this.protocol.configuration(Jsons.parse(bytes));
+				if (read.version() != document.getVersion()) {
+					throw new IOException(
+							"the document of version " + read.version() + " came as version " + document.getVersion());
+				}
+				put(read, document.toBuilder().clearAgeMs().build(), confirmedAt, source);
+			}
+			else {
+				confirm(document.getVersion(), confirmedAt);
+			}
+		}
+		catch (IOException | RuntimeException ex) {
+			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "source", source, "version", document.getVersion());
+		}
+		Duration taken = this.clock.elapsed(startedAt);
+		int size = document.getContent().size();
+		String usedTag = Boolean.toString(used);
+		this.metrics.count("mangorack.configuration.received", 1, "used", usedTag);
+		this.metrics.count("mangorack.configuration.received.bytes", size, "used", usedTag);
+		this.metrics.timer("mangorack.configuration.read").record(taken);
+		EventLog.log(Event.CONFIGURATION_RECEIVED, "version", document.getVersion(), "bytes", size, "source", source,
+				"used", used, "readMillis", taken.toMillis());
+	}
+
+	private synchronized void put(FleetConfiguration read, ConfigurationDocument document, long confirmedAt,
+			String source) {
+		if (read.version() <= version()) {
+			confirm(read.version(), confirmedAt);
+			return;
+		}
+		EventLog.log(Event.CONFIGURATION_IN_FORCE, "version", read.version(), "before", version(), "source", source,
+				"ageMillis", this.clock.elapsed(confirmedAt).toMillis());
+		// What was known of the version before held until then, so this one is as fresh.
+		long known = this.state.confirmedAt();
+		this.state = new State(read, document, (known - confirmedAt > 0) ? known : confirmedAt);
+	}
+
 	/**
 	 * A configuration and when it was confirmed.
 	 *
 	 * @param configuration the configuration, or {@code null}
-	 * @param document its document
+	 * @param document its document without an age
 	 * @param confirmedAt when it was certainly the newest one
 	 */
-	private record State(FleetConfiguration configuration, ByteString document, long confirmedAt) {
+	private record State(FleetConfiguration configuration, ConfigurationDocument document, long confirmedAt) {
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -21,6 +21,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 import org.mangorack.http.StatusServer;
+import org.mangorack.keeper.ConfigurationSource;
 import org.mangorack.keeper.GroupDocument;
 import org.mangorack.keeper.GroupView;
 import org.mangorack.keeper.KeeperClient;
@@ -114,6 +115,8 @@
 
 	private final ConfigurationHolder configuration;
 
+	private final ConfigurationFetch fetch;
+
 	private final KeeperClient keepers;
 
 	private final UpstreamTable upstreams;
@@ -159,6 +162,7 @@
 		this.protocol = protocol;
 		this.metrics = metrics;
 		this.configuration = new ConfigurationHolder(protocol, this.clock, metrics);
+		this.fetch = new ConfigurationFetch(this.configuration, this.clock, this.loop, this::openIfPrepared);
 		this.keepers = new KeeperClient(this.loop, this.clock, settings.dataCentre(), settings.tolerance());
 		UpstreamClient client = new UpstreamClient(this.loop, protocol, this.clock, metrics);
 		this.upstreams = new UpstreamTable(this.loop, protocol, client, this.clock, settings.dataCentre());
@@ -275,21 +279,22 @@
 		boolean alone = (this.keepers.view().epoch() == 0) && (sentAt - this.seedsAskedAt >= SEED_INTERVAL.toNanos());
 		if (alone) {
 			this.seedsAskedAt = sentAt;
-			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load, departures, true), (pulse) -> {
-				takeConfiguration(pulse, "seed", sentAt);
-				this.upstreams.take(pulse.getUpstreams());
-				this.upstreams.takeDepartures(pulse.getDepartureList());
-				openIfPrepared();
-			});
+			this.keepers.askSeeds(this.settings.seeds(), beat("", List.of(), load, departures, true),
+					(member, pulse, source) -> {
+						heardConfiguration(pulse, source, sentAt);
+						this.upstreams.take(pulse.getUpstreams());
+						this.upstreams.takeDepartures(pulse.getDepartureList());
+						openIfPrepared();
+					});
 		}
 		Set<String> listSources = this.pulses.listSources(this.keepers.connectedMembers());
 		this.keepers.beat((disk) -> beat(disk, usage, load, departures, listSources.contains(disk)),
-				(member, pulse) -> heard(member, pulse, reported, sentAt));
+				(member, pulse, source) -> heard(member, pulse, source, reported, sentAt));
 	}
 
 	private Beat beat(String disk, List<Usage> usage, List<Load> load, List<Departure> departures, boolean withLists) {
 		KeeperPulses.Known known = this.pulses.known(disk);
-		Beat.Builder beat = Beat.newBuilder()
+		return Beat.newBuilder()
 			.setInstance(this.settings.instance())
 			.setCallerAddress(this.settings.callers().toString())
 			.setZone(this.settings.dataCentre())
@@ -304,25 +309,22 @@
 			.setContactAgeMs(sinceContact().toMillis())
 			.setPulseTimeMs((known != null) ? known.time() : 0)
 			.setWithLists(withLists)
-			.setUpstreams(this.upstreams.version());
-		if ((known != null) && (known.configuration() < this.configuration.version())) {
-			beat.setDocument(this.configuration.document());
-		}
-		return beat.build();
+			.setUpstreams(this.upstreams.version())
+			.build();
 	}
 
-	private void takeConfiguration(Pulse pulse, String source, long sentAt) {
-		long confirmedAt = sentAt - TimeUnit.MILLISECONDS.toNanos(pulse.getConfigurationAgeMs());
-		if (!pulse.getDocument().isEmpty()) {
-			this.configuration.offer(pulse.getDocument(), confirmedAt, source);
-		}
-		else {
-			this.configuration.confirm(pulse.getConfiguration(), confirmedAt);
+	private void heardConfiguration(Pulse pulse, ConfigurationSource source, long sentAt) {
+		this.configuration.confirm(pulse.getConfiguration(),
+				sentAt - TimeUnit.MILLISECONDS.toNanos(pulse.getConfigurationAgeMs()));
+		this.fetch.heard(pulse.getConfiguration(), source);
+		if (pulse.getConfigurationWanted() && (this.configuration.version() > pulse.getConfiguration())) {
+			source.offer(this.configuration.document());
 		}
 	}
 
-	private void heard(Member member, Pulse pulse, Map<String, Long> reported, long sentAt) {
-		takeConfiguration(pulse, member.getName(), sentAt);
+	private void heard(Member member, Pulse pulse, ConfigurationSource source, Map<String, Long> reported,
+			long sentAt) {
+		heardConfiguration(pulse, source, sentAt);
 		this.pulses.heard(member.getDisk(), pulse);
 		PlatformContact platform = pulse.getContact();
 		this.upstreams.heardPlatform(member.getDisk(), new ContactTracker.Contact(platform.getAnswering(),
--- a/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
@@ -2,13 +2,11 @@
 
 import java.time.Duration;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 
@@ -19,7 +17,8 @@
 
 	private final long version;
 
-	private final Map<String, List<RelayRoute>> routes = new HashMap<>();
+	// By host and prefix.
+	private final Map<String, Map<String, RelayRoute>> routes = new HashMap<>();
 
 	private final Map<String, Pool> pools = new HashMap<>();
 
@@ -34,7 +33,7 @@
 	/**
 	 * Creates a configuration.
 	 * @param version its version, which grows
-	 * @param routes all routes
+	 * @param routes all routes; their prefixes end with a slash
 	 * @param pools all pools
 	 * @param workspaces all workspaces, or {@code null} if callers need no keys
 	 * @param callerLimits what a caller may send
@@ -44,7 +43,8 @@
 		this.version = version;
 		this.callerLimits = callerLimits;
 		this.keyed = (workspaces != null);
-		routes.forEach((r) -> this.routes.merge(r.host(), List.of(r), FleetConfiguration::longestFirst));
+		routes.forEach(
+				(r) -> this.routes.computeIfAbsent(r.host(), (host) -> new HashMap<>()).putIfAbsent(r.prefix(), r));
 		pools.forEach((p) -> this.pools.put(p.name(), p));
 		if (workspaces != null) {
 			workspaces.forEach((w) -> {
@@ -56,12 +56,6 @@
 		}
 	}
 
-	private static List<RelayRoute> longestFirst(List<RelayRoute> some, List<RelayRoute> more) {
-		return Stream.concat(some.stream(), more.stream())
-			.sorted(Comparator.comparingInt((RelayRoute r) -> -r.prefix().length()))
-			.toList();
-	}
-
 	// ---- Accessors
 
 	/**
@@ -97,10 +91,14 @@
 	 * @return the route with the longest matching prefix
 	 */
 	public Optional<RelayRoute> route(String host, String path) {
-		return this.routes.getOrDefault(host, List.of())
-			.stream()
-			.filter((r) -> path.startsWith(r.prefix()))
-			.findFirst();
+		Map<String, RelayRoute> ofHost = this.routes.getOrDefault(host, Map.of());
+		for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+			RelayRoute found = ofHost.get(path.substring(0, end + 1));
+			if (found != null) {
+				return Optional.of(found);
+			}
+		}
+		return Optional.empty();
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/FleetProtocol.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetProtocol.java
@@ -27,6 +27,13 @@
 	 */
 	FleetConfiguration configuration(JsonNode document) throws IOException;
 
+	/**
+	 * Reads the version of a configuration alone.
+	 * @param document the document as the platform holds it
+	 * @return the version, or 0 if there is none
+	 */
+	long configurationVersion(JsonNode document);
+
 	/**
 	 * Reads the entry of an upstream.
 	 * @param id the name of the entry
--- a/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
@@ -119,8 +119,8 @@
 			load = pulse.getLoadList();
 			listedAt = now;
 		}
-		this.pulses.put(disk, new Known(now, listedAt, version, departures, entries, load, pulse.getConfiguration(),
-				pulse.getTimeMs(), Duration.ofMillis(pulse.getContactAgeMs())));
+		this.pulses.put(disk, new Known(now, listedAt, version, departures, entries, load, pulse.getTimeMs(),
+				Duration.ofMillis(pulse.getContactAgeMs())));
 		if (pulse.getWithLists()) {
 			refreshAddresses();
 		}
@@ -204,12 +204,11 @@
 	 * @param departuresVersion the version of its list of departures
 	 * @param entries the entries that it hears
 	 * @param load calls under way at upstreams
-	 * @param configuration the version of its configuration
 	 * @param time the time on the keeper's own clock, in milliseconds
 	 * @param contactAge how long ago the platform last answered it
 	 */
 	record Known(long heardAt, long listedAt, long entriesVersion, long departuresVersion, List<Entry> entries,
-			List<Load> load, long configuration, long time, Duration contactAge) {
+			List<Load> load, long time, Duration contactAge) {
 	}
 
 }
--- a/mangorack/src/test/java/org/mangorack/keeper/FixedConfiguration.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/FixedConfiguration.java
@@ -5,6 +5,9 @@
 
 import com.google.protobuf.ByteString;
 
+import org.mangorack.call.Compression;
+import org.mangorack.keeper.proto.ConfigurationDocument;
+
 /**
  * A configuration that changes only by the hand of a test, with one rate for every
  * workspace.
@@ -46,7 +49,7 @@
 	}
 
 	@Override
-	public void offer(ByteString fresh, long confirmedAt, String source) {
+	public void offer(ConfigurationDocument document, long confirmedAt, String source) {
 		// It never changes.
 	}
 
@@ -61,8 +64,11 @@
 	}
 
 	@Override
-	public ByteString document() {
-		return ByteString.copyFromUtf8("{}");
+	public ConfigurationDocument document() {
+		return ConfigurationDocument.newBuilder()
+			.setVersion(this.version)
+			.setContent(ByteString.copyFrom(Compression.compress(new byte[] { '{', '}' })))
+			.build();
 	}
 
 	@Override
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -320,7 +320,7 @@
 	// ---- Helpers
 
 	private void beat(Beat beat, Consumer<Pulse> done) throws Exception {
-		onLoop(() -> this.client.beat((disk) -> beat, (member, pulse) -> {
+		onLoop(() -> this.client.beat((disk) -> beat, (member, pulse, source) -> {
 			if (member.getDisk().equals("d0")) {
 				done.accept(pulse);
 			}
@@ -384,7 +384,7 @@
 		onLoop(() -> this.client.beat((disk) -> Beat.newBuilder()
 			.setInstance("e")
 			.addUsage(Usage.newBuilder().setWorkspace("w").setCalls(-calls.applyAsInt(disk)))
-			.build(), (member, pulse) -> this.pulses.add(member.getDisk())));
+			.build(), (member, pulse, source) -> this.pulses.add(member.getDisk())));
 		for (int i = 0; i < keepersUp; i++) {
 			assertThat(this.pulses.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isNotNull();
 		}
--- a/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
@@ -64,9 +64,11 @@
 	// Reads documents that hold a version only.
 	private static FleetProtocol protocol() {
 		return (FleetProtocol) Proxy.newProxyInstance(FleetProtocol.class.getClassLoader(),
-				new Class<?>[] { FleetProtocol.class },
-				(proxy, method, arguments) -> new FleetConfiguration(((JsonNode) arguments[0]).path("version").asLong(),
-						List.of(), List.of(), null, CallerLimits.DEFAULT));
+				new Class<?>[] { FleetProtocol.class }, (proxy, method, arguments) -> {
+					long version = ((JsonNode) arguments[0]).path("version").asLong();
+					return method.getName().equals("configurationVersion") ? (Object) version
+							: new FleetConfiguration(version, List.of(), List.of(), null, CallerLimits.DEFAULT);
+				});
 	}
 
 }
