Call a route or key missing only if the configuration was confirmed lately

Cause: an entry concluded absence from a copy that it knew to be old. A missing route was refused before the age of the copy was looked at, a missing key up to an age of 4 s, though an entry has to follow a change within 2 or 3 s. Why this works: a request was sent before it arrived, so a copy that was confirmed less than the bound ago has every version whose acknowledgement is the bound or more older than the request. Without that the request waits for the next confirmation, which needs no question of its own, and is refused as not run, with a time to come back, if none comes. The waiting is that of the start gate, now in HeldCalls for both.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -48,6 +48,11 @@
 
 	static final String OTHER_KEY = "key-b";
 
+	/**
+	 * Within what time an entry has to follow a configuration.
+	 */
+	static final Duration CONFIGURATION_APPLY = Duration.ofSeconds(2);
+
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
 	private static final Duration WATCH = Duration.ofMillis(300);
@@ -124,10 +129,9 @@
 		this.callers = freeAddress(ENTRY_HOST);
 		this.directory = freeAddress(ENTRY_HOST);
 		this.readiness = freeAddress(ENTRY_HOST);
-		this.entry = new EntryNode(
-				new EntrySettings("entry-" + ++this.entries, "dc", this.callers, this.readiness, this.directory, null,
-						storeAddress(), this.keeperAddresses, tolerance, Duration.ofSeconds(4), Duration.ofSeconds(8)),
-				newStore(), new WireProtocol(), this.metrics);
+		this.entry = new EntryNode(new EntrySettings("entry-" + ++this.entries, "dc", this.callers, this.readiness,
+				this.directory, null, storeAddress(), this.keeperAddresses, tolerance, Duration.ofSeconds(4),
+				CONFIGURATION_APPLY, Duration.ofSeconds(8)), newStore(), new WireProtocol(), this.metrics);
 		this.resources.add(this.entry);
 		this.entry.start();
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -66,7 +66,7 @@
 
 	private long lastId;
 
-	private long lastReceived;
+	private volatile long lastReceived;
 
 	KeeperLink(EventLoop loop, Member member, MonotonicClock clock, Runnable onUp) {
 		this.loop = loop;
@@ -119,6 +119,14 @@
 		return this.up;
 	}
 
+	/**
+	 * Returns when the last bytes came.
+	 * @return the time on the monotonic clock; may be read by any thread
+	 */
+	long lastReceived() {
+		return this.lastReceived;
+	}
+
 	// ---- Public API
 
 	/**
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/relay/AbsenceCheck.java
@@ -0,0 +1,82 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+
+import io.netty.channel.EventLoop;
+
+/**
+ * Decides whether a route or key that the configuration lacks is certainly missing. A
+ * newer version may have it, so only a copy that was confirmed lately tells. Requests for
+ * what an older copy lacks are held until the copy is confirmed or replaced, which beats
+ * and questions to the platform do anyway: no request causes one. Used by the thread for
+ * traffic only.
+ */
+final class AbsenceCheck {
+
+	/**
+	 * The longest time that a request is held: more than the longest interval of beats.
+	 */
+	static final Duration MAX_WAIT = Duration.ofMillis(600);
+
+	/**
+	 * Requests that are held at once; more are refused. Bounds what callers who ask for
+	 * anything can take.
+	 */
+	static final int MAX_HELD = 256;
+
+	private final ConfigurationHolder configuration;
+
+	private final Duration maxAge;
+
+	private final HeldCalls held;
+
+	private long versionBefore;
+
+	/**
+	 * Creates a check.
+	 * @param loop the event loop of the thread for traffic
+	 * @param configuration the configuration
+	 * @param maxAge how long ago the configuration must have been confirmed
+	 */
+	AbsenceCheck(EventLoop loop, ConfigurationHolder configuration, Duration maxAge) {
+		this.configuration = configuration;
+		this.maxAge = maxAge;
+		this.held = new HeldCalls(loop);
+	}
+
+	/**
+	 * Tells whether what the configuration lacks is certainly missing.
+	 * @return {@code true} if it was confirmed lately
+	 */
+	boolean isCertain() {
+		return this.configuration.age().compareTo(this.maxAge) < 0;
+	}
+
+	/**
+	 * Holds a request until more is known.
+	 * @param waited how long it was held before
+	 * @param timeLeft the time that its caller waits, or {@code null} if it is not known
+	 * @param task decides on the request anew
+	 * @return {@code false} if it is not held, as it was held long enough or too many are
+	 */
+	boolean hold(Duration waited, Duration timeLeft, Runnable task) {
+		Duration left = HeldCalls.limit(MAX_WAIT, timeLeft).minus(waited);
+		if (left.isNegative() || left.isZero() || (this.held.size() >= MAX_HELD)) {
+			return false;
+		}
+		this.held.hold(left, task);
+		return true;
+	}
+
+	/**
+	 * Lets the requests that are held be decided anew, if more is known than before.
+	 */
+	void update() {
+		long version = this.configuration.version();
+		if ((version != this.versionBefore) || isCertain()) {
+			this.versionBefore = version;
+			this.held.release();
+		}
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -162,7 +162,7 @@
 		this.protocol = protocol;
 		this.metrics = metrics;
 		this.configuration = new ConfigurationHolder(protocol, this.clock, metrics);
-		this.fetch = new ConfigurationFetch(this.configuration, this.clock, this.loop, this::openIfPrepared);
+		this.fetch = new ConfigurationFetch(this.configuration, this.clock, this.loop, this::configurationTaken);
 		this.keepers = new KeeperClient(this.loop, this.clock, settings.dataCentre(), settings.tolerance());
 		UpstreamClient client = new UpstreamClient(this.loop, protocol, this.clock, metrics);
 		this.upstreams = new UpstreamTable(this.loop, protocol, client, this.clock, settings.dataCentre());
@@ -170,8 +170,8 @@
 		this.pulses = new KeeperPulses(this.clock, settings.dataCentre());
 		this.probe = new PlatformProbe(store, this.clock, metrics, new ProbeListener());
 		this.contact = new FleetContact(this.clock, this.keepers::view, this::sinceContact);
-		this.server = new RelayServer(this.loop, protocol, this.clock, metrics, this.configuration,
-				settings.maxConfigurationAge(), this.contact, this.upstreams, client, this.keepers, this.rates);
+		this.server = new RelayServer(this.loop, protocol, this.clock, metrics, this.configuration, settings,
+				this.contact, this.upstreams, client, this.keepers, this.rates);
 	}
 
 	// ---- Life-cycle
@@ -316,12 +316,18 @@
 	private void heardConfiguration(Pulse pulse, ConfigurationSource source, long sentAt) {
 		this.configuration.confirm(pulse.getConfiguration(),
 				sentAt - TimeUnit.MILLISECONDS.toNanos(pulse.getConfigurationAgeMs()));
+		this.server.absence().update();
 		this.fetch.heard(pulse.getConfiguration(), source);
 		if (pulse.getConfigurationWanted() && (this.configuration.version() > pulse.getConfiguration())) {
 			source.offer(this.configuration.document());
 		}
 	}
 
+	private void configurationTaken() {
+		this.server.absence().update();
+		openIfPrepared();
+	}
+
 	private void heard(Member member, Pulse pulse, ConfigurationSource source, Map<String, Long> reported,
 			long sentAt) {
 		heardConfiguration(pulse, source, sentAt);
@@ -422,6 +428,7 @@
 		@Override
 		public void configuration(StoredObject object, long askedAt) {
 			EntryNode.this.configuration.offer(object.spec(), askedAt, "platform");
+			EntryNode.this.loop.execute(EntryNode.this::configurationTaken);
 		}
 
 		@Override
--- a/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
@@ -22,11 +22,13 @@
  * @param tolerance how many disks may be lost at once
  * @param maxConfigurationAge how long ago the configuration must have been confirmed for
  * a request with a key to be served
+ * @param maxAbsenceAge how long ago the configuration must have been confirmed for a
+ * route or key that it lacks to be called missing
  * @param grace how long a planned stop may take
  */
 public record EntrySettings(String instance, String dataCentre, HttpAddress callers, HttpAddress readiness,
 		HttpAddress directory, HttpAddress metrics, HttpAddress platform, List<HttpAddress> seeds, int tolerance,
-		Duration maxConfigurationAge, Duration grace) {
+		Duration maxConfigurationAge, Duration maxAbsenceAge, Duration grace) {
 
 	private static final int MAX_TOLERANCE = 10;
 
@@ -56,9 +58,10 @@
 		Duration age = Duration.ofMillis(reader.integer("revocationMillis", 500, 600_000, 5000))
 			.multipliedBy(4)
 			.dividedBy(5);
+		Duration absenceAge = Duration.ofMillis(reader.integer("configurationApplyMillis", 200, 600_000, 2000));
 		Duration grace = Duration.ofMillis((long) (reader.number("graceSeconds", 0.5, 3600, 8) * 1000));
 		return new EntrySettings(instance, dataCentre, callers, readiness, directory, metrics, platform, seeds,
-				tolerance, age, grace);
+				tolerance, age, absenceAge, grace);
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -166,11 +166,13 @@
 	// ---- Admission
 
 	void start() {
-		this.server.gate().pass(this.head.timeLeft(), () -> {
-			if (!this.ended) {
-				admit();
-			}
-		});
+		this.server.gate().pass(this.head.timeLeft(), this::admitUnlessEnded);
+	}
+
+	private void admitUnlessEnded() {
+		if (!this.ended) {
+			admit();
+		}
 	}
 
 	private void admit() {
@@ -181,7 +183,7 @@
 		}
 		Optional<RelayRoute> found = this.configuration.route(this.head.host(), this.head.path());
 		if (found.isEmpty()) {
-			refuse(Refusal.notRun(404, "no_route",
+			refuseAbsent(Refusal.notRun(404, "no_route",
 					"no route of host \"" + this.head.host() + "\" begins \"" + this.head.path() + "\""));
 			return;
 		}
@@ -198,7 +200,7 @@
 			}
 			this.workspace = this.configuration.workspace(this.head.key()).orElse(null);
 			if (this.workspace == null) {
-				refuse(Refusal.notRun(401, "unknown_key", "the key is missing or unknown"));
+				refuseAbsent(Refusal.notRun(401, "unknown_key", "the key is missing or unknown"));
 				return;
 			}
 		}
@@ -212,6 +214,17 @@
 					this::rateKnown);
 	}
 
+	// What an old copy lacks may be in a newer version, so it decides nothing.
+	private void refuseAbsent(Refusal absent) {
+		if (this.server.absence().isCertain()) {
+			refuse(absent);
+		}
+		else if (!this.server.absence().hold(elapsed(), this.head.timeLeft(), this::admitUnlessEnded)) {
+			refuse(Refusal.unavailable("configuration_unconfirmed", absent.detail() + " in configuration "
+					+ this.configuration.version() + ", which may not be the newest one", COME_BACK));
+		}
+	}
+
 	private boolean isBeginning() {
 		return this.route.keepsTurns() && (this.head.previousTurn() == null);
 	}
@@ -332,6 +345,10 @@
 			return false;
 		}
 		if ((now == null) || !now.name().equals(this.workspace.name())) {
+			if (!this.server.absence().isCertain()) {
+				refuseUnserved("configuration_unconfirmed", "the key was withdrawn, perhaps not for good");
+				return false;
+			}
 			refuse(Refusal.notRun(401, "unknown_key", "the key was withdrawn").withVerdict(this.lastVerdict));
 			return false;
 		}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -52,6 +52,8 @@
 
 	private final Duration maxConfigurationAge;
 
+	private final AbsenceCheck absence;
+
 	private final FleetContact contact;
 
 	private final UpstreamTable upstreams;
@@ -77,14 +79,15 @@
 	private long keepersServingAt;
 
 	RelayServer(EventLoop loop, FleetProtocol protocol, MonotonicClock clock, Metrics metrics,
-			ConfigurationHolder configuration, Duration maxConfigurationAge, FleetContact contact,
-			UpstreamTable upstreams, UpstreamClient client, KeeperClient keepers, RateGate rates) {
+			ConfigurationHolder configuration, EntrySettings settings, FleetContact contact, UpstreamTable upstreams,
+			UpstreamClient client, KeeperClient keepers, RateGate rates) {
 		this.loop = loop;
 		this.protocol = protocol;
 		this.clock = clock;
 		this.metrics = metrics;
 		this.configuration = configuration;
-		this.maxConfigurationAge = maxConfigurationAge;
+		this.maxConfigurationAge = settings.maxConfigurationAge();
+		this.absence = new AbsenceCheck(loop, configuration, settings.maxAbsenceAge());
 		this.contact = contact;
 		this.upstreams = upstreams;
 		this.client = client;
@@ -179,6 +182,10 @@
 		return (this.configuration.age().compareTo(this.maxConfigurationAge) < 0) || this.contact.isFleetWideOutage();
 	}
 
+	AbsenceCheck absence() {
+		return this.absence;
+	}
+
 	UpstreamTable upstreams() {
 		return this.upstreams;
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/StartGate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/StartGate.java
@@ -1,9 +1,6 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
 
@@ -24,30 +21,22 @@
 	 */
 	static final Duration MAX_WAIT = Duration.ofMillis(900);
 
-	/**
-	 * The part of its time that a request is held at most, so that enough is left to
-	 * serve it.
-	 */
-	static final double WAIT_PART = 0.4;
-
 	/**
 	 * The gate opens this long after the start at the latest: what is still missing by
 	 * then may stay away for long, and requests that do not need it are served.
 	 */
 	static final Duration OPEN_AFTER = Duration.ofMillis(2500);
 
-	private final EventLoop loop;
-
 	private final MonotonicClock clock;
 
 	private final long startedAt;
 
-	private final Deque<Runnable> waiting = new ArrayDeque<>();
+	private final HeldCalls held;
 
 	private boolean open;
 
 	StartGate(EventLoop loop, MonotonicClock clock) {
-		this.loop = loop;
+		this.held = new HeldCalls(loop);
 		this.clock = clock;
 		this.startedAt = clock.nanoTime();
 	}
@@ -73,16 +62,7 @@
 			task.run();
 			return;
 		}
-		long wait = MAX_WAIT.toNanos();
-		if (timeLeft != null) {
-			wait = Math.min(wait, (long) (timeLeft.toNanos() * WAIT_PART));
-		}
-		this.waiting.add(task);
-		this.loop.schedule(() -> {
-			if (this.waiting.remove(task)) {
-				task.run();
-			}
-		}, wait, TimeUnit.NANOSECONDS);
+		this.held.hold(HeldCalls.limit(MAX_WAIT, timeLeft), task);
 	}
 
 	/**
@@ -90,9 +70,7 @@
 	 */
 	void open() {
 		this.open = true;
-		while (!this.waiting.isEmpty()) {
-			this.waiting.poll().run();
-		}
+		this.held.release();
 	}
 
 }
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperLinkTests.java
@@ -0,0 +1,150 @@
+package org.mangorack.keeper;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.mangorack.keeper.proto.ConfigurationDocument;
+import org.mangorack.keeper.proto.FetchConfiguration;
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Reply;
+import org.mangorack.keeper.proto.Request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link KeeperLink}, on a clock that the tests advance.
+ */
+class KeeperLinkTests {
+
+	private static final Duration STEP = KeeperLink.SILENCE_LIMIT.minusMillis(100);
+
+	private static final int READ_LIMIT_MS = 20_000;
+
+	private static final int PARTS = 5;
+
+	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.loops.next();
+
+	private final AtomicLong now = new AtomicLong(1);
+
+	private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+
+	private ServerSocket server;
+
+	private Socket keeper;
+
+	private KeeperLink link;
+
+	@BeforeEach
+	void connect() throws Exception {
+		this.server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+		Member member = Member.newBuilder()
+			.setName("k")
+			.setDisk("d")
+			.setHost(this.server.getInetAddress().getHostAddress())
+			.setPort(this.server.getLocalPort())
+			.build();
+		this.link = new KeeperLink(this.loop, member, this.now::get, () -> this.outcomes.add("up"));
+		this.loop.submit(this.link::connect).sync();
+		this.keeper = this.server.accept();
+		this.keeper.setSoTimeout(READ_LIMIT_MS);
+		assertThat(awaitOutcome()).isEqualTo("up");
+		this.loop.submit(() -> this.link.send(fetch(), new Outcomes())).sync();
+		assertThat(Request.parseDelimitedFrom(this.keeper.getInputStream()).hasFetchConfiguration()).isTrue();
+	}
+
+	@AfterEach
+	void close() throws Exception {
+		this.loop.submit(this.link::close).sync();
+		this.loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+		this.keeper.close();
+		this.server.close();
+	}
+
+	@Test
+	void aLongReplyThatArrivesSlowlyIsNotSilence() throws Exception {
+		byte[] reply = reply();
+		OutputStream out = this.keeper.getOutputStream();
+		for (int i = 0; i < PARTS; i++) {
+			int from = reply.length * i / PARTS;
+			out.write(reply, from, (reply.length * (i + 1) / PARTS) - from);
+			out.flush();
+			awaitArrival(i);
+			this.now.addAndGet(STEP.toNanos());
+			this.loop.submit(this.link::checkSilence).sync();
+		}
+		assertThat(awaitOutcome()).isEqualTo("replied");
+	}
+
+	@Test
+	void aLinkOnWhichNoByteArrivesIsClosed() throws Exception {
+		this.now.addAndGet(KeeperLink.SILENCE_LIMIT.toNanos() + 1);
+		this.loop.submit(this.link::checkSilence).sync();
+		assertThat(awaitOutcome()).isEqualTo("broke");
+	}
+
+	private String awaitOutcome() throws InterruptedException {
+		return this.outcomes.poll(READ_LIMIT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	// The kernel may take a moment to hand the bytes over.
+	private void awaitArrival(int part) throws InterruptedException {
+		long expected = 1 + (part * STEP.toNanos());
+		for (int i = 0; (i < READ_LIMIT_MS) && (this.link.lastReceived() < expected); i++) {
+			TimeUnit.MILLISECONDS.sleep(1);
+		}
+	}
+
+	private static Request.Builder fetch() {
+		return Request.newBuilder().setFetchConfiguration(FetchConfiguration.getDefaultInstance());
+	}
+
+	private static byte[] reply() throws IOException {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		Reply.newBuilder()
+			.setId(1)
+			.setDurable(true)
+			.setConfiguration(
+					ConfigurationDocument.newBuilder().setVersion(1).setContent(ByteString.copyFrom(new byte[100_000])))
+			.build()
+			.writeDelimitedTo(bytes);
+		return bytes.toByteArray();
+	}
+
+	/**
+	 * Notes what becomes of a request.
+	 */
+	private final class Outcomes implements ReplyListener {
+
+		@Override
+		public void replied(Reply reply) {
+			KeeperLinkTests.this.outcomes.add("replied");
+		}
+
+		@Override
+		public void broke() {
+			KeeperLinkTests.this.outcomes.add("broke");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/relay/AbsenceCheckTests.java
@@ -0,0 +1,117 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mangorack.observe.Metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link AbsenceCheck}, on a clock that the tests advance.
+ */
+class AbsenceCheckTests {
+
+	private static final Duration MAX_AGE = Duration.ofSeconds(2);
+
+	private long now = 1;
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private final ConfigurationHolder holder = new ConfigurationHolder(VersionedDocuments.protocol(), () -> this.now,
+			new Metrics(), Runnable::run);
+
+	private final AbsenceCheck check = new AbsenceCheck(this.channel.eventLoop(), this.holder, MAX_AGE);
+
+	private final List<String> decided = new ArrayList<>();
+
+	AbsenceCheckTests() {
+		this.channel.freezeTime();
+		this.holder.offer(VersionedDocuments.document(1), this.now, "platform");
+		this.check.update();
+	}
+
+	@Test
+	void absenceIsCertainAsLongAsTheCopyWasConfirmedLately() {
+		advance(MAX_AGE.toMillis() - 1);
+		assertThat(this.check.isCertain()).isTrue();
+		advance(1);
+		assertThat(this.check.isCertain()).isFalse();
+		this.holder.confirm(1, this.now);
+		assertThat(this.check.isCertain()).isTrue();
+	}
+
+	@Test
+	void requestsAreDecidedInTheirOrderOnceTheCopyIsConfirmed() {
+		advance(MAX_AGE.toMillis());
+		hold("first");
+		hold("second");
+		this.check.update();
+		assertThat(this.decided).isEmpty();
+		this.holder.confirm(1, this.now);
+		this.check.update();
+		assertThat(this.decided).containsExactly("first", "second");
+	}
+
+	@Test
+	void requestsAreDecidedOnceANewerVersionIsInForceThatIsNotConfirmedLately() {
+		advance(MAX_AGE.toMillis());
+		hold("one");
+		this.holder.offer(VersionedDocuments.document(2), this.now - MAX_AGE.toNanos(), "platform");
+		this.check.update();
+		assertThat(this.decided).containsExactly("one");
+		assertThat(this.check.isCertain()).isFalse();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ ", 600", "1000, 400", "60000, 600" })
+	void aRequestIsHeldForPartOfItsTimeOnly(Long timeLeftMillis, long waitMillis) {
+		advance(MAX_AGE.toMillis());
+		Duration timeLeft = (timeLeftMillis != null) ? Duration.ofMillis(timeLeftMillis) : null;
+		assertThat(this.check.hold(Duration.ZERO, timeLeft, () -> this.decided.add("one"))).isTrue();
+		advance(waitMillis - 1);
+		assertThat(this.decided).isEmpty();
+		advance(1);
+		assertThat(this.decided).containsExactly("one");
+		assertThat(this.check.hold(Duration.ofMillis(waitMillis), timeLeft, () -> this.decided.add("two"))).isFalse();
+	}
+
+	@Test
+	void requestsThatAreDecidedAndHeldAgainAreNotDecidedTwiceAtOnce() {
+		advance(MAX_AGE.toMillis());
+		this.check.hold(Duration.ZERO, null, () -> {
+			this.decided.add("one");
+			hold("one again");
+		});
+		this.holder.offer(VersionedDocuments.document(2), this.now - MAX_AGE.toNanos(), "platform");
+		this.check.update();
+		assertThat(this.decided).containsExactly("one");
+	}
+
+	@Test
+	void noMoreThanAFixedNumberOfRequestsIsHeld() {
+		advance(MAX_AGE.toMillis());
+		for (int i = 0; i < AbsenceCheck.MAX_HELD; i++) {
+			assertThat(hold("one of many")).isTrue();
+		}
+		assertThat(hold("one too many")).isFalse();
+	}
+
+	private boolean hold(String name) {
+		return this.check.hold(Duration.ZERO, null, () -> this.decided.add(name));
+	}
+
+	private void advance(long millis) {
+		this.now += TimeUnit.MILLISECONDS.toNanos(millis);
+		this.channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+	}
+
+}
--- a/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
@@ -1,15 +1,14 @@
 package org.mangorack.relay;
 
-import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.List;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
-import org.mangorack.call.Jsons;
+import org.mangorack.keeper.proto.ConfigurationDocument;
 import org.mangorack.observe.Metrics;
-import org.mangorack.relay.FleetConfiguration.CallerLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -22,26 +21,31 @@
 
 	private long now = 100 * SECOND;
 
-	private final ConfigurationHolder holder = new ConfigurationHolder(protocol(), () -> this.now, new Metrics());
+	private final ConfigurationHolder holder = new ConfigurationHolder(VersionedDocuments.protocol(), () -> this.now,
+			new Metrics(), Runnable::run);
+
+	private int taken;
+
+	private final Runnable done = () -> this.taken++;
 
 	@Test
 	void theVersionNeverGoesBack() {
-		this.holder.offer(document(5), this.now, "platform");
-		this.holder.offer(document(4), this.now, "keeper");
+		this.holder.offer(VersionedDocuments.document(5), this.now, "platform");
+		this.holder.offer(VersionedDocuments.document(4), this.now, "keeper");
 		assertThat(this.holder.version()).isEqualTo(5);
 	}
 
 	@Test
 	void aNewerVersionIsNoOlderThanWhatWasKnownOfTheOneBefore() {
-		this.holder.offer(document(5), this.now, "platform");
-		this.holder.offer(document(6), this.now - (4 * SECOND), "platform");
+		this.holder.offer(VersionedDocuments.document(5), this.now, "platform");
+		this.holder.offer(VersionedDocuments.document(6), this.now - (4 * SECOND), "platform");
 		assertThat(this.holder.version()).isEqualTo(6);
 		assertThat(this.holder.age()).isZero();
 	}
 
 	@Test
 	void onlyThePresentVersionIsConfirmed() {
-		this.holder.offer(document(5), this.now, "platform");
+		this.holder.offer(VersionedDocuments.document(5), this.now, "platform");
 		this.now += 3 * SECOND;
 		this.holder.confirm(4, this.now);
 		assertThat(this.holder.age()).isEqualTo(Duration.ofSeconds(3));
@@ -57,18 +61,35 @@
 		assertThat(this.holder.age()).isGreaterThan(Duration.ofHours(1));
 	}
 
-	private static JsonNode document(long version) {
-		return Jsons.object().put("version", version);
+	@Test
+	void aDocumentOfAnotherInstanceIsTakenIfItIsNewer() {
+		this.holder.take(VersionedDocuments.packed(5), this.now, "keeper", this.done);
+		this.holder.take(VersionedDocuments.packed(4), this.now, "keeper", this.done);
+		assertThat(this.holder.version()).isEqualTo(5);
+		assertThat(this.holder.document()).isEqualTo(VersionedDocuments.packed(5));
+		assertThat(this.taken).isEqualTo(2);
+	}
+
+	@Test
+	void aDocumentThatIsKnownIsNotReadAgain() {
+		this.holder.take(VersionedDocuments.packed(5), this.now, "keeper", this.done);
+		this.now += 3 * SECOND;
+		this.holder.take(VersionedDocuments.damaged(5), this.now - SECOND, "keeper", this.done);
+		assertThat(this.holder.age()).isEqualTo(Duration.ofSeconds(1));
+	}
+
+	@ParameterizedTest
+	@MethodSource("unusable")
+	void aDocumentThatCannotBeUsedChangesNothing(ConfigurationDocument document) {
+		this.holder.take(VersionedDocuments.packed(5), this.now, "keeper", this.done);
+		this.holder.take(document, this.now, "keeper", this.done);
+		assertThat(this.holder.version()).isEqualTo(5);
+		assertThat(this.taken).isEqualTo(2);
 	}
 
-	// Reads documents that hold a version only.
-	private static FleetProtocol protocol() {
-		return (FleetProtocol) Proxy.newProxyInstance(FleetProtocol.class.getClassLoader(),
-				new Class<?>[] { FleetProtocol.class }, (proxy, method, arguments) -> {
-					long version = ((JsonNode) arguments[0]).path("version").asLong();
-					return method.getName().equals("configurationVersion") ? (Object) version
-							: new FleetConfiguration(version, List.of(), List.of(), null, CallerLimits.DEFAULT);
-				});
+	static List<ConfigurationDocument> unusable() {
+		return List.of(VersionedDocuments.damaged(6), VersionedDocuments.packed(6).toBuilder().setVersion(7).build(),
+				VersionedDocuments.packed(6).toBuilder().clearContent().build());
 	}
 
 }
