Take a long request or reply in progress for no silence of a keeper

What callers could see: a link to a keeper given up, and everything on it sent anew, while a message larger than the link carries in 800 ms was on its way; each new link began the same message again. Cause: silence was measured by whole replies only. Why this works: any byte from the keeper is a sign, and so is each part of a long request that it takes. Requests written in one go are none, as the system may hold them back; a test holds that small requests behind a long one that nobody reads do not keep the link.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -14,6 +14,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.channel.ChannelProgressivePromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -37,8 +40,9 @@
 final class KeeperLink {
 
 	/**
-	 * A link on which requests wait this long without any byte from the keeper is given
-	 * up. Several times the interval of beats and the time of a slow sync.
+	 * A link on which requests wait this long without any byte from the keeper, and
+	 * without it taking one of a long request, is given up. Several times the interval of
+	 * beats and the time of a slow sync.
 	 */
 	static final Duration SILENCE_LIMIT = Duration.ofMillis(800);
 
@@ -66,7 +70,7 @@
 
 	private long lastId;
 
-	private volatile long lastReceived;
+	private volatile long lastSign;
 
 	KeeperLink(EventLoop loop, Member member, MonotonicClock clock, Runnable onUp) {
 		this.loop = loop;
@@ -120,11 +124,11 @@
 	}
 
 	/**
-	 * Returns when the last bytes came.
+	 * Returns when the keeper last gave a sign of life.
 	 * @return the time on the monotonic clock; may be read by any thread
 	 */
-	long lastReceived() {
-		return this.lastReceived;
+	long lastSign() {
+		return this.lastSign;
 	}
 
 	// ---- Public API
@@ -141,7 +145,9 @@
 		}
 		long id = ++this.lastId;
 		this.pending.put(id, new Pending(listener, this.clock.nanoTime()));
-		this.channel.writeAndFlush(request.setId(id).setDisk(this.member.getDisk()).build());
+		ChannelProgressivePromise written = this.channel.newProgressivePromise();
+		written.addListener(new WriteNote());
+		this.channel.writeAndFlush(request.setId(id).setDisk(this.member.getDisk()).build(), written);
 	}
 
 	/**
@@ -153,7 +159,7 @@
 		}
 		long now = this.clock.nanoTime();
 		long oldest = this.pending.values().iterator().next().sentAt();
-		if (now - Math.max(oldest, this.lastReceived) > SILENCE_LIMIT.toNanos()) {
+		if (now - Math.max(oldest, this.lastSign) > SILENCE_LIMIT.toNanos()) {
 			EventLog.log(Event.KEEPER_SILENT, "keeper", this.member.getName(), "waiting", this.pending.size());
 			this.channel.close();
 		}
@@ -186,12 +192,32 @@
 
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) {
-			KeeperLink.this.lastReceived = KeeperLink.this.clock.nanoTime();
+			KeeperLink.this.lastSign = KeeperLink.this.clock.nanoTime();
 			ctx.fireChannelRead(message);
 		}
 
 	}
 
+	/**
+	 * Notes when the keeper takes a part of a long request. Requests that are written in
+	 * one go show nothing: the system may hold them back.
+	 */
+	private final class WriteNote implements ChannelProgressiveFutureListener {
+
+		@Override
+		public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
+			if (progress < total) {
+				KeeperLink.this.lastSign = KeeperLink.this.clock.nanoTime();
+			}
+		}
+
+		@Override
+		public void operationComplete(ChannelProgressiveFuture future) {
+			// A write that fails ends the connection, which is reported.
+		}
+
+	}
+
 	/**
 	 * Matches replies with requests.
 	 */
@@ -206,7 +232,7 @@
 			}
 			link.channel = ctx.channel();
 			link.up = true;
-			link.lastReceived = link.clock.nanoTime();
+			link.lastSign = link.clock.nanoTime();
 			EventLog.log(link.everUp ? Event.KEEPER_REGAINED : Event.KEEPER_CONNECTED, "keeper", link.member.getName());
 			link.everUp = true;
 			link.onUp.run();
