Confirm a listed copy only after its listener has taken it

What callers could see: 404 for a route that exists, within the bound by the age that the instance logged, since that age was false. Cause: a cache that listed anew called itself confirmed before its listener had read the document. Until then a keeper confirmed the version before to every entry that beat, as of the time of the listing. A document that could not be read left it so for good. This happens after each 410 that finds a change, so after each compaction of the platform. Evidence: found by the review of the incident, by reading; KindCacheTests, seen failing before. Why this works: the listener runs first, and while a document is being read, or if it cannot be, the watch confirms no version.

--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -146,7 +146,8 @@
 	}
 
 	/**
-	 * Returns how long ago the copy was known to be complete.
+	 * Returns how long ago the copy was known to be complete. Listeners have taken what it
+	 * held then.
 	 * @return the age of the copy
 	 */
 	public Duration age() {
@@ -255,9 +256,9 @@
 		list.items().forEach((object) -> noteChange(object.version()));
 		this.objects = Map.copyOf(fresh);
 		this.copy = new Copy(this.objects, number(list.version()));
+		tellListener();
 		noteContact(asked);
 		this.listed.countDown();
-		tellListener();
 		return list.version();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -158,8 +158,8 @@
 			put(read, packed, confirmedAt, source);
 			return read.version();
 		}
-		catch (IOException ex) {
-			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "source", source);
+		catch (IOException | RuntimeException ex) {
+			EventLog.log(Event.CONFIGURATION_UNREADABLE, ex, "source", source, "version", version);
 			return 0;
 		}
 	}
--- a/mangorack/src/test/java/org/mangorack/platform/KindCacheTests.java
+++ b/mangorack/src/test/java/org/mangorack/platform/KindCacheTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +38,35 @@
 		}
 	}
 
+	// What is confirmed at once would be the copy from before, for as long as the
+	// listener
+	// takes.
+	@Test
+	void aCopyThatIsListedIsNotConfirmedBeforeItsListenerHasTakenIt() throws InterruptedException {
+		CountDownLatch began = new CountDownLatch(1);
+		CountDownLatch taken = new CountDownLatch(1);
+		try (KindCache cache = new KindCache(store(), ObjectKind.UPSTREAM, MonotonicClock.SYSTEM, () -> {
+			began.countDown();
+			await(taken);
+		})) {
+			cache.start();
+			assertThat(began.await(LIMIT.toMillis(), TimeUnit.MILLISECONDS)).isTrue();
+			assertThat(cache.age()).isGreaterThan(Duration.ofHours(1));
+			taken.countDown();
+			assertThat(cache.awaitListed(LIMIT)).isTrue();
+			assertThat(cache.age()).isLessThan(LIMIT);
+		}
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private void fail() {
 		throw new IllegalStateException("a fault of the listener");
 	}
