Read the version of a configuration and its age as one

What callers could see: 404 or 401 by an older version, justified by the age of a newer one. Cause: version, age and document were read one after the other, while another thread may put a newer version in between: the refusal asked for the age by then, and beats and pulses could name the version before with the age of the next, which confirms it elsewhere. AbsenceCheckTests holds the first part. Why this works: each reader takes one immutable state; absence is certain only by the configuration that was asked, and the request is decided anew if another is in force.

--- a/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationRelay.java
@@ -17,10 +17,10 @@
 	long version();
 
 	/**
-	 * Returns how long ago the configuration was certainly the newest one.
-	 * @return the age of this knowledge
+	 * Returns which version is known, and how long ago it was certainly the newest one.
+	 * @return the version with its age, which belong together
 	 */
-	Duration age();
+	Known known();
 
 	/**
 	 * Returns how long ago the platform last answered this process.
@@ -46,7 +46,7 @@
 
 	/**
 	 * Returns the document to pass on.
-	 * @return the document without its age; of version 0 before any is known
+	 * @return the document with its age; of version 0 before any is known
 	 */
 	ConfigurationDocument document();
 
@@ -63,6 +63,15 @@
 	 */
 	Set<String> limitedWorkspaces();
 
+	/**
+	 * A version of the configuration and the age of the knowledge that it is the newest.
+	 *
+	 * @param version the version, or 0 before any is known
+	 * @param age how long ago it was certainly the newest one
+	 */
+	record Known(long version, Duration age) {
+	}
+
 	/**
 	 * A rate and burst over all instances.
 	 *
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -288,11 +288,12 @@
 		this.buckets.use(beat.getUsageList());
 		beat.getDepartureList().forEach(this.departures::note);
 		takeConfiguration(beat);
+		ConfigurationRelay.Known known = this.configuration.known();
 		Pulse.Builder pulse = Pulse.newBuilder()
 			.setTimeMs(TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime()))
 			.addAllLevel(this.buckets.levels())
-			.setConfiguration(this.configuration.version())
-			.setConfigurationAgeMs(this.configuration.age().toMillis() + 1)
+			.setConfiguration(known.version())
+			.setConfigurationAgeMs(known.age().toMillis() + 1)
 			.setContactAgeMs(this.configuration.sinceContact().toMillis())
 			.setEntriesContactAgeMs(this.entries.sinceContact().toMillis())
 			.setEntriesHeard(this.entries.count())
@@ -352,12 +353,8 @@
 	}
 
 	private Reply.Builder newerConfiguration(long known) {
-		Reply.Builder reply = durable();
-		if (this.configuration.version() > known) {
-			reply.setConfiguration(
-					this.configuration.document().toBuilder().setAgeMs(this.configuration.age().toMillis() + 1));
-		}
-		return reply;
+		ConfigurationDocument document = this.configuration.document();
+		return (document.getVersion() > known) ? durable().setConfiguration(document) : durable();
 	}
 
 	private void draw(Draw draw, Consumer<Reply.Builder> out) {
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -146,8 +146,8 @@
 	}
 
 	/**
-	 * Returns how long ago the copy was known to be complete. Listeners have taken what it
-	 * held then.
+	 * Returns how long ago the copy was known to be complete. Listeners have taken what
+	 * it held then.
 	 * @return the age of the copy
 	 */
 	public Duration age() {
--- a/mangorack/src/main/java/org/mangorack/relay/AbsenceCheck.java
+++ b/mangorack/src/main/java/org/mangorack/relay/AbsenceCheck.java
@@ -30,7 +30,7 @@
 
 	private final HeldCalls held;
 
-	private long versionBefore;
+	private FleetConfiguration before;
 
 	/**
 	 * Creates a check.
@@ -45,11 +45,12 @@
 	}
 
 	/**
-	 * Tells whether what the configuration lacks is certainly missing.
-	 * @return {@code true} if it was confirmed lately
+	 * Tells whether what a configuration lacks is certainly missing.
+	 * @param decidedBy the configuration
+	 * @return {@code true} if it is in force and was confirmed lately
 	 */
-	boolean isCertain() {
-		return this.configuration.age().compareTo(this.maxAge) < 0;
+	boolean isCertain(FleetConfiguration decidedBy) {
+		return this.configuration.isConfirmed(decidedBy, this.maxAge);
 	}
 
 	/**
@@ -72,9 +73,9 @@
 	 * Lets the requests that are held be decided anew, if more is known than before.
 	 */
 	void update() {
-		long version = this.configuration.version();
-		if ((version != this.versionBefore) || isCertain()) {
-			this.versionBefore = version;
+		FleetConfiguration now = this.configuration.current();
+		if ((now != this.before) || isCertain(now)) {
+			this.before = now;
 			this.held.release();
 		}
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -13,6 +13,7 @@
 
 import org.mangorack.call.Compression;
 import org.mangorack.call.Jsons;
+import org.mangorack.keeper.ConfigurationRelay.Known;
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 import org.mangorack.keeper.proto.ConfigurationDocument;
 import org.mangorack.observe.DaemonThreads;
@@ -95,8 +96,7 @@
 	 * @return the version, or 0 before any is known
 	 */
 	public long version() {
-		FleetConfiguration known = this.state.configuration();
-		return (known != null) ? known.version() : 0;
+		return this.state.version();
 	}
 
 	/**
@@ -107,12 +107,33 @@
 		return this.clock.elapsed(this.state.confirmedAt());
 	}
 
+	/**
+	 * Returns which version is known, and how long ago it was certainly the newest one.
+	 * @return the version with its age, which belong together
+	 */
+	public Known known() {
+		State now = this.state;
+		return new Known(now.version(), this.clock.elapsed(now.confirmedAt()));
+	}
+
+	/**
+	 * Tells whether a configuration is in force and was confirmed lately.
+	 * @param configuration the configuration
+	 * @param maxAge how long ago it must have been confirmed
+	 * @return {@code true} if it was the newest one less than that ago
+	 */
+	public boolean isConfirmed(FleetConfiguration configuration, Duration maxAge) {
+		State now = this.state;
+		return (now.configuration() == configuration) && (this.clock.elapsed(now.confirmedAt()).compareTo(maxAge) < 0);
+	}
+
 	/**
 	 * Returns the document of the configuration, to pass on.
-	 * @return the document without its age; of version 0 before any is known
+	 * @return the document with its age; of version 0 before any is known
 	 */
 	public ConfigurationDocument document() {
-		return this.state.document();
+		State now = this.state;
+		return now.document().toBuilder().setAgeMs(this.clock.elapsed(now.confirmedAt()).toMillis() + 1).build();
 	}
 
 	/**
@@ -248,6 +269,11 @@
 	 * @param confirmedAt when it was certainly the newest one
 	 */
 	private record State(FleetConfiguration configuration, ConfigurationDocument document, long confirmedAt) {
+
+		private long version() {
+			return (this.configuration != null) ? this.configuration.version() : 0;
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -21,6 +21,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 import org.mangorack.http.StatusServer;
+import org.mangorack.keeper.ConfigurationRelay;
 import org.mangorack.keeper.ConfigurationSource;
 import org.mangorack.keeper.GroupDocument;
 import org.mangorack.keeper.GroupView;
@@ -294,14 +295,15 @@
 
 	private Beat beat(String disk, List<Usage> usage, List<Load> load, List<Departure> departures, boolean withLists) {
 		KeeperPulses.Known known = this.pulses.known(disk);
+		ConfigurationRelay.Known configured = this.configuration.known();
 		return Beat.newBuilder()
 			.setInstance(this.settings.instance())
 			.setCallerAddress(this.settings.callers().toString())
 			.setZone(this.settings.dataCentre())
 			.setAccepting(isReady())
 			.addAllUsage(usage)
-			.setConfiguration(this.configuration.version())
-			.setConfigurationAgeMs(this.configuration.age().toMillis() + 1)
+			.setConfiguration(configured.version())
+			.setConfigurationAgeMs(configured.age().toMillis() + 1)
 			.setEntries((known != null) ? known.entriesVersion() : 0)
 			.addAllLoad(load)
 			.addAllDeparture(departures)
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -216,9 +216,12 @@
 
 	// What an old copy lacks may be in a newer version, so it decides nothing.
 	private void refuseAbsent(Refusal absent) {
-		if (this.server.absence().isCertain()) {
+		if (this.server.absence().isCertain(this.configuration)) {
 			refuse(absent);
 		}
+		else if (this.server.configuration().current() != this.configuration) {
+			admit();
+		}
 		else if (!this.server.absence().hold(elapsed(), this.head.timeLeft(), this::admitUnlessEnded)) {
 			refuse(Refusal.unavailable("configuration_unconfirmed", absent.detail() + " in configuration "
 					+ this.configuration.version() + ", which may not be the newest one", COME_BACK));
@@ -345,7 +348,7 @@
 			return false;
 		}
 		if ((now == null) || !now.name().equals(this.workspace.name())) {
-			if (!this.server.absence().isCertain()) {
+			if (!this.server.absence().isCertain(this.configuration)) {
 				refuseUnserved("configuration_unconfirmed", "the key was withdrawn, perhaps not for good");
 				return false;
 			}
--- a/mangorack/src/test/java/org/mangorack/keeper/FixedConfiguration.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/FixedConfiguration.java
@@ -39,8 +39,8 @@
 	}
 
 	@Override
-	public Duration age() {
-		return Duration.ZERO;
+	public Known known() {
+		return new Known(this.version, Duration.ZERO);
 	}
 
 	@Override
--- a/mangorack/src/test/java/org/mangorack/relay/AbsenceCheckTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/AbsenceCheckTests.java
@@ -41,11 +41,19 @@
 	@Test
 	void absenceIsCertainAsLongAsTheCopyWasConfirmedLately() {
 		advance(MAX_AGE.toMillis() - 1);
-		assertThat(this.check.isCertain()).isTrue();
+		assertThat(this.check.isCertain(this.holder.current())).isTrue();
 		advance(1);
-		assertThat(this.check.isCertain()).isFalse();
+		assertThat(this.check.isCertain(this.holder.current())).isFalse();
 		this.holder.confirm(1, this.now);
-		assertThat(this.check.isCertain()).isTrue();
+		assertThat(this.check.isCertain(this.holder.current())).isTrue();
+	}
+
+	@Test
+	void whatAnOlderConfigurationLacksIsNotMissingByTheAgeOfANewerOne() {
+		FleetConfiguration older = this.holder.current();
+		this.holder.offer(VersionedDocuments.document(2), this.now, "platform");
+		assertThat(this.check.isCertain(older)).isFalse();
+		assertThat(this.check.isCertain(this.holder.current())).isTrue();
 	}
 
 	@Test
@@ -67,7 +75,7 @@
 		this.holder.offer(VersionedDocuments.document(2), this.now - MAX_AGE.toNanos(), "platform");
 		this.check.update();
 		assertThat(this.decided).containsExactly("one");
-		assertThat(this.check.isCertain()).isFalse();
+		assertThat(this.check.isCertain(this.holder.current())).isFalse();
 	}
 
 	@ParameterizedTest
--- a/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/ConfigurationHolderTests.java
@@ -66,7 +66,7 @@
 		this.holder.take(VersionedDocuments.packed(5), this.now, "keeper", this.done);
 		this.holder.take(VersionedDocuments.packed(4), this.now, "keeper", this.done);
 		assertThat(this.holder.version()).isEqualTo(5);
-		assertThat(this.holder.document()).isEqualTo(VersionedDocuments.packed(5));
+		assertThat(this.holder.document()).isEqualTo(VersionedDocuments.packed(5).toBuilder().setAgeMs(1).build());
 		assertThat(this.taken).isEqualTo(2);
 	}
 
