Call a key, workspace, model or route missing only by recent copies

What callers could see: 401, 403 or 404 for a key, workspace, model or route that an operator had just created, from an instance whose copies nobody had confirmed for any length of time. Cause: refusals for what a copy lacks or does not allow did not look at the age of the copy. At the entry ServingGuard#check refuses keyed work by old copies beforehand, but not in an outage that all instances in touch agree on; the last change before it may have reached none of them. At the owner of a shard nothing was checked before unknown_route, unknown_workspace and key_withdrawn, so one broken watch sufficed. A call without a key for a route that is not known to be open was told key_missing on the same ground. Why this works: a call is sent before it is decided, so copies that were confirmed less than 2.5 s before a lookup hold everything acknowledged 2.5 s before the call, but for the time of a confirmation on its way. RecentCopies alone decides: the age is taken before the lookup, as a watch may confirm the copies in between, and beyond the limit, which is that of ServingGuard as before, the answer is 503 copies_unconfirmed, not run, with Retry-After. No call causes a question to the platform. Chosen: the outage that all agree on is no exception for a "no", only for work. A caller with a new key would give up for good at 401; one with a wrong key comes back in vain until the platform answers. A wrong secret is treated like an unknown key, so that answers do not tell which keys exist. Calls are not held as on the users' platform, as each takes a thread here.

--- a/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -2,12 +2,15 @@
 
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -72,6 +75,30 @@
 		this.fleet.await("the instance to know of the withdrawal", () -> read(cut, key, "x").status() == 401);
 	}
 
+	@Test
+	void whatAnOutageMayHideIsNotCalledMissing() throws Exception {
+		Member member = this.fleet.member(0);
+		Map<String, Callable<Answer>> missing = missing(member);
+		for (Map.Entry<String, Callable<Answer>> call : missing.entrySet()) {
+			assertThat(call.getValue().call().json().path("title").asText()).isEqualTo(call.getKey());
+		}
+		this.fleet.platform.setDown(true);
+		TimeUnit.SECONDS.sleep(4);
+		for (Map.Entry<String, Callable<Answer>> call : missing.entrySet()) {
+			Answer answer = whileServing(call.getValue());
+			assertThat(answer.status()).as(answer.body()).isEqualTo(503);
+			assertThat(answer.json().path("title").asText()).as(call.getKey()).isEqualTo("copies_unconfirmed");
+			assertThat(answer.json().path("verdict").asText()).isEqualTo("not_run");
+			assertThat(answer.headers()).containsKey("retry-after");
+		}
+		assertThat(whileServing(() -> read(member, this.fleet.key(), "x")).status()).isEqualTo(200);
+		this.fleet.platform.setDown(false);
+		for (Map.Entry<String, Callable<Answer>> call : missing.entrySet()) {
+			this.fleet.await("the answer " + call.getKey(),
+					() -> call.getValue().call().json().path("title").asText().equals(call.getKey()));
+		}
+	}
+
 	@Test
 	void rateHoldsOverAllInstancesWhileOneDies() throws Exception {
 		String key = southKey();
@@ -252,6 +279,28 @@
 		}
 	}
 
+	// Calls of what does not exist, by the code of their refusal.
+	private Map<String, Callable<Answer>> missing(Member member) {
+		String services = "/v1/services/desk/none";
+		String body = "{\"model\":\"other\",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
+		Map<String, Callable<Answer>> calls = new LinkedHashMap<>();
+		calls.put("key_invalid", () -> read(member, "mr_0_wrong", "x"));
+		calls.put("key_missing", () -> this.fleet.callWithKey(member, null, "GET", services, Map.of(), null));
+		calls.put("unknown_model", () -> this.fleet.call(member, "POST", "/v1/chat/completions", Map.of(), body));
+		calls.put("unknown_route", () -> this.fleet.get(member, services));
+		return calls;
+	}
+
+	// Returns the first answer that is not a refusal of all keyed work.
+	private Answer whileServing(Callable<Answer> call) throws Exception {
+		AtomicReference<Answer> answer = new AtomicReference<>();
+		this.fleet.await("the instance to take keyed work", () -> {
+			answer.set(call.call());
+			return !answer.get().body().contains("cut_off");
+		});
+		return answer.get();
+	}
+
 	private Answer read(Member member, String key, String name) throws Exception {
 		return this.fleet.callWithKey(member, key, "GET", "/v1/services/desk/read/" + name, Map.of(), null);
 	}
--- a/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
@@ -71,8 +71,8 @@
 			KeyRegistry keys, KindCache keyCache, KindCache configurationCache, Fleet fleet, PeerLinks links,
 			ShardHost<ShardContents> host, ExecutorService traffic) {
 		this.host = host;
-		this.serving = new ServingGuard(fleet, keyCache, configurationCache, keys,
-				() -> configuration.current().revision());
+		RecentCopies copies = new RecentCopies(keyCache, configurationCache);
+		this.serving = new ServingGuard(fleet, keyCache, copies, keys, () -> configuration.current().revision());
 		BooleanSupplier platformOut = () -> host.isJournalStalled(STALL_LIMIT);
 		UpstreamClient client = new UpstreamClient(this.http);
 		RetryBudget retries = new RetryBudget();
@@ -87,10 +87,10 @@
 		TurnService turns = new TurnService(this.models, retries, client, platformOut, traffic);
 		ServiceCaller services = new ServiceCaller(dispatcher, retries, client, platformOut);
 		RateLimiter limiter = new RateLimiter(new RateEndpoint(configuration, shards), clock, GRANT_WAIT);
-		this.service = new CallerService(new KeyCheck(keys, configuration), this.serving, limiter,
+		this.service = new CallerService(copies, new KeyCheck(keys, configuration, copies), this.serving, limiter,
 				new ChatEndpoint(configuration, this.serving, new DirectChat(this.models, retries, client), programs),
-				new ProgramEndpoint(configuration, shards, programs, turns, ownerGuard, platformOut),
-				new ServiceEndpoint(configuration, shards, services, this.serving, ownerGuard),
+				new ProgramEndpoint(configuration, copies, shards, programs, turns, ownerGuard, platformOut),
+				new ServiceEndpoint(configuration, copies, shards, services, this.serving, ownerGuard),
 				new InstancesEndpoint(fleet, host, settings.dataCentre()), metrics, clock);
 		this.maintenance = new Maintenance(host, configuration, client, clock);
 	}
--- a/mangorack/src/main/java/org/mangorack/entry/CallerService.java
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerService.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 
 import io.vavr.control.Either;
 
@@ -32,6 +33,8 @@
 
 	private static final String INSTANCES = "/v1/instances";
 
+	private final RecentCopies copies;
+
 	private final KeyCheck keys;
 
 	private final ServingGuard serving;
@@ -50,8 +53,10 @@
 
 	private final MonotonicClock clock;
 
-	CallerService(KeyCheck keys, ServingGuard serving, RateLimiter limiter, ChatEndpoint chat, ProgramEndpoint programs,
-			ServiceEndpoint services, InstancesEndpoint instances, Metrics metrics, MonotonicClock clock) {
+	CallerService(RecentCopies copies, KeyCheck keys, ServingGuard serving, RateLimiter limiter, ChatEndpoint chat,
+			ProgramEndpoint programs, ServiceEndpoint services, InstancesEndpoint instances, Metrics metrics,
+			MonotonicClock clock) {
+		this.copies = copies;
 		this.keys = keys;
 		this.serving = serving;
 		this.limiter = limiter;
@@ -67,10 +72,10 @@
 	public CallAnswer answer(CallRequest call) {
 		long arrivedAt = this.clock.nanoTime();
 		if (call.path().equals(CHAT)) {
-			return keyed(call, "chat", arrivedAt, this.chat::answer);
+			return keyed(call, "chat", arrivedAt, UnaryOperator.identity(), this.chat::answer);
 		}
 		if (call.path().startsWith(PROGRAMS)) {
-			return keyed(call, "programs", arrivedAt, this.programs::answer);
+			return keyed(call, "programs", arrivedAt, UnaryOperator.identity(), this.programs::answer);
 		}
 		if (call.path().startsWith(SERVICES)) {
 			return service(call, arrivedAt);
@@ -85,28 +90,31 @@
 	// ---- Helpers
 
 	private CallAnswer service(CallRequest call, long arrivedAt) {
-		Either<Refusal, Route> route = this.services.route(call);
+		RecentCopies.Age age = this.copies.age();
+		Either<Refusal, Route> route = this.services.route(call, age);
 		if (route.isRight() && route.get().open()) {
 			Either<Refusal, CallAnswer> answer = this.services.answerOpen(KeyCheck.withoutKey(call), route.get());
 			return finish(call, "none", "service", arrivedAt, answer);
 		}
-		return keyed(call, "service", arrivedAt,
+		// A newer configuration may open the route, so the lack of a key is certain only
+		// with recent copies.
+		return keyed(call, "service", arrivedAt, age::certain,
 				(caller) -> route.flatMap((found) -> this.services.answer(caller, found)));
 	}
 
-	private CallAnswer keyed(CallRequest call, String type, long arrivedAt,
+	private CallAnswer keyed(CallRequest call, String type, long arrivedAt, UnaryOperator<Refusal> keyless,
 			Function<Caller, Either<Refusal, CallAnswer>> endpoint) {
-		Either<Refusal, Caller> caller = admit(call);
+		Either<Refusal, Caller> caller = admit(call, keyless);
 		String workspace = caller.map((c) -> c.workspace().id().value()).getOrElse("none");
 		return finish(call, workspace, type, arrivedAt, caller.flatMap(endpoint));
 	}
 
-	private Either<Refusal, Caller> admit(CallRequest call) {
+	private Either<Refusal, Caller> admit(CallRequest call, UnaryOperator<Refusal> keyless) {
 		Optional<Refusal> suspended = this.serving.check();
 		if (suspended.isPresent()) {
 			return Either.left(suspended.get());
 		}
-		return this.keys.verify(call)
+		return this.keys.verify(call, keyless)
 			.flatMap((caller) -> this.limiter.acquire(caller.workspace()).map((granted) -> caller));
 	}
 
--- a/mangorack/src/main/java/org/mangorack/entry/ChatEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ChatEndpoint.java
@@ -46,8 +46,9 @@
 		String model = body.get().path("model").asText();
 		boolean known = !this.configuration.current().pool(UpstreamKind.MODEL, model).isEmpty();
 		if (!known || !caller.workspace().mayUse(model)) {
-			return Either.left(Refusal.notRun(404, "unknown_model",
-					"model \"" + model + "\" does not exist for workspace \"" + caller.workspace().id() + "\""));
+			return Either.left(caller.age()
+				.certain(Refusal.notRun(404, "unknown_model",
+						"model \"" + model + "\" does not exist for workspace \"" + caller.workspace().id() + "\"")));
 		}
 		if (call.header(TurnRequest.PROGRAM).isEmpty()) {
 			return this.direct.answer(caller.workspace().id(), body.get(), this.guard.forKey(caller.key().id()));
--- a/mangorack/src/main/java/org/mangorack/entry/KeyCheck.java
+++ b/mangorack/src/main/java/org/mangorack/entry/KeyCheck.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 
 import io.vavr.control.Either;
 
@@ -26,32 +27,47 @@
 
 	private final ConfigurationStore configuration;
 
-	KeyCheck(KeyRegistry keys, ConfigurationStore configuration) {
+	private final RecentCopies copies;
+
+	KeyCheck(KeyRegistry keys, ConfigurationStore configuration, RecentCopies copies) {
 		this.keys = keys;
 		this.configuration = configuration;
+		this.copies = copies;
 	}
 
 	/**
-	 * Verifies the key of a call.
+	 * Verifies the key of a call that always needs one.
 	 * @param call the call as it arrived
 	 * @return the caller, or the refusal
 	 */
 	Either<Refusal, Caller> verify(CallRequest call) {
+		return verify(call, UnaryOperator.identity());
+	}
+
+	/**
+	 * Verifies the key of a call.
+	 * @param call the call as it arrived
+	 * @param keyless turns the refusal of a call without a key into what its caller is
+	 * told
+	 * @return the caller, or the refusal
+	 */
+	Either<Refusal, Caller> verify(CallRequest call, UnaryOperator<Refusal> keyless) {
 		String shown = key(call);
 		if (shown.isEmpty()) {
-			return Either
-				.left(Refusal.notRun(401, "key_missing", "the call has no header \"Authorization: Bearer KEY\""));
+			return Either.left(keyless
+				.apply(Refusal.notRun(401, "key_missing", "the call has no header \"Authorization: Bearer KEY\"")));
 		}
+		RecentCopies.Age age = this.copies.age();
 		Optional<VerifiedKey> key = this.keys.verify(shown);
 		if (key.isEmpty()) {
-			return Either.left(Refusal.notRun(401, "key_invalid", "the key is wrong or was withdrawn"));
+			return Either.left(age.certain(Refusal.notRun(401, "key_invalid", "the key is wrong or was withdrawn")));
 		}
 		Optional<Workspace> workspace = this.configuration.current().workspace(key.get().workspace());
 		if (workspace.isEmpty()) {
-			return Either.left(Refusal.notRun(403, "unknown_workspace",
-					"workspace \"" + key.get().workspace() + "\" is not configured"));
+			return Either.left(age.certain(Refusal.notRun(403, "unknown_workspace",
+					"workspace \"" + key.get().workspace() + "\" is not configured")));
 		}
-		return Either.right(new Caller(withoutKey(call), key.get(), workspace.get()));
+		return Either.right(new Caller(withoutKey(call), key.get(), workspace.get(), age));
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/entry/ProgramEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ProgramEndpoint.java
@@ -39,6 +39,8 @@
 
 	private final ConfigurationStore configuration;
 
+	private final RecentCopies copies;
+
 	private final ProgramRouter router;
 
 	private final TurnService turns;
@@ -47,9 +49,10 @@
 
 	private final BooleanSupplier platformOut;
 
-	ProgramEndpoint(ConfigurationStore configuration, ShardRouter shards, ProgramRouter router, TurnService turns,
-			OwnerGuard guard, BooleanSupplier platformOut) {
+	ProgramEndpoint(ConfigurationStore configuration, RecentCopies copies, ShardRouter shards, ProgramRouter router,
+			TurnService turns, OwnerGuard guard, BooleanSupplier platformOut) {
 		this.configuration = configuration;
+		this.copies = copies;
 		this.router = router;
 		this.turns = turns;
 		this.guard = guard;
@@ -77,16 +80,17 @@
 
 	// ---- At the owner
 
-	private CallAnswer answerTurn(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
+	CallAnswer answerTurn(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
 		CallRequest call = Forwarding.call(open);
 		WorkspaceId workspaceId = new WorkspaceId(open.getWorkspace());
+		RecentCopies.Age age = this.copies.age();
 		Optional<Workspace> workspace = this.configuration.current().workspace(workspaceId);
 		Either<Refusal, TurnRequest> request = ChatEndpoint.parse(call.body())
 			.flatMap((body) -> TurnRequest.read(workspaceId, call, body));
 		if (request.isLeft() || workspace.isEmpty()) {
 			release.run();
-			Refusal refusal = request.isLeft() ? request.getLeft()
-					: Refusal.notRun(403, "unknown_workspace", "workspace \"" + workspaceId + "\" is not configured");
+			Refusal refusal = request.isLeft() ? request.getLeft() : age.certain(
+					Refusal.notRun(403, "unknown_workspace", "workspace \"" + workspaceId + "\" is not configured"));
 			return CallAnswer.refusal(refusal, open.getRequestId());
 		}
 		Optional<String> alias = alias(shard, request.get().key(), open);
--- a/mangorack/src/main/java/org/mangorack/entry/ServiceEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ServiceEndpoint.java
@@ -31,6 +31,8 @@
 
 	private final ConfigurationStore configuration;
 
+	private final RecentCopies copies;
+
 	private final ShardRouter router;
 
 	private final ServiceCaller services;
@@ -39,9 +41,10 @@
 
 	private final OwnerGuard guard;
 
-	ServiceEndpoint(ConfigurationStore configuration, ShardRouter router, ServiceCaller services, ServingGuard serving,
-			OwnerGuard guard) {
+	ServiceEndpoint(ConfigurationStore configuration, RecentCopies copies, ShardRouter router, ServiceCaller services,
+			ServingGuard serving, OwnerGuard guard) {
 		this.configuration = configuration;
+		this.copies = copies;
 		this.router = router;
 		this.services = services;
 		this.serving = serving;
@@ -51,16 +54,16 @@
 
 	// ---- At the entry
 
-	// Finds the route of a call.
-	Either<Refusal, Route> route(CallRequest call) {
+	// Finds the route of a call. The age is that of the copies before.
+	Either<Refusal, Route> route(CallRequest call, RecentCopies.Age age) {
 		String rest = call.path().substring(PREFIX.length());
 		int slash = rest.indexOf('/');
 		String pool = (slash < 0) ? rest : rest.substring(0, slash);
 		String path = (slash < 0) ? "/" : rest.substring(slash);
 		Optional<Route> route = this.configuration.current().route(pool, call.method(), path);
 		return route.<Either<Refusal, Route>>map(Either::right)
-			.orElseGet(() -> Either.left(Refusal.notRun(404, "unknown_route",
-					"no route covers " + call.method() + " " + path + " of \"" + pool + "\"")));
+			.orElseGet(() -> Either.left(age.certain(Refusal.notRun(404, "unknown_route",
+					"no route covers " + call.method() + " " + path + " of \"" + pool + "\""))));
 	}
 
 	// Answers a call on a route that is open to all.
@@ -71,8 +74,9 @@
 	// Answers a call with a key.
 	Either<Refusal, CallAnswer> answer(Caller caller, Route route) {
 		if (!caller.workspace().mayUse(route.pool())) {
-			return Either.left(Refusal.notRun(403, "pool_not_allowed",
-					"workspace \"" + caller.workspace().id() + "\" may not use \"" + route.pool() + "\""));
+			return Either.left(caller.age()
+				.certain(Refusal.notRun(403, "pool_not_allowed",
+						"workspace \"" + caller.workspace().id() + "\" may not use \"" + route.pool() + "\"")));
 		}
 		Optional<String> key = caller.call().header(IDEMPOTENCY_KEY);
 		if (route.idempotent() || key.isEmpty()) {
@@ -88,12 +92,12 @@
 
 	// ---- At the owner
 
-	private CallAnswer answerOnce(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
+	CallAnswer answerOnce(OwnedShard<ShardContents> shard, CallOpen open, Runnable release) {
 		try {
 			CallRequest call = Forwarding.call(open);
 			CallKey key = new CallKey(new WorkspaceId(open.getWorkspace()), call.header(IDEMPOTENCY_KEY).orElse(""));
 			SendGuard sendGuard = this.guard.forCall(open);
-			return route(call)
+			return route(call, this.copies.age())
 				.flatMap((route) -> this.services.callOnce(shard.replica().calls(), key, serviceCall(call, route),
 						sendGuard))
 				.fold((refusal) -> CallAnswer.refusal(refusal, open.getRequestId()), (answer) -> answer);
--- a/mangorack/src/main/java/org/mangorack/entry/ServingGuard.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ServingGuard.java
@@ -19,15 +19,13 @@
  */
 final class ServingGuard {
 
-	private static final Duration COPY_AGE_LIMIT = Duration.ofMillis(2500);
-
 	private static final Duration RETRY_LATER = Duration.ofSeconds(2);
 
 	private final Fleet fleet;
 
 	private final KindCache keyCache;
 
-	private final KindCache configurationCache;
+	private final RecentCopies copies;
 
 	private final KeyRegistry keys;
 
@@ -35,11 +33,10 @@
 
 	private volatile boolean suspended;
 
-	ServingGuard(Fleet fleet, KindCache keyCache, KindCache configurationCache, KeyRegistry keys,
-			LongSupplier revision) {
+	ServingGuard(Fleet fleet, KindCache keyCache, RecentCopies copies, KeyRegistry keys, LongSupplier revision) {
 		this.fleet = fleet;
 		this.keyCache = keyCache;
-		this.configurationCache = configurationCache;
+		this.copies = copies;
 		this.keys = keys;
 		this.revision = revision;
 	}
@@ -49,7 +46,7 @@
 	 * @return the refusal, or empty when keyed work is taken
 	 */
 	Optional<Refusal> check() {
-		boolean allowed = isRecent(this.keyCache) && isRecent(this.configurationCache);
+		boolean allowed = this.copies.age().isRecent();
 		if (!allowed) {
 			allowed = !this.fleet.isPlatformReachable() && this.fleet.isMajorityInTouch()
 					&& !this.fleet.doesAnyPeerReachPlatform()
@@ -64,21 +61,20 @@
 	}
 
 	/**
-	 * Returns the guard of a call with a key.
+	 * Returns the guard of a call with a key. The key may have been verified by another
+	 * instance, so that its lack means a withdrawal only if the copies are recent.
 	 * @param keyId the id of the key
 	 * @return refuses the call once the key is withdrawn or keyed work is suspended
 	 */
 	SendGuard forKey(String keyId) {
 		return () -> {
+			RecentCopies.Age age = this.copies.age();
 			if (!this.keys.isValid(keyId)) {
-				return Optional.of(Refusal.notRun(401, "key_withdrawn", "key \"" + keyId + "\" was withdrawn"));
+				return Optional
+					.of(age.certain(Refusal.notRun(401, "key_withdrawn", "key \"" + keyId + "\" was withdrawn")));
 			}
 			return check();
 		};
 	}
 
-	private static boolean isRecent(KindCache cache) {
-		return cache.age().compareTo(COPY_AGE_LIMIT) <= 0;
-	}
-
 }
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/entry/RecentCopiesTests.java
@@ -0,0 +1,320 @@
+package org.mangorack.entry;
+
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.mangorack.call.CallAnswer;
+import org.mangorack.call.CallRequest;
+import org.mangorack.call.Jsons;
+import org.mangorack.call.Refusal;
+import org.mangorack.call.WorkspaceId;
+import org.mangorack.config.ConfigurationStore;
+import org.mangorack.config.Settings;
+import org.mangorack.key.KeyRegistry;
+import org.mangorack.member.PeerLinks;
+import org.mangorack.member.proto.CallOpen;
+import org.mangorack.member.proto.Header;
+import org.mangorack.member.proto.Heartbeat;
+import org.mangorack.observe.ManualClock;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.FakeStore;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectStore;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.WatchListener;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for what callers hear of keys, workspaces, models and routes that the copies of
+ * an instance lack, on a clock that the tests advance.
+ */
+class RecentCopiesTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	private static final Duration RECENT = Duration.ofMillis(2500);
+
+	private static final Duration TOO_OLD = RECENT.plusMillis(1);
+
+	private static final String CONFIGURATION = """
+			{
+			  "workspaces": {"north": {}, "south": {"pools": ["m"]}},
+			  "upstreams": {
+			    "engine": {"kind": "model", "models": ["m", "n"], "address": "127.0.0.1:1", "dataCentre": "dc1"},
+			    "desk": {"kind": "service", "address": "127.0.0.1:1", "dataCentre": "dc1"}
+			  },
+			  "routes": {"read": {"pool": "desk", "path": "/read", "idempotent": true}}
+			}""";
+
+	private final ManualClock clock = new ManualClock();
+
+	private final Copy keys = new Copy(ObjectKind.KEY, this.clock, () -> {
+	});
+
+	private final Copy configuration = new Copy(ObjectKind.CONFIGURATION, this.clock, this::refresh);
+
+	private final KeyRegistry registry = new KeyRegistry(this.keys.store, this.keys.cache);
+
+	private final ConfigurationStore store = new ConfigurationStore(this.configuration.store);
+
+	private final RecentCopies copies = new RecentCopies(this.keys.cache, this.configuration.cache);
+
+	private final KeyCheck check = new KeyCheck(this.registry, this.store, this.copies);
+
+	private final ExecutorService traffic = Executors.newCachedThreadPool();
+
+	private final PeerLinks links = new PeerLinks(
+			new Settings("a", "dc1", null, null, null, null, null, "", "secret-of-the-links", null, null), this.traffic,
+			MonotonicClock.SYSTEM, Heartbeat::getDefaultInstance);
+
+	// What a refused call does not reach is left out.
+	private final ShardRouter router = new ShardRouter(null, this.links);
+
+	private final ServingGuard serving = new ServingGuard(null, this.keys.cache, this.copies, this.registry, () -> 1);
+
+	private final OwnerGuard guard = new OwnerGuard(this.serving, () -> true);
+
+	private final ChatEndpoint chat = new ChatEndpoint(this.store, this.serving, null, null);
+
+	private final ServiceEndpoint services = new ServiceEndpoint(this.store, this.copies, this.router, null,
+			this.serving, this.guard);
+
+	private final ProgramEndpoint programs = new ProgramEndpoint(this.store, this.copies, this.router, null, null,
+			this.guard, () -> false);
+
+	private String north;
+
+	private String south;
+
+	private String elsewhere;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.north = this.registry.create(new WorkspaceId("north")).get();
+		this.south = this.registry.create(new WorkspaceId("south")).get();
+		this.elsewhere = this.registry.create(new WorkspaceId("elsewhere")).get();
+		assertThat(this.store.apply(0, Jsons.parse(CONFIGURATION.getBytes(StandardCharsets.UTF_8))).isRight()).isTrue();
+		this.keys.start();
+		this.configuration.start();
+	}
+
+	@AfterEach
+	void close() {
+		this.keys.cache.close();
+		this.configuration.cache.close();
+		this.links.close();
+		this.traffic.shutdownNow();
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("missing")
+	void whatRecentCopiesLackIsCalledMissing(Missing missing) throws Exception {
+		this.clock.advance(RECENT);
+		assertMissing(missing);
+	}
+
+	@ParameterizedTest(name = "{0}, keys confirmed: {1}, configuration confirmed: {2}")
+	@MethodSource("missingWithAnOldCopy")
+	void whatAnOldCopyLacksIsNotCalledMissing(Missing missing, boolean keysConfirmed, boolean configurationConfirmed)
+			throws Exception {
+		this.clock.advance(TOO_OLD);
+		if (keysConfirmed) {
+			this.keys.confirm();
+		}
+		if (configurationConfirmed) {
+			this.configuration.confirm();
+		}
+		CallAnswer answer = missing.call.apply(this);
+		JsonNode problem = Jsons.parse(Bodies.text(answer).getBytes(StandardCharsets.UTF_8));
+		assertThat(answer.status()).as(problem.toString()).isEqualTo(503);
+		assertThat(answer.headers()).containsEntry("Content-Type", CallAnswer.PROBLEM_TYPE)
+			.containsEntry("Retry-After", "2");
+		assertThat(problem.path("title").asText()).isEqualTo("copies_unconfirmed");
+		assertThat(problem.path("verdict").asText()).isEqualTo("not_run");
+		assertThat(problem.path("detail").asText()).contains("2501 ms").endsWith(missing.detail);
+		this.keys.confirm();
+		this.configuration.confirm();
+		assertMissing(missing);
+	}
+
+	@Test
+	void aCallThatAlwaysNeedsAKeyIsRefusedWithoutOneByOldCopiesToo() throws Exception {
+		this.clock.advance(TOO_OLD);
+		assertMissing(new Missing(401, "key_missing", "the call has no header \"Authorization: Bearer KEY\"",
+				(test) -> answer(test.check.verify(call("GET", "/v1/programs/p", null, "")))));
+	}
+
+	@Test
+	void aCopyThatIsConfirmedAfterALookupMakesItNoMoreCertain() {
+		this.clock.advance(TOO_OLD);
+		RecentCopies.Age before = this.copies.age();
+		this.keys.confirm();
+		this.configuration.confirm();
+		assertThat(before.certain(Refusal.notRun(404, "unknown_route", "no route")).status()).isEqualTo(503);
+		assertThat(this.copies.age().isRecent()).isTrue();
+	}
+
+	// ---- What is missing
+
+	static Stream<Missing> missing() {
+		return Stream.of(
+				new Missing(401, "key_invalid", "the key is wrong or was withdrawn",
+						(test) -> answer(test.check.verify(call("GET", "/", "mr_0_wrong", "")))),
+				new Missing(403, "unknown_workspace", "workspace \"elsewhere\" is not configured",
+						(test) -> answer(test.check.verify(call("GET", "/", test.elsewhere, "")))),
+				new Missing(404, "unknown_model", "model \"other\" does not exist for workspace \"north\"",
+						(test) -> test.chat(test.north, "other")),
+				new Missing(404, "unknown_model", "model \"n\" does not exist for workspace \"south\"",
+						(test) -> test.chat(test.south, "n")),
+				new Missing(404, "unknown_route", "no route covers GET /none of \"desk\"",
+						(test) -> test.service(test.north, "/v1/services/desk/none")),
+				new Missing(403, "pool_not_allowed", "workspace \"south\" may not use \"desk\"",
+						(test) -> test.service(test.south, "/v1/services/desk/read/x")),
+				new Missing(401, "key_missing", "the call has no header \"Authorization: Bearer KEY\"",
+						(test) -> test.service(null, "/v1/services/desk/none")),
+				new Missing(404, "unknown_route", "no route covers POST /orders of \"desk\"",
+						(test) -> test.services.answerOnce(null, open("north", "/v1/services/desk/orders"), () -> {
+						})),
+				new Missing(403, "unknown_workspace", "workspace \"elsewhere\" is not configured",
+						(test) -> test.programs.answerTurn(null, open("elsewhere", "/v1/chat/completions"), () -> {
+						})),
+				new Missing(401, "key_withdrawn", "key \"0\" was withdrawn",
+						(test) -> CallAnswer.refusal(
+								test.guard.forCall(open("north", "/v1/chat/completions")).check().orElseThrow(),
+								"request")));
+	}
+
+	static Stream<Arguments> missingWithAnOldCopy() {
+		return missing().flatMap((missing) -> Stream.of(Arguments.of(missing, false, false),
+				Arguments.of(missing, true, false), Arguments.of(missing, false, true)));
+	}
+
+	private CallAnswer chat(String key, String model) {
+		String body = "{\"model\":\"" + model + "\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+		return answer(this.check.verify(call("POST", "/v1/chat/completions", key, body)).flatMap(this.chat::answer));
+	}
+
+	private CallAnswer service(String key, String path) {
+		CallRequest call = call("GET", path, key, "");
+		RecentCopies.Age age = this.copies.age();
+		return answer(this.check.verify(call, age::certain)
+			.flatMap((caller) -> this.services.route(call, age)
+				.flatMap((route) -> this.services.answer(caller, route))));
+	}
+
+	private static CallRequest call(String method, String path, String key, String body) {
+		Map<String, String> headers = (key != null) ? Map.of("Authorization", "Bearer " + key) : Map.of();
+		return new CallRequest("request", method, path, null, headers, body.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private static CallOpen open(String workspace, String path) {
+		String body = "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+		return CallOpen.newBuilder()
+			.setRequestId("request")
+			.setMethod("POST")
+			.setPath(path)
+			.setWorkspace(workspace)
+			.setKeyId("0")
+			.addHeaders(Header.newBuilder().setName("Mangorack-Program").setValue("p"))
+			.addHeaders(Header.newBuilder().setName("Mangorack-Turn").setValue("1"))
+			.setBody(ByteString.copyFromUtf8(body))
+			.build();
+	}
+
+	// ---- Helpers
+
+	private void assertMissing(Missing missing) throws Exception {
+		CallAnswer answer = missing.call.apply(this);
+		assertThat(Bodies.text(answer)).isEqualTo("{\"type\":\"about:blank\",\"title\":\"" + missing.code
+				+ "\",\"status\":" + missing.status + ",\"detail\":\"" + missing.detail.replace("\"", "\\\"")
+				+ "\",\"verdict\":\"not_run\",\"request\":\"request\"}");
+		assertThat(answer.status()).isEqualTo(missing.status);
+		assertThat(answer.headers()).isEqualTo(Map.of("Content-Type", CallAnswer.PROBLEM_TYPE));
+	}
+
+	private static CallAnswer answer(Either<Refusal, ?> result) {
+		return CallAnswer.refusal(result.getLeft(), "request");
+	}
+
+	private void refresh() {
+		this.store.refresh(this.configuration.cache);
+	}
+
+	/**
+	 * Something that the copies lack or do not allow.
+	 */
+	private record Missing(int status, String code, String detail, Function<RecentCopiesTests, CallAnswer> call) {
+
+		@Override
+		public String toString() {
+			return this.status + " " + this.code + ": " + this.detail;
+		}
+
+	}
+
+	/**
+	 * A copy that is confirmed by the hand of a test.
+	 */
+	private static final class Copy {
+
+		private final FakeStore store = new FakeStore();
+
+		private final CompletableFuture<WatchListener> watch = new CompletableFuture<>();
+
+		private final KindCache cache;
+
+		private Copy(ObjectKind kind, MonotonicClock clock, Runnable onChange) {
+			ObjectStore watched = (ObjectStore) Proxy.newProxyInstance(ObjectStore.class.getClassLoader(),
+					new Class<?>[] { ObjectStore.class }, (proxy, method, arguments) -> {
+						if (method.getName().equals("list")) {
+							return this.store.list(kind);
+						}
+						this.watch.complete((WatchListener) arguments[2]);
+						throw awaitClose();
+					});
+			this.cache = new KindCache(watched, kind, clock, onChange);
+		}
+
+		private void start() throws Exception {
+			this.cache.start();
+			this.watch.get(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+		}
+
+		private void confirm() {
+			this.watch.join().progress("9");
+		}
+
+		private static StoreException awaitClose() {
+			try {
+				new CountDownLatch(1).await();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			return new StoreException(StoreException.Reason.UNREACHABLE, "the watch was closed");
+		}
+
+	}
+
+}
