--- a/mangorack/src/main/java/org/mangorack/journal/SegmentCodec.java
+++ b/mangorack/src/main/java/org/mangorack/journal/SegmentCodec.java
@@ -16,8 +16,7 @@
 final class SegmentCodec {
 
 	/**
-	 * The most bytes of a segment before compression; objects of the platform hold far
-	 * less.
+	 * The most bytes of a segment before compression.
 	 */
 	static final int MAX_BYTES = 256 * 1024 * 1024;
 
--- a/mangorack/src/main/java/org/mangorack/relay/AbsenceCheck.java
+++ b/mangorack/src/main/java/org/mangorack/relay/AbsenceCheck.java
@@ -14,7 +14,7 @@
 final class AbsenceCheck {
 
 	/**
-	 * The longest time that a request is held: more than the longest interval of beats.
+	 * The longest time that a request is held.
 	 */
 	static final Duration MAX_WAIT = Duration.ofMillis(600);
 
--- a/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ConfigurationHolder.java
@@ -29,8 +29,7 @@
 public final class ConfigurationHolder {
 
 	/**
-	 * The largest document that is taken from another instance, several times what the
-	 * platform stores in an object.
+	 * The largest document that is taken from another instance, before compression.
 	 */
 	static final int MAX_DOCUMENT_BYTES = 16 * 1024 * 1024;
 
