Report a watch that was cut instead of asking for it again in the same moment

What callers could see: after the platform dropped its history, keepers learnt of no change, neither of the configuration nor of the upstreams, for a whole wait more than needed. Entries then had old routes, keys and upstreams until they asked the platform themselves. Cause: PooledHttpClient sends an idempotent request once more when a connection that was idle before breaks. It took the cut of a watch that had waited for a second or more for a connection closed while idle, so KindCache never heard of the cut, and the second watch came at once. The platform leaves such a watch without an answer until its wait is over and says only then that the history is gone. A call could also last twice as long as its limit. Why this works: a connection that was closed while idle fails within a round trip, so a watch is sent once more only if it fails within 100 ms. Later it is a cut, which KindCache reports, and it asks again after its usual pause of 100 to 200 ms; then 410 comes at once and the list follows. Each cut still takes three calls: the watch that was cut, the one that gets 410, the list.

--- a/bench/src/main/java/org/mangorack/bench/standin/FleetStoreStandIn.java
+++ b/bench/src/main/java/org/mangorack/bench/standin/FleetStoreStandIn.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -15,10 +16,15 @@
 /**
  * Stands in for the metadata store of the users' platform: objects by kind and name, a
  * single revision, lists in pages, long watches, conditions. It can refuse all calls,
- * lose the answers of writes and forget its history.
+ * lose the answers of writes, forget its history and keep watches in silence.
  */
 public final class FleetStoreStandIn extends StandInServer {
 
+	/**
+	 * How long after watches were cut the history before is still there, and not heard.
+	 */
+	public static final Duration FORGETTING_DELAY = Duration.ofMillis(50);
+
 	private static final int PAGE = 3;
 
 	private final Map<String, TreeMap<String, ObjectNode>> kinds = new HashMap<>();
@@ -33,6 +39,14 @@
 
 	private boolean refusing;
 
+	private boolean deaf;
+
+	private int cuts;
+
+	private boolean forgetting;
+
+	private long forgetAt;
+
 	private int answersToLose;
 
 	/**
@@ -71,6 +85,27 @@
 		notifyAll();
 	}
 
+	/**
+	 * Keeps all watches in silence: they hear of no change and are not answered at the
+	 * end of their wait either.
+	 */
+	public synchronized void deafen() {
+		this.deaf = true;
+	}
+
+	/**
+	 * Ends the silence as the users' platform does: cuts the watches that wait, and
+	 * forgets the history {@link #FORGETTING_DELAY} later. A watch that comes in between
+	 * hears nothing until its wait is over.
+	 */
+	public synchronized void cutDeafWatches() {
+		this.deaf = false;
+		this.cuts++;
+		this.forgetting = true;
+		this.forgetAt = System.nanoTime() + FORGETTING_DELAY.toNanos();
+		notifyAll();
+	}
+
 	/**
 	 * Returns the number of calls.
 	 * @return all calls, refused ones included
@@ -161,27 +196,38 @@
 
 	private Reply watch(String kind, long from, long waitMillis) throws IOException {
 		long until = System.nanoTime() + (waitMillis * 1_000_000);
+		int cutsBefore = this.cuts;
 		while (true) {
 			if (this.refusing) {
 				return Reply.json(503, MAPPER.createObjectNode());
 			}
+			if (this.cuts != cutsBefore) {
+				throw new IOException("the watch is cut");
+			}
+			forgetIfDue();
 			if (from < this.forgotten) {
 				return Reply.json(410, MAPPER.createObjectNode());
 			}
 			ObjectNode found = MAPPER.createObjectNode();
 			ArrayNode events = found.putArray("events");
-			this.history.tailMap(from, false).values().stream().filter((c) -> c.kind().equals(kind)).forEach((c) -> {
-				ObjectNode event = events.addObject();
-				event.put("deleted", c.deleted());
-				event.set("object", c.object());
-			});
+			if (!this.deaf && !this.forgetting) {
+				this.history.tailMap(from, false)
+					.values()
+					.stream()
+					.filter((c) -> c.kind().equals(kind))
+					.forEach((c) -> {
+						ObjectNode event = events.addObject();
+						event.put("deleted", c.deleted());
+						event.set("object", c.object());
+					});
+			}
 			long left = (until - System.nanoTime()) / 1_000_000;
-			if (!events.isEmpty() || (left <= 0)) {
+			if (!this.deaf && (!events.isEmpty() || (left <= 0))) {
 				found.put("store_revision", this.revision);
 				return Reply.json(200, found);
 			}
 			try {
-				wait(left);
+				wait(this.deaf ? 0 : left);
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -225,6 +271,13 @@
 
 	// ---- Helpers
 
+	private void forgetIfDue() {
+		if (this.forgetting && (System.nanoTime() - this.forgetAt >= 0)) {
+			this.forgetting = false;
+			forgetHistory();
+		}
+	}
+
 	private TreeMap<String, ObjectNode> kind(String kind) {
 		return this.kinds.computeIfAbsent(kind, (k) -> new TreeMap<>());
 	}
--- a/mangorack/src/main/java/org/mangorack/http/ConnectionUse.java
+++ b/mangorack/src/main/java/org/mangorack/http/ConnectionUse.java
@@ -11,6 +11,13 @@
 	 */
 	POOLED,
 
+	/**
+	 * As {@link #POOLED}, for a request that may wait long for its answer: it is sent
+	 * once more only if the connection proves closed at once. A connection that breaks
+	 * later cuts the wait, and the caller decides when to ask again.
+	 */
+	POOLED_WAIT,
+
 	/**
 	 * The request is sent once, on a new connection.
 	 */
--- a/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
+++ b/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
@@ -33,6 +33,7 @@
 import org.apache.hc.core5.util.Timeout;
 
 import org.mangorack.call.Verdict;
+import org.mangorack.observe.MonotonicClock;
 
 /**
  * A blocking client that keeps idle connections per server and tells for each failure
@@ -42,6 +43,9 @@
 
 	private static final int MAX_IDLE_PER_SERVER = 64;
 
+	// A connection that the server closed while it was idle fails within a round trip.
+	private static final Duration STALE_LIMIT = Duration.ofMillis(100);
+
 	private final Map<HttpAddress, Deque<DefaultBHttpClientConnection>> idle = new ConcurrentHashMap<>();
 
 	private final Set<DefaultBHttpClientConnection> open = ConcurrentHashMap.newKeySet();
@@ -74,8 +78,9 @@
 	 */
 	public HttpReply send(HttpAddress address, String method, String path, Map<String, String> headers, byte[] body,
 			Duration silenceLimit, ConnectionUse use) throws HttpCallException {
-		DefaultBHttpClientConnection pooled = (use == ConnectionUse.POOLED) ? takeIdle(address) : null;
+		DefaultBHttpClientConnection pooled = (use != ConnectionUse.FRESH) ? takeIdle(address) : null;
 		if (pooled != null) {
+			long sentAt = MonotonicClock.SYSTEM.nanoTime();
 			try {
 				return exchange(address, pooled, request(address, method, path, headers, body), silenceLimit);
 			}
@@ -85,6 +90,10 @@
 					throw new HttpCallException("no answer from " + address + " within " + silenceLimit,
 							Verdict.MAY_HAVE_RUN, ex);
 				}
+				if ((use == ConnectionUse.POOLED_WAIT)
+						&& (MonotonicClock.SYSTEM.elapsed(sentAt).compareTo(STALE_LIMIT) > 0)) {
+					throw new HttpCallException("cut by " + address + ": " + ex.getMessage(), Verdict.MAY_HAVE_RUN, ex);
+				}
 			}
 		}
 		return sendOnNewConnection(address, request(address, method, path, headers, body), silenceLimit);
--- a/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
@@ -1,11 +1,14 @@
 package org.mangorack.http;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,6 +24,9 @@
 
 	private static final Duration LIMIT = Duration.ofSeconds(5);
 
+	// Well beyond the time in which a connection closed while idle shows it.
+	private static final Duration CUT_AFTER = Duration.ofMillis(600);
+
 	private final PooledHttpClient client = new PooledHttpClient(LIMIT);
 
 	private HttpFrontEnd server;
@@ -85,6 +91,77 @@
 		}
 	}
 
+	@Test
+	void aWaitThatWasCutIsNotAskedForAgain() throws IOException, InterruptedException {
+		try (ServerSocket listener = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+			Thread server = new Thread(() -> answerOnceThenCut(listener, CUT_AFTER), "cutting-server");
+			server.setDaemon(true);
+			server.start();
+			HttpAddress target = new HttpAddress("127.0.0.1", listener.getLocalPort());
+			get(target, ConnectionUse.POOLED_WAIT);
+			assertThatExceptionOfType(HttpCallException.class).isThrownBy(() -> get(target, ConnectionUse.POOLED_WAIT))
+				.withMessageContaining("cut by")
+				.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+			server.join();
+		}
+	}
+
+	@Test
+	void aWaitOnAConnectionThatWasClosedWhileIdleIsAskedForAgain() throws IOException, InterruptedException {
+		try (ServerSocket listener = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+			Thread server = new Thread(() -> {
+				answerOnce(listener);
+				answerOnce(listener);
+			}, "closing-server");
+			server.setDaemon(true);
+			server.start();
+			HttpAddress target = new HttpAddress("127.0.0.1", listener.getLocalPort());
+			get(target, ConnectionUse.POOLED_WAIT);
+			get(target, ConnectionUse.POOLED_WAIT);
+			server.join();
+		}
+	}
+
+	// Takes one connection, answers its first request and closes it after a while.
+	private static void answerOnceThenCut(ServerSocket listener, Duration after) {
+		try (Socket socket = listener.accept()) {
+			answer(socket);
+			readHead(socket);
+			TimeUnit.MILLISECONDS.sleep(after.toMillis());
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static void answerOnce(ServerSocket listener) {
+		try (Socket socket = listener.accept()) {
+			answer(socket);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void answer(Socket socket) throws IOException {
+		readHead(socket);
+		socket.getOutputStream()
+			.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+	}
+
+	private static void readHead(Socket socket) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			head.append((char) socket.getInputStream().read());
+		}
+	}
+
+	private void get(HttpAddress target, ConnectionUse use) throws IOException {
+		try (HttpReply reply = this.client.send(target, "GET", "/", Map.of(), null, LIMIT, use)) {
+			reply.readAll(1024);
+		}
+	}
+
 	private HttpReply get(String path) throws HttpCallException {
 		return this.client.send(this.address, "GET", path, Map.of(), null, LIMIT, ConnectionUse.POOLED);
 	}
