--- a/mangorack/src/main/java/org/mangorack/keeper/ConfigurationTransfers.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ConfigurationTransfers.java
@@ -19,8 +19,7 @@
 final class ConfigurationTransfers {
 
 	/**
-	 * The transfers under way at once. Two links of entries fill about half of the link
-	 * of a keeper.
+	 * The transfers under way at once.
 	 */
 	static final int MAX_TRANSFERS = 2;
 
