Bound what is skipped of an upstream's bytes before its answer

What callers could hear: 504 at their deadline instead of 502 at once, while the thread for traffic read an upstream's bytes without end. Cause: interim answers and answers to other requests were skipped without any bound. Evidence: UpstreamFaultTests#bytesWithoutEndAreCutAndHurtNobodyElse, eleven ways in which bytes may come without end, in a head, a body or before either. Two were seen failing: interim answers (504 after 4 s) and an answer to another request (64 MB were read). The other nine passed before. Why this works: 64 such answers or 1 MiB of them end the attempt and its connection.

--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -4,11 +4,16 @@
 import java.io.OutputStream;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -18,6 +23,11 @@
  */
 class UpstreamFaultTests {
 
+	private static final int BLOCK = 16 * 1024;
+
+	// What no answer needs, and more than an entry can hold several times over.
+	private static final long FAR_TOO_MUCH = 64L * 1024 * 1024;
+
 	@TempDir
 	Path folder;
 
@@ -92,6 +102,54 @@
 		assertThat(this.upstream.closed().poll(20, TimeUnit.SECONDS)).isNotNull();
 	}
 
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("endless")
+	void bytesWithoutEndAreCutAndHurtNobodyElse(String name, String path, String before, String unit) throws Exception {
+		AtomicLong written = new AtomicLong();
+		byte[] block = ScriptedUpstream.bytes(unit.repeat(Math.max(1, BLOCK / unit.length())));
+		this.upstream.play((request, out, socket) -> {
+			if (!request.header("Request-Id").equals("endless")) {
+				out.write(ScriptedUpstream.plain(request, "for " + request.header("Request-Id")));
+				return true;
+			}
+			out.write(ScriptedUpstream.bytes(before.replace("ID", "endless")));
+			while (written.get() < FAR_TOO_MUCH) {
+				out.write(block);
+				written.addAndGet(block.length);
+			}
+			return false;
+		});
+		String answer = call("POST", path, "endless");
+		assertThat(answer).doesNotContain("no end within");
+		if (path.equals("/write/1")) {
+			assertThat(answer).startsWith("HTTP/1.1 502");
+		}
+		else {
+			assertThat(TestFleetNodes.isWhole(answer)).as(answer).isFalse();
+		}
+		assertThat(this.upstream.closed().poll(20, TimeUnit.SECONDS)).isEqualTo("endless");
+		assertThat(written.get()).isLessThan(FAR_TOO_MUCH);
+		assertThat(call("GET", "/read/2", "next")).startsWith("HTTP/1.1 200").endsWith("for next");
+	}
+
+	static Stream<Arguments> endless() {
+		String head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: s\r\n";
+		String chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+		String events = head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+		return Stream.of(Arguments.of("no head at all", "/write/1", "", "x"),
+				Arguments.of("empty lines", "/write/1", "", "\r\n"),
+				Arguments.of("a line of a head", "/write/1", "HTTP/1.1 200 OK\r\nX-Long: ", "x"),
+				Arguments.of("lines of a head", "/write/1", "HTTP/1.1 200 OK\r\n", "X-More: x\r\n"),
+				Arguments.of("interim answers", "/write/1", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+				Arguments.of("an answer to another request", "/write/1", chunked.replace("ID", "other"),
+						"10\r\n0123456789abcdef\r\n"),
+				Arguments.of("a body", "/write/1", chunked, "10\r\n0123456789abcdef\r\n"),
+				Arguments.of("a body that ends with its connection", "/write/1", head + "\r\n", "x"),
+				Arguments.of("the length of a chunk", "/write/1", chunked, "0"),
+				Arguments.of("lines after a body", "/write/1", chunked + "0\r\n", "X-More: x\r\n"),
+				Arguments.of("an event", "/turns/1", events, "10\r\ndata: 0123456789\r\n"));
+	}
+
 	@Test
 	void theWorkOfASilentUpstreamIsNeitherStartedAgainNorGivenUp() throws Exception {
 		ScriptedUpstream.Script late = (request, out, socket) -> {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -35,6 +35,18 @@
 	 */
 	static final Duration UNSTATED_IDLE_LIMIT = Duration.ofMillis(250);
 
+	/**
+	 * The most bytes of answers to other requests that are skipped while an answer is
+	 * awaited.
+	 */
+	static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
+	/**
+	 * The most interim answers and answers to other requests that are skipped while an
+	 * answer is awaited.
+	 */
+	static final int MAX_SKIPPED_ANSWERS = 64;
+
 	// The part of a stated time during which a request cannot cross the upstream's close.
 	private static final double USABLE_PART = 0.6;
 
@@ -56,6 +68,10 @@
 
 	private boolean skipping;
 
+	private int skippedAnswers;
+
+	private long skippedBytes;
+
 	private boolean reset;
 
 	private boolean reusable = true;
@@ -94,6 +110,8 @@
 		this.listener = answer;
 		this.written = false;
 		this.headSeen = false;
+		this.skippedAnswers = 0;
+		this.skippedBytes = 0;
 		this.channel.pipeline().get(UpstreamDecoder.class).expectAnswerTo(head.method());
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(head.method()),
 				head.target(), body, headers, new DefaultHttpHeaders());
@@ -165,7 +183,9 @@
 
 	private void readHead(HttpResponse response) {
 		if (this.listener == null) {
-			dropStray("answer without a request");
+			if (this.reusable) {
+				dropStray("answer without a request");
+			}
 			return;
 		}
 		if (!response.decoderResult().isSuccess()) {
@@ -178,14 +198,14 @@
 			this.client.departing(this.upstream);
 		}
 		if (head.status() < 200) {
-			this.skipping = true;
+			skip();
 			return;
 		}
 		if (!this.requestId.equals(head.requestId())) {
 			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "answered",
 					head.requestId());
-			this.skipping = true;
 			this.reusable = false;
+			skip();
 			return;
 		}
 		this.skipping = false;
@@ -199,6 +219,8 @@
 		boolean last = content instanceof LastHttpContent;
 		if (this.skipping) {
 			this.skipping = !last;
+			this.skippedBytes += content.content().readableBytes();
+			checkSkipped();
 			return;
 		}
 		if (this.listener == null) {
@@ -217,6 +239,21 @@
 		}
 	}
 
+	private void skip() {
+		this.skipping = true;
+		this.skippedAnswers++;
+		checkSkipped();
+	}
+
+	// An upstream in trouble may send such bytes without end.
+	private void checkSkipped() {
+		if ((this.skippedAnswers > MAX_SKIPPED_ANSWERS) || (this.skippedBytes > MAX_SKIPPED_BYTES)) {
+			fail("no answer within " + this.skippedAnswers + " other answers and " + this.skippedBytes
+					+ " bytes of them");
+			close();
+		}
+	}
+
 	private void finish() {
 		if (this.reset) {
 			return;
