--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -70,7 +70,7 @@
 
 	private long lastId;
 
-	private volatile long lastSign;
+	private volatile long lastActivity;
 
 	KeeperLink(EventLoop loop, Member member, MonotonicClock clock, Runnable onUp) {
 		this.loop = loop;
@@ -93,7 +93,7 @@
 				@Override
 				protected void initChannel(SocketChannel ch) {
 					ch.pipeline()
-						.addLast(new ArrivalNote(), new ProtobufVarint32FrameDecoder(),
+						.addLast(new ReadActivity(), new ProtobufVarint32FrameDecoder(),
 								new ProtobufDecoder(Reply.getDefaultInstance()),
 								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
 				}
@@ -124,11 +124,11 @@
 	}
 
 	/**
-	 * Returns when the keeper last gave a sign of life.
+	 * Returns when the keeper last sent or took bytes.
 	 * @return the time on the monotonic clock; may be read by any thread
 	 */
-	long lastSign() {
-		return this.lastSign;
+	long lastActivity() {
+		return this.lastActivity;
 	}
 
 	// ---- Public API
@@ -146,7 +146,7 @@
 		long id = ++this.lastId;
 		this.pending.put(id, new Pending(listener, this.clock.nanoTime()));
 		ChannelProgressivePromise written = this.channel.newProgressivePromise();
-		written.addListener(new WriteNote());
+		written.addListener(new WriteActivity());
 		this.channel.writeAndFlush(request.setId(id).setDisk(this.member.getDisk()).build(), written);
 	}
 
@@ -159,7 +159,7 @@
 		}
 		long now = this.clock.nanoTime();
 		long oldest = this.pending.values().iterator().next().sentAt();
-		if (now - Math.max(oldest, this.lastSign) > SILENCE_LIMIT.toNanos()) {
+		if (now - Math.max(oldest, this.lastActivity) > SILENCE_LIMIT.toNanos()) {
 			EventLog.log(Event.KEEPER_SILENT, "keeper", this.member.getName(), "waiting", this.pending.size());
 			this.channel.close();
 		}
@@ -186,28 +186,28 @@
 	}
 
 	/**
-	 * Notes when bytes arrive. A long reply on a narrow link is no silence.
+	 * Records when bytes arrive, so that a long reply on a narrow link is no silence.
 	 */
-	private final class ArrivalNote extends ChannelInboundHandlerAdapter {
+	private final class ReadActivity extends ChannelInboundHandlerAdapter {
 
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) {
-			KeeperLink.this.lastSign = KeeperLink.this.clock.nanoTime();
+			KeeperLink.this.lastActivity = KeeperLink.this.clock.nanoTime();
 			ctx.fireChannelRead(message);
 		}
 
 	}
 
 	/**
-	 * Notes when the keeper takes a part of a long request. Requests that are written in
-	 * one go show nothing: the system may hold them back.
+	 * Records when the keeper takes a part of a long request. Requests that are written
+	 * in one go tell nothing: the system may hold them back.
 	 */
-	private final class WriteNote implements ChannelProgressiveFutureListener {
+	private final class WriteActivity implements ChannelProgressiveFutureListener {
 
 		@Override
 		public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
 			if (progress < total) {
-				KeeperLink.this.lastSign = KeeperLink.this.clock.nanoTime();
+				KeeperLink.this.lastActivity = KeeperLink.this.clock.nanoTime();
 			}
 		}
 
@@ -232,7 +232,7 @@
 			}
 			link.channel = ctx.channel();
 			link.up = true;
-			link.lastSign = link.clock.nanoTime();
+			link.lastActivity = link.clock.nanoTime();
 			EventLog.log(link.everUp ? Event.KEEPER_REGAINED : Event.KEEPER_CONNECTED, "keeper", link.member.getName());
 			link.everUp = true;
 			link.onUp.run();
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperLinkTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperLinkTests.java
@@ -104,7 +104,7 @@
 			int from = reply.length * i / PARTS;
 			out.write(reply, from, (reply.length * (i + 1) / PARTS) - from);
 			out.flush();
-			awaitSign(1 + (i * STEP.toNanos()));
+			awaitActivity(1 + (i * STEP.toNanos()));
 			this.now.addAndGet(STEP.toNanos());
 			this.loop.submit(this.link::checkSilence).sync();
 		}
@@ -126,7 +126,7 @@
 		InputStream in = this.keeper.getInputStream();
 		for (int i = 0; i < PARTS_READ; i++) {
 			in.readNBytes(LARGE / PARTS);
-			awaitSign(1 + (i * STEP.toNanos()));
+			awaitActivity(1 + (i * STEP.toNanos()));
 			this.now.addAndGet(STEP.toNanos());
 			this.loop.submit(this.link::checkSilence).sync();
 		}
@@ -157,8 +157,8 @@
 	}
 
 	// The kernel may take a moment to hand the bytes over.
-	private void awaitSign(long since) throws InterruptedException {
-		for (int i = 0; (i < READ_LIMIT_MS) && (this.link.lastSign() < since); i++) {
+	private void awaitActivity(long since) throws InterruptedException {
+		for (int i = 0; (i < READ_LIMIT_MS) && (this.link.lastActivity() < since); i++) {
 			TimeUnit.MILLISECONDS.sleep(1);
 		}
 	}
