--- a/bench/src/test/java/org/mangorack/bench/fleet/AbsenceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/AbsenceTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.io.TempDir;
@@ -16,8 +15,6 @@
  */
 class AbsenceTests {
 
-	private static final Duration LIMIT = Duration.ofSeconds(20);
-
 	@ParameterizedTest
 	@CsvSource({ "/nowhere/x, key-a, 404", "/read/x, key-z, 401", "/turns/x, key-z, 401" })
 	void aRouteOrKeyIsNotCalledMissingByACopyThatMayBeOld(String path, String key, int status, @TempDir Path folder)
@@ -27,7 +24,9 @@
 			awaitStatus(fleet, path, key, status);
 			fleet.store().setRefusing(true);
 			TimeUnit.MILLISECONDS.sleep(TestFleetNodes.CONFIGURATION_APPLY.plusMillis(300).toMillis());
-			assertThat(ask(fleet, path, key)).startsWith("HTTP/1.1 503").contains("not_run").contains("retry-after");
+			assertThat(fleet.exchange(request(path, key))).startsWith("HTTP/1.1 503")
+				.contains("not_run")
+				.contains("retry-after");
 			fleet.store().setRefusing(false);
 			awaitStatus(fleet, path, key, status);
 		}
@@ -35,20 +34,12 @@
 
 	private static void awaitStatus(TestFleetNodes fleet, String path, String key, int status)
 			throws IOException, InterruptedException {
-		long startedAt = System.nanoTime();
-		String answer = "";
-		while (System.nanoTime() - startedAt < LIMIT.toNanos()) {
-			answer = ask(fleet, path, key);
-			if (answer.startsWith("HTTP/1.1 " + status)) {
-				return;
-			}
-			TimeUnit.MILLISECONDS.sleep(50);
-		}
-		throw new IllegalStateException("no " + status + " within " + LIMIT + ": " + answer);
+		TestFleetNodes.awaitAnswer(fleet.callers(), request(path, key),
+				(answer) -> answer.startsWith("HTTP/1.1 " + status));
 	}
 
-	private static String ask(TestFleetNodes fleet, String path, String key) throws IOException {
-		return fleet.exchange(TestFleetNodes.request("GET", path, "r", "", "").replace(TestFleetNodes.KEY, key));
+	private static String request(String path, String key) {
+		return TestFleetNodes.request("GET", path, "r", "", "").replace(TestFleetNodes.KEY, key);
 	}
 
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/ConfigurationSpreadTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ConfigurationSpreadTests.java
@@ -22,8 +22,6 @@
  */
 class ConfigurationSpreadTests {
 
-	private static final Duration LIMIT = Duration.ofSeconds(20);
-
 	// Several beats.
 	private static final Duration AFTERWARDS = Duration.ofSeconds(1);
 
@@ -44,12 +42,12 @@
 				callers.add(fleet.callers());
 			}
 			for (HttpAddress entry : callers) {
-				awaitStatus(entry, "/read/x", 503);
+				awaitRoute(entry, "/read/x");
 			}
 			Map<String, Double> before = fleet.documentsReceived();
 			fleet.configure(2, withMoreRoutes(ROUTES));
 			for (HttpAddress entry : callers) {
-				awaitStatus(entry, "/added-" + (ROUTES - 1) + "/x", 503);
+				awaitRoute(entry, "/added-" + (ROUTES - 1) + "/x");
 			}
 			TimeUnit.MILLISECONDS.sleep(AFTERWARDS.toMillis());
 			assertThat(fleet.documentsReceived()).hasSize(ENTRIES + KEEPERS)
@@ -59,18 +57,9 @@
 	}
 
 	// The fleet has no upstream, so a request on a known route gets 503.
-	private static void awaitStatus(HttpAddress entry, String path, int status)
-			throws IOException, InterruptedException {
-		long startedAt = System.nanoTime();
-		String answer = "";
-		for (int i = 0; System.nanoTime() - startedAt < LIMIT.toNanos(); i++) {
-			answer = TestFleetNodes.exchange(entry, TestFleetNodes.request("GET", path, "probe-" + i, "", ""));
-			if (answer.startsWith("HTTP/1.1 " + status) && answer.contains("no_upstream")) {
-				return;
-			}
-			TimeUnit.MILLISECONDS.sleep(50);
-		}
-		throw new IllegalStateException("no " + status + " for " + path + " at " + entry + ": " + answer);
+	private static void awaitRoute(HttpAddress entry, String path) throws IOException, InterruptedException {
+		TestFleetNodes.awaitAnswer(entry, TestFleetNodes.request("GET", path, "probe", "", ""),
+				(answer) -> answer.startsWith("HTTP/1.1 503") && answer.contains("no_upstream"));
 	}
 
 	private static ObjectNode withMoreRoutes(int count) throws IOException {
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -62,6 +63,8 @@
 
 	private static final int READ_LIMIT_MS = 20_000;
 
+	private static final Duration ANSWER_LIMIT = Duration.ofSeconds(20);
+
 	// Outgoing connections have 127.0.0.1 as their own address, so none can take a port
 	// of these two between its choice and the bind.
 	private static final String ENTRY_HOST = "127.0.0.3";
@@ -398,6 +401,28 @@
 		return answer.length() >= end + 4 + length;
 	}
 
+	/**
+	 * Repeats a request until its answer is as wanted.
+	 * @param entryCallers the address for callers of the entry
+	 * @param request the text of the request
+	 * @param wanted tells whether the answer is as wanted
+	 * @throws IOException if the entry cannot be reached
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	static void awaitAnswer(HttpAddress entryCallers, String request, Predicate<String> wanted)
+			throws IOException, InterruptedException {
+		long startedAt = System.nanoTime();
+		String answer = "";
+		while (System.nanoTime() - startedAt < ANSWER_LIMIT.toNanos()) {
+			answer = exchange(entryCallers, request);
+			if (wanted.test(answer)) {
+				return;
+			}
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		throw new IllegalStateException("no answer as wanted within " + ANSWER_LIMIT + "; the last was: " + answer);
+	}
+
 	/**
 	 * Sends turns until one is served, which shows that the group of keepers is formed.
 	 * @throws IOException if the entry cannot be reached
--- a/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import org.mangorack.keeper.proto.Entry;
 import org.mangorack.keeper.proto.Load;
@@ -183,8 +184,7 @@
 	 * @return {@code true} if some keeper answers beats
 	 */
 	boolean isHeard() {
-		long now = this.clock.nanoTime();
-		return this.pulses.values().stream().anyMatch((p) -> now - p.heardAt() < PULSE_LIFE.toNanos());
+		return heardLately().findAny().isPresent();
 	}
 
 	/**
@@ -192,11 +192,12 @@
 	 * @return {@code true} if what keepers pass on is up to date
 	 */
 	boolean isInContact() {
+		return heardLately().anyMatch((p) -> p.contactAge().compareTo(CONTACT_LIMIT) < 0);
+	}
+
+	private Stream<Known> heardLately() {
 		long now = this.clock.nanoTime();
-		return this.pulses.values()
-			.stream()
-			.anyMatch(
-					(p) -> (now - p.heardAt() < PULSE_LIFE.toNanos()) && (p.contactAge().compareTo(CONTACT_LIMIT) < 0));
+		return this.pulses.values().stream().filter((p) -> now - p.heardAt() < PULSE_LIFE.toNanos());
 	}
 
 	private List<Known> listedLately() {
