Collect the outcomes of threads of a test in a collection made for it

All three operators had ended, so one error was lost.

Cause: the two refused operators added their errors to an ArrayList at the same time, and one addition was lost. Ruled out: a second winner (the test had counted one) and an operator that never ended (all are joined).

The errors go into a concurrent queue. The assertions are unchanged. No other test collects from several threads.

--- a/bench/src/test/java/org/mangorack/bench/CallerContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/CallerContractTests.java
@@ -8,8 +8,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -240,7 +242,7 @@
 			.path("revision")
 			.asLong();
 		AtomicInteger won = new AtomicInteger();
-		List<String> errors = new ArrayList<>();
+		Queue<String> errors = new ConcurrentLinkedQueue<>();
 		List<Thread> operators = new ArrayList<>();
 		for (int i = 0; i < 3; i++) {
 			int index = i;
--- a/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -5,10 +5,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.UUID;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -199,8 +202,8 @@
 	@Test
 	void rollingRestartUnderLoadRefusesAndLosesNothing() throws Exception {
 		AtomicInteger done = new AtomicInteger();
-		List<String> failures = new ArrayList<>();
-		boolean[] over = new boolean[1];
+		Queue<String> failures = new ConcurrentLinkedQueue<>();
+		AtomicBoolean over = new AtomicBoolean();
 		List<Thread> callers = new ArrayList<>();
 		for (int i = 0; i < 6; i++) {
 			String program = "roll-" + i + "-" + UUID.randomUUID();
@@ -213,7 +216,7 @@
 			this.fleet.launch(m);
 			this.fleet.awaitSettled();
 		}
-		over[0] = true;
+		over.set(true);
 		for (Thread t : callers) {
 			t.join();
 		}
@@ -229,10 +232,10 @@
 	 * time, and connects there.
 	 */
 	// Goes on with programs of the longest length, however long the restarts take.
-	private void follow(String name, boolean[] over, AtomicInteger done, List<String> failures) {
+	private void follow(String name, AtomicBoolean over, AtomicInteger done, Queue<String> failures) {
 		List<Member> use = List.of();
 		long keptUntil = 0;
-		for (int calls = 0; !over[0]; calls++) {
+		for (int calls = 0; !over.get(); calls++) {
 			String program = name + "-" + (calls / MAX_TURNS);
 			int n = (calls % MAX_TURNS) + 1;
 			try {
