Charge the events of a call whose pool a newer configuration dropped

Callers: a program could go past its token budget. A stream that broke off and was tried again after a newer configuration without its pool had come into force was charged 0 tokens for the events that its caller had.

Cause: the tokens of an event were looked up at the end of the call in the configuration of that moment, and a missing pool counted as 0.

Evidence: BudgetTests#eventsCountAfterANewerConfigurationDroppedTheirPool failed before (the next turn got no_upstream instead of 402) and passes now; BudgetTests passes whole.

The call now keeps the tokens of an event from its admission.

--- a/bench/src/test/java/org/mangorack/bench/fleet/BudgetTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/BudgetTests.java
@@ -6,7 +6,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -91,6 +94,35 @@
 		assertThat(turn(path, "t2", BUDGET)).startsWith("HTTP/1.1 402");
 	}
 
+	@Test
+	void eventsCountAfterANewerConfigurationDroppedTheirPool() throws Exception {
+		CountDownLatch replaced = new CountDownLatch(1);
+		AtomicInteger attempts = new AtomicInteger();
+		this.upstream.play((request, out, socket) -> {
+			if (attempts.incrementAndGet() == 1) {
+				out.write(ScriptedUpstream.bytes(ScriptedUpstream.streamHead(request)
+						+ ScriptedUpstream.chunk("id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n")));
+				out.flush();
+				await(replaced);
+			}
+			return false;
+		});
+		CompletableFuture<String> cut = send(this.fleet.callers(), "/dialog/1", "t1", new CountDownLatch(1));
+		this.fleet.configure(2, (ObjectNode) new ObjectMapper().readTree("""
+				{"routes":[
+				{"name":"dialog","host":"check.example","path_prefix":"/dialog/","kind":"streaming","timeout_ms":4000,
+				"service":"second","max_attempts":2,"retains_context":false},
+				{"name":"late","host":"check.example","path_prefix":"/late/","kind":"safe","timeout_ms":4000,
+				"service":"second","max_attempts":2}],
+				"services":[{"name":"second","connection_limit":100,"engine":{"tokens_per_event":10}}]}"""));
+		TestFleetNodes.awaitAnswer(this.fleet.callers(), TestFleetNodes.request("GET", "/late/1", "l", "", ""),
+				(answer) -> answer.startsWith("HTTP/1.1 503"));
+		replaced.countDown();
+		assertThat(cut.join()).contains("data: three");
+		assertThat(TestFleetNodes.isWhole(cut.join())).isFalse();
+		assertThat(turn("/dialog/1", "t2", BUDGET)).startsWith("HTTP/1.1 402");
+	}
+
 	// The keeper is away while the entry ends, so that the entry can settle nothing, as
 	// if it had been killed.
 	@Test
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -18,6 +18,7 @@
 import org.mangorack.keeper.ReservationListener;
 import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.Event;
+import org.mangorack.relay.FleetConfiguration.Pool;
 import org.mangorack.relay.FleetConfiguration.Workspace;
 import org.mangorack.relay.FleetProtocol.AnswerHead;
 
@@ -105,6 +106,8 @@
 
 	private String pool;
 
+	private int tokensPerEvent;
+
 	private StreamedAnswer stream;
 
 	private Verdict lastVerdict = Verdict.NOT_RUN;
@@ -271,6 +274,9 @@
 
 	private void admitted() {
 		this.pool = this.route.pool(ThreadLocalRandom.current().nextDouble());
+		// Kept for the whole call, as a newer version may lack the pool.
+		Pool known = this.configuration.pool(this.pool);
+		this.tokensPerEvent = (known != null) ? known.tokensPerEvent() : 0;
 		if ((this.route.keepsTurns() || isBudgeted()) && this.server.isKeeperGroupAway()) {
 			refuse(Refusal.unavailable("keepers_away", "too few keepers are connected", COME_BACK));
 			return;
@@ -588,9 +594,7 @@
 	}
 
 	private int tokens() {
-		int perEvent = (this.configuration.pool(this.pool) != null)
-				? this.configuration.pool(this.pool).tokensPerEvent() : 0;
-		return events() * perEvent;
+		return events() * this.tokensPerEvent;
 	}
 
 	private static void cancel(Future<?> task) {
