Refuse by an old copy neither a turn beyond the limit nor a workspace for a key

Callers of the product's own interface were told 403 too_many_turns, and operators 404 unknown_workspace, by a copy of the configuration that an outage of the platform kept from being confirmed, though a newer one may allow it.

Evidence: WorkspaceTests#whatAnOutageMayHideIsNotCalledMissing with the two calls added failed for the turn (403 instead of 503; it ends at the first failure, so the workspace was not seen failing alone) and passes now.

Both go by the age of the copies like keys, models and routes.

--- a/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
+++ b/bench/src/test/java/org/mangorack/bench/WorkspaceTests.java
@@ -81,7 +81,13 @@
 	@Test
 	void whatAnOutageMayHideIsNotCalledMissing() throws Exception {
 		Member member = this.fleet.member(0);
+		this.fleet.writeConfiguration(Map.of("maxTurns", 1));
+		this.fleet.operate(0, "config", "apply", this.fleet.configurationFolder().toString());
+		String program = "long-" + UUID.randomUUID();
+		assertThat(this.fleet.turn(member, program, 1, "one").status()).isEqualTo(200);
 		Map<String, Callable<Answer>> missing = missing(member);
+		missing.put("too_many_turns", () -> this.fleet.turn(member, program, 2, "two"));
+		missing.put("unknown_workspace", () -> this.fleet.createKey(member, "nowhere"));
 		for (Map.Entry<String, Callable<Answer>> call : missing.entrySet()) {
 			assertThat(call.getValue().call().json().path("title").asText()).isEqualTo(call.getKey());
 		}
--- a/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
+++ b/mangorack/src/main/java/org/mangorack/entry/CallerEntry.java
@@ -8,8 +8,14 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+
+import org.mangorack.call.Refusal;
+import org.mangorack.call.WorkspaceId;
 import org.mangorack.config.ConfigurationStore;
 import org.mangorack.config.Settings;
+import org.mangorack.config.Workspace;
 import org.mangorack.dispatch.Dispatcher;
 import org.mangorack.dispatch.ModelSlots;
 import org.mangorack.dispatch.PoolService;
@@ -43,6 +49,10 @@
 
 	private final PooledHttpClient http = new PooledHttpClient(CONNECT_TIMEOUT);
 
+	private final ConfigurationStore configuration;
+
+	private final RecentCopies copies;
+
 	private final CallerService service;
 
 	private final Maintenance maintenance;
@@ -71,8 +81,9 @@
 			KeyRegistry keys, KindCache keyCache, KindCache configurationCache, Fleet fleet, PeerLinks links,
 			ShardHost<ShardContents> host, ExecutorService traffic) {
 		this.host = host;
-		RecentCopies copies = new RecentCopies(keyCache, configurationCache);
-		this.serving = new ServingGuard(fleet, keyCache, copies, keys, () -> configuration.current().revision());
+		this.configuration = configuration;
+		this.copies = new RecentCopies(keyCache, configurationCache);
+		this.serving = new ServingGuard(fleet, keyCache, this.copies, keys, () -> configuration.current().revision());
 		BooleanSupplier platformOut = () -> host.isJournalStalled(STALL_LIMIT);
 		UpstreamClient client = new UpstreamClient(this.http);
 		RetryBudget retries = new RetryBudget();
@@ -87,10 +98,11 @@
 		TurnService turns = new TurnService(this.models, retries, client, platformOut, traffic);
 		ServiceCaller services = new ServiceCaller(dispatcher, retries, client, platformOut);
 		RateLimiter limiter = new RateLimiter(new RateEndpoint(configuration, shards), clock, GRANT_WAIT);
-		this.service = new CallerService(copies, new KeyCheck(keys, configuration, copies), this.serving, limiter,
+		this.service = new CallerService(this.copies, new KeyCheck(keys, configuration, this.copies), this.serving,
+				limiter,
 				new ChatEndpoint(configuration, this.serving, new DirectChat(this.models, retries, client), programs),
-				new ProgramEndpoint(configuration, copies, shards, programs, turns, ownerGuard, platformOut),
-				new ServiceEndpoint(configuration, copies, shards, services, this.serving, ownerGuard),
+				new ProgramEndpoint(configuration, this.copies, shards, programs, turns, ownerGuard, platformOut),
+				new ServiceEndpoint(configuration, this.copies, shards, services, this.serving, ownerGuard),
 				new InstancesEndpoint(fleet, host, settings.dataCentre()), metrics, clock);
 		this.maintenance = new Maintenance(host, configuration, client, clock);
 	}
@@ -113,6 +125,19 @@
 		return this.serving.check().map((refusal) -> refusal.detail());
 	}
 
+	/**
+	 * Finds a workspace.
+	 * @param id its id
+	 * @return the workspace, or a refusal: with status 404 if it is not configured, or
+	 * with status 503 if the copy of the configuration may be too old to tell
+	 */
+	public Either<Refusal, Workspace> workspace(WorkspaceId id) {
+		RecentCopies.Age age = this.copies.age();
+		return Option.ofOptional(this.configuration.current().workspace(id))
+			.toEither(() -> age
+				.certain(Refusal.notRun(404, "unknown_workspace", "workspace \"" + id + "\" is not configured")));
+	}
+
 	/**
 	 * Returns the programs that this instance owns.
 	 * @return the programs
--- a/mangorack/src/main/java/org/mangorack/entry/ProgramEndpoint.java
+++ b/mangorack/src/main/java/org/mangorack/entry/ProgramEndpoint.java
@@ -101,6 +101,7 @@
 		return this.turns
 			.answer(shard.replica().programs(), request.get(), open.getRoot(), workspace.get(),
 					this.guard.forCall(open), release)
+			.mapLeft((refusal) -> refusal.code().equals(ProgramTable.TOO_MANY_TURNS) ? age.certain(refusal) : refusal)
 			.fold((refusal) -> CallAnswer.refusal(refusal, open.getRequestId()), (answer) -> answer);
 	}
 
--- a/mangorack/src/main/java/org/mangorack/instance/OperatorService.java
+++ b/mangorack/src/main/java/org/mangorack/instance/OperatorService.java
@@ -161,13 +161,13 @@
 		catch (IOException ex) {
 			return refuse(call, Refusal.notRun(400, "malformed_body", "the body is not valid JSON"));
 		}
-		if (!Identifiers.isValid(workspace)
-				|| this.instance.configuration().current().workspace(new WorkspaceId(workspace)).isEmpty()) {
+		if (!Identifiers.isValid(workspace)) {
 			return refuse(call,
-					Refusal.notRun(404, "unknown_workspace", "workspace \"" + workspace + "\" is not configured"));
+					Refusal.notRun(404, "unknown_workspace", "\"" + workspace + "\" is no name of a workspace"));
 		}
-		return this.instance.keys()
-			.create(new WorkspaceId(workspace))
+		return this.instance.entry()
+			.workspace(new WorkspaceId(workspace))
+			.flatMap((known) -> this.instance.keys().create(known.id()))
 			.fold((refusal) -> refuse(call, refusal),
 					(key) -> CallAnswer.json(200, Jsons.object().put("workspace", workspace).put("key", key)));
 	}
--- a/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
@@ -42,6 +42,11 @@
  */
 public final class ProgramTable {
 
+	/**
+	 * The code of the refusal of a turn beyond the longest length of a program.
+	 */
+	public static final String TOO_MANY_TURNS = "too_many_turns";
+
 	private static final Duration ENDED_RETENTION = Duration.ofMinutes(10);
 
 	private static final Duration GAP_RETRY = Duration.ofSeconds(1);
@@ -376,7 +381,7 @@
 
 	private Either<Refusal, TurnStart> run(ProgramState program, TurnRequest request, Workspace workspace) {
 		if (request.turn() > workspace.maxTurns()) {
-			return Either.left(Refusal.notRun(403, "too_many_turns", "turn " + request.turn() + " of program \""
+			return Either.left(Refusal.notRun(403, TOO_MANY_TURNS, "turn " + request.turn() + " of program \""
 					+ request.key().program() + "\" exceeds the limit of " + workspace.maxTurns()));
 		}
 		Either<Refusal, List<JsonNode>> added = request.mode().newMessages(program, request.messages());
