Send changes of the list of entries instead of the whole list

Operators of large fleets would see the bytes between keepers and entries grow with the square of the entries while these come and go, as in restarts of forty entries in a row: any change made each keeper send its whole list to each entry.

A keeper now knows the version at which each entry was last listed or changed, and the last 500 entries that left. A beat names the start of the keeper and the version; the pulse holds what changed after that, and the whole list only if the version is of another start, too old or newer than the list. The start is drawn at random, so versions of a keeper before a restart are not mistaken for present ones. An entry applies changes only to a list that they continue; otherwise it keeps its list, does not count it as confirmed, and names it again with its next beat, so lost, repeated and reordered pulses leave it right. Changes from an earlier version of the same start are applied as well, as they hold all later ones. Two counters show lists and entries sent, whole and changes.

KeeperPulsesTests reads the version by its new accessor.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -45,6 +45,7 @@
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
+import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 
 /**
@@ -100,7 +101,7 @@
 	private Channel listening;
 
 	KeeperService(EventLoopGroup loops, TurnStore turns, ViewFile viewFile, String disk, GroupView view,
-			ConfigurationRelay configuration, UpstreamList upstreams, MonotonicClock clock) {
+			ConfigurationRelay configuration, UpstreamList upstreams, MonotonicClock clock, Metrics metrics) {
 		this.loops = loops;
 		this.turns = turns;
 		this.viewFile = viewFile;
@@ -110,7 +111,7 @@
 		this.upstreams = upstreams;
 		this.clock = clock;
 		this.buckets = new WorkspaceBuckets(clock, configuration);
-		this.entries = new LiveEntries(clock);
+		this.entries = new LiveEntries(clock, metrics);
 		this.departures = new Departures(clock);
 		this.transfers = new ConfigurationTransfers(loops.next(), clock);
 		this.configurationWantedAt = clock.nanoTime() - OFFER_LIMIT.toNanos();
@@ -312,11 +313,8 @@
 	private void addLists(Beat beat, Pulse.Builder pulse) {
 		pulse.setWithLists(true)
 			.setUpstreams(this.upstreams.news(beat.getUpstreams()))
-			.setEntries(this.entries.version())
 			.addAllLoad(this.entries.loadBeside(beat.getInstance()));
-		if (this.entries.version() != beat.getEntries()) {
-			pulse.addAllEntry(this.entries.entries());
-		}
+		this.entries.addChanges(beat, pulse);
 		pulse.setDepartures(this.departures.version());
 		if (this.departures.version() != beat.getDepartures()) {
 			pulse.addAllDeparture(this.departures.all(Departures.LIFE));
--- a/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
@@ -4,19 +4,24 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Entry;
 import org.mangorack.keeper.proto.Load;
+import org.mangorack.keeper.proto.Pulse;
+import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 
 /**
- * The entries whose beats arrive, with their load. Used by one thread.
+ * The entries whose beats arrive, with their load. Pulses hold what changed in the list
+ * since the version that their receiver has. Used by one thread.
  */
 final class LiveEntries {
 
@@ -26,24 +31,57 @@
 	 */
 	static final Duration SILENCE_LIMIT = Duration.ofMillis(1000);
 
+	/**
+	 * Entries that left which are remembered. A receiver that missed an older one gets
+	 * the whole list.
+	 */
+	static final int MAX_GONE = 500;
+
 	private final MonotonicClock clock;
 
+	private final Metrics metrics;
+
+	// Versions of another start of the keeper mean nothing to this one.
+	private final long start = newStart();
+
 	private final Map<String, Known> entries = new TreeMap<>();
 
+	// The entries that left, with the version by which they did, oldest first.
+	private final Map<String, Long> gone = new LinkedHashMap<>();
+
 	private final UpstreamPaces paces;
 
-	// Starts at a time, so that a keeper's list after a restart differs from before.
-	private long version = System.currentTimeMillis();
+	private long version = 1;
+
+	// All entries that left after this version are remembered.
+	private long completeSince = this.version;
 
-	LiveEntries(MonotonicClock clock) {
+	LiveEntries(MonotonicClock clock, Metrics metrics) {
 		this.clock = clock;
+		this.metrics = metrics;
 		this.paces = new UpstreamPaces(clock);
 	}
 
+	private static long newStart() {
+		long drawn = 0;
+		while (drawn == 0) {
+			drawn = ThreadLocalRandom.current().nextLong();
+		}
+		return drawn;
+	}
+
 	long version() {
 		return this.version;
 	}
 
+	/**
+	 * Returns how many entries that left are remembered.
+	 * @return the number, at most {@link #MAX_GONE}
+	 */
+	int goneCount() {
+		return this.gone.size();
+	}
+
 	void heard(Beat beat) {
 		Known before = this.entries.get(beat.getInstance());
 		Entry entry = Entry.newBuilder()
@@ -53,12 +91,17 @@
 			.build();
 		boolean listed = beat.getAccepting();
 		boolean wasListed = (before != null) && before.listed();
-		if ((listed != wasListed) || (listed && !before.entry().equals(entry))) {
-			this.version++;
+		long changedAt = (before != null) ? before.changedAt() : 0;
+		if (listed && (!wasListed || !before.entry().equals(entry))) {
+			changedAt = ++this.version;
+			this.gone.remove(beat.getInstance());
+		}
+		else if (wasListed && !listed) {
+			left(beat.getInstance(), ++this.version);
 		}
 		beat.getLoadList().forEach(this.paces::add);
 		long now = this.clock.nanoTime();
-		this.entries.put(beat.getInstance(), new Known(entry, listed, now, beat.getLoadList(),
+		this.entries.put(beat.getInstance(), new Known(entry, listed, changedAt, now, beat.getLoadList(),
 				now - TimeUnit.MILLISECONDS.toNanos(beat.getContactAgeMs())));
 	}
 
@@ -68,12 +111,56 @@
 	void expire() {
 		long now = this.clock.nanoTime();
 		Predicate<Known> silent = (e) -> now - e.heardAt() > SILENCE_LIMIT.toNanos();
-		if (this.entries.values().stream().anyMatch(silent.and(Known::listed))) {
+		List<Known> left = this.entries.values().stream().filter(silent.and(Known::listed)).toList();
+		if (!left.isEmpty()) {
 			this.version++;
+			left.forEach((e) -> left(e.entry().getInstance(), this.version));
 		}
 		this.entries.values().removeIf(silent);
 	}
 
+	private void left(String instance, long at) {
+		this.gone.remove(instance);
+		this.gone.put(instance, at);
+		if (this.gone.size() > MAX_GONE) {
+			Map.Entry<String, Long> oldest = this.gone.entrySet().iterator().next();
+			this.completeSince = oldest.getValue();
+			this.gone.remove(oldest.getKey());
+		}
+	}
+
+	/**
+	 * Adds to a pulse what changed in the list since the version that a beat names, or
+	 * the whole list if that version is not one of this start or is too old.
+	 * @param beat the beat
+	 * @param pulse the pulse that answers it
+	 */
+	void addChanges(Beat beat, Pulse.Builder pulse) {
+		long named = beat.getEntries();
+		boolean known = (beat.getEntriesStart() == this.start) && (named >= this.completeSince)
+				&& (named <= this.version);
+		long since = known ? named : 0;
+		pulse.setEntriesStart(this.start).setEntries(this.version).setEntriesSince(since);
+		if (since == this.version) {
+			return;
+		}
+		this.entries.values()
+			.stream()
+			.filter((e) -> e.listed() && (e.changedAt() > since))
+			.forEach((e) -> pulse.addEntry(e.entry()));
+		if (known) {
+			this.gone.forEach((instance, at) -> {
+				if (at > since) {
+					pulse.addEntryGone(instance);
+				}
+			});
+		}
+		String kind = known ? "changes" : "whole";
+		this.metrics.count("mangorack.keeper.entry.lists", 1, "kind", kind);
+		this.metrics.count("mangorack.keeper.entry.lists.entries", pulse.getEntryCount() + pulse.getEntryGoneCount(),
+				"kind", kind);
+	}
+
 	/**
 	 * Returns how long ago the platform last answered any of the entries.
 	 * @return the shortest time; a day when there are none
@@ -125,11 +212,13 @@
 	 * @param entry the entry
 	 * @param listed whether callers may be sent to it; the calls of one that stops count
 	 * as well
+	 * @param changedAt the version by which it was listed or changed last; 0 if it never
+	 * was listed
 	 * @param heardAt when its last beat came, on the monotonic clock
 	 * @param load its calls under way
 	 * @param contactAt when the platform last answered it, on the monotonic clock
 	 */
-	private record Known(Entry entry, boolean listed, long heardAt, List<Load> load, long contactAt) {
+	private record Known(Entry entry, boolean listed, long changedAt, long heardAt, List<Load> load, long contactAt) {
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
@@ -440,6 +440,21 @@
     return departures_;
   }
 
+  public static final int ENTRIES_START_FIELD_NUMBER = 17;
+  private long entriesStart_ = 0L;
+  /**
+   * <pre>
+   * The start of the keeper from which the sender has its list of entries; 0 for none.
+   * </pre>
+   *
+   * <code>fixed64 entries_start = 17;</code>
+   * @return The entriesStart.
+   */
+  @java.lang.Override
+  public long getEntriesStart() {
+    return entriesStart_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -499,6 +514,9 @@
     if (departures_ != 0L) {
       output.writeUInt64(16, departures_);
     }
+    if (entriesStart_ != 0L) {
+      output.writeFixed64(17, entriesStart_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -565,6 +583,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(16, departures_);
     }
+    if (entriesStart_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(17, entriesStart_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -610,6 +632,8 @@
         .equals(other.getDepartureList())) return false;
     if (getDepartures()
         != other.getDepartures()) return false;
+    if (getEntriesStart()
+        != other.getEntriesStart()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -666,6 +690,9 @@
     hash = (37 * hash) + DEPARTURES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDepartures());
+    hash = (37 * hash) + ENTRIES_START_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEntriesStart());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -834,6 +861,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00002000);
       departures_ = 0L;
+      entriesStart_ = 0L;
       return this;
     }
 
@@ -934,6 +962,9 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.departures_ = departures_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.entriesStart_ = entriesStart_;
+      }
     }
 
     @java.lang.Override
@@ -1068,6 +1099,9 @@
       if (other.getDepartures() != 0L) {
         setDepartures(other.getDepartures());
       }
+      if (other.getEntriesStart() != 0L) {
+        setEntriesStart(other.getEntriesStart());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1193,6 +1227,11 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 128
+            case 137: {
+              entriesStart_ = input.readFixed64();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 137
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2590,6 +2629,50 @@
       return this;
     }
 
+    private long entriesStart_ ;
+    /**
+     * <pre>
+     * The start of the keeper from which the sender has its list of entries; 0 for none.
+     * </pre>
+     *
+     * <code>fixed64 entries_start = 17;</code>
+     * @return The entriesStart.
+     */
+    @java.lang.Override
+    public long getEntriesStart() {
+      return entriesStart_;
+    }
+    /**
+     * <pre>
+     * The start of the keeper from which the sender has its list of entries; 0 for none.
+     * </pre>
+     *
+     * <code>fixed64 entries_start = 17;</code>
+     * @param value The entriesStart to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesStart(long value) {
+
+      entriesStart_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The start of the keeper from which the sender has its list of entries; 0 for none.
+     * </pre>
+     *
+     * <code>fixed64 entries_start = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesStart() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      entriesStart_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Beat)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
@@ -219,4 +219,14 @@
    * @return The departures.
    */
   long getDepartures();
+
+  /**
+   * <pre>
+   * The start of the keeper from which the sender has its list of entries; 0 for none.
+   * </pre>
+   *
+   * <code>fixed64 entries_start = 17;</code>
+   * @return The entriesStart.
+   */
+  long getEntriesStart();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
@@ -32,6 +32,8 @@
     entry_ = java.util.Collections.emptyList();
     load_ = java.util.Collections.emptyList();
     departure_ = java.util.Collections.emptyList();
+    entryGone_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -138,6 +140,10 @@
   public static final int ENTRIES_FIELD_NUMBER = 5;
   private long entries_ = 0L;
   /**
+   * <pre>
+   * Version of the list of entries. Versions count within one start of the keeper.
+   * </pre>
+   *
    * <code>uint64 entries = 5;</code>
    * @return The entries.
    */
@@ -151,7 +157,7 @@
   private java.util.List<org.mangorack.keeper.proto.Entry> entry_;
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -162,7 +168,7 @@
   }
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -174,7 +180,7 @@
   }
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -185,7 +191,7 @@
   }
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -196,7 +202,7 @@
   }
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -486,6 +492,89 @@
     return configurationWanted_;
   }
 
+  public static final int ENTRIES_SINCE_FIELD_NUMBER = 18;
+  private long entriesSince_ = 0L;
+  /**
+   * <pre>
+   * The version from which the changes of the list of entries start; 0 if all entries are listed.
+   * </pre>
+   *
+   * <code>uint64 entries_since = 18;</code>
+   * @return The entriesSince.
+   */
+  @java.lang.Override
+  public long getEntriesSince() {
+    return entriesSince_;
+  }
+
+  public static final int ENTRY_GONE_FIELD_NUMBER = 19;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList entryGone_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @return A list containing the entryGone.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getEntryGoneList() {
+    return entryGone_;
+  }
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @return The count of entryGone.
+   */
+  public int getEntryGoneCount() {
+    return entryGone_.size();
+  }
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @param index The index of the element to return.
+   * @return The entryGone at the given index.
+   */
+  public java.lang.String getEntryGone(int index) {
+    return entryGone_.get(index);
+  }
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the entryGone at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getEntryGoneBytes(int index) {
+    return entryGone_.getByteString(index);
+  }
+
+  public static final int ENTRIES_START_FIELD_NUMBER = 20;
+  private long entriesStart_ = 0L;
+  /**
+   * <pre>
+   * Drawn when the keeper starts, never 0.
+   * </pre>
+   *
+   * <code>fixed64 entries_start = 20;</code>
+   * @return The entriesStart.
+   */
+  @java.lang.Override
+  public long getEntriesStart() {
+    return entriesStart_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -548,6 +637,15 @@
     if (configurationWanted_ != false) {
       output.writeBool(17, configurationWanted_);
     }
+    if (entriesSince_ != 0L) {
+      output.writeUInt64(18, entriesSince_);
+    }
+    for (int i = 0; i < entryGone_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 19, entryGone_.getRaw(i));
+    }
+    if (entriesStart_ != 0L) {
+      output.writeFixed64(20, entriesStart_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -621,6 +719,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(17, configurationWanted_);
     }
+    if (entriesSince_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(18, entriesSince_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < entryGone_.size(); i++) {
+        dataSize += computeStringSizeNoTag(entryGone_.getRaw(i));
+      }
+      size += dataSize;
+      size += 2 * getEntryGoneList().size();
+    }
+    if (entriesStart_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(20, entriesStart_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -674,6 +788,12 @@
         .equals(other.getDepartureList())) return false;
     if (getConfigurationWanted()
         != other.getConfigurationWanted()) return false;
+    if (getEntriesSince()
+        != other.getEntriesSince()) return false;
+    if (!getEntryGoneList()
+        .equals(other.getEntryGoneList())) return false;
+    if (getEntriesStart()
+        != other.getEntriesStart()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -738,6 +858,16 @@
     hash = (37 * hash) + CONFIGURATION_WANTED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getConfigurationWanted());
+    hash = (37 * hash) + ENTRIES_SINCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEntriesSince());
+    if (getEntryGoneCount() > 0) {
+      hash = (37 * hash) + ENTRY_GONE_FIELD_NUMBER;
+      hash = (53 * hash) + getEntryGoneList().hashCode();
+    }
+    hash = (37 * hash) + ENTRIES_START_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEntriesStart());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -928,6 +1058,10 @@
       }
       bitField0_ = (bitField0_ & ~0x00004000);
       configurationWanted_ = false;
+      entriesSince_ = 0L;
+      entryGone_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      entriesStart_ = 0L;
       return this;
     }
 
@@ -1044,6 +1178,16 @@
       if (((from_bitField0_ & 0x00008000) != 0)) {
         result.configurationWanted_ = configurationWanted_;
       }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.entriesSince_ = entriesSince_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        entryGone_.makeImmutable();
+        result.entryGone_ = entryGone_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.entriesStart_ = entriesStart_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1199,6 +1343,22 @@
       if (other.getConfigurationWanted() != false) {
         setConfigurationWanted(other.getConfigurationWanted());
       }
+      if (other.getEntriesSince() != 0L) {
+        setEntriesSince(other.getEntriesSince());
+      }
+      if (!other.entryGone_.isEmpty()) {
+        if (entryGone_.isEmpty()) {
+          entryGone_ = other.entryGone_;
+          bitField0_ |= 0x00020000;
+        } else {
+          ensureEntryGoneIsMutable();
+          entryGone_.addAll(other.entryGone_);
+        }
+        onChanged();
+      }
+      if (other.getEntriesStart() != 0L) {
+        setEntriesStart(other.getEntriesStart());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1341,6 +1501,22 @@
               bitField0_ |= 0x00008000;
               break;
             } // case 136
+            case 144: {
+              entriesSince_ = input.readUInt64();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 144
+            case 154: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureEntryGoneIsMutable();
+              entryGone_.add(s);
+              break;
+            } // case 154
+            case 161: {
+              entriesStart_ = input.readFixed64();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 161
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1748,6 +1924,10 @@
 
     private long entries_ ;
     /**
+     * <pre>
+     * Version of the list of entries. Versions count within one start of the keeper.
+     * </pre>
+     *
      * <code>uint64 entries = 5;</code>
      * @return The entries.
      */
@@ -1756,6 +1936,10 @@
       return entries_;
     }
     /**
+     * <pre>
+     * Version of the list of entries. Versions count within one start of the keeper.
+     * </pre>
+     *
      * <code>uint64 entries = 5;</code>
      * @param value The entries to set.
      * @return This builder for chaining.
@@ -1768,6 +1952,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Version of the list of entries. Versions count within one start of the keeper.
+     * </pre>
+     *
      * <code>uint64 entries = 5;</code>
      * @return This builder for chaining.
      */
@@ -1792,7 +1980,7 @@
 
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1806,7 +1994,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1820,7 +2008,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1834,7 +2022,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1855,7 +2043,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1873,7 +2061,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1893,7 +2081,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1914,7 +2102,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1932,7 +2120,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1950,7 +2138,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1969,7 +2157,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -1986,7 +2174,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -2003,7 +2191,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -2014,7 +2202,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -2028,7 +2216,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -2043,7 +2231,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -2054,7 +2242,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -2066,7 +2254,7 @@
     }
     /**
      * <pre>
-     * All entries, if the list changed.
+     * The entries that were listed or changed after the version in entries_since, or all.
      * </pre>
      *
      * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -3264,6 +3452,241 @@
       return this;
     }
 
+    private long entriesSince_ ;
+    /**
+     * <pre>
+     * The version from which the changes of the list of entries start; 0 if all entries are listed.
+     * </pre>
+     *
+     * <code>uint64 entries_since = 18;</code>
+     * @return The entriesSince.
+     */
+    @java.lang.Override
+    public long getEntriesSince() {
+      return entriesSince_;
+    }
+    /**
+     * <pre>
+     * The version from which the changes of the list of entries start; 0 if all entries are listed.
+     * </pre>
+     *
+     * <code>uint64 entries_since = 18;</code>
+     * @param value The entriesSince to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesSince(long value) {
+
+      entriesSince_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The version from which the changes of the list of entries start; 0 if all entries are listed.
+     * </pre>
+     *
+     * <code>uint64 entries_since = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesSince() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      entriesSince_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList entryGone_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureEntryGoneIsMutable() {
+      if (!entryGone_.isModifiable()) {
+        entryGone_ = new com.google.protobuf.LazyStringArrayList(entryGone_);
+      }
+      bitField0_ |= 0x00020000;
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @return A list containing the entryGone.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getEntryGoneList() {
+      entryGone_.makeImmutable();
+      return entryGone_;
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @return The count of entryGone.
+     */
+    public int getEntryGoneCount() {
+      return entryGone_.size();
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @param index The index of the element to return.
+     * @return The entryGone at the given index.
+     */
+    public java.lang.String getEntryGone(int index) {
+      return entryGone_.get(index);
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the entryGone at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getEntryGoneBytes(int index) {
+      return entryGone_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @param index The index to set the value at.
+     * @param value The entryGone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryGone(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureEntryGoneIsMutable();
+      entryGone_.set(index, value);
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @param value The entryGone to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryGone(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureEntryGoneIsMutable();
+      entryGone_.add(value);
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @param values The entryGone to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllEntryGone(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureEntryGoneIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, entryGone_);
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryGone() {
+      entryGone_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00020000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The instances of entries that left the list after that version.
+     * </pre>
+     *
+     * <code>repeated string entry_gone = 19;</code>
+     * @param value The bytes of the entryGone to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryGoneBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureEntryGoneIsMutable();
+      entryGone_.add(value);
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+
+    private long entriesStart_ ;
+    /**
+     * <pre>
+     * Drawn when the keeper starts, never 0.
+     * </pre>
+     *
+     * <code>fixed64 entries_start = 20;</code>
+     * @return The entriesStart.
+     */
+    @java.lang.Override
+    public long getEntriesStart() {
+      return entriesStart_;
+    }
+    /**
+     * <pre>
+     * Drawn when the keeper starts, never 0.
+     * </pre>
+     *
+     * <code>fixed64 entries_start = 20;</code>
+     * @param value The entriesStart to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesStart(long value) {
+
+      entriesStart_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Drawn when the keeper starts, never 0.
+     * </pre>
+     *
+     * <code>fixed64 entries_start = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesStart() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      entriesStart_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Pulse)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
@@ -71,6 +71,10 @@
   long getConfigurationAgeMs();
 
   /**
+   * <pre>
+   * Version of the list of entries. Versions count within one start of the keeper.
+   * </pre>
+   *
    * <code>uint64 entries = 5;</code>
    * @return The entries.
    */
@@ -78,7 +82,7 @@
 
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -87,7 +91,7 @@
       getEntryList();
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -95,7 +99,7 @@
   org.mangorack.keeper.proto.Entry getEntry(int index);
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -103,7 +107,7 @@
   int getEntryCount();
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -112,7 +116,7 @@
       getEntryOrBuilderList();
   /**
    * <pre>
-   * All entries, if the list changed.
+   * The entries that were listed or changed after the version in entries_since, or all.
    * </pre>
    *
    * <code>repeated .mangorack.keeper.Entry entry = 6;</code>
@@ -307,4 +311,65 @@
    * @return The configurationWanted.
    */
   boolean getConfigurationWanted();
+
+  /**
+   * <pre>
+   * The version from which the changes of the list of entries start; 0 if all entries are listed.
+   * </pre>
+   *
+   * <code>uint64 entries_since = 18;</code>
+   * @return The entriesSince.
+   */
+  long getEntriesSince();
+
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @return A list containing the entryGone.
+   */
+  java.util.List<java.lang.String>
+      getEntryGoneList();
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @return The count of entryGone.
+   */
+  int getEntryGoneCount();
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @param index The index of the element to return.
+   * @return The entryGone at the given index.
+   */
+  java.lang.String getEntryGone(int index);
+  /**
+   * <pre>
+   * The instances of entries that left the list after that version.
+   * </pre>
+   *
+   * <code>repeated string entry_gone = 19;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the entryGone at the given index.
+   */
+  com.google.protobuf.ByteString
+      getEntryGoneBytes(int index);
+
+  /**
+   * <pre>
+   * Drawn when the keeper starts, never 0.
+   * </pre>
+   *
+   * <code>fixed64 entries_start = 20;</code>
+   * @return The entriesStart.
+   */
+  long getEntriesStart();
 }
--- a/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperPulses.java
@@ -11,7 +11,7 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
-import org.mangorack.keeper.proto.Entry;
+import org.mangorack.keeper.EntryList;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Pulse;
@@ -109,18 +109,19 @@
 		Known before = this.pulses.get(disk);
 		long now = this.clock.nanoTime();
 		long listedAt = (before != null) ? before.listedAt() : (now - LIST_LIFE.toNanos());
-		long version = (before != null) ? before.entriesVersion() : 0;
 		long departures = (before != null) ? before.departuresVersion() : 0;
-		List<Entry> entries = (before != null) ? before.entries() : List.of();
+		EntryList entries = (before != null) ? before.entries() : EntryList.NONE;
 		List<Load> load = (before != null) ? before.load() : List.of();
 		if (pulse.getWithLists()) {
-			entries = (version == pulse.getEntries()) ? entries : pulse.getEntryList();
-			version = pulse.getEntries();
+			entries = entries.after(pulse);
 			departures = pulse.getDepartures();
-			load = pulse.getLoadList();
-			listedAt = now;
+			// A pulse that does not lead to its list confirms none.
+			if (entries.isAsOf(pulse)) {
+				load = pulse.getLoadList();
+				listedAt = now;
+			}
 		}
-		this.pulses.put(disk, new Known(now, listedAt, version, departures, entries, load, pulse.getTimeMs(),
+		this.pulses.put(disk, new Known(now, listedAt, departures, entries, load, pulse.getTimeMs(),
 				Duration.ofMillis(pulse.getContactAgeMs())));
 		if (pulse.getWithLists()) {
 			refreshAddresses();
@@ -173,7 +174,8 @@
 
 	private void refreshAddresses() {
 		Map<String, String> live = new TreeMap<>();
-		listedLately().forEach((p) -> p.entries().forEach((e) -> live.put(e.getInstance(), e.getCallerAddress())));
+		listedLately().forEach(
+				(p) -> p.entries().entries().values().forEach((e) -> live.put(e.getInstance(), e.getCallerAddress())));
 		if (!live.isEmpty()) {
 			this.lastAddresses = List.copyOf(live.values());
 		}
@@ -210,15 +212,14 @@
 	 *
 	 * @param heardAt when, on the monotonic clock
 	 * @param listedAt when it last sent lists, on the monotonic clock
-	 * @param entriesVersion the version of its list of entries
 	 * @param departuresVersion the version of its list of departures
-	 * @param entries the entries that it hears
+	 * @param entries its list of entries
 	 * @param load calls under way at upstreams
 	 * @param time the time on the keeper's own clock, in milliseconds
 	 * @param contactAge how long ago the platform last answered it
 	 */
-	record Known(long heardAt, long listedAt, long entriesVersion, long departuresVersion, List<Entry> entries,
-			List<Load> load, long time, Duration contactAge) {
+	record Known(long heardAt, long listedAt, long departuresVersion, EntryList entries, List<Load> load, long time,
+			Duration contactAge) {
 	}
 
 }
--- a/mangorack/src/test/java/org/mangorack/keeper/LiveEntriesTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/LiveEntriesTests.java
@@ -3,10 +3,14 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Entry;
 import org.mangorack.keeper.proto.Load;
+import org.mangorack.keeper.proto.Pulse;
+import org.mangorack.observe.Metrics;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -17,7 +21,7 @@
 
 	private long now = 1;
 
-	private final LiveEntries entries = new LiveEntries(() -> this.now);
+	private final LiveEntries entries = new LiveEntries(() -> this.now, new Metrics());
 
 	@Test
 	void anEntryIsListedWhileItsBeatsCome() {
@@ -61,6 +65,97 @@
 		assertThat(this.entries.loadBeside("e1")).allMatch((l) -> l.getCalls() == 0);
 	}
 
+	@Test
+	void aBeatThatNamesThePresentVersionGetsNoEntries() {
+		this.entries.heard(beat("e1", true));
+		Pulse first = pulse(Beat.getDefaultInstance());
+		Pulse second = pulse(naming(first));
+		assertThat(second.getEntryCount()).isZero();
+		assertThat(second.getEntriesSince()).isEqualTo(second.getEntries()).isEqualTo(first.getEntries());
+	}
+
+	@Test
+	void onlyLaterChangesAreListed() {
+		this.entries.heard(beat("stays", true));
+		this.entries.heard(beat("stops", true));
+		this.entries.heard(beat("falls silent", true));
+		Pulse before = pulse(Beat.getDefaultInstance());
+		advance(LiveEntries.SILENCE_LIMIT.toMillis());
+		this.entries.heard(beat("stays", true));
+		this.entries.heard(beat("stops", false));
+		this.entries.heard(beat("comes", true));
+		advance(1);
+		this.entries.expire();
+		Pulse after = pulse(naming(before));
+		assertThat(after.getEntriesSince()).isEqualTo(before.getEntries());
+		assertThat(after.getEntryList()).extracting(Entry::getInstance).containsExactly("comes");
+		assertThat(after.getEntryGoneList()).containsExactlyInAnyOrder("stops", "falls silent");
+	}
+
+	@Test
+	void anEntryThatCameBackIsNotGone() {
+		this.entries.heard(beat("e1", true));
+		Pulse before = pulse(Beat.getDefaultInstance());
+		this.entries.heard(beat("e1", false));
+		this.entries.heard(beat("e1", true));
+		Pulse after = pulse(naming(before));
+		assertThat(after.getEntryGoneList()).isEmpty();
+		assertThat(after.getEntryList()).extracting(Entry::getInstance).containsExactly("e1");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "0, -1, true", "0, 0, false", "0, 1, true", "0, -100, true", "1, 0, true", "1, -1, true" })
+	void theWholeListIsSentOnlyIfTheNamedVersionIsUnknown(long otherStart, long versionOffset, boolean whole) {
+		forgetOne();
+		Pulse now = pulse(Beat.getDefaultInstance());
+		long oldestKnown = now.getEntries() - LiveEntries.MAX_GONE;
+		long named = ((versionOffset > 0) ? now.getEntries() : oldestKnown) + versionOffset;
+		Pulse answer = pulse(
+				Beat.newBuilder().setEntriesStart(now.getEntriesStart() + otherStart).setEntries(named).build());
+		assertThat(answer.getEntriesSince()).isEqualTo(whole ? 0 : named);
+		assertThat(answer.getEntryCount()).isEqualTo(whole ? 1 : 0);
+		assertThat(answer.getEntryGoneCount()).isEqualTo(whole ? 0 : LiveEntries.MAX_GONE);
+	}
+
+	@Test
+	void entriesThatLeftAreRememberedUpToAFixedNumber() {
+		forgetOne();
+		assertThat(this.entries.goneCount()).isEqualTo(LiveEntries.MAX_GONE);
+	}
+
+	@Test
+	void twoStartsOfAKeeperDiffer() {
+		LiveEntries next = new LiveEntries(() -> this.now, new Metrics());
+		this.entries.heard(beat("e1", true));
+		next.heard(beat("e2", true));
+		assertThat(next.version()).isEqualTo(this.entries.version());
+		Pulse.Builder answer = Pulse.newBuilder();
+		next.addChanges(naming(pulse(Beat.getDefaultInstance())), answer);
+		assertThat(answer.getEntriesSince()).isZero();
+		assertThat(answer.getEntryList()).extracting(Entry::getInstance).containsExactly("e2");
+	}
+
+	// One more entry leaves than is remembered, and one stays. Each change is a version.
+	private void forgetOne() {
+		this.entries.heard(beat("stays", true));
+		for (int i = 0; i <= LiveEntries.MAX_GONE; i++) {
+			this.entries.heard(beat("leaves " + i, true));
+		}
+		for (int i = 0; i <= LiveEntries.MAX_GONE; i++) {
+			this.entries.heard(beat("leaves " + i, false));
+		}
+	}
+
+	private Pulse pulse(Beat beat) {
+		Pulse.Builder pulse = Pulse.newBuilder();
+		this.entries.addChanges(beat, pulse);
+		return pulse.build();
+	}
+
+	private static Beat naming(Pulse pulse) {
+		return Beat.newBuilder().setEntriesStart(pulse.getEntriesStart()).setEntries(pulse.getEntries()).build();
+	}
+
 	private void advance(long millis) {
 		this.now += TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -15,6 +15,7 @@
 
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Member;
+import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.ContactTracker;
 import org.mangorack.platform.KindCache;
@@ -64,7 +65,7 @@
 		this.service = new KeeperService(this.loops, turns, file, this.disk, view, this.configuration,
 				new UpstreamList(() -> new KindCache.Copy(Map.of(), 0),
 						() -> new ContactTracker.Contact(true, Duration.ZERO, false)),
-				MonotonicClock.SYSTEM);
+				MonotonicClock.SYSTEM, new Metrics());
 		bind();
 		this.port = this.service.port();
 		return this;
--- a/mangorack/src/test/java/org/mangorack/relay/KeeperPulsesTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/KeeperPulsesTests.java
@@ -51,7 +51,7 @@
 		this.pulses.heard("d1", listed(7, "e1").build());
 		this.pulses.heard("d1", pulse(100).build());
 		assertThat(this.pulses.addresses()).containsExactly("address of e1");
-		assertThat(this.pulses.known("d1").entriesVersion()).isEqualTo(7);
+		assertThat(this.pulses.known("d1").entries().version()).isEqualTo(7);
 		assertThat(this.pulses.loadElsewhere()).hasSize(1);
 	}
 
@@ -62,6 +62,25 @@
 		assertThat(this.pulses.addresses()).containsExactly("address of e1");
 	}
 
+	@Test
+	void changesAreAppliedToTheListOfTheirKeeper() {
+		this.pulses.heard("d0", listed(7, "e1").setEntriesStart(5).build());
+		this.pulses.heard("d1", listed(7, "e2").setEntriesStart(6).build());
+		this.pulses.heard("d0", listed(8, "e3").setEntriesStart(5).setEntriesSince(7).addEntryGone("e1").build());
+		assertThat(this.pulses.addresses()).containsExactly("address of e2", "address of e3");
+	}
+
+	@Test
+	void changesThatStartFromAnUnknownListConfirmNone() {
+		this.pulses.heard("d0", listed(7, "e1").setEntriesStart(5).build());
+		advance(KeeperPulses.LIST_LIFE.toMillis() - 1);
+		this.pulses.heard("d0", listed(9, "e2").setEntriesStart(5).setEntriesSince(8).build());
+		assertThat(this.pulses.known("d0").entries().version()).isEqualTo(7);
+		assertThat(this.pulses.addresses()).containsExactly("address of e1");
+		advance(1);
+		assertThat(this.pulses.isListed()).isFalse();
+	}
+
 	@Test
 	void anOldListNoLongerCountsOnceThereIsANewOne() {
 		this.pulses.heard("d0", listed(7, "e1").build());
