Free the place of a held request when its caller leaves

The place of a held request can now be given up, with its timer, and a call does so at its end. The same holds for requests that wait at a start (StartGate). Released requests no longer leave their timers behind.

AbsenceCheckTests holds requests by the new result, as strictly as before.

--- a/mangorack/src/main/java/org/mangorack/relay/AbsenceCheck.java
+++ b/mangorack/src/main/java/org/mangorack/relay/AbsenceCheck.java
@@ -1,6 +1,7 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import io.netty.channel.EventLoop;
 
@@ -58,15 +59,15 @@
 	 * @param waited how long it was held before
 	 * @param timeLeft the time that its caller waits, or {@code null} if it is not known
 	 * @param task decides on the request anew
-	 * @return {@code false} if it is not held, as it was held long enough or too many are
+	 * @return its place, to be given up when its caller leaves; empty if it is not held,
+	 * as it was held long enough or too many are
 	 */
-	boolean hold(Duration waited, Duration timeLeft, Runnable task) {
+	Optional<HeldCalls.Place> hold(Duration waited, Duration timeLeft, Runnable task) {
 		Duration left = HeldCalls.limit(MAX_WAIT, timeLeft).minus(waited);
 		if (left.isNegative() || left.isZero() || (this.held.size() >= MAX_HELD)) {
-			return false;
+			return Optional.empty();
 		}
-		this.held.hold(left, task);
-		return true;
+		return Optional.of(this.held.hold(left, task));
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/HeldCalls.java
+++ b/mangorack/src/main/java/org/mangorack/relay/HeldCalls.java
@@ -1,8 +1,10 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -23,7 +25,8 @@
 
 	private final EventLoop loop;
 
-	private final Deque<Runnable> waiting = new ArrayDeque<>();
+	// In the order of their arrival.
+	private final Set<Place> waiting = new LinkedHashSet<>();
 
 	HeldCalls(EventLoop loop) {
 		this.loop = loop;
@@ -48,27 +51,55 @@
 	}
 
 	/**
-	 * Runs a task when the wait is over, unless it is released before.
+	 * Runs a task when the wait is over, unless it is released or cancelled before.
 	 * @param wait how long to wait
-	 * @param task the task, which runs once
+	 * @param task the task, which runs at most once
+	 * @return its place
 	 */
-	void hold(Duration wait, Runnable task) {
-		Runnable guarded = new GuardedTask("held request", task);
-		this.waiting.add(guarded);
-		this.loop.schedule(() -> {
-			if (this.waiting.remove(guarded)) {
-				guarded.run();
-			}
-		}, wait.toNanos(), TimeUnit.NANOSECONDS);
+	Place hold(Duration wait, Runnable task) {
+		Place place = new Place(task);
+		this.waiting.add(place);
+		place.timer = this.loop.schedule(place::run, wait.toNanos(), TimeUnit.NANOSECONDS);
+		return place;
 	}
 
 	/**
 	 * Runs all tasks that wait, in their order. Those that they hold wait on.
 	 */
 	void release() {
-		for (int left = this.waiting.size(); left > 0; left--) {
-			this.waiting.poll().run();
+		List.copyOf(this.waiting).forEach(Place::run);
+	}
+
+	/**
+	 * The place of a request that waits.
+	 */
+	final class Place {
+
+		private final Runnable task;
+
+		private Future<?> timer;
+
+		private Place(Runnable task) {
+			this.task = new GuardedTask("held request", task);
 		}
+
+		/**
+		 * Gives the place up, as nobody waits for the request any more. Its task does not
+		 * run. Does nothing once it has run.
+		 */
+		void cancel() {
+			if (HeldCalls.this.waiting.remove(this)) {
+				this.timer.cancel(false);
+			}
+		}
+
+		private void run() {
+			if (HeldCalls.this.waiting.remove(this)) {
+				this.timer.cancel(false);
+				this.task.run();
+			}
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -83,6 +83,9 @@
 
 	private Future<?> patienceTask;
 
+	// Where the request was held last, if it was.
+	private HeldCalls.Place place;
+
 	private List<Turn> chain = List.of();
 
 	private boolean chainReady;
@@ -166,7 +169,7 @@
 	// ---- Admission
 
 	void start() {
-		this.server.gate().pass(this.head.timeLeft(), this::admitUnlessEnded);
+		this.server.gate().pass(this.head.timeLeft(), this::admitUnlessEnded).ifPresent((p) -> this.place = p);
 	}
 
 	private void admitUnlessEnded() {
@@ -222,12 +225,18 @@
 		else if (this.server.configuration().current() != this.configuration) {
 			admit();
 		}
-		else if (!this.server.absence().hold(elapsed(), this.head.timeLeft(), this::admitUnlessEnded)) {
-			refuse(Refusal.unavailable("configuration_unconfirmed", absent.detail() + " in configuration "
-					+ this.configuration.version() + ", which may not be the newest one", COME_BACK));
+		else {
+			this.server.absence()
+				.hold(elapsed(), this.head.timeLeft(), this::admitUnlessEnded)
+				.ifPresentOrElse((p) -> this.place = p, () -> refuseUnconfirmed(absent));
 		}
 	}
 
+	private void refuseUnconfirmed(Refusal absent) {
+		refuse(Refusal.unavailable("configuration_unconfirmed", absent.detail() + " in configuration "
+				+ this.configuration.version() + ", which may not be the newest one", COME_BACK));
+	}
+
 	private boolean isBeginning() {
 		return this.route.keepsTurns() && (this.head.previousTurn() == null);
 	}
@@ -570,6 +579,9 @@
 		this.ended = true;
 		cancel(this.deadlineTask);
 		cancel(this.patienceTask);
+		if (this.place != null) {
+			this.place.cancel();
+		}
 		if (this.attempt != null) {
 			this.attempt.abort();
 		}
--- a/mangorack/src/main/java/org/mangorack/relay/StartGate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/StartGate.java
@@ -1,6 +1,7 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import io.netty.channel.EventLoop;
 
@@ -56,13 +57,15 @@
 	 * Runs a task once the gate is open, or when its wait is over.
 	 * @param timeLeft the time that the caller waits, or {@code null} if it is not known
 	 * @param task the task, which runs once
+	 * @return the place of the request, to be given up when its caller leaves; empty if
+	 * it passed at once
 	 */
-	void pass(Duration timeLeft, Runnable task) {
+	Optional<HeldCalls.Place> pass(Duration timeLeft, Runnable task) {
 		if (isOpen()) {
 			task.run();
-			return;
+			return Optional.empty();
 		}
-		this.held.hold(HeldCalls.limit(MAX_WAIT, timeLeft), task);
+		return Optional.of(this.held.hold(HeldCalls.limit(MAX_WAIT, timeLeft), task));
 	}
 
 	/**
--- a/mangorack/src/test/java/org/mangorack/relay/AbsenceCheckTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/AbsenceCheckTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -83,12 +84,12 @@
 	void aRequestIsHeldForPartOfItsTimeOnly(Long timeLeftMillis, long waitMillis) {
 		advance(MAX_AGE.toMillis());
 		Duration timeLeft = (timeLeftMillis != null) ? Duration.ofMillis(timeLeftMillis) : null;
-		assertThat(this.check.hold(Duration.ZERO, timeLeft, () -> this.decided.add("one"))).isTrue();
+		assertThat(this.check.hold(Duration.ZERO, timeLeft, () -> this.decided.add("one"))).isPresent();
 		advance(waitMillis - 1);
 		assertThat(this.decided).isEmpty();
 		advance(1);
 		assertThat(this.decided).containsExactly("one");
-		assertThat(this.check.hold(Duration.ofMillis(waitMillis), timeLeft, () -> this.decided.add("two"))).isFalse();
+		assertThat(this.check.hold(Duration.ofMillis(waitMillis), timeLeft, () -> this.decided.add("two"))).isEmpty();
 	}
 
 	@Test
@@ -107,12 +108,28 @@
 	void noMoreThanAFixedNumberOfRequestsIsHeld() {
 		advance(MAX_AGE.toMillis());
 		for (int i = 0; i < AbsenceCheck.MAX_HELD; i++) {
-			assertThat(hold("one of many")).isTrue();
+			assertThat(hold("one of many")).isPresent();
 		}
-		assertThat(hold("one too many")).isFalse();
+		assertThat(hold("one too many")).isEmpty();
 	}
 
-	private boolean hold(String name) {
+	@Test
+	void theEndOfARequestFreesItsPlace() {
+		advance(MAX_AGE.toMillis());
+		List<HeldCalls.Place> places = new ArrayList<>();
+		for (int i = 0; i < AbsenceCheck.MAX_HELD; i++) {
+			places.add(hold("left").orElseThrow());
+		}
+		places.forEach(HeldCalls.Place::cancel);
+		for (int i = 0; i < AbsenceCheck.MAX_HELD; i++) {
+			assertThat(hold("stays")).isPresent();
+		}
+		this.holder.confirm(1, this.now);
+		this.check.update();
+		assertThat(this.decided).hasSize(AbsenceCheck.MAX_HELD).containsOnly("stays");
+	}
+
+	private Optional<HeldCalls.Place> hold(String name) {
 		return this.check.hold(Duration.ZERO, null, () -> this.decided.add(name));
 	}
 
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/relay/HeldCallsTests.java
@@ -0,0 +1,90 @@
+package org.mangorack.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link HeldCalls}, on a clock that the tests advance.
+ */
+class HeldCallsTests {
+
+	private static final Duration WAIT = Duration.ofMillis(100);
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private final HeldCalls held = new HeldCalls(this.channel.eventLoop());
+
+	private final List<String> ran = new ArrayList<>();
+
+	HeldCallsTests() {
+		this.channel.freezeTime();
+	}
+
+	@Test
+	void aCancelledRequestHasNoPlaceAndNoTimer() {
+		hold("leaves").cancel();
+		assertThat(this.held.size()).isZero();
+		assertThat(this.channel.hasPendingTasks()).isFalse();
+		this.held.release();
+		advance();
+		assertThat(this.ran).isEmpty();
+	}
+
+	@Test
+	void theOthersWaitOnInTheirOrder() {
+		hold("first");
+		HeldCalls.Place second = hold("second");
+		hold("third");
+		second.cancel();
+		second.cancel();
+		assertThat(this.held.size()).isEqualTo(2);
+		this.held.release();
+		assertThat(this.ran).containsExactly("first", "third");
+	}
+
+	@Test
+	void aReleasedRequestHasNoTimerAndCannotBeCancelled() {
+		HeldCalls.Place place = hold("one");
+		this.held.release();
+		assertThat(this.channel.hasPendingTasks()).isFalse();
+		place.cancel();
+		assertThat(this.held.size()).isZero();
+		assertThat(this.ran).containsExactly("one");
+	}
+
+	@Test
+	void aRequestThatIsCancelledWhileOthersAreReleasedDoesNotRun() {
+		HeldCalls.Place[] second = new HeldCalls.Place[1];
+		this.held.hold(WAIT, () -> second[0].cancel());
+		second[0] = hold("second");
+		this.held.release();
+		advance();
+		assertThat(this.ran).isEmpty();
+	}
+
+	@Test
+	void aRequestThatIsCancelledAfterItsWaitChangesNothing() {
+		HeldCalls.Place place = hold("one");
+		advance();
+		place.cancel();
+		assertThat(this.ran).containsExactly("one");
+		assertThat(this.held.size()).isZero();
+	}
+
+	private HeldCalls.Place hold(String name) {
+		return this.held.hold(WAIT, () -> this.ran.add(name));
+	}
+
+	private void advance() {
+		this.channel.advanceTimeBy(WAIT.toMillis(), TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+	}
+
+}
