Do not send a turn again to a keeper that is still syncing it

Cause: one round for all members of a call. Requests are now told apart for each member, so a settlement that widens asks only those without the turn, and what the others reply still counts. A reply to a charge alone never counts for the turn, as before.

Evidence: KeeperClientTests#aSlowSyncDoesNotMakeAKeeperWriteATurnAgain failed before (2 records instead of 1); all tests of the package keeper pass.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
@@ -1,10 +1,13 @@
 package org.mangorack.keeper;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Reply;
@@ -25,9 +28,10 @@
 
 	private final long limit;
 
-	private boolean ended;
+	// The request to each member whose replies count.
+	private final Map<String, Listener> latest = new HashMap<>();
 
-	private int round;
+	private boolean ended;
 
 	GroupCall(KeeperClient client, Duration limit) {
 		this.client = client;
@@ -60,9 +64,14 @@
 
 	// Asks all members once more; replies to earlier requests no longer count.
 	final void repeat() {
-		this.round++;
-		this.finished.clear();
-		this.outstanding.clear();
+		repeat((disk) -> true);
+	}
+
+	// Asks some members once more; replies of theirs to earlier requests no longer count.
+	final void repeat(Predicate<String> disks) {
+		this.latest.keySet().removeIf(disks);
+		this.finished.removeIf(disks);
+		this.outstanding.removeIf(disks);
 		sendMissing();
 	}
 
@@ -72,7 +81,9 @@
 			boolean idle = !this.finished.contains(m.getDisk()) && !this.outstanding.contains(m.getDisk());
 			if (!this.ended && idle && link.isPresent()) {
 				this.outstanding.add(m.getDisk());
-				link.get().send(request(m).setEpoch(view().epoch()), new Listener(m, link.get()));
+				Listener listener = new Listener(m, link.get());
+				this.latest.put(m.getDisk(), listener);
+				link.get().send(request(m).setEpoch(view().epoch()), listener);
 			}
 		}
 	}
@@ -117,8 +128,6 @@
 
 		private final KeeperLink link;
 
-		private final int sentIn = GroupCall.this.round;
-
 		private Listener(Member member, KeeperLink link) {
 			this.member = member;
 			this.link = link;
@@ -127,7 +136,7 @@
 		@Override
 		public void replied(Reply reply) {
 			GroupCall call = GroupCall.this;
-			if (this.sentIn != call.round) {
+			if (!isLatest()) {
 				return;
 			}
 			switch (reply.getStatus()) {
@@ -162,11 +171,15 @@
 
 		@Override
 		public void broke() {
-			if (this.sentIn == GroupCall.this.round) {
+			if (isLatest()) {
 				GroupCall.this.outstanding.remove(this.member.getDisk());
 			}
 		}
 
+		private boolean isLatest() {
+			return GroupCall.this.latest.get(this.member.getDisk()) == this;
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
@@ -88,7 +88,7 @@
 	void waited(Duration time) {
 		if (!this.widened && (this.turn != null) && (time.compareTo(KeeperClient.HEDGE_DELAY.multipliedBy(2)) > 0)) {
 			this.widened = true;
-			repeat();
+			repeat((disk) -> !this.sentTurn.contains(disk));
 		}
 	}
 
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -23,6 +23,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 import org.mangorack.keeper.proto.Beat;
@@ -213,6 +215,20 @@
 			.isGreaterThanOrEqualTo(2);
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aSlowSyncDoesNotMakeAKeeperWriteATurnAgain(boolean charged) throws Exception {
+		awaitServing(4);
+		this.keepers.forEach((k) -> k.delaySyncs(KeeperClient.HEDGE_DELAY.multipliedBy(12)));
+		CompletableFuture<Boolean> kept = new CompletableFuture<>();
+		Turn turn = Turn.newBuilder().setId("t1").setWorkspace("w").setRetentionMs(60_000).build();
+		onLoop(() -> this.client.settle("p", "a1", 1, charged, turn, kept::complete));
+		assertThat(kept.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+		for (TestKeeper k : this.keepers) {
+			assertThat(k.killAndCountTurns()).as(k.member().getDisk()).isLessThanOrEqualTo(1);
+		}
+	}
+
 	/**
 	 * During a change every member is sent the turn. The keepers have finished the change
 	 * and refuse that; the turn must not count as kept by one that was then sent only the
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
 import io.netty.channel.EventLoopGroup;
@@ -48,6 +50,8 @@
 
 	private int port;
 
+	private volatile Duration syncDelay = Duration.ZERO;
+
 	TestKeeper(String name, String disk, Path folder, ConfigurationRelay configuration) {
 		this.name = name;
 		this.disk = disk;
@@ -56,7 +60,8 @@
 	}
 
 	TestKeeper start() throws IOException {
-		this.log = new RecordLog(this.folder.resolve("log"), this.loops.next()::execute);
+		this.log = new RecordLog(this.folder.resolve("log"),
+				(task) -> this.loops.next().schedule(task, this.syncDelay.toMillis(), TimeUnit.MILLISECONDS));
 		TurnStore turns = new TurnStore(this.log, System::currentTimeMillis);
 		turns.load();
 		this.log.start();
@@ -87,6 +92,28 @@
 		}
 	}
 
+	/**
+	 * Makes the disk report each sync later.
+	 * @param delay how much later
+	 */
+	void delaySyncs(Duration delay) {
+		this.syncDelay = delay;
+	}
+
+	/**
+	 * Stops the keeper and counts the turns in its log.
+	 * @return the number, repeated turns included
+	 * @throws IOException if the log cannot be read
+	 */
+	int killAndCountTurns() throws IOException {
+		kill();
+		AtomicInteger turns = new AtomicInteger();
+		try (RecordLog read = new RecordLog(this.folder.resolve("log"), Runnable::run)) {
+			read.replay((segment, entry) -> turns.addAndGet(entry.hasTurn() ? 1 : 0));
+		}
+		return turns.get();
+	}
+
 	void listenOn(int number) {
 		this.port = number;
 	}
