Name the instance and role in each log record, and print them in explain with a help that can be read

Equal lines of several processes could not be told apart once their files were joined. Each record now carries the role of its process and, from the moment the settings are read, its instance, records of libraries included. The entry point of the process says both once; the fields are formatted then and copied into each record. A process that runs several nodes, as tests do, says nothing, so its records claim no origin.

explain groups records by instance instead of by file, marks those that name the request and those of the same instances around it, and shows the last start, configuration and group before the request however old they are.

The help of all commands showed the parser's syntax, such as "[check | apply | show]", as an argument, values of switches as defaults, and after an error lacked the words of the command. Usage now writes the whole text: usage line, purpose, commands, arguments, options, example.

--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/LogRecordTests.java
@@ -0,0 +1,106 @@
+package org.mangorack.bench.fleet;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.mangorack.bench.standin.FleetStoreStandIn;
+import org.mangorack.wire.PlatformMain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What the records of real processes say of their instance and role.
+ */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class LogRecordTests {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	/**
+	 * How many records of the product are read, and with them those of libraries.
+	 */
+	private static final int ENOUGH = 2;
+
+	@TempDir
+	Path folder;
+
+	/**
+	 * At this level libraries log too, and before the settings are read.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "entry, entry-7", "keeper, keeper-7" })
+	void everyRecordNamesTheRoleAndFromTheSettingsOnTheInstance(String role, String instance) throws Exception {
+		List<JsonNode> records;
+		try (FleetStoreStandIn store = new FleetStoreStandIn(0)) {
+			store.start();
+			records = recordsOf(role, settings(role, instance, store.address()));
+		}
+		assertThat(records).allMatch((r) -> r.path("role").asText().equals(role));
+		assertThat(records).as("records of the product")
+			.filteredOn((r) -> r.path("event").isObject())
+			.hasSize(ENOUGH)
+			.allMatch((r) -> r.path("instance").asText().equals(instance));
+		List<JsonNode> libraries = records.stream().filter((r) -> r.path("event").isTextual()).toList();
+		assertThat(libraries).anyMatch((r) -> r.path("instance").asText().equals(instance));
+		assertThat(libraries).filteredOn((r) -> r.has("instance"))
+			.allMatch((r) -> r.path("instance").asText().equals(instance));
+	}
+
+	// ---- The process
+
+	private Path settings(String role, String instance, String store) throws IOException {
+		String common = "{\"instance\":\"" + instance + "\",\"dataCentre\":\"dc\",\"platform\":\"" + store
+				+ "\",\"tolerance\":0,";
+		String own = role.equals("keeper")
+				? "\"listen\":\"" + freeAddress() + "\",\"dataFolder\":\"" + this.folder + "\",\"firstStart\":true}"
+				: "\"callers\":\"" + freeAddress() + "\",\"readiness\":\"" + freeAddress() + "\",\"directory\":\""
+						+ freeAddress() + "\",\"seeds\":[\"" + freeAddress()
+						+ "\"],\"revocationMillis\":4000,\"configurationApplyMillis\":2000,\"graceSeconds\":8}";
+		return Files.writeString(this.folder.resolve("settings.json"), common + own);
+	}
+
+	private List<JsonNode> recordsOf(String role, Path settings) throws Exception {
+		Process process = new ProcessBuilder("java", "-Xmx160m", "-XX:+UseSerialGC", "-Dmangorack.log.level=debug",
+				"-cp", System.getProperty("java.class.path"), PlatformMain.class.getName(), role, "--settings",
+				settings.toString())
+			.redirectError(ProcessBuilder.Redirect.INHERIT)
+			.start();
+		try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
+			List<JsonNode> records = new ArrayList<>();
+			int own = 0;
+			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+				JsonNode record = MAPPER.readTree(line);
+				records.add(record);
+				own += record.path("event").isObject() ? 1 : 0;
+				if (own == ENOUGH) {
+					break;
+				}
+			}
+			return records;
+		}
+		finally {
+			process.destroyForcibly().waitFor();
+		}
+	}
+
+	private static String freeAddress() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return "127.0.0.1:" + socket.getLocalPort();
+		}
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/observe/EventLayout.java
+++ b/mangorack/src/main/java/org/mangorack/observe/EventLayout.java
@@ -8,6 +8,7 @@
 import java.time.format.DateTimeFormatter;
 import java.time.format.DateTimeFormatterBuilder;
 import java.util.Map;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -16,8 +17,8 @@
 import org.apache.logging.log4j.message.MapMessage;
 
 /**
- * Writes a log record as one line of JSON: time, level, thread, the fields of the event,
- * and the stack trace of its cause.
+ * Writes a log record as one line of JSON: time, instance and role of the process, level,
+ * thread, the fields of the event, and the stack trace of its cause.
  */
 final class EventLayout extends AbstractStringLayout {
 
@@ -25,8 +26,15 @@
 
 	private static final DateTimeFormatter TIME = new DateTimeFormatterBuilder().appendInstant(3).toFormatter();
 
-	EventLayout() {
+	private final Supplier<LogOrigin> origin;
+
+	/**
+	 * Creates a layout.
+	 * @param origin says who writes the records
+	 */
+	EventLayout(Supplier<LogOrigin> origin) {
 		super(StandardCharsets.UTF_8);
+		this.origin = origin;
 	}
 
 	@Override
@@ -35,6 +43,8 @@
 		try (JsonGenerator json = JSON.createGenerator(line)) {
 			json.writeStartObject();
 			json.writeStringField("time", TIME.format(Instant.ofEpochMilli(record.getInstant().getEpochMillisecond())));
+			// Raw text leaves the generator after the field that it wrote last.
+			json.writeRaw(this.origin.get().fields());
 			json.writeStringField("level", record.getLevel().name());
 			json.writeStringField("thread", record.getThreadName());
 			writeEvent(json, record);
--- a/mangorack/src/main/java/org/mangorack/observe/EventLogConfiguration.java
+++ b/mangorack/src/main/java/org/mangorack/observe/EventLogConfiguration.java
@@ -114,7 +114,7 @@
 		return ConsoleAppender.newBuilder()
 			.setName(OUTPUT)
 			.setTarget(ConsoleAppender.Target.valueOf(System.getProperty("mangorack.log.target", "SYSTEM_ERR")))
-			.setLayout(new EventLayout())
+			.setLayout(new EventLayout(LogOrigin::current))
 			.build();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/operator/Main.java
+++ b/mangorack/src/main/java/org/mangorack/operator/Main.java
@@ -10,6 +10,8 @@
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 
+import org.mangorack.observe.LogOrigin;
+import org.mangorack.observe.ProcessRole;
 import org.mangorack.operator.impl.ConfigCommands;
 import org.mangorack.operator.impl.DrainCommand;
 import org.mangorack.operator.impl.ExplainCommand;
@@ -21,10 +23,12 @@
 /**
  * The command line. Exit status 0 means done, 1 refused or failed, and 2 bad usage.
  */
+@CommandHelp(value = "Schedules the calls of agent programs. Runs an instance, or manages instances that run.",
+		examples = { "mangorack serve --settings instance-1.json", "mangorack status --instance 127.0.0.1:17301" })
 public final class Main {
 
 	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "COMMAND",
-			usage = "serve, config, key, status, programs, drain or explain; COMMAND --help tells more")
+			usage = "one of the commands above; with --help after it, its own help")
 	@SubCommands({ @SubCommand(name = "serve", impl = ServeCommand.class),
 			@SubCommand(name = "config", impl = ConfigCommands.class),
 			@SubCommand(name = "key", impl = KeyCommands.class),
@@ -45,6 +49,7 @@
 	 * @param arguments the arguments of the process
 	 */
 	public static void main(String[] arguments) {
+		LogOrigin.set(ProcessRole.COMMAND);
 		int status = run(arguments, System.out, System.err);
 		System.out.flush();
 		System.exit(status);
@@ -59,11 +64,11 @@
 	 */
 	public static int run(String[] arguments, PrintStream out, PrintStream err) {
 		Main main = new Main();
-		CmdLineParser parser = Usage.parser(main);
+		CmdLineParser parser = new CmdLineParser(main);
 		try {
 			parser.parseArgument(arguments);
 			if (main.help || (main.command == null)) {
-				Usage.print(parser, "mangorack", main.help ? out : err);
+				Usage.print(main, "mangorack", main.help ? out : err);
 				return main.help ? ExitStatus.DONE : ExitStatus.USAGE;
 			}
 			if (main.command.isHelp()) {
@@ -73,8 +78,7 @@
 			return main.command.run(out, err);
 		}
 		catch (CmdLineException ex) {
-			err.println("mangorack: " + ex.getMessage());
-			Usage.print(ex.getParser(), "mangorack", err);
+			Usage.print(ex, Main.class, "mangorack", arguments, err);
 			return ExitStatus.USAGE;
 		}
 		catch (CommandException ex) {
--- a/mangorack/src/main/java/org/mangorack/operator/OperatorCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/OperatorCommand.java
@@ -11,6 +11,7 @@
 import org.kohsuke.args4j.Option;
 
 import org.mangorack.http.HttpAddress;
+import org.mangorack.observe.EventLog;
 
 /**
  * A command that talks to the operators' port of an instance.
@@ -28,7 +29,7 @@
 					+ " is used")
 	private Path keyFile;
 
-	@Option(name = "--format", metaVar = "text|json", usage = "format of the output")
+	@Option(name = "--format", metaVar = "FORMAT", usage = "format of the output, text or json; text if left out")
 	private OutputFormat format = OutputFormat.text;
 
 	// ---- Accessors
@@ -48,6 +49,10 @@
 				throw new CommandException(ExitStatus.USAGE, "--instance: " + ex.getMessage());
 			}
 		}
+		EventLog.open();
+		// A process does not wait for records of libraries that are not written yet.
+		EventLog.closeAfter("log", () -> {
+		});
 		return new OperatorClient(addresses, key());
 	}
 
--- a/mangorack/src/main/java/org/mangorack/operator/impl/ConfigCommands.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/ConfigCommands.java
@@ -20,6 +20,7 @@
 import org.mangorack.config.Problem;
 import org.mangorack.operator.Command;
 import org.mangorack.operator.CommandException;
+import org.mangorack.operator.CommandHelp;
 import org.mangorack.operator.ExitStatus;
 import org.mangorack.operator.OperatorClient;
 import org.mangorack.operator.OperatorCommand;
@@ -28,10 +29,12 @@
 /**
  * Checks, applies and shows the configuration.
  */
+@CommandHelp(value = "Checks, applies and shows the configuration.",
+		examples = { "mangorack config check config", "mangorack config apply config --instance 127.0.0.1:17301" })
 public final class ConfigCommands extends Command {
 
-	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "check|apply|show",
-			usage = "what to do with the configuration")
+	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "COMMAND",
+			usage = "one of the commands above; with --help after it, its own help")
 	@SubCommands({ @SubCommand(name = "check", impl = Check.class), @SubCommand(name = "apply", impl = Apply.class),
 			@SubCommand(name = "show", impl = Show.class) })
 	private Command command;
@@ -58,6 +61,8 @@
 	/**
 	 * Checks a folder without changing anything.
 	 */
+	@CommandHelp(value = "Checks a folder of configuration files. Needs no instance and changes nothing.",
+			examples = { "mangorack config check config" })
 	public static final class Check extends Command {
 
 		@Argument(index = 0, required = true, metaVar = "DIR", usage = "folder of JSON files, merged by name")
@@ -75,6 +80,8 @@
 	/**
 	 * Puts a folder in force and waits until it is in force everywhere.
 	 */
+	@CommandHelp(value = "Stores a folder as the next revision and waits until every live instance has it.",
+			examples = { "mangorack config apply config --instance 127.0.0.1:17301" })
 	public static final class Apply extends OperatorCommand {
 
 		private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(10);
@@ -146,6 +153,8 @@
 	/**
 	 * Shows the configuration in force.
 	 */
+	@CommandHelp(value = "Shows the configuration in force.",
+			examples = { "mangorack config show --instance 127.0.0.1:17301" })
 	public static final class Show extends OperatorCommand {
 
 		@Override
--- a/mangorack/src/main/java/org/mangorack/operator/impl/DrainCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/DrainCommand.java
@@ -5,12 +5,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 import org.mangorack.operator.CommandException;
+import org.mangorack.operator.CommandHelp;
 import org.mangorack.operator.ExitStatus;
 import org.mangorack.operator.OperatorCommand;
 
 /**
  * Stops an instance as planned.
  */
+@CommandHelp(value = "Stops an instance as planned. Its shards are handed over and the calls under way are answered.",
+		examples = { "mangorack drain --instance 127.0.0.1:17301" })
 public final class DrainCommand extends OperatorCommand {
 
 	@Override
--- a/mangorack/src/main/java/org/mangorack/operator/impl/ExplainCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/ExplainCommand.java
@@ -9,26 +9,34 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
+import java.util.stream.Collectors;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import org.kohsuke.args4j.Argument;
 
-import org.mangorack.call.Jsons;
 import org.mangorack.operator.Command;
 import org.mangorack.operator.CommandException;
+import org.mangorack.operator.CommandHelp;
 import org.mangorack.operator.ExitStatus;
 
 /**
  * Tells the story of a request from the logs of several instances: every record that
- * names it, and what these instances learned about keepers, upstreams, configuration and
- * the platform shortly before.
+ * names it, and what the instances that wrote these learned about keepers, upstreams,
+ * configuration and the platform around that time.
  */
+@CommandHelp(value = "Tells the story of a request from the logs of several instances. "
+		+ "Prints a line for each record, in the order of time, with the instance and role that wrote it. "
+		+ "Lines marked \"request\" name the request. Lines marked \"instance\" are events of the same instances "
+		+ "from 3 s before to 1 s after (keepers lost, upstreams avoided, configurations, restarts), and the last "
+		+ "start, configuration and group of keepers before them. Each line ends with the number of its event and "
+		+ "the file. The exit status is 1 if no record names the request.",
+		examples = { "mangorack explain f2cb246e29c2ba46 entry-1.log entry-2.log",
+				"mangorack explain f2cb246e29c2ba46 - < all.log" })
 public final class ExplainCommand extends Command {
 
 	/**
@@ -36,53 +44,77 @@
 	 */
 	static final Duration BEFORE = Duration.ofSeconds(3);
 
-	// Events that change what an instance believes.
-	private static final Set<Integer> BELIEFS = Set.of(1001, 1002, 1401, 1402, 1403, 1404, 1501, 2002, 2003, 2004, 2011,
-			2202, 2204, 2211, 2212);
+	/**
+	 * How long after a record of the request other events are shown.
+	 */
+	static final Duration AFTER = Duration.ofSeconds(1);
 
 	private static final String STANDARD_INPUT = "-";
 
-	@Argument(index = 0, required = true, metaVar = "REQUEST_ID", usage = "the id of the request")
+	@Argument(index = 0, required = true, metaVar = "REQUEST_ID", usage = "id of the request")
 	private String request;
 
 	@Argument(index = 1, required = true, multiValued = true, metaVar = "FILE",
-			usage = "logs, one for each instance; - reads standard input")
+			usage = "log of one or several instances, a JSON record a line; - reads standard input")
 	private List<String> files = new ArrayList<>();
 
 	@Override
 	public int run(PrintStream out, PrintStream err) throws CommandException {
 		List<LogRecord> records = new ArrayList<>();
 		for (String file : this.files) {
-			records.addAll(relevant(read(file, err)));
+			read(file, records, err);
 		}
-		if (records.stream().noneMatch((r) -> r.names(this.request))) {
+		List<LogRecord> story = records.stream()
+			.collect(Collectors.groupingBy(LogRecord::writer, LinkedHashMap::new, Collectors.toList()))
+			.values()
+			.stream()
+			.flatMap((ofInstance) -> relevant(ofInstance).stream())
+			.sorted(Comparator.comparing(LogRecord::time))
+			.toList();
+		if (story.isEmpty()) {
 			throw new CommandException(ExitStatus.FAILED, "no record names request \"" + this.request
 					+ "\"; served requests are sampled, and records may have been left out (event 2311)");
 		}
-		records.sort(Comparator.comparing(LogRecord::time));
-		records.forEach((r) -> out.println(r.describe(this.request)));
+		int width = story.stream().mapToInt((r) -> r.origin().length()).max().getAsInt();
+		story.forEach((r) -> out.println(r.describe(this.request, width)));
 		return ExitStatus.DONE;
 	}
 
-	private List<LogRecord> relevant(List<LogRecord> all) {
-		List<Instant> times = all.stream().filter((r) -> r.names(this.request)).map(LogRecord::time).toList();
-		return all.stream().filter((r) -> r.names(this.request) || (r.isBelief() && isNear(r.time(), times))).toList();
+	private List<LogRecord> relevant(List<LogRecord> ofInstance) {
+		List<Instant> times = ofInstance.stream()
+			.filter((r) -> r.names(this.request))
+			.map(LogRecord::time)
+			.sorted()
+			.toList();
+		if (times.isEmpty()) {
+			return List.of();
+		}
+		Map<Integer, LogRecord> lasting = new HashMap<>();
+		ofInstance.stream()
+			.filter((r) -> r.isLasting() && !r.time().isAfter(times.get(0)))
+			.forEach((r) -> lasting.merge(r.number(), r, (a, b) -> b.time().isBefore(a.time()) ? a : b));
+		return ofInstance.stream()
+			.filter((r) -> r.names(this.request) || isNear(r.time(), times) || lasting.get(r.number()) == r)
+			.toList();
 	}
 
 	private static boolean isNear(Instant time, List<Instant> times) {
-		return times.stream().anyMatch((t) -> !time.isAfter(t) && time.isAfter(t.minus(BEFORE)));
+		return times.stream().anyMatch((t) -> time.isAfter(t.minus(BEFORE)) && !time.isAfter(t.plus(AFTER)));
 	}
 
-	private static List<LogRecord> read(String file, PrintStream err) throws CommandException {
-		List<LogRecord> records = new ArrayList<>();
+	private void read(String file, List<LogRecord> records, PrintStream err) throws CommandException {
 		int number = 0;
 		int unreadable = 0;
+		int readable = 0;
 		try (BufferedReader lines = open(file)) {
 			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
 				number++;
 				LogRecord record = LogRecord.parse(file, line);
 				if (record != null) {
-					records.add(record);
+					readable++;
+					if (record.names(this.request) || record.isBelief()) {
+						records.add(record);
+					}
 				}
 				else if (!line.isBlank()) {
 					unreadable++;
@@ -92,13 +124,12 @@
 		catch (IOException ex) {
 			throw new CommandException(ExitStatus.FAILED, file + ": cannot be read: " + ex.getMessage());
 		}
-		if (records.isEmpty()) {
+		if (readable == 0) {
 			throw new CommandException(ExitStatus.FAILED, file + ": none of its " + number + " lines is a log record");
 		}
 		if (unreadable > 0) {
 			err.println("mangorack: " + file + ": " + unreadable + " of " + number + " lines are no log records");
 		}
-		return records;
 	}
 
 	private static BufferedReader open(String file) throws IOException {
@@ -107,59 +138,4 @@
 				: Files.newBufferedReader(Path.of(file));
 	}
 
-	/**
-	 * A record of a log.
-	 *
-	 * @param source the file
-	 * @param time when it was written
-	 * @param event its fields
-	 */
-	private record LogRecord(String source, Instant time, JsonNode event) {
-
-		// Collectors of logs put words before the record, so it begins at the first
-		// brace.
-		private static LogRecord parse(String source, String line) {
-			int brace = line.indexOf('{');
-			if (brace < 0) {
-				return null;
-			}
-			try {
-				JsonNode json = Jsons.MAPPER.readTree(line.substring(brace));
-				String before = line.substring(0, brace).strip();
-				return new LogRecord(before.isEmpty() ? source : before, Instant.parse(json.path("time").asText()),
-						json.path("event"));
-			}
-			catch (JsonProcessingException | DateTimeParseException ex) {
-				// The caller counts lines that are no records.
-				return null;
-			}
-		}
-
-		private boolean names(String request) {
-			return this.event.path("request").asText().equals(request);
-		}
-
-		private boolean isBelief() {
-			return BELIEFS.contains(this.event.path("event").asInt());
-		}
-
-		private String describe(String request) {
-			StringBuilder text = new StringBuilder();
-			text.append(this.time).append(names(request) ? "  " : "  (").append(this.event.path("message").asText());
-			this.event.fields().forEachRemaining((field) -> {
-				if (!Set.of("message", "event", "request").contains(field.getKey())) {
-					text.append(' ').append(field.getKey()).append('=').append(field.getValue().asText());
-				}
-			});
-			return text.append(names(request) ? "" : ")")
-				.append("  [")
-				.append(this.event.path("event").asText())
-				.append(", ")
-				.append(this.source)
-				.append(']')
-				.toString();
-		}
-
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/operator/impl/KeyCommands.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/KeyCommands.java
@@ -11,6 +11,7 @@
 import org.mangorack.call.Jsons;
 import org.mangorack.operator.Command;
 import org.mangorack.operator.CommandException;
+import org.mangorack.operator.CommandHelp;
 import org.mangorack.operator.ExitStatus;
 import org.mangorack.operator.OperatorCommand;
 import org.mangorack.operator.Usage;
@@ -18,10 +19,13 @@
 /**
  * Creates and withdraws keys of callers.
  */
+@CommandHelp(value = "Creates and withdraws keys of callers.",
+		examples = { "mangorack key create research --instance 127.0.0.1:17301",
+				"mangorack key withdraw 5f0c2a --instance 127.0.0.1:17301" })
 public final class KeyCommands extends Command {
 
-	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "create|withdraw",
-			usage = "what to do with a key")
+	@Argument(index = 0, required = true, handler = SubCommandHandler.class, metaVar = "COMMAND",
+			usage = "one of the commands above; with --help after it, its own help")
 	@SubCommands({ @SubCommand(name = "create", impl = Create.class),
 			@SubCommand(name = "withdraw", impl = Withdraw.class) })
 	private Command command;
@@ -38,6 +42,8 @@
 	/**
 	 * Creates a key and prints it once.
 	 */
+	@CommandHelp(value = "Creates a key and prints it once.",
+			examples = { "mangorack key create research --instance 127.0.0.1:17301" })
 	public static final class Create extends OperatorCommand {
 
 		@Argument(index = 0, required = true, metaVar = "WORKSPACE", usage = "workspace that the key belongs to")
@@ -55,6 +61,8 @@
 	/**
 	 * Withdraws a key.
 	 */
+	@CommandHelp(value = "Withdraws a key. Calls with it are refused everywhere within 3 s.",
+			examples = { "mangorack key withdraw 5f0c2a --instance 127.0.0.1:17301" })
 	public static final class Withdraw extends OperatorCommand {
 
 		@Argument(index = 0, required = true, metaVar = "ID",
--- a/mangorack/src/main/java/org/mangorack/operator/impl/ProgramsCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/ProgramsCommand.java
@@ -5,12 +5,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 import org.mangorack.operator.CommandException;
+import org.mangorack.operator.CommandHelp;
 import org.mangorack.operator.ExitStatus;
 import org.mangorack.operator.OperatorCommand;
 
 /**
  * Lists the programs that an instance owns.
  */
+@CommandHelp(value = "Lists the programs that one instance owns.",
+		examples = { "mangorack programs --instance 127.0.0.1:17301" })
 public final class ProgramsCommand extends OperatorCommand {
 
 	@Override
--- a/mangorack/src/main/java/org/mangorack/operator/impl/ServeCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/ServeCommand.java
@@ -12,13 +12,18 @@
 import org.mangorack.config.Settings;
 import org.mangorack.instance.Instance;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.LogOrigin;
+import org.mangorack.observe.ProcessRole;
 import org.mangorack.operator.Command;
 import org.mangorack.operator.CommandException;
+import org.mangorack.operator.CommandHelp;
 import org.mangorack.operator.ExitStatus;
 
 /**
  * Runs an instance until it is stopped.
  */
+@CommandHelp(value = "Runs an instance until it is stopped. SIGTERM stops it as planned.",
+		examples = { "mangorack serve --settings instance-1.json" })
 public final class ServeCommand extends Command {
 
 	@Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of the instance, in JSON")
@@ -32,6 +37,7 @@
 			return ExitStatus.USAGE;
 		}
 		try {
+			LogOrigin.set(ProcessRole.INSTANCE, read.get().instance());
 			EventLog.open();
 			Instance instance = new Instance(read.get());
 			EventLog.closeAfter("drain", instance::drain);
--- a/mangorack/src/main/java/org/mangorack/operator/impl/StatusCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/impl/StatusCommand.java
@@ -5,12 +5,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 import org.mangorack.operator.CommandException;
+import org.mangorack.operator.CommandHelp;
 import org.mangorack.operator.ExitStatus;
 import org.mangorack.operator.OperatorCommand;
 
 /**
  * Shows the state of the fleet as one instance sees it.
  */
+@CommandHelp(value = "Shows instances, shards and revisions of the configuration as one instance sees them.",
+		examples = { "mangorack status --instance 127.0.0.1:17301 --format json" })
 public final class StatusCommand extends OperatorCommand {
 
 	@Override
--- a/mangorack/src/test/java/org/mangorack/observe/EventLogConfigurationTests.java
+++ b/mangorack/src/test/java/org/mangorack/observe/EventLogConfigurationTests.java
@@ -16,6 +16,8 @@
 import org.apache.logging.log4j.message.SimpleMessage;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.mangorack.call.Jsons;
 
@@ -42,6 +44,25 @@
 		assertThat(json.has("error")).isFalse();
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "KEEPER, k\"1, k\"1, keeper", "ENTRY, , , entry", "SELF_CHECK, , , selfcheck" })
+	void aRecordNamesTheInstanceAndRoleThatAreKnown(ProcessRole role, String instance, String expected, String word)
+			throws Exception {
+		JsonNode json = Jsons.parse(line(new LogOrigin(role, instance), new SimpleMessage("text of a library"), null)
+			.getBytes(StandardCharsets.UTF_8));
+		assertThat(json.path("instance").asText(null)).isEqualTo(expected);
+		assertThat(json.path("role").asText()).isEqualTo(word);
+		assertThat(json.path("level").asText()).isEqualTo("WARN");
+	}
+
+	@Test
+	void recordsBeforeTheStartOfAProcessLackBoth() throws Exception {
+		JsonNode json = Jsons
+			.parse(line(LogOrigin.UNKNOWN, new SimpleMessage("early"), null).getBytes(StandardCharsets.UTF_8));
+		assertThat(json.has("instance")).isFalse();
+		assertThat(json.has("role")).isFalse();
+	}
+
 	@Test
 	void aCauseIsLoggedWithItsStackTrace() throws Exception {
 		JsonNode json = Jsons.parse(line(new SimpleMessage("text of a library"), new IOException("no disk"))
@@ -97,7 +118,11 @@
 	}
 
 	private static String line(Message message, Throwable thrown) {
-		return new EventLayout().toSerializable(Log4jLogEvent.newBuilder()
+		return line(LogOrigin.UNKNOWN, message, thrown);
+	}
+
+	private static String line(LogOrigin origin, Message message, Throwable thrown) {
+		return new EventLayout(() -> origin).toSerializable(Log4jLogEvent.newBuilder()
 			.setLevel(Level.WARN)
 			.setThreadName("traffic")
 			.setTimeMillis(1500)
--- a/mangorack/src/test/java/org/mangorack/operator/MainTests.java
+++ b/mangorack/src/test/java/org/mangorack/operator/MainTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -33,12 +34,63 @@
 
 	@ParameterizedTest
 	@ValueSource(strings = { "--help", "serve --help", "config --help", "config apply --help", "key --help",
-			"key create --help", "status --help", "programs --help", "drain --help" })
+			"key create --help", "status --help", "programs --help", "drain --help", "explain --help" })
 	void helpEndsWithZero(String line) {
 		assertThat(run(line.split(" "))).isEqualTo(ExitStatus.DONE);
 		assertThat(this.out.toString(StandardCharsets.UTF_8)).contains("usage: mangorack");
 	}
 
+	/**
+	 * Placeholders in the place of the syntax that the parser accepts, and no values of
+	 * its switches.
+	 */
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', quoteCharacter = '"',
+			textBlock = """
+					--help              | mangorack COMMAND [--help]
+					config --help       | mangorack config COMMAND [--help]
+					key --help          | mangorack key COMMAND [--help]
+					serve --help        | mangorack serve --settings FILE [--help]
+					explain --help      | mangorack explain REQUEST_ID FILE... [--help]
+					status --help       | mangorack status --instance HOST:PORT [--format FORMAT] [--help] [--operator-key-file FILE]
+					config check --help | mangorack config check DIR [--help]
+					""")
+	void helpBeginsWithTheLineOfTheCommand(String line, String usage) {
+		run(line.split(" "));
+		String text = this.out.toString(StandardCharsets.UTF_8);
+		assertThat(text.replaceAll("\\n {8}", " ").lines().findFirst()).contains("usage: " + usage);
+		assertThat(text).doesNotContain("(default: ").doesNotContain(" | ");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "explain, mangorack explain REQUEST_ID FILE... [--help]", "config, mangorack config COMMAND [--help]",
+			"config check, mangorack config check DIR [--help]", "fly, mangorack COMMAND [--help]",
+			"serve --fly, mangorack serve --settings FILE [--help]" })
+	void badUsageShowsTheLineOfTheCommand(String line, String usage) {
+		run(line.split(" "));
+		assertThat(this.err.toString(StandardCharsets.UTF_8).lines()).contains("usage: " + usage);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "--help", "serve --help", "config --help", "config check --help", "config apply --help",
+			"config show --help", "key --help", "key create --help", "key withdraw --help", "status --help",
+			"programs --help", "drain --help", "explain --help" })
+	void helpSaysWhatTheCommandDoesAndDescribesEachOption(String line) {
+		run(line.split(" "));
+		String text = this.out.toString(StandardCharsets.UTF_8);
+		assertThat(text).contains("example:\n  mangorack ");
+		assertThat(text.split("\n\n")[1]).matches("(?s)[A-Z].*\\.");
+		assertThat(text).containsPattern("\n  --help, -h +print this help\n");
+		assertThat(text.lines()).allMatch((l) -> l.length() <= 100);
+	}
+
+	@Test
+	void helpListsTheCommandsWithWhatTheyDo() {
+		run("--help");
+		assertThat(this.out.toString(StandardCharsets.UTF_8)).containsPattern("\n  serve +Runs an instance")
+			.containsPattern("\n  explain +Tells the story of a request");
+	}
+
 	@Test
 	void refusedConfigurationEndsWithOneAndNamesTheValue() throws IOException {
 		Files.writeString(this.folder.resolve("a.json"), "{\"workspaces\":{\"w\":{\"weight\":\"x\"}}}");
