--- a/bench/src/test/java/org/mangorack/bench/fleet/LogRecordTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/LogRecordTests.java
@@ -12,12 +12,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.mangorack.bench.standin.FleetStoreStandIn;
+import org.mangorack.bench.standin.PlatformStandIn;
 import org.mangorack.wire.PlatformMain;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -47,8 +49,28 @@
 		List<JsonNode> records;
 		try (FleetStoreStandIn store = new FleetStoreStandIn(0)) {
 			store.start();
-			records = recordsOf(role, settings(role, instance, store.address()));
+			records = recordsOf(role, "--settings", settings(role, instance, store.address()).toString());
 		}
+		assertOrigin(records, role, instance);
+	}
+
+	@Test
+	void recordsOfAnInstanceOfTheProductsOwnInterfaceNameIt() throws Exception {
+		Files.writeString(this.folder.resolve("secret"), "0123456789abcdef0123456789abcdef");
+		List<JsonNode> records;
+		try (PlatformStandIn platform = new PlatformStandIn(0)) {
+			platform.start();
+			Path settings = Files.writeString(this.folder.resolve("settings.json"),
+					"{\"instance\":\"instance-7\",\"dataCentre\":\"dc\",\"listen\":{\"callers\":\"" + freeAddress()
+							+ "\",\"operators\":\"" + freeAddress() + "\",\"peers\":\"" + freeAddress()
+							+ "\"},\"platform\":{\"address\":\"" + platform.address()
+							+ "\"},\"operatorKeyFile\":\"secret\",\"peerSecretFile\":\"secret\"}");
+			records = recordsOf("serve", "--settings", settings.toString());
+		}
+		assertOrigin(records, "instance", "instance-7");
+	}
+
+	private static void assertOrigin(List<JsonNode> records, String role, String instance) {
 		assertThat(records).allMatch((r) -> r.path("role").asText().equals(role));
 		assertThat(records).as("records of the product")
 			.filteredOn((r) -> r.path("event").isObject())
@@ -73,12 +95,12 @@
 		return Files.writeString(this.folder.resolve("settings.json"), common + own);
 	}
 
-	private List<JsonNode> recordsOf(String role, Path settings) throws Exception {
-		Process process = new ProcessBuilder("java", "-Xmx160m", "-XX:+UseSerialGC", "-Dmangorack.log.level=debug",
-				"-cp", System.getProperty("java.class.path"), PlatformMain.class.getName(), role, "--settings",
-				settings.toString())
-			.redirectError(ProcessBuilder.Redirect.INHERIT)
-			.start();
+	private static List<JsonNode> recordsOf(String... arguments) throws Exception {
+		List<String> command = new ArrayList<>(List.of("java", "-Xmx160m", "-XX:+UseSerialGC",
+				"-Dmangorack.log.level=debug", "-Dmangorack.log.target=SYSTEM_OUT", "-cp",
+				System.getProperty("java.class.path"), PlatformMain.class.getName()));
+		command.addAll(List.of(arguments));
+		Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
 		try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
 			List<JsonNode> records = new ArrayList<>();
 			int own = 0;
--- a/mangorack/src/main/java/org/mangorack/operator/OperatorCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/OperatorCommand.java
@@ -11,7 +11,6 @@
 import org.kohsuke.args4j.Option;
 
 import org.mangorack.http.HttpAddress;
-import org.mangorack.observe.EventLog;
 
 /**
  * A command that talks to the operators' port of an instance.
@@ -49,10 +48,6 @@
 				throw new CommandException(ExitStatus.USAGE, "--instance: " + ex.getMessage());
 			}
 		}
-		EventLog.open();
-		// A process does not wait for records of libraries that are not written yet.
-		EventLog.closeAfter("log", () -> {
-		});
 		return new OperatorClient(addresses, key());
 	}
 
