--- a/mangorack/src/main/java/org/mangorack/operator/OperatorCommand.java
+++ b/mangorack/src/main/java/org/mangorack/operator/OperatorCommand.java
@@ -28,7 +28,7 @@
 					+ " is used")
 	private Path keyFile;
 
-	@Option(name = "--format", metaVar = "text|json", usage = "format of the output")
+	@Option(name = "--format", metaVar = "FORMAT", usage = "format of the output, text or json; text if left out")
 	private OutputFormat format = OutputFormat.text;
 
 	// ---- Accessors
