Refuse on the product's own interface the heads that the other interface refuses

Callers and operators of the product's own interface got a request with both Content-Length and Transfer-Encoding read as chunked, one with a length of "+1" or a second Host served, and a parser's message as plain text for a request line of binary bytes. A body that was announced as too long was answered, but its connection stayed open until the body came.

Cause: the two interfaces read heads by different libraries, and only that of the relay checked them afterwards. The blocking server checks in its parser, before the length of the body is taken from the head, and answers every head that cannot be read by a refusal as problem+json, with a closed connection. HTTP/1.0 and targets with a host are refused on both as well.

Logging is set up before the server starts: a worker that was interrupted by the end of a test set it up first and left it unusable.

--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/http/HeadParser.java
@@ -0,0 +1,72 @@
+package org.mangorack.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+
+import org.mangorack.call.Refusal;
+
+/**
+ * Reads heads of requests and refuses those that break the {@link RequestRules}.
+ */
+final class HeadParser extends DefaultHttpRequestParser {
+
+	private final int maxBodyBytes;
+
+	/**
+	 * Creates a parser.
+	 * @param config the limits of lines
+	 * @param maxBodyBytes the longest body that a head may announce
+	 */
+	HeadParser(Http1Config config, int maxBodyBytes) {
+		super(config);
+		this.maxBodyBytes = maxBodyBytes;
+	}
+
+	/**
+	 * Reads a head.
+	 * @param buffer the bytes that were read ahead
+	 * @param in the bytes that follow
+	 * @return the head, or {@code null} if the connection ended before it
+	 * @throws RefusedRequestException if the head breaks a rule
+	 * @throws HttpException if the head cannot be read
+	 * @throws IOException if the connection broke
+	 */
+	@Override
+	public ClassicHttpRequest parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
+		ClassicHttpRequest head = super.parse(buffer, in);
+		if (head != null) {
+			check(head);
+		}
+		return head;
+	}
+
+	private void check(ClassicHttpRequest head) throws RefusedRequestException {
+		List<Map.Entry<String, String>> headers = new ArrayList<>();
+		for (Header header : head.getHeaders()) {
+			headers.add(Map.entry(header.getName(), (header.getValue() != null) ? header.getValue() : ""));
+		}
+		Optional<Refusal> refusal = RequestRules.check(head.getVersion().format(), head.getMethod(), target(head),
+				headers, this.maxBodyBytes);
+		if (refusal.isPresent()) {
+			throw new RefusedRequestException(refusal.get());
+		}
+	}
+
+	// The library takes a target with a host apart.
+	private static String target(ClassicHttpRequest head) {
+		return (head.getAuthority() != null) ? (head.getScheme() + "://" + head.getAuthority() + head.getPath())
+				: String.valueOf(head.getPath());
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
@@ -23,10 +23,13 @@
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
-import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnectionFactory;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.AbstractHttpEntity;
+import org.apache.hc.core5.http.io.support.BasicHttpServerExpectationDecorator;
+import org.apache.hc.core5.http.io.support.BasicHttpServerRequestHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
@@ -75,18 +78,20 @@
 		this.service = service;
 		this.maxBodyBytes = maxBodyBytes;
 		HttpRequestHandler handler = this::handle;
-		this.server = ServerBootstrap.bootstrap()
-			.setLocalAddress(InetAddress.getByName(address.host()))
-			.setListenerPort(address.port())
-			.setSocketConfig(SocketConfig.custom()
-				.setTcpNoDelay(true)
-				.setBacklogSize(1024)
-				.setSoReuseAddress(true)
-				.setSoTimeout((int) IDLE_LIMIT.toSeconds(), TimeUnit.SECONDS)
-				.build())
-			.setRequestRouter((request, context) -> handler)
-			.setExceptionListener(new QuietListener())
-			.create();
+		HttpServerRequestHandler chain = new BasicHttpServerExpectationDecorator(
+				new BasicHttpServerRequestHandler((request, context) -> handler));
+		SocketConfig sockets = SocketConfig.custom()
+			.setTcpNoDelay(true)
+			.setBacklogSize(1024)
+			.setSoReuseAddress(true)
+			.setSoTimeout((int) IDLE_LIMIT.toSeconds(), TimeUnit.SECONDS)
+			.build();
+		this.server = new HttpServer(address.port(), new RefusingService(RequestRules.DEFAULT_MAX_HEAD_BYTES, chain),
+				InetAddress.getByName(address.host()), sockets, null,
+				DefaultBHttpServerConnectionFactory.builder()
+					.requestParserFactory((config) -> new HeadParser(config, maxBodyBytes))
+					.build(),
+				null, null, new QuietListener());
 	}
 
 	// ---- Life-cycle
@@ -96,6 +101,8 @@
 	 * @throws IOException if the port is taken
 	 */
 	public void start() throws IOException {
+		// Logging cannot be set up by the thread of a connection that is being closed.
+		EventLog.open();
 		this.server.start();
 	}
 
@@ -196,19 +203,13 @@
 	}
 
 	private CallAnswer tooLarge(String id) {
-		return CallAnswer
-			.refusal(Refusal.notRun(413, "body_too_large", "the body is longer than " + this.maxBodyBytes + " bytes"),
-					id)
-			.withHeader("Connection", "close");
+		return CallAnswer.refusal(RequestRules.bodyTooLong(this.maxBodyBytes), id).withHeader("Connection", "close");
 	}
 
 	private byte[] readBody(HttpEntity entity) throws IOException {
 		if (entity == null) {
 			return new byte[0];
 		}
-		if (entity.getContentLength() > this.maxBodyBytes) {
-			return null;
-		}
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		byte[] chunk = new byte[CHUNK_BYTES];
 		InputStream in = entity.getContent();
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/http/RefusedRequestException.java
@@ -0,0 +1,23 @@
+package org.mangorack.http;
+
+import org.apache.hc.core5.http.ProtocolException;
+
+import org.mangorack.call.Refusal;
+
+/**
+ * A request that is answered by a refusal before it is read whole.
+ */
+final class RefusedRequestException extends ProtocolException {
+
+	private final transient Refusal refusal;
+
+	RefusedRequestException(Refusal refusal) {
+		super(refusal.detail());
+		this.refusal = refusal;
+	}
+
+	Refusal refusal() {
+		return this.refusal;
+	}
+
+}
--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/http/RequestRules.java
@@ -0,0 +1,157 @@
+package org.mangorack.http;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.mangorack.call.Refusal;
+
+/**
+ * The rules that requests of callers keep on every interface, whichever library reads
+ * them.
+ */
+public final class RequestRules {
+
+	/**
+	 * The longest head where no other limit is configured; in bytes. It bounds the
+	 * request line, and the headers together.
+	 */
+	public static final int DEFAULT_MAX_HEAD_BYTES = 16 * 1024;
+
+	private static final String PROTOCOL = "HTTP/1.1";
+
+	private static final String CONTENT_LENGTH = "Content-Length";
+
+	// Numbers of more digits may not fit into a long.
+	private static final int MAX_LENGTH_DIGITS = 18;
+
+	private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
+
+	private RequestRules() {
+	}
+
+	// ---- Public API
+
+	/**
+	 * Checks the head of a request.
+	 * @param protocol the protocol with its version
+	 * @param method the HTTP method
+	 * @param target the target, as sent
+	 * @param headers all headers, in their order
+	 * @param maxBodyBytes the longest body, in bytes
+	 * @return the refusal with status 400 or 413, or empty if the head keeps the rules
+	 */
+	public static Optional<Refusal> check(String protocol, String method, String target,
+			Iterable<Map.Entry<String, String>> headers, int maxBodyBytes) {
+		if (!protocol.equals(PROTOCOL)) {
+			return Optional.of(malformed("the protocol is " + protocol + " instead of " + PROTOCOL));
+		}
+		if (!isToken(method)) {
+			return Optional.of(malformed("the method \"" + method + "\" is no token"));
+		}
+		if (!target.startsWith("/") || !hasNoControls(target)) {
+			return Optional.of(malformed("the target \"" + target + "\" is not a path"));
+		}
+		Optional<String> problem = checkHeaders(headers);
+		if (problem.isPresent()) {
+			return problem.map(RequestRules::malformed);
+		}
+		return (length(headers) > maxBodyBytes) ? Optional.of(bodyTooLong(maxBodyBytes)) : Optional.empty();
+	}
+
+	/**
+	 * Returns the refusal of a request that cannot be read.
+	 * @param problem a sentence that names the problem
+	 * @return the refusal with status 400
+	 */
+	public static Refusal malformed(String problem) {
+		return Refusal.notRun(400, "malformed_request", problem);
+	}
+
+	/**
+	 * Returns the refusal of a head that is too long.
+	 * @param maxHeadBytes the longest head, in bytes
+	 * @return the refusal with status 431
+	 */
+	public static Refusal headTooLong(int maxHeadBytes) {
+		return Refusal.notRun(431, "head_too_large", "the head is longer than " + maxHeadBytes + " bytes");
+	}
+
+	/**
+	 * Returns the refusal of a body that is too long.
+	 * @param maxBodyBytes the longest body, in bytes
+	 * @return the refusal with status 413
+	 */
+	public static Refusal bodyTooLong(int maxBodyBytes) {
+		return Refusal.notRun(413, "body_too_large", "the body is longer than " + maxBodyBytes + " bytes");
+	}
+
+	// ---- Helpers
+
+	private static Optional<String> checkHeaders(Iterable<Map.Entry<String, String>> headers) {
+		int hosts = 0;
+		int lengths = 0;
+		int encodings = 0;
+		for (Map.Entry<String, String> header : headers) {
+			String name = header.getKey();
+			String value = header.getValue();
+			if (!isToken(name)) {
+				return Optional.of("the name of the header \"" + name + "\" is no token");
+			}
+			if (!hasNoControls(value)) {
+				return Optional.of("the header " + name + " holds control characters");
+			}
+			hosts += name.equalsIgnoreCase("Host") ? 1 : 0;
+			if (name.equalsIgnoreCase(CONTENT_LENGTH)) {
+				lengths++;
+				if (!isNumber(value.strip())) {
+					return Optional
+						.of("the length \"" + value + "\" is no number of up to " + MAX_LENGTH_DIGITS + " digits");
+				}
+			}
+			if (name.equalsIgnoreCase("Transfer-Encoding")) {
+				encodings++;
+				if (!value.strip().equalsIgnoreCase("chunked")) {
+					return Optional.of("the transfer encoding \"" + value + "\" is not chunked");
+				}
+			}
+		}
+		if (hosts != 1) {
+			return Optional.of("the header Host occurs " + hosts + " times");
+		}
+		if (lengths + encodings > 1) {
+			return Optional.of("the length is stated " + lengths + " times by Content-Length and " + encodings
+					+ " times by Transfer-Encoding");
+		}
+		return Optional.empty();
+	}
+
+	private static long length(Iterable<Map.Entry<String, String>> headers) {
+		for (Map.Entry<String, String> header : headers) {
+			if (header.getKey().equalsIgnoreCase(CONTENT_LENGTH)) {
+				return Long.parseLong(header.getValue().strip());
+			}
+		}
+		return 0;
+	}
+
+	private static boolean isToken(String text) {
+		return !text.isEmpty() && text.chars().allMatch((c) -> isLetterOrDigit(c) || (TOKEN_MARKS.indexOf(c) >= 0));
+	}
+
+	private static boolean isLetterOrDigit(int c) {
+		return ((c >= 'a') && (c <= 'z')) || ((c >= 'A') && (c <= 'Z')) || isDigit(c);
+	}
+
+	private static boolean isNumber(String text) {
+		return !text.isEmpty() && (text.length() <= MAX_LENGTH_DIGITS) && text.chars().allMatch(RequestRules::isDigit);
+	}
+
+	private static boolean isDigit(int c) {
+		return (c >= '0') && (c <= '9');
+	}
+
+	private static boolean hasNoControls(String text) {
+		return text.chars().noneMatch((c) -> ((c < ' ') && (c != '\t')) || (c == 0x7f));
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -32,6 +33,7 @@
 import io.netty.util.ReferenceCountUtil;
 
 import org.mangorack.call.Refusal;
+import org.mangorack.http.RequestRules;
 import org.mangorack.observe.Event;
 import org.mangorack.relay.FleetConfiguration.CallerLimits;
 
@@ -251,40 +253,19 @@
 		this.keepAlive = HttpUtil.isKeepAlive(head);
 		this.body = Unpooled.compositeBuffer();
 		enter(State.BODY);
-		String problem = problem(head);
-		if (problem != null) {
-			refuse(Refusal.notRun(400, "malformed_request", problem));
-		}
-		else if (HttpUtil.getContentLength(head, 0L) > this.limits.maxBodyBytes()) {
-			refuse(tooLarge());
+		Optional<Refusal> problem = RequestRules.check(head.protocolVersion().text(), head.method().name(), head.uri(),
+				head.headers(), this.limits.maxBodyBytes());
+		if (problem.isPresent()) {
+			refuse(problem.get());
 		}
 		else if (HttpUtil.is100ContinueExpected(head)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
 	}
 
-	private static String problem(HttpRequest head) {
-		HttpHeaders headers = head.headers();
-		if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-			return "the protocol is " + head.protocolVersion() + " instead of HTTP/1.1";
-		}
-		if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
-			return "the header Host occurs " + headers.getAll(HttpHeaderNames.HOST).size() + " times";
-		}
-		if (!head.uri().startsWith("/")) {
-			return "the target \"" + head.uri() + "\" is not a path";
-		}
-		if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-				&& ((headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() != 1)
-						|| !headers.get(HttpHeaderNames.TRANSFER_ENCODING).equalsIgnoreCase("chunked"))) {
-			return "the transfer encoding \"" + headers.get(HttpHeaderNames.TRANSFER_ENCODING) + "\" is not chunked";
-		}
-		return null;
-	}
-
 	private void readBody(HttpContent content) {
 		if (this.body.readableBytes() + content.content().readableBytes() > this.limits.maxBodyBytes()) {
-			refuse(tooLarge());
+			refuse(RequestRules.bodyTooLong(this.limits.maxBodyBytes()));
 			return;
 		}
 		if (content.content().isReadable()) {
@@ -303,17 +284,10 @@
 		}
 	}
 
-	private Refusal tooLarge() {
-		return Refusal.notRun(413, "body_too_large",
-				"the body is longer than " + this.limits.maxBodyBytes() + " bytes");
-	}
-
 	private void refuseMalformed(Throwable cause) {
 		boolean tooLong = (cause instanceof TooLongHttpHeaderException) || (cause instanceof TooLongHttpLineException);
-		refuse(tooLong
-				? Refusal.notRun(431, "head_too_large",
-						"the head is longer than " + this.limits.maxHeadBytes() + " bytes")
-				: Refusal.notRun(400, "malformed_request", String.valueOf(cause.getMessage())));
+		refuse(tooLong ? RequestRules.headTooLong(this.limits.maxHeadBytes())
+				: RequestRules.malformed(String.valueOf(cause.getMessage())));
 	}
 
 	// Answers a request that was not read whole, after which nothing more can be read.
--- a/mangorack/src/main/java/org/mangorack/relay/CallerDecoder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerDecoder.java
@@ -9,7 +9,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
 /**
- * Decodes requests of callers and refuses those whose length could be read in two ways.
+ * Decodes requests of callers without changing what they say of their length.
  */
 final class CallerDecoder extends HttpRequestDecoder {
 
@@ -33,7 +33,7 @@
 
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+		// Both headers stay, so that the rules for heads refuse the request.
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.mangorack.http.RequestRules;
 import org.mangorack.keeper.ConfigurationRelay.RateLimit;
 
 /**
@@ -171,8 +172,8 @@
 		/**
 		 * Limits before a configuration is known.
 		 */
-		public static final CallerLimits DEFAULT = new CallerLimits(16 * 1024, 4 * 1024 * 1024, Duration.ofSeconds(3),
-				Duration.ofSeconds(15));
+		public static final CallerLimits DEFAULT = new CallerLimits(RequestRules.DEFAULT_MAX_HEAD_BYTES,
+				4 * 1024 * 1024, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
 	}
 
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
@@ -0,0 +1,112 @@
+package org.mangorack.http;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mangorack.call.CallAnswer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link HttpFrontEnd} with requests that it refuses.
+ */
+class HttpFrontEndTests {
+
+	private static final int MAX_BODY_BYTES = 1024;
+
+	private final Queue<String> served = new ConcurrentLinkedQueue<>();
+
+	private HttpFrontEnd server;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = new HttpFrontEnd(new HttpAddress("127.0.0.1", 0), MAX_BODY_BYTES, (call) -> {
+			this.served.add(call.path());
+			return CallAnswer.text(200, new String(call.body(), StandardCharsets.UTF_8));
+		});
+		this.server.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.close();
+	}
+
+	@Test
+	void aSoundRequestIsServed() throws IOException {
+		String answer = exchange("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n"
+				+ "\r\n2\r\nhi\r\n0\r\n\r\n");
+		assertThat(answer).startsWith("HTTP/1.1 200 ").endsWith("hi");
+		assertThat(this.served).containsExactly("/a");
+	}
+
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', value = { "Content-Length: 1\\r\\nTransfer-Encoding: chunked\\r\\n | 400",
+			"Transfer-Encoding: chunked\\r\\nContent-Length: 1\\r\\n | 400",
+			"Content-Length: 1\\r\\nContent-Length: 2\\r\\n | 400", "Content-Length: +1\\r\\n | 400",
+			"Content-Length: -1\\r\\n | 400", "Content-Length: 99999999999999999999\\r\\n | 400",
+			"Transfer-Encoding: gzip, chunked\\r\\n | 400", "Transfer-Encoding: identity\\r\\n | 400",
+			"Transfer-Encoding: chunked\\r\\nTransfer-Encoding: chunked\\r\\n | 400", "Bad Header: x\\r\\n | 400",
+			"Host: another.example\\r\\n | 400", "Content-Length: 10001\\r\\n | 413" })
+	void aRequestWhoseHeadIsUnclearIsRefused(String headers, int status) throws IOException {
+		assertRefused("POST /a HTTP/1.1\r\nHost: h\r\n" + headers.replace("\\r\\n", "\r\n")
+				+ "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n", status);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "\u0001\u0002\u0080\u00ff\u0000\r\n\r\n", "GET\r\n\r\n",
+			"GET /a HTTP/9.9\r\nHost: h\r\n\r\n", "GET /a HTTP/1.0\r\nHost: h\r\n\r\n", "GET /a HTTP/1.1\r\n\r\n",
+			"GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", "G\u0001T /a HTTP/1.1\r\nHost: h\r\n\r\n",
+			"GET /a HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n", "GET /a HTTP/1.1\r\nHost: h\r\nX: \u0001\r\n\r\n" })
+	void aMalformedHeadIsRefused(String request) throws IOException {
+		assertRefused(request, 400);
+	}
+
+	// ---- Helpers
+
+	private void assertRefused(String request, int status) throws IOException {
+		String answer = exchange(request);
+		assertThat(answer).startsWith("HTTP/1.1 " + status + " ")
+			.contains("Content-Type: application/problem+json")
+			.contains("Connection: close")
+			.contains("\"verdict\":\"not_run\"")
+			.containsOnlyOnce("HTTP/1.1 " + status);
+		assertThat(this.served).isEmpty();
+	}
+
+	// Returns all that comes until the server closes the connection.
+	private String exchange(String request) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", this.server.port())) {
+			socket.setSoTimeout(10_000);
+			try {
+				socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+			}
+			catch (SocketException ex) {
+				// The server answered and closed before it read all.
+			}
+			StringBuilder answer = new StringBuilder();
+			try {
+				for (int b = socket.getInputStream().read(); b >= 0; b = socket.getInputStream().read()) {
+					answer.append((char) b);
+				}
+			}
+			catch (SocketException ex) {
+				// Bytes that the server left unread reset the connection after the
+				// answer.
+			}
+			return answer.toString();
+		}
+	}
+
+}
