Bound the heads of requests on the product's own interface

A head of 200,000 bytes was read and answered with 404. The blocking server set no limit for a line nor for the headers together; a head without end was buffered without end.

The request line and the headers together are now at most 16 KiB, as on the other interface before a configuration is known, and longer heads are refused with 431 as problem+json and a closed connection.

Evidence: HttpFrontEndTests#aLongHeaderIsRefused, #aLongRequestLineIsRefused and #manyHeadersAreRefused, all three seen failing before; they pass with the other 22 cases of the class and PooledHttpClientTests.

--- /dev/null
+++ b/mangorack/src/main/java/org/mangorack/http/HeadBuffer.java
@@ -0,0 +1,88 @@
+package org.mangorack.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.io.HttpTransportMetrics;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/**
+ * The lines of one head, of which those after the first are bounded together. Each line
+ * is bounded by the buffer that it is read from.
+ */
+final class HeadBuffer implements SessionInputBuffer {
+
+	private static final int LINE_END_BYTES = 2;
+
+	private final SessionInputBuffer buffer;
+
+	private final int maxBytes;
+
+	private boolean first = true;
+
+	private long bytes;
+
+	/**
+	 * Creates the buffer of a head of which nothing was read.
+	 * @param buffer the bytes that were read ahead
+	 * @param maxBytes the most bytes of the lines after the first
+	 */
+	HeadBuffer(SessionInputBuffer buffer, int maxBytes) {
+		this.buffer = buffer;
+		this.maxBytes = maxBytes;
+	}
+
+	@Override
+	public int length() {
+		return this.buffer.length();
+	}
+
+	@Override
+	public int capacity() {
+		return this.buffer.capacity();
+	}
+
+	@Override
+	public int available() {
+		return this.buffer.available();
+	}
+
+	@Override
+	public int read(byte[] target, int offset, int length, InputStream in) throws IOException {
+		return this.buffer.read(target, offset, length, in);
+	}
+
+	@Override
+	public int read(byte[] target, InputStream in) throws IOException {
+		return this.buffer.read(target, in);
+	}
+
+	@Override
+	public int read(InputStream in) throws IOException {
+		return this.buffer.read(in);
+	}
+
+	@Override
+	public int readLine(CharArrayBuffer line, InputStream in) throws IOException {
+		int before = line.length();
+		int result = this.buffer.readLine(line, in);
+		int read = line.length() - before;
+		if (!this.first) {
+			this.bytes += read + LINE_END_BYTES;
+		}
+		if (this.bytes > this.maxBytes) {
+			throw new MessageConstraintException("the headers are longer than " + this.maxBytes + " bytes");
+		}
+		// Empty lines may come before the request line.
+		this.first &= (read == 0);
+		return result;
+	}
+
+	@Override
+	public HttpTransportMetrics getMetrics() {
+		return this.buffer.getMetrics();
+	}
+
+}
--- a/mangorack/src/main/java/org/mangorack/http/HeadParser.java
+++ b/mangorack/src/main/java/org/mangorack/http/HeadParser.java
@@ -21,15 +21,19 @@
  */
 final class HeadParser extends DefaultHttpRequestParser {
 
+	private final int maxHeadBytes;
+
 	private final int maxBodyBytes;
 
 	/**
 	 * Creates a parser.
 	 * @param config the limits of lines
+	 * @param maxHeadBytes the longest request line, and the longest headers together
 	 * @param maxBodyBytes the longest body that a head may announce
 	 */
-	HeadParser(Http1Config config, int maxBodyBytes) {
+	HeadParser(Http1Config config, int maxHeadBytes, int maxBodyBytes) {
 		super(config);
+		this.maxHeadBytes = maxHeadBytes;
 		this.maxBodyBytes = maxBodyBytes;
 	}
 
@@ -44,7 +48,7 @@
 	 */
 	@Override
 	public ClassicHttpRequest parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
-		ClassicHttpRequest head = super.parse(buffer, in);
+		ClassicHttpRequest head = super.parse(new HeadBuffer(buffer, this.maxHeadBytes), in);
 		if (head != null) {
 			check(head);
 		}
--- a/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
@@ -22,6 +22,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnectionFactory;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
@@ -89,7 +90,9 @@
 		this.server = new HttpServer(address.port(), new RefusingService(RequestRules.DEFAULT_MAX_HEAD_BYTES, chain),
 				InetAddress.getByName(address.host()), sockets, null,
 				DefaultBHttpServerConnectionFactory.builder()
-					.requestParserFactory((config) -> new HeadParser(config, maxBodyBytes))
+					.http1Config(Http1Config.custom().setMaxLineLength(RequestRules.DEFAULT_MAX_HEAD_BYTES).build())
+					.requestParserFactory(
+							(config) -> new HeadParser(config, RequestRules.DEFAULT_MAX_HEAD_BYTES, maxBodyBytes))
 					.build(),
 				null, null, new QuietListener());
 	}
--- a/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
@@ -73,6 +73,21 @@
 		assertRefused(request, 400);
 	}
 
+	@Test
+	void aLongHeaderIsRefused() throws IOException {
+		assertRefused("GET /a HTTP/1.1\r\nHost: h\r\nX: " + "x".repeat(200_000) + "\r\n\r\n", 431);
+	}
+
+	@Test
+	void aLongRequestLineIsRefused() throws IOException {
+		assertRefused("GET /" + "x".repeat(200_000) + " HTTP/1.1\r\nHost: h\r\n\r\n", 431);
+	}
+
+	@Test
+	void manyHeadersAreRefused() throws IOException {
+		assertRefused("GET /a HTTP/1.1\r\nHost: h\r\n" + ("X: " + "x".repeat(100) + "\r\n").repeat(2000) + "\r\n", 431);
+	}
+
 	// ---- Helpers
 
 	private void assertRefused(String request, int status) throws IOException {
