Refuse a segment that is not Base64 by its name

JournalReader got an IllegalArgumentException, instead of the documented IOException with the name of the segment, for a segment whose text is not Base64.

--- a/mangorack/src/main/java/org/mangorack/journal/SegmentCodec.java
+++ b/mangorack/src/main/java/org/mangorack/journal/SegmentCodec.java
@@ -32,11 +32,11 @@
 	}
 
 	static Segment decode(String name, JsonNode spec) throws IOException {
-		byte[] bytes = Base64.getDecoder().decode(spec.path(DATA).asText());
 		try {
+			byte[] bytes = Base64.getDecoder().decode(spec.path(DATA).asText());
 			return Segment.parseFrom(Compression.decompress(bytes, MAX_BYTES));
 		}
-		catch (IOException ex) {
+		catch (IOException | IllegalArgumentException ex) {
 			throw new IOException("segment " + name + " cannot be read: " + ex.getMessage(), ex);
 		}
 	}
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/fuzz/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Damaged inputs for the tests of decoders.
+ */
+package org.mangorack.fuzz;
