Report settings that are nested too deep or name no path

A settings file or a file of the configuration folder that is nested more than a thousand levels deep ended the command with a NullPointerException: the parser reports this limit without a place. A file name with a NUL ended it with an InvalidPathException. Both are problems of the file or field now.

Evidence: SettingsFuzzTests, three cases seen failing before; they pass with SettingsTests and ConfigurationFolderTests.

--- a/mangorack/src/main/java/org/mangorack/config/ConfigurationFolder.java
+++ b/mangorack/src/main/java/org/mangorack/config/ConfigurationFolder.java
@@ -76,8 +76,7 @@
 			}
 		}
 		catch (JsonProcessingException ex) {
-			this.problems.add(new Problem(name, "$", null, "is not valid JSON: " + ex.getOriginalMessage() + " at line "
-					+ ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr()));
+			this.problems.addMalformed(name, ex);
 		}
 		catch (IOException ex) {
 			this.problems.add(new Problem(name, "$", null, "cannot be read: " + ex.getMessage()));
--- a/mangorack/src/main/java/org/mangorack/config/Problems.java
+++ b/mangorack/src/main/java/org/mangorack/config/Problems.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
@@ -46,6 +48,19 @@
 		this.list.add(problem);
 	}
 
+	/**
+	 * Adds the problem of a file that is not valid JSON.
+	 * @param name the file
+	 * @param cause the failure of the parser
+	 */
+	public void addMalformed(String name, JsonProcessingException cause) {
+		JsonLocation location = cause.getLocation();
+		// Limits of the parser, such as that of nesting, are reported without a place.
+		String place = (location != null) ? (" at line " + location.getLineNr() + ", column " + location.getColumnNr())
+				: "";
+		this.list.add(new Problem(name, "$", null, "is not valid JSON: " + cause.getOriginalMessage() + place));
+	}
+
 	/**
 	 * Tells whether there are no problems.
 	 * @return {@code true} if nothing was added
--- a/mangorack/src/main/java/org/mangorack/config/Settings.java
+++ b/mangorack/src/main/java/org/mangorack/config/Settings.java
@@ -50,8 +50,7 @@
 			json = Jsons.parse(Files.readAllBytes(file));
 		}
 		catch (JsonProcessingException ex) {
-			problems.add("$", null, "is not valid JSON: " + ex.getOriginalMessage() + " at line "
-					+ ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr());
+			problems.addMalformed(file.toString(), ex);
 			return Either.left(problems.sorted());
 		}
 		catch (IOException ex) {
@@ -77,7 +76,7 @@
 		String operatorKey = secret(reader, "operatorKeyFile", folder);
 		String peerSecret = secret(reader, "peerSecretFile", folder);
 		PeerTls peerTls = reader.has("peerTls") ? PeerTls.read(reader.object("peerTls"), folder) : null;
-		Path dataFolder = reader.has("dataFolder") ? folder.resolve(reader.text("dataFolder")) : null;
+		Path dataFolder = reader.has("dataFolder") ? path(reader, "dataFolder", folder) : null;
 		if ((dataFolder != null) && !Files.isDirectory(dataFolder)) {
 			reader.refuse("dataFolder", "is not a folder");
 		}
@@ -85,13 +84,17 @@
 				peerTls, dataFolder);
 	}
 
+	private static Path path(ObjectReader reader, String field, Path folder) {
+		return reader.parsed(field, folder::resolve, null);
+	}
+
 	private static String secret(ObjectReader reader, String field, Path folder) {
-		String name = reader.text(field);
-		if (name.isEmpty()) {
+		Path file = path(reader, field, folder);
+		if (file == null) {
 			return "";
 		}
 		try {
-			String secret = Files.readString(folder.resolve(name)).strip();
+			String secret = Files.readString(file).strip();
 			if (secret.length() < MIN_SECRET_LENGTH) {
 				reader.refuse(field, "names a file with fewer than " + MIN_SECRET_LENGTH + " characters");
 			}
@@ -141,8 +144,8 @@
 		}
 
 		private static Path file(ObjectReader reader, String field, Path folder) {
-			Path file = folder.resolve(reader.text(field));
-			if (!Files.isRegularFile(file)) {
+			Path file = path(reader, field, folder);
+			if ((file != null) && !Files.isRegularFile(file)) {
 				reader.refuse(field, "names a file that does not exist");
 			}
 			return file;
