Name the file that is no segment of the log

A file such as "copy of 1.log" in the folder of the log ended the start of a keeper with a NumberFormatException instead of the documented IOException. It is refused by its name now. Damaged segments, entries with a sound checksum and views are fuzzed; they brought no other fault.

Evidence: DiskFuzzTests#aFileThatIsNoSegmentIsRefusedByItsName seen failing.

--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -61,18 +61,22 @@
 	 * Opens the log. Earlier segments are read by {@link #replay(BiConsumer)}.
 	 * @param folder the folder of the segments
 	 * @param completions runs the callbacks of appends
-	 * @throws IOException if the folder cannot be read
+	 * @throws IOException if the folder cannot be read or holds a file whose name is that
+	 * of no segment
 	 */
 	RecordLog(Path folder, Consumer<Runnable> completions) throws IOException {
 		this.folder = folder;
 		this.completions = completions;
 		Files.createDirectories(folder);
 		try (Stream<Path> files = Files.list(folder)) {
-			files.map((file) -> file.getFileName().toString())
+			List<String> names = files.map((file) -> file.getFileName().toString())
 				.filter((name) -> name.endsWith(SUFFIX))
-				.map((name) -> Long.parseLong(name.substring(0, name.length() - SUFFIX.length())))
-				.sorted()
-				.forEach(this.older::add);
+				.toList();
+			List<Long> numbers = new ArrayList<>();
+			for (String name : names) {
+				numbers.add(number(name));
+			}
+			numbers.stream().sorted().forEach(this.older::add);
 		}
 		this.segment = this.older.isEmpty() ? 1 : (this.older.peekLast() + 1);
 		this.writer = new Thread(this::writeAll, "log-writer");
@@ -176,6 +180,15 @@
 
 	// ---- Helpers
 
+	private long number(String name) throws IOException {
+		try {
+			return Long.parseLong(name.substring(0, name.length() - SUFFIX.length()));
+		}
+		catch (NumberFormatException ex) {
+			throw new IOException("file \"" + name + "\" of folder " + this.folder + " is no segment", ex);
+		}
+	}
+
 	private Path file(long number) {
 		return this.folder.resolve(String.format("%010d", number) + SUFFIX);
 	}
