Bound the frames of links between instances and to keepers

A connection that announced a frame of up to 2 GiB, also before its greeting, made the instance buffer all that it sent: the decoder of frames has no limit of its own. Frames are now at most 128 MiB, and a longer one closes the connection at once. A link that fails is logged with the cause, which was swallowed between instances.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -46,6 +46,11 @@
 	 */
 	static final Duration SILENCE_LIMIT = Duration.ofMillis(800);
 
+	/**
+	 * The most bytes of a request or reply. A longer one closes the connection.
+	 */
+	static final int MAX_FRAME_BYTES = 128 * 1024 * 1024;
+
 	private static final Duration RECONNECT_DELAY = Duration.ofMillis(150);
 
 	private static final int CONNECT_TIMEOUT_MS = 500;
@@ -93,7 +98,7 @@
 				@Override
 				protected void initChannel(SocketChannel ch) {
 					ch.pipeline()
-						.addLast(new ReadActivity(), new ProtobufVarint32FrameDecoder(),
+						.addLast(new ReadActivity(), new ProtobufVarint32FrameDecoder(MAX_FRAME_BYTES),
 								new ProtobufDecoder(Reply.getDefaultInstance()),
 								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
 				}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -134,7 +134,8 @@
 				protected void initChannel(SocketChannel ch) {
 					KeeperService.this.connections.add(ch);
 					ch.pipeline()
-						.addLast(new ProtobufVarint32FrameDecoder(), new ProtobufDecoder(Request.getDefaultInstance()),
+						.addLast(new ProtobufVarint32FrameDecoder(KeeperLink.MAX_FRAME_BYTES),
+								new ProtobufDecoder(Request.getDefaultInstance()),
 								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
 				}
 			});
--- a/mangorack/src/main/java/org/mangorack/member/PeerLink.java
+++ b/mangorack/src/main/java/org/mangorack/member/PeerLink.java
@@ -163,6 +163,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		EventLog.log(Event.PEER_LOST, "peer", this.peer, "address", context.channel().remoteAddress(), "cause", cause);
 		context.close();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
+++ b/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
@@ -56,6 +56,11 @@
 	 */
 	public static final Duration CONTACT_LIMIT = Duration.ofMillis(1500);
 
+	/**
+	 * The most bytes of a frame. A longer one closes the link.
+	 */
+	static final int MAX_FRAME_BYTES = 128 * 1024 * 1024;
+
 	private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
@@ -326,7 +331,7 @@
 					: new PeerLink(PeerLinks.this, PeerLinks.this.traffic, false, null);
 			PeerLinks.this.security.protect(channel, channel.pipeline(), this.link != null);
 			channel.pipeline()
-				.addLast(new ProtobufVarint32FrameDecoder())
+				.addLast(new ProtobufVarint32FrameDecoder(MAX_FRAME_BYTES))
 				.addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
 				.addLast(new ProtobufVarint32LengthFieldPrepender())
 				.addLast(new ProtobufEncoder())
--- a/mangorack/src/test/java/org/mangorack/member/PeerLinksTests.java
+++ b/mangorack/src/test/java/org/mangorack/member/PeerLinksTests.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,6 +13,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -22,6 +25,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.CallAnswer;
 import org.mangorack.call.Verdict;
@@ -88,6 +92,23 @@
 			.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
 	}
 
+	// Lengths of 129 MiB and -1, as the frames of links state them.
+	@ParameterizedTest
+	@ValueSource(strings = { "80808041", "ffffffff0f" })
+	void aFrameOfTooManyBytesClosesItsConnection(String length) throws Exception {
+		HttpAddress address = freeAddress();
+		PeerLinks b = start("b", "secret", null, address);
+		PeerLinks a = start("a", "secret", null, freeAddress());
+		awaitContact(a, b, address);
+		try (Socket socket = new Socket(address.host(), address.port())) {
+			socket.setSoTimeout((int) LIMIT.toMillis());
+			socket.getOutputStream().write(HexFormat.of().parseHex(length));
+			socket.getOutputStream().write(new byte[100]);
+			assertThat(readToEnd(socket)).isEmpty();
+		}
+		assertThat(echo(a, "b", "x")).isEqualTo("from a: x");
+	}
+
 	@ParameterizedTest(name = "{0}")
 	@CsvSource({ "wrong secret, a, other, a", "unknown certificate, a, secret, stranger",
 			"certificate of another instance, c, secret, a" })
@@ -181,6 +202,16 @@
 		}
 	}
 
+	private static byte[] readToEnd(Socket socket) throws IOException {
+		try {
+			return socket.getInputStream().readAllBytes();
+		}
+		catch (SocketException ex) {
+			// Closed with bytes that were not read.
+			return new byte[0];
+		}
+	}
+
 	private static void pause(long millis) {
 		try {
 			TimeUnit.MILLISECONDS.sleep(millis);
