Emulate engines, plain services and entries on a virtual clock, and compare placement policies there

The entries' choice is the product's own code, opened for it: UpstreamChoice over UpstreamCandidate, with the rule for calls that belong together, and Avoidance. Its decisions are unchanged; UpstreamChoiceTests changed in types only.

MixedLoadMeasurements draws with the shared chart and was only compiled.

--- a/bench/src/main/java/org/mangorack/bench/BenchMain.java
+++ b/bench/src/main/java/org/mangorack/bench/BenchMain.java
@@ -10,6 +10,7 @@
 import org.mangorack.bench.StandInCommands.EngineCommand;
 import org.mangorack.bench.StandInCommands.PlatformCommand;
 import org.mangorack.bench.StandInCommands.ServiceCommand;
+import org.mangorack.bench.emulator.ExperimentCommand;
 import org.mangorack.bench.load.DemoCommand;
 import org.mangorack.bench.load.OverheadCommand;
 
@@ -23,7 +24,8 @@
 			@SubCommand(name = "engine", impl = EngineCommand.class),
 			@SubCommand(name = "service", impl = ServiceCommand.class),
 			@SubCommand(name = "demo", impl = DemoCommand.class),
-			@SubCommand(name = "overhead", impl = OverheadCommand.class) })
+			@SubCommand(name = "overhead", impl = OverheadCommand.class),
+			@SubCommand(name = "experiment", impl = ExperimentCommand.class) })
 	private BenchCommand command;
 
 	private BenchMain() {
--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/emulator/Entry.java
@@ -0,0 +1,175 @@
+package org.mangorack.bench.emulator;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.mangorack.bench.emulator.load.PlannedCall;
+import org.mangorack.relay.RoutePaces;
+
+/**
+ * An entry: places calls by a policy, and sends those that did not run, or may run more
+ * than once, to another upstream.
+ */
+final class Entry {
+
+	private final VirtualClock clock;
+
+	private final String dataCentre;
+
+	private final Placement placement;
+
+	private final int attempts;
+
+	private final long distanceNanos;
+
+	private final RoutePaces paces = new RoutePaces();
+
+	private final List<KnownUpstream> engines;
+
+	private final List<KnownUpstream> services;
+
+	private final List<KnownUpstream> upstreams;
+
+	/**
+	 * Creates an entry.
+	 * @param clock the clock
+	 * @param dataCentre its data centre
+	 * @param placement the policy
+	 * @param attempts to how many upstreams a call is sent at most
+	 * @param distanceNanos the way to another data centre and back, in nanoseconds
+	 * @param engines the engines
+	 * @param services the servers of plain services
+	 */
+	Entry(VirtualClock clock, String dataCentre, Placement placement, int attempts, long distanceNanos,
+			List<? extends EmulatedUpstream> engines, List<? extends EmulatedUpstream> services) {
+		this.clock = clock;
+		this.dataCentre = dataCentre;
+		this.placement = placement;
+		this.attempts = attempts;
+		this.distanceNanos = distanceNanos;
+		this.engines = engines.stream().map(KnownUpstream::new).toList();
+		this.services = services.stream().map(KnownUpstream::new).toList();
+		this.upstreams = Stream.concat(this.engines.stream(), this.services.stream()).toList();
+	}
+
+	/**
+	 * Returns the upstreams as this entry sees them.
+	 * @return engines, then servers of plain services, in the order of the fleet
+	 */
+	List<KnownUpstream> upstreams() {
+		return this.upstreams;
+	}
+
+	/**
+	 * Takes a call.
+	 * @param call the call
+	 * @param affinity names its program
+	 * @param result takes what becomes of it
+	 */
+	void submit(PlannedCall call, String affinity, CallResult result) {
+		new Relayed(call, call.isTurn() ? affinity : null, result).send();
+	}
+
+	/**
+	 * A call on its way.
+	 */
+	private final class Relayed {
+
+		private final PlannedCall call;
+
+		private final String affinity;
+
+		private final CallResult result;
+
+		private final long deadline;
+
+		private final Set<KnownUpstream> tried = new HashSet<>();
+
+		private Relayed(PlannedCall call, String affinity, CallResult result) {
+			this.call = call;
+			this.affinity = affinity;
+			this.result = result;
+			this.deadline = Entry.this.clock.nanoTime() + call.deadlineNanos();
+		}
+
+		private void send() {
+			List<KnownUpstream> candidates = candidates();
+			if (candidates.isEmpty()) {
+				this.result.ended(CallOutcome.FULL);
+				return;
+			}
+			long now = Entry.this.clock.nanoTime();
+			KnownUpstream chosen = Entry.this.placement.choose(candidates, this.affinity, now);
+			this.tried.add(chosen);
+			chosen.began();
+			long way = chosen.dataCentre().equals(Entry.this.dataCentre) ? 0 : (Entry.this.distanceNanos / 2);
+			Entry.this.clock.after(way,
+					() -> chosen.upstream().submit(this.call, this.deadline, new Sent(this, chosen, now, way)));
+		}
+
+		private List<KnownUpstream> candidates() {
+			List<KnownUpstream> pool = this.call.isTurn() ? Entry.this.engines : Entry.this.services;
+			return pool.stream().filter((u) -> !u.isLeaving() && !this.tried.contains(u)).toList();
+		}
+
+		private Entry entry() {
+			return Entry.this;
+		}
+
+		private void ended(KnownUpstream upstream, CallOutcome outcome) {
+			upstream.ended(outcome, Entry.this.clock.nanoTime());
+			if (outcome.allowsRetry(this.call.repeatable()) && (this.tried.size() < Entry.this.attempts)
+					&& !candidates().isEmpty()) {
+				send();
+			}
+			else {
+				this.result.ended(outcome);
+			}
+		}
+
+	}
+
+	/**
+	 * An attempt under way.
+	 *
+	 * @param relayed the call
+	 * @param upstream the upstream that was chosen
+	 * @param sentAt when it was sent, in nanoseconds
+	 * @param wayNanos the way from the upstream back, in nanoseconds
+	 */
+	private record Sent(Relayed relayed, KnownUpstream upstream, long sentAt,
+			long wayNanos) implements AttemptListener {
+
+		@Override
+		public void firstEvent() {
+			clock().after(this.wayNanos, () -> {
+				Duration time = Duration.ofNanos(clock().nanoTime() - this.sentAt);
+				this.upstream.answered(entry().paces.pace(this.relayed.call.route(), time));
+				this.relayed.result.firstEvent();
+			});
+		}
+
+		@Override
+		public void ended(CallOutcome outcome) {
+			clock().after(this.wayNanos, () -> this.relayed.ended(this.upstream, outcome));
+		}
+
+		@Override
+		public void wouldHaveBegun(long firstEventNanos) {
+			this.relayed.result.wouldHaveAnswered(clock().nanoTime() + firstEventNanos + this.wayNanos);
+		}
+
+		private VirtualClock clock() {
+			return entry().clock;
+		}
+
+		private Entry entry() {
+			return this.relayed.entry();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/emulator/Fleet.java
@@ -0,0 +1,112 @@
+package org.mangorack.bench.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.mangorack.bench.emulator.load.LoadShape;
+import org.mangorack.bench.emulator.load.LoadShape.Fault;
+import org.mangorack.call.UpstreamId;
+import org.mangorack.keeper.UpstreamPaces;
+
+/**
+ * Entries and upstreams. Entries hear of each other's calls at intervals, each at its own
+ * times.
+ */
+final class Fleet {
+
+	private final VirtualClock clock;
+
+	private final LoadShape shape;
+
+	private final PromptReads reads = new PromptReads();
+
+	private final UpstreamPaces paces;
+
+	private final List<Engine> engines = new ArrayList<>();
+
+	private final List<PlainService> services = new ArrayList<>();
+
+	private final List<Entry> entries = new ArrayList<>();
+
+	/**
+	 * Creates a fleet and schedules its faults.
+	 * @param clock the clock
+	 * @param shape its size
+	 * @param policy how its entries choose among upstreams
+	 * @param seed the seed of the experiment
+	 */
+	Fleet(VirtualClock clock, LoadShape shape, PlacementPolicy policy, long seed) {
+		this.clock = clock;
+		this.shape = shape;
+		this.paces = new UpstreamPaces(clock);
+		createUpstreams(RandomPurpose.UPSTREAM.stream(seed), RandomPurpose.FAILURE.stream(seed));
+		createEntries(policy, RandomPurpose.PLACEMENT.stream(seed));
+		shape.faults().forEach(this::schedule);
+	}
+
+	// ---- Accessors
+
+	Entry entry(int number) {
+		return this.entries.get(number);
+	}
+
+	List<Engine> engines() {
+		return List.copyOf(this.engines);
+	}
+
+	PromptReads reads() {
+		return this.reads;
+	}
+
+	// ---- Helpers
+
+	private void createUpstreams(SplittableRandom random, SplittableRandom failures) {
+		for (int i = 0; i < this.shape.engines().count(); i++) {
+			this.engines.add(new Engine(this.clock, new UpstreamId("engine-" + i), dataCentre(i), this.shape.engines(),
+					this.reads, failures.split()));
+		}
+		for (int i = 0; i < this.shape.services().count(); i++) {
+			double speed = 1 + (random.nextDouble() * this.shape.services().speedSpread());
+			this.services.add(new PlainService(this.clock, new UpstreamId("service-" + i), dataCentre(i),
+					this.shape.services(), speed, failures.split()));
+		}
+	}
+
+	private void createEntries(PlacementPolicy policy, SplittableRandom random) {
+		long distance = Math.round(this.shape.distanceMillis() * 1e6);
+		long refresh = Math.round(this.shape.refreshMillis() * 1e6);
+		for (int i = 0; i < this.shape.entries(); i++) {
+			Entry entry = new Entry(this.clock, dataCentre(i), policy.placement(random.split(), dataCentre(i)),
+					this.shape.attempts(), distance, this.engines, this.services);
+			this.entries.add(entry);
+			this.clock.every(random.nextLong(refresh), refresh, () -> refresh(entry));
+		}
+	}
+
+	private String dataCentre(int number) {
+		return "dc" + (number % this.shape.dataCentres());
+	}
+
+	private void schedule(Fault fault) {
+		EmulatedUpstream upstream = fault.engine() ? this.engines.get(fault.upstream())
+				: this.services.get(fault.upstream());
+		this.clock.at(Math.round(fault.fromSeconds() * 1e9), () -> fault.kind().set(upstream, fault.degree()));
+		this.clock.at(Math.round(fault.untilSeconds() * 1e9), () -> fault.kind().clear(upstream));
+	}
+
+	private void refresh(Entry entry) {
+		entry.upstreams().forEach((u) -> this.paces.add(u.takeLoad()));
+		Map<String, Double> notable = this.paces.all();
+		for (int i = 0; i < entry.upstreams().size(); i++) {
+			KnownUpstream own = entry.upstreams().get(i);
+			int calls = -own.underWay();
+			for (Entry other : this.entries) {
+				calls += other.upstreams().get(i).underWay();
+			}
+			own.refresh(calls, notable.getOrDefault(own.id(), 1.0));
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/emulator/PlacementPolicy.java
@@ -0,0 +1,106 @@
+package org.mangorack.bench.emulator;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.random.RandomGenerator;
+
+import io.vavr.collection.Stream;
+import io.vavr.control.Either;
+
+import org.mangorack.relay.UpstreamChoice;
+
+/**
+ * How entries choose among upstreams. All but those that ask {@link UpstreamChoice} are
+ * baselines, which do not leave failing upstreams aside.
+ */
+public enum PlacementPolicy {
+
+	/** Any upstream. */
+	RANDOM {
+		@Override
+		Placement placement(RandomGenerator random, String dataCentre) {
+			return (candidates, affinity, now) -> candidates.get(random.nextInt(candidates.size()));
+		}
+	},
+
+	/** The upstream with the fewest calls for its slots. */
+	LEAST_LOADED {
+		@Override
+		Placement placement(RandomGenerator random, String dataCentre) {
+			return (candidates, affinity, now) -> leastLoaded(candidates, random);
+		}
+	},
+
+	/**
+	 * The least loaded upstream, but the home of a program while that has a free slot.
+	 */
+	LEAST_LOADED_AFFINITY {
+		@Override
+		Placement placement(RandomGenerator random, String dataCentre) {
+			return (candidates, affinity, now) -> {
+				KnownUpstream home = (affinity != null) ? UpstreamChoice.home(candidates, affinity) : null;
+				return ((home != null) && (home.load() < 1)) ? home : leastLoaded(candidates, random);
+			};
+		}
+	},
+
+	/** What entries do for calls of no object. */
+	BEST_OF_THREE {
+		@Override
+		Placement placement(RandomGenerator random, String dataCentre) {
+			UpstreamChoice<KnownUpstream> choice = new UpstreamChoice<>(random, dataCentre);
+			return (candidates, affinity, now) -> choice.choose(candidates, null, now);
+		}
+	},
+
+	/** What entries do for calls of an object. */
+	BEST_OF_THREE_AFFINITY {
+		@Override
+		Placement placement(RandomGenerator random, String dataCentre) {
+			return new UpstreamChoice<KnownUpstream>(random, dataCentre)::choose;
+		}
+	};
+
+	/**
+	 * Finds a policy by its name.
+	 * @param text the name, such as {@code least-loaded}
+	 * @return the policy, or what is wrong with the name
+	 */
+	public static Either<String, PlacementPolicy> parse(String text) {
+		return Stream.of(values())
+			.find((policy) -> policy.label().equals(text))
+			.toEither(() -> "there is no policy " + text + ", only "
+					+ String.join(", ", Arrays.stream(values()).map(PlacementPolicy::label).toList()));
+	}
+
+	/**
+	 * Returns the name of the policy on the command line and in tables.
+	 * @return the name
+	 */
+	public String label() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+	/**
+	 * Creates the placement of an entry.
+	 * @param random the source of randomness
+	 * @param dataCentre the data centre of the entry
+	 * @return the placement
+	 */
+	abstract Placement placement(RandomGenerator random, String dataCentre);
+
+	// The first of a random turn of the list, so that equals are taken in no fixed order.
+	private static KnownUpstream leastLoaded(List<KnownUpstream> candidates, RandomGenerator random) {
+		int first = random.nextInt(candidates.size());
+		KnownUpstream least = candidates.get(first);
+		for (int i = 1; i < candidates.size(); i++) {
+			KnownUpstream next = candidates.get((first + i) % candidates.size());
+			if (next.load() < least.load()) {
+				least = next;
+			}
+		}
+		return least;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/plot/BarChart.java
@@ -0,0 +1,66 @@
+package org.mangorack.bench.plot;
+
+import java.awt.geom.Rectangle2D;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.plot.PlotOrientation;
+import org.jfree.data.category.DefaultCategoryDataset;
+import org.jfree.svg.SVGGraphics2D;
+
+/**
+ * A chart of horizontal bars, grouped by what was measured. Not thread-safe.
+ */
+public final class BarChart {
+
+	private static final int WIDTH = 900;
+
+	private static final int HEIGHT_FOR_AXES = 120;
+
+	private static final int HEIGHT_OF_BAR = 22;
+
+	private final DefaultCategoryDataset values = new DefaultCategoryDataset();
+
+	private final String title;
+
+	private final String axis;
+
+	/**
+	 * Creates an empty chart.
+	 * @param title the title
+	 * @param axis the name of the values with their unit
+	 */
+	public BarChart(String title, String axis) {
+		this.title = title;
+		this.axis = axis;
+	}
+
+	/**
+	 * Adds a bar.
+	 * @param group what was measured
+	 * @param series the figure, such as a percentile
+	 * @param value the length of the bar
+	 */
+	public void add(String group, String series, double value) {
+		this.values.addValue(value, series, group);
+	}
+
+	/**
+	 * Writes the chart as SVG, over a file of the same name.
+	 * @param file the file
+	 * @throws IOException if it cannot be written
+	 */
+	public void write(Path file) throws IOException {
+		JFreeChart chart = ChartFactory.createBarChart(this.title, null, this.axis, this.values,
+				PlotOrientation.HORIZONTAL, true, false, false);
+		int height = HEIGHT_FOR_AXES + (HEIGHT_OF_BAR * this.values.getRowCount() * this.values.getColumnCount());
+		SVGGraphics2D graphics = new SVGGraphics2D(WIDTH, height);
+		graphics.setDefsKeyPrefix("chart");
+		chart.draw(graphics, new Rectangle2D.Double(0, 0, WIDTH, height));
+		Files.writeString(file, graphics.getSVGDocument());
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/mangorack/bench/plot/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Plots of measurements.
+ */
+package org.mangorack.bench.plot;
--- a/bench/src/test/java/org/mangorack/bench/MixedLoadMeasurements.java
+++ b/bench/src/test/java/org/mangorack/bench/MixedLoadMeasurements.java
@@ -1,14 +1,11 @@
 package org.mangorack.bench;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -20,6 +17,7 @@
 
 import org.mangorack.bench.MixedLoad.Shape;
 import org.mangorack.bench.load.CallerClient;
+import org.mangorack.bench.plot.BarChart;
 import org.mangorack.bench.standin.EngineStandIn;
 import org.mangorack.bench.standin.EngineStandIn.Timing;
 
@@ -40,7 +38,7 @@
 
 	private static final String GREEDY = "w0";
 
-	private static final List<Bar> BARS = new ArrayList<>();
+	private static final BarChart CHART = new BarChart("Latency of programs of modest workspaces", "milliseconds");
 
 	@TempDir
 	Path folder;
@@ -78,22 +76,7 @@
 
 	@AfterAll
 	static void plot() throws IOException {
-		double most = BARS.stream().mapToDouble(Bar::p99).max().orElse(1);
-		StringBuilder svg = new StringBuilder("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"900\" height=\"")
-			.append(BARS.size() * 26 + 30)
-			.append("\" font-family=\"sans-serif\" font-size=\"12\">\n");
-		int y = 20;
-		for (Bar bar : BARS) {
-			svg.append(String.format(Locale.ROOT,
-					"<text x=\"4\" y=\"%d\">%s</text><rect x=\"270\" y=\"%d\" width=\"%.0f\" height=\"14\""
-							+ " fill=\"#cdd\"/><rect x=\"270\" y=\"%d\" width=\"%.0f\" height=\"14\" fill=\"#377\"/>"
-							+ "<text x=\"%.0f\" y=\"%d\">p50 %.0f, p99 %.0f ms</text>%n",
-					y, bar.name(), y - 11, bar.p99() / most * 450, y - 11, bar.p50() / most * 450,
-					275 + (bar.p99() / most * 450), y, bar.p50(), bar.p99()));
-			y += 26;
-		}
-		Files.writeString(Path.of("target/mixed-load.svg"), svg.append("</svg>\n"), StandardOpenOption.CREATE,
-				StandardOpenOption.TRUNCATE_EXISTING);
+		CHART.write(Path.of("target/mixed-load.svg"));
 	}
 
 	// ---- Helpers
@@ -164,7 +147,8 @@
 		long computed = engines.stream().mapToLong(EngineStandIn::computedTokens).sum();
 		double p50 = percentile(modest, 0.5);
 		double p99 = percentile(modest, 0.99);
-		BARS.add(new Bar(deployment + " " + name, p50, p99));
+		CHART.add(deployment + " " + name, "p50", p50);
+		CHART.add(deployment + " " + name, "p99", p99);
 		System.out.printf(
 				"MEASURED %-10s %-24s programs %4d  modest p50 %6.0f ms  p99 %6.0f ms  worst workspace p50"
 						+ " %6.0f ms  greedy p50 %6.0f ms  recomputed %4.0f%%  refused %d%n",
@@ -177,14 +161,4 @@
 				: sorted.get(Math.min(sorted.size() - 1, (int) (share * sorted.size())));
 	}
 
-	/**
-	 * A bar of the plot.
-	 *
-	 * @param name what was measured
-	 * @param p50 the median latency of modest workspaces, in milliseconds
-	 * @param p99 their 99th percentile, in milliseconds
-	 */
-	private record Bar(String name, double p50, double p99) {
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/UpstreamPaces.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/UpstreamPaces.java
@@ -11,7 +11,7 @@
  * How long the answers of upstreams took lately, over all entries: one entry of a large
  * fleet asks an upstream too seldom to notice that it became slow. Used by one thread.
  */
-final class UpstreamPaces {
+public final class UpstreamPaces {
 
 	/**
 	 * Weight of one answer against those before it: some ten answers make up the average.
@@ -33,7 +33,11 @@
 
 	private final Map<String, Pace> paces = new HashMap<>();
 
-	UpstreamPaces(MonotonicClock clock) {
+	/**
+	 * Creates an empty table.
+	 * @param clock the clock
+	 */
+	public UpstreamPaces(MonotonicClock clock) {
 		this.clock = clock;
 	}
 
@@ -41,7 +45,7 @@
 	 * Takes over answers.
 	 * @param load the answers of one upstream to one entry
 	 */
-	void add(Load load) {
+	public void add(Load load) {
 		if (load.getAnswers() == 0) {
 			return;
 		}
@@ -56,7 +60,7 @@
 	 * Returns the paces that differ from the usual one.
 	 * @return the paces by upstream
 	 */
-	Map<String, Double> all() {
+	public Map<String, Double> all() {
 		long now = this.clock.nanoTime();
 		Map<String, Double> notable = new HashMap<>();
 		this.paces.keySet().removeIf((upstream) -> {
--- a/mangorack/src/main/java/org/mangorack/relay/RoutePaces.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RoutePaces.java
@@ -8,7 +8,7 @@
  * How long the answers of each route usually take, as a measure for single ones. Used by
  * the thread for traffic only.
  */
-final class RoutePaces {
+public final class RoutePaces {
 
 	/**
 	 * Weight of one answer against those before it: some thirty answers make up the
@@ -24,12 +24,12 @@
 	/**
 	 * The pace of an attempt that failed: as bad as the slowest answer.
 	 */
-	static final double FAILED = MAX_PACE;
+	public static final double FAILED = MAX_PACE;
 
 	/**
 	 * The pace of an attempt that the upstream had no room for: it costs another one.
 	 */
-	static final double FULL = 3;
+	public static final double FULL = 3;
 
 	private static final double MIN_PACE = 0.2;
 
@@ -41,7 +41,7 @@
 	 * @param time the time from the request to the answer
 	 * @return the time as a multiple of the usual one, within bounds
 	 */
-	double pace(String route, Duration time) {
+	public double pace(String route, Duration time) {
 		double millis = Math.max(1, time.toNanos() / 1e6);
 		double usual = this.usualMillis.getOrDefault(route, millis);
 		double pace = Math.max(MIN_PACE, Math.min(MAX_PACE, millis / usual));
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -12,30 +12,12 @@
  * An upstream as this entry sees it: its calls under way, idle connections and recent
  * failures. Used by the thread for traffic only.
  */
-final class Upstream {
-
-	/**
-	 * How long an upstream is avoided after its second failure in a row; doubles with
-	 * each further one.
-	 */
-	static final Duration FIRST_AVOIDANCE = Duration.ofMillis(400);
-
-	/**
-	 * The longest avoidance. One call now and then finds out whether it has recovered.
-	 */
-	static final Duration LONGEST_AVOIDANCE = Duration.ofSeconds(4);
-
-	/**
-	 * How long an upstream that was full gets no further calls.
-	 */
-	static final Duration FULL_PAUSE = Duration.ofMillis(60);
-
-	private static final int FAILURES_BEFORE_AVOIDANCE = 2;
-
-	private static final int MAX_DOUBLINGS = 8;
+final class Upstream implements UpstreamCandidate {
 
 	private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
 
+	private final Avoidance avoidance;
+
 	private UpstreamEntry entry;
 
 	private boolean inUse = true;
@@ -44,8 +26,6 @@
 
 	private int underWayElsewhere;
 
-	private int failuresInRow;
-
 	private double pace = 1;
 
 	// Answers since the last beat.
@@ -53,8 +33,6 @@
 
 	private double paceSum;
 
-	private long avoidedUntil;
-
 	private boolean departing;
 
 	private boolean missing;
@@ -63,7 +41,7 @@
 
 	Upstream(UpstreamEntry entry, long now) {
 		this.entry = entry;
-		this.avoidedUntil = now;
+		this.avoidance = new Avoidance(now);
 	}
 
 	// ---- Accessors
@@ -90,10 +68,16 @@
 		return Duration.ofNanos(now - this.missingSince);
 	}
 
-	String id() {
+	@Override
+	public String id() {
 		return this.entry.id();
 	}
 
+	@Override
+	public String dataCentre() {
+		return this.entry.dataCentre();
+	}
+
 	Deque<UpstreamConnection> idle() {
 		return this.idle;
 	}
@@ -126,23 +110,18 @@
 		this.underWayElsewhere = calls;
 	}
 
-	boolean isAvoided(long now) {
-		return now - this.avoidedUntil < 0;
+	@Override
+	public boolean isAvoided(long now) {
+		return this.avoidance.isAvoided(now);
 	}
 
-	/**
-	 * Returns how full the upstream is.
-	 * @return calls under way for each slot
-	 */
-	double load() {
+	@Override
+	public double load() {
 		return (this.underWay + this.underWayElsewhere) / (double) Math.max(1, this.entry.slots());
 	}
 
-	/**
-	 * Returns how long its answers took lately, over all entries.
-	 * @return a multiple of what their routes usually take
-	 */
-	double pace() {
+	@Override
+	public double pace() {
 		return this.pace;
 	}
 
@@ -186,35 +165,29 @@
 	}
 
 	void succeeded() {
-		this.failuresInRow = 0;
+		this.avoidance.succeeded();
 	}
 
 	void failed(long now, String cause) {
 		answered(RoutePaces.FAILED);
-		this.failuresInRow++;
-		if (this.failuresInRow >= FAILURES_BEFORE_AVOIDANCE) {
-			avoid(now, cause);
-		}
+		report(this.avoidance.failed(now), cause);
 	}
 
 	void unreachable(long now, String cause) {
 		answered(RoutePaces.FAILED);
-		this.failuresInRow = Math.max(this.failuresInRow + 1, FAILURES_BEFORE_AVOIDANCE);
-		avoid(now, cause);
+		report(this.avoidance.unreachable(now), cause);
 	}
 
 	void full(long now) {
 		answered(RoutePaces.FULL);
-		this.avoidedUntil = Math.max(this.avoidedUntil, now + FULL_PAUSE.toNanos());
+		this.avoidance.full(now);
 	}
 
-	private void avoid(long now, String cause) {
-		int doublings = Math.min(MAX_DOUBLINGS, this.failuresInRow - FAILURES_BEFORE_AVOIDANCE);
-		Duration doubled = FIRST_AVOIDANCE.multipliedBy(1L << doublings);
-		Duration time = (doubled.compareTo(LONGEST_AVOIDANCE) < 0) ? doubled : LONGEST_AVOIDANCE;
-		this.avoidedUntil = Math.max(this.avoidedUntil, now + time.toNanos());
-		EventLog.log(Event.UPSTREAM_AVOIDED, "upstream", id(), "forMillis", time.toMillis(), "failures",
-				this.failuresInRow, "cause", cause);
+	private void report(Duration avoided, String cause) {
+		if (!avoided.isZero()) {
+			EventLog.log(Event.UPSTREAM_AVOIDED, "upstream", id(), "forMillis", avoided.toMillis(), "failures",
+					this.avoidance.failuresInRow(), "cause", cause);
+		}
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamChoice.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamChoice.java
@@ -12,9 +12,12 @@
  * best of all upstreams, all would send to the same few until they hear again; of three
  * taken at random the best is nearly as good and differs from entry to entry. This
  * answers bursts in large fleets. Slow and failing upstreams are left aside by their
- * pace, which the entries share.
+ * pace, which the entries share. Calls of one object stay with one upstream while that is
+ * neither full nor slow.
+ *
+ * @param <T> how the upstreams are known
  */
-final class UpstreamChoice {
+public final class UpstreamChoice<T extends UpstreamCandidate> {
 
 	/**
 	 * How many upstreams are compared. Two spread the calls better still, but more often
@@ -28,28 +31,62 @@
 	 */
 	static final double DISTANCE_COST = 0.05;
 
+	/**
+	 * The load up to which requests of one object stay with one upstream.
+	 */
+	static final double STICKY_LOAD = 0.6;
+
+	/**
+	 * The pace up to which they do: a slower upstream loses more than its memory of the
+	 * object gains.
+	 */
+	static final double STICKY_PACE = 1.6;
+
 	private final RandomGenerator random;
 
 	private final String dataCentre;
 
-	UpstreamChoice(RandomGenerator random, String dataCentre) {
+	/**
+	 * Creates the choice of an entry.
+	 * @param random the source of randomness
+	 * @param dataCentre the data centre of the entry
+	 */
+	public UpstreamChoice(RandomGenerator random, String dataCentre) {
 		this.random = random;
 		this.dataCentre = dataCentre;
 	}
 
+	/**
+	 * Chooses an upstream for a call that concerns an object.
+	 * @param candidates the upstreams that may be asked
+	 * @param affinity names an object whose calls are better kept together, or
+	 * {@code null}
+	 * @param now the time on the monotonic clock
+	 * @return the choice, or {@code null} if there are no candidates
+	 */
+	public T choose(List<T> candidates, String affinity, long now) {
+		if (affinity != null) {
+			T home = home(candidates, affinity);
+			if ((home != null) && (home.load() < STICKY_LOAD) && (home.pace() < STICKY_PACE) && !home.isAvoided(now)) {
+				return home;
+			}
+		}
+		return choose(candidates, now);
+	}
+
 	/**
 	 * Chooses an upstream.
 	 * @param candidates the upstreams that may be asked
 	 * @param now the time on the monotonic clock
 	 * @return the choice, or {@code null} if there are no candidates
 	 */
-	Upstream choose(List<Upstream> candidates, long now) {
-		List<Upstream> sound = new ArrayList<>(candidates);
+	T choose(List<T> candidates, long now) {
+		List<T> sound = new ArrayList<>(candidates);
 		sound.removeIf((u) -> u.isAvoided(now));
-		List<Upstream> rest = sound.isEmpty() ? new ArrayList<>(candidates) : sound;
-		Upstream best = null;
+		List<T> rest = sound.isEmpty() ? new ArrayList<>(candidates) : sound;
+		T best = null;
 		for (int i = 0; (i < COMPARED) && !rest.isEmpty(); i++) {
-			Upstream next = rest.remove(this.random.nextInt(rest.size()));
+			T next = rest.remove(this.random.nextInt(rest.size()));
 			if ((best == null) || (cost(next) < cost(best))) {
 				best = next;
 			}
@@ -57,11 +94,32 @@
 		return best;
 	}
 
+	/**
+	 * Finds the upstream that calls of an object are kept at: the same on every entry
+	 * that knows the same upstreams.
+	 * @param <U> how the upstreams are known
+	 * @param candidates the upstreams that may be asked
+	 * @param affinity names the object
+	 * @return the upstream, or {@code null} if there are no candidates
+	 */
+	public static <U extends UpstreamCandidate> U home(List<U> candidates, String affinity) {
+		U home = null;
+		int highest = Integer.MIN_VALUE;
+		for (U u : candidates) {
+			int weight = (affinity + "|" + u.id()).hashCode() * 0x9E3779B1;
+			if ((home == null) || (weight > highest)) {
+				highest = weight;
+				home = u;
+			}
+		}
+		return home;
+	}
+
 	// The expected time of the call: hardly longer while slots are free, then longer by
 	// the calls that wait.
-	private double cost(Upstream upstream) {
+	private double cost(UpstreamCandidate upstream) {
 		double load = upstream.load();
-		double distance = upstream.entry().dataCentre().equals(this.dataCentre) ? 0 : DISTANCE_COST;
+		double distance = upstream.dataCentre().equals(this.dataCentre) ? 0 : DISTANCE_COST;
 		return (upstream.pace() * (1 + (load * load))) + distance;
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -45,17 +45,6 @@
 	 */
 	static final Duration MISSING_LIMIT = Duration.ofMillis(1600);
 
-	/**
-	 * The load up to which requests of one object stay with one upstream.
-	 */
-	static final double STICKY_LOAD = 0.6;
-
-	/**
-	 * The pace up to which they do: a slower upstream loses more than its memory of the
-	 * object gains.
-	 */
-	static final double STICKY_PACE = 1.6;
-
 	/**
 	 * How long keepers are told of a departure: several beats, so that one that gets lost
 	 * does no harm.
@@ -72,7 +61,7 @@
 
 	private final MonotonicClock clock;
 
-	private final UpstreamChoice choice;
+	private final UpstreamChoice<Upstream> choice;
 
 	private final Map<String, Upstream> upstreams = new HashMap<>();
 
@@ -99,7 +88,7 @@
 		this.protocol = protocol;
 		this.client = client;
 		this.clock = clock;
-		this.choice = new UpstreamChoice(new SplittableRandom(), dataCentre);
+		this.choice = new UpstreamChoice<>(new SplittableRandom(), dataCentre);
 		loop.scheduleWithFixedDelay(new GuardedTask("idle upstream connections", this::sweep),
 				SWEEP_INTERVAL.toMillis(), SWEEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -250,37 +239,17 @@
 	 * @return the upstream, or empty if there is none
 	 */
 	Optional<Upstream> choose(String pool, Set<Upstream> tried, String affinity) {
-		long now = this.clock.nanoTime();
 		List<Upstream> candidates = new ArrayList<>();
 		for (Upstream u : this.upstreams.values()) {
 			if (u.entry().pool().equals(pool) && u.isInUse() && !tried.contains(u)) {
 				candidates.add(u);
 			}
 		}
-		if (affinity != null) {
-			Upstream home = home(candidates, affinity);
-			if ((home != null) && (home.load() < STICKY_LOAD) && (home.pace() < STICKY_PACE) && !home.isAvoided(now)) {
-				return Optional.of(home);
-			}
-		}
-		return Optional.ofNullable(this.choice.choose(candidates, now));
+		return Optional.ofNullable(this.choice.choose(candidates, affinity, this.clock.nanoTime()));
 	}
 
 	// ---- Helpers
 
-	private static Upstream home(List<Upstream> candidates, String affinity) {
-		Upstream home = null;
-		int highest = Integer.MIN_VALUE;
-		for (Upstream u : candidates) {
-			int weight = (affinity + "|" + u.id()).hashCode() * 0x9E3779B1;
-			if ((home == null) || (weight > highest)) {
-				highest = weight;
-				home = u;
-			}
-		}
-		return home;
-	}
-
 	private void update(UpstreamEntry entry) {
 		Upstream known = this.upstreams.get(entry.id());
 		if ((known == null) || !known.entry().isSameStart(entry)) {
--- a/mangorack/src/test/java/org/mangorack/relay/UpstreamChoiceTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamChoiceTests.java
@@ -93,8 +93,8 @@
 
 	// ---- Helpers
 
-	private static UpstreamChoice choice(long seed) {
-		return new UpstreamChoice(new SplittableRandom(seed), "dc0");
+	private static UpstreamChoice<Upstream> choice(long seed) {
+		return new UpstreamChoice<>(new SplittableRandom(seed), "dc0");
 	}
 
 	private List<Upstream> upstreams(int count) {
@@ -134,7 +134,7 @@
 
 		private final List<List<Upstream>> views = new ArrayList<>();
 
-		private final List<UpstreamChoice> choices = new ArrayList<>();
+		private final List<UpstreamChoice<Upstream>> choices = new ArrayList<>();
 
 		private final int[] running = new int[UPSTREAMS];
 
@@ -160,7 +160,7 @@
 			Arrays.fill(this.pace, 1);
 			for (int e = 0; e < ENTRIES; e++) {
 				this.views.add(upstreams(UPSTREAMS));
-				this.choices.add(new UpstreamChoice(new SplittableRandom(e), "dc" + (e % 4)));
+				this.choices.add(new UpstreamChoice<>(new SplittableRandom(e), "dc" + (e % 4)));
 				int entry = e;
 				this.steps.add(new Step(this.random.nextDouble() * REFRESH, (at) -> refresh(entry, at)));
 			}
