Choose the ports of nodes of tests where systems hand none out

Cause, by reading: a port was drawn from those that the system hands out, closed, and bound again a little later by the node.

Ports now come in turn from a range below those, from a random start. FleetIsolationTests, AbsenceTests, GroupChangeTests and EntryContractTests pass; no check is changed.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,7 +17,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -71,6 +74,14 @@
 
 	private static final String KEEPER_HOST = "127.0.0.2";
 
+	// Below the ports that systems hand out by themselves, so that no other socket takes
+	// one between its choice and its use.
+	private static final int FIRST_PORT = 20_000;
+
+	private static final int PORTS = 10_000;
+
+	private static final AtomicInteger NEXT_PORT = new AtomicInteger(ThreadLocalRandom.current().nextInt(PORTS));
+
 	private final FleetStoreStandIn store = new FleetStoreStandIn(0);
 
 	private final List<KeeperNode> keepers = new ArrayList<>();
@@ -442,9 +453,16 @@
 	}
 
 	private static HttpAddress freeAddress(String host) throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-			return new HttpAddress(host, socket.getLocalPort());
+		for (int i = 0; i < PORTS; i++) {
+			int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+				return new HttpAddress(host, socket.getLocalPort());
+			}
+			catch (BindException ex) {
+				// The port is taken, so the next one is tried.
+			}
 		}
+		throw new IOException("no port of " + host + " from " + FIRST_PORT + " on is free");
 	}
 
 }
