Choose ports for nodes of all tests in one place

LogRecordTests and TestFleet still drew ports that the system hands out and gave them up before the node bound them, the race that was mended for TestFleetNodes alone. FreePorts now serves the three; no assertion changed.

--- a/bench/src/test/java/org/mangorack/bench/TestFleet.java
+++ b/bench/src/test/java/org/mangorack/bench/TestFleet.java
@@ -3,9 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -442,9 +440,9 @@
 		Member m = new Member();
 		m.name = name;
 		m.host = host;
-		m.callers = host + ":" + freePort(host);
-		m.operators = host + ":" + freePort(host);
-		String peers = host + ":" + freePort(host);
+		m.callers = host + ":" + FreePorts.next(host);
+		m.operators = host + ":" + FreePorts.next(host);
+		String peers = host + ":" + FreePorts.next(host);
 		m.platformProxy = new FaultProxy("127.0.0.1", new InetSocketAddress("127.0.0.1", this.platform.port()));
 		m.peerProxy = new FaultProxy(host, address(peers));
 		ObjectNode json = MAPPER.createObjectNode();
@@ -477,12 +475,6 @@
 		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
 	}
 
-	private static int freePort(String host) throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-			return socket.getLocalPort();
-		}
-	}
-
 	private static String binary() {
 		Path folder = Path.of("").toAbsolutePath();
 		while (!Files.isExecutable(folder.resolve("bin/mangorack"))) {
--- a/bench/src/test/java/org/mangorack/bench/fleet/LogRecordTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/LogRecordTests.java
@@ -2,7 +2,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import org.mangorack.bench.FreePorts;
 import org.mangorack.bench.standin.FleetStoreStandIn;
 import org.mangorack.bench.standin.PlatformStandIn;
 import org.mangorack.wire.PlatformMain;
@@ -32,6 +32,8 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
+	private static final String HOST = "127.0.0.1";
+
 	/**
 	 * How many records of the product are read, and with them those of libraries.
 	 */
@@ -120,9 +122,7 @@
 	}
 
 	private static String freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return "127.0.0.1:" + socket.getLocalPort();
-		}
+		return HOST + ":" + FreePorts.next(HOST);
 	}
 
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -2,9 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -17,15 +14,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.micrometer.core.instrument.Counter;
 
+import org.mangorack.bench.FreePorts;
 import org.mangorack.bench.standin.FleetStoreStandIn;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.http.PooledHttpClient;
@@ -74,14 +70,6 @@
 
 	private static final String KEEPER_HOST = "127.0.0.2";
 
-	// Below the ports that systems hand out by themselves, so that no other socket takes
-	// one between its choice and its use.
-	private static final int FIRST_PORT = 20_000;
-
-	private static final int PORTS = 10_000;
-
-	private static final AtomicInteger NEXT_PORT = new AtomicInteger(ThreadLocalRandom.current().nextInt(PORTS));
-
 	private final FleetStoreStandIn store = new FleetStoreStandIn(0);
 
 	private final List<KeeperNode> keepers = new ArrayList<>();
@@ -453,16 +441,7 @@
 	}
 
 	private static HttpAddress freeAddress(String host) throws IOException {
-		for (int i = 0; i < PORTS; i++) {
-			int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
-			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
-				return new HttpAddress(host, socket.getLocalPort());
-			}
-			catch (BindException ex) {
-				// The port is taken, so the next one is tried.
-			}
-		}
-		throw new IOException("no port of " + host + " from " + FIRST_PORT + " on is free");
+		return new HttpAddress(host, FreePorts.next(host));
 	}
 
 }
