Read the headers of a request once when its head is checked

RequestRules went through all headers a second time for the length of the body, on each request of both interfaces. The order of the checks, their texts and bounds are as before.

--- a/mangorack/src/main/java/org/mangorack/http/RequestRules.java
+++ b/mangorack/src/main/java/org/mangorack/http/RequestRules.java
@@ -19,8 +19,6 @@
 
 	private static final String PROTOCOL = "HTTP/1.1";
 
-	private static final String CONTENT_LENGTH = "Content-Length";
-
 	// Numbers of more digits may not fit into a long.
 	private static final int MAX_LENGTH_DIGITS = 18;
 
@@ -51,11 +49,7 @@
 		if (!target.startsWith("/") || !hasNoControls(target)) {
 			return Optional.of(malformed("the target \"" + target + "\" is not a path"));
 		}
-		Optional<String> problem = checkHeaders(headers);
-		if (problem.isPresent()) {
-			return problem.map(RequestRules::malformed);
-		}
-		return (length(headers) > maxBodyBytes) ? Optional.of(bodyTooLong(maxBodyBytes)) : Optional.empty();
+		return checkHeaders(headers, maxBodyBytes);
 	}
 
 	/**
@@ -87,51 +81,44 @@
 
 	// ---- Helpers
 
-	private static Optional<String> checkHeaders(Iterable<Map.Entry<String, String>> headers) {
+	private static Optional<Refusal> checkHeaders(Iterable<Map.Entry<String, String>> headers, int maxBodyBytes) {
 		int hosts = 0;
 		int lengths = 0;
 		int encodings = 0;
+		long length = 0;
 		for (Map.Entry<String, String> header : headers) {
 			String name = header.getKey();
 			String value = header.getValue();
 			if (!isToken(name)) {
-				return Optional.of("the name of the header \"" + name + "\" is no token");
+				return Optional.of(malformed("the name of the header \"" + name + "\" is no token"));
 			}
 			if (!hasNoControls(value)) {
-				return Optional.of("the header " + name + " holds control characters");
+				return Optional.of(malformed("the header " + name + " holds control characters"));
 			}
 			hosts += name.equalsIgnoreCase("Host") ? 1 : 0;
-			if (name.equalsIgnoreCase(CONTENT_LENGTH)) {
+			if (name.equalsIgnoreCase("Content-Length")) {
 				lengths++;
 				if (!isNumber(value.strip())) {
-					return Optional
-						.of("the length \"" + value + "\" is no number of up to " + MAX_LENGTH_DIGITS + " digits");
+					return Optional.of(malformed(
+							"the length \"" + value + "\" is no number of up to " + MAX_LENGTH_DIGITS + " digits"));
 				}
+				length = Long.parseLong(value.strip());
 			}
 			if (name.equalsIgnoreCase("Transfer-Encoding")) {
 				encodings++;
 				if (!value.strip().equalsIgnoreCase("chunked")) {
-					return Optional.of("the transfer encoding \"" + value + "\" is not chunked");
+					return Optional.of(malformed("the transfer encoding \"" + value + "\" is not chunked"));
 				}
 			}
 		}
 		if (hosts != 1) {
-			return Optional.of("the header Host occurs " + hosts + " times");
+			return Optional.of(malformed("the header Host occurs " + hosts + " times"));
 		}
 		if (lengths + encodings > 1) {
-			return Optional.of("the length is stated " + lengths + " times by Content-Length and " + encodings
-					+ " times by Transfer-Encoding");
-		}
-		return Optional.empty();
-	}
-
-	private static long length(Iterable<Map.Entry<String, String>> headers) {
-		for (Map.Entry<String, String> header : headers) {
-			if (header.getKey().equalsIgnoreCase(CONTENT_LENGTH)) {
-				return Long.parseLong(header.getValue().strip());
-			}
+			return Optional.of(malformed("the length is stated " + lengths + " times by Content-Length and " + encodings
+					+ " times by Transfer-Encoding"));
 		}
-		return 0;
+		return (length > maxBodyBytes) ? Optional.of(bodyTooLong(maxBodyBytes)) : Optional.empty();
 	}
 
 	private static boolean isToken(String text) {
