Frame the messages of all links by one piece of code

KeeperLink, KeeperService and PeerLinks each added the same four handlers, and the limit of a message stood twice. MessageFrames holds both; the limit is the same, and FrameFuzzTests reads through it.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -21,14 +21,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Reply;
 import org.mangorack.keeper.proto.Request;
+import org.mangorack.member.MessageFrames;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.MonotonicClock;
@@ -46,11 +43,6 @@
 	 */
 	static final Duration SILENCE_LIMIT = Duration.ofMillis(800);
 
-	/**
-	 * The most bytes of a request or reply. A longer one closes the connection.
-	 */
-	static final int MAX_FRAME_BYTES = 128 * 1024 * 1024;
-
 	private static final Duration RECONNECT_DELAY = Duration.ofMillis(150);
 
 	private static final int CONNECT_TIMEOUT_MS = 500;
@@ -97,10 +89,9 @@
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel ch) {
-					ch.pipeline()
-						.addLast(new ReadActivity(), new ProtobufVarint32FrameDecoder(MAX_FRAME_BYTES),
-								new ProtobufDecoder(Reply.getDefaultInstance()),
-								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
+					ch.pipeline().addLast(new ReadActivity());
+					MessageFrames.addTo(ch.pipeline(), Reply.getDefaultInstance());
+					ch.pipeline().addLast(new Handler());
 				}
 			})
 			.connect(this.member.getHost(), this.member.getPort());
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -20,10 +20,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
 import org.mangorack.http.HttpAddress;
@@ -42,6 +38,7 @@
 import org.mangorack.keeper.proto.Settle;
 import org.mangorack.keeper.proto.Status;
 import org.mangorack.keeper.proto.Store;
+import org.mangorack.member.MessageFrames;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
@@ -134,10 +131,8 @@
 				@Override
 				protected void initChannel(SocketChannel ch) {
 					KeeperService.this.connections.add(ch);
-					ch.pipeline()
-						.addLast(new ProtobufVarint32FrameDecoder(KeeperLink.MAX_FRAME_BYTES),
-								new ProtobufDecoder(Request.getDefaultInstance()),
-								new ProtobufVarint32LengthFieldPrepender(), new ProtobufEncoder(), new Handler());
+					MessageFrames.addTo(ch.pipeline(), Request.getDefaultInstance());
+					ch.pipeline().addLast(new Handler());
 				}
 			});
 		try {
--- a/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
+++ b/mangorack/src/main/java/org/mangorack/member/PeerLinks.java
@@ -22,10 +22,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 import org.mangorack.call.CallAnswer;
@@ -56,11 +52,6 @@
 	 */
 	public static final Duration CONTACT_LIMIT = Duration.ofMillis(1500);
 
-	/**
-	 * The most bytes of a frame. A longer one closes the link.
-	 */
-	static final int MAX_FRAME_BYTES = 128 * 1024 * 1024;
-
 	private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
@@ -330,12 +321,8 @@
 			PeerLink handler = (this.link != null) ? this.link
 					: new PeerLink(PeerLinks.this, PeerLinks.this.traffic, false, null);
 			PeerLinks.this.security.protect(channel, channel.pipeline(), this.link != null);
-			channel.pipeline()
-				.addLast(new ProtobufVarint32FrameDecoder(MAX_FRAME_BYTES))
-				.addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
-				.addLast(new ProtobufVarint32LengthFieldPrepender())
-				.addLast(new ProtobufEncoder())
-				.addLast(handler);
+			MessageFrames.addTo(channel.pipeline(), Frame.getDefaultInstance());
+			channel.pipeline().addLast(handler);
 		}
 
 	}
--- a/mangorack/src/test/java/org/mangorack/keeper/FrameFuzzTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/FrameFuzzTests.java
@@ -12,8 +12,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -25,6 +23,7 @@
 import org.mangorack.fuzz.Mutations;
 import org.mangorack.keeper.proto.Reply;
 import org.mangorack.keeper.proto.Request;
+import org.mangorack.member.MessageFrames;
 import org.mangorack.member.proto.CallOpen;
 import org.mangorack.member.proto.Frame;
 import org.mangorack.member.proto.Hello;
@@ -70,8 +69,9 @@
 	}
 
 	private static void decode(byte[] bytes, MessageLite prototype) {
-		EmbeddedChannel channel = new EmbeddedChannel(new ProtobufVarint32FrameDecoder(KeeperLink.MAX_FRAME_BYTES),
-				new ProtobufDecoder(prototype), new ChannelInboundHandlerAdapter());
+		EmbeddedChannel channel = new EmbeddedChannel();
+		MessageFrames.addTo(channel.pipeline(), prototype);
+		channel.pipeline().addLast(new ChannelInboundHandlerAdapter());
 		try {
 			channel.writeInbound(Unpooled.wrappedBuffer(bytes));
 			channel.finishAndReleaseAll();
