Keep the calls at an upstream in one class for entries and the emulator

The emulator's KnownUpstream repeated what Upstream counts: calls under way, paces since the last beat, and which outcome avoids an upstream for how long. UpstreamCandidate holds it now and both extend it; Avoidance and the paces of failures are the package's own again.

--- a/bench/src/main/java/org/mangorack/bench/emulator/KnownUpstream.java
+++ b/bench/src/main/java/org/mangorack/bench/emulator/KnownUpstream.java
@@ -1,35 +1,20 @@
 package org.mangorack.bench.emulator;
 
-import org.mangorack.keeper.proto.Load;
-import org.mangorack.relay.Avoidance;
-import org.mangorack.relay.RoutePaces;
 import org.mangorack.relay.UpstreamCandidate;
 
 /**
  * An upstream as an entry sees it: its own calls at once, those of others when it hears
  * of them.
  */
-final class KnownUpstream implements UpstreamCandidate {
+final class KnownUpstream extends UpstreamCandidate {
 
 	private final EmulatedUpstream upstream;
 
-	private final Avoidance avoidance;
-
-	private int underWay;
-
-	private int underWayElsewhere;
-
-	private double pace = 1;
-
 	private boolean leaving;
 
-	private int answers;
-
-	private double paceSum;
-
 	KnownUpstream(EmulatedUpstream upstream) {
+		super(upstream.clock().nanoTime());
 		this.upstream = upstream;
-		this.avoidance = new Avoidance(upstream.clock().nanoTime());
 	}
 
 	// ---- Accessors
@@ -45,28 +30,14 @@
 	}
 
 	@Override
-	public double load() {
-		return (this.underWay + this.underWayElsewhere) / (double) this.upstream.slots();
-	}
-
-	@Override
-	public double pace() {
-		return this.pace;
-	}
-
-	@Override
-	public boolean isAvoided(long now) {
-		return this.avoidance.isAvoided(now);
+	protected int slots() {
+		return this.upstream.slots();
 	}
 
 	EmulatedUpstream upstream() {
 		return this.upstream;
 	}
 
-	int underWay() {
-		return this.underWay;
-	}
-
 	boolean isLeaving() {
 		return this.leaving;
 	}
@@ -79,60 +50,25 @@
 	 * @param sharedPace its pace over all entries
 	 */
 	void refresh(int callsElsewhere, double sharedPace) {
-		this.underWayElsewhere = callsElsewhere;
-		this.pace = sharedPace;
+		setUnderWayElsewhere(callsElsewhere);
+		setPace(sharedPace);
 		this.leaving = this.upstream.isLeaving();
 	}
 
-	/**
-	 * Returns what other entries are to know, and counts answers anew.
-	 * @return the calls under way and the answers since this was last called
-	 */
-	Load takeLoad() {
-		Load load = Load.newBuilder()
-			.setUpstream(id())
-			.setCalls(this.underWay)
-			.setAnswers(this.answers)
-			.setPaceSum(this.paceSum)
-			.build();
-		this.answers = 0;
-		this.paceSum = 0;
-		return load;
-	}
-
 	// ---- Calls
 
-	void began() {
-		this.underWay++;
-	}
-
 	/**
 	 * Notes the end of an attempt.
 	 * @param outcome how it ended
 	 * @param now the time on the clock, in nanoseconds
 	 */
 	void ended(CallOutcome outcome, long now) {
-		this.underWay--;
+		ended();
 		switch (outcome) {
-			case ANSWERED -> this.avoidance.succeeded();
-			case FULL -> {
-				answered(RoutePaces.FULL);
-				this.avoidance.full(now);
-			}
-			case EXPIRED, FAILED -> {
-				answered(RoutePaces.FAILED);
-				this.avoidance.failed(now);
-			}
+			case ANSWERED -> succeeded();
+			case FULL -> full(now);
+			case EXPIRED, FAILED -> failed(now);
 		}
 	}
 
-	/**
-	 * Notes how long a first event took.
-	 * @param answerPace a multiple of what its route usually takes
-	 */
-	void answered(double answerPace) {
-		this.answers++;
-		this.paceSum += answerPace;
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/relay/Avoidance.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Avoidance.java
@@ -5,7 +5,7 @@
 /**
  * Decides for how long an upstream that failed or was full gets no further calls.
  */
-public final class Avoidance {
+final class Avoidance {
 
 	/**
 	 * How long an upstream is avoided after its second failure in a row; doubles with
@@ -35,7 +35,7 @@
 	 * Creates the avoidance of an upstream that has not failed yet.
 	 * @param now the time on the monotonic clock
 	 */
-	public Avoidance(long now) {
+	Avoidance(long now) {
 		this.until = now;
 	}
 
@@ -44,7 +44,7 @@
 	 * @param now the time on the monotonic clock
 	 * @return {@code true} if it failed or was full lately
 	 */
-	public boolean isAvoided(long now) {
+	boolean isAvoided(long now) {
 		return now - this.until < 0;
 	}
 
@@ -55,7 +55,7 @@
 	/**
 	 * Notes an answer.
 	 */
-	public void succeeded() {
+	void succeeded() {
 		this.failuresInRow = 0;
 	}
 
@@ -64,7 +64,7 @@
 	 * @param now the time on the monotonic clock
 	 * @return for how long the upstream is avoided; zero if it is not yet
 	 */
-	public Duration failed(long now) {
+	Duration failed(long now) {
 		this.failuresInRow++;
 		return (this.failuresInRow >= FAILURES_BEFORE) ? avoid(now) : Duration.ZERO;
 	}
@@ -74,7 +74,7 @@
 	 * @param now the time on the monotonic clock
 	 * @return for how long the upstream is avoided
 	 */
-	public Duration unreachable(long now) {
+	Duration unreachable(long now) {
 		this.failuresInRow = Math.max(this.failuresInRow + 1, FAILURES_BEFORE);
 		return avoid(now);
 	}
@@ -83,7 +83,7 @@
 	 * Notes that the upstream had no room.
 	 * @param now the time on the monotonic clock
 	 */
-	public void full(long now) {
+	void full(long now) {
 		this.until = Math.max(this.until, now + FULL_PAUSE.toNanos());
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/RoutePaces.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RoutePaces.java
@@ -24,12 +24,12 @@
 	/**
 	 * The pace of an attempt that failed: as bad as the slowest answer.
 	 */
-	public static final double FAILED = MAX_PACE;
+	static final double FAILED = MAX_PACE;
 
 	/**
 	 * The pace of an attempt that the upstream had no room for: it costs another one.
 	 */
-	public static final double FULL = 3;
+	static final double FULL = 3;
 
 	private static final double MIN_PACE = 0.2;
 
