Keep a turn as long as the turns that continue it

A 404 ends a program.

TurnStore.expire counted each turn from when it was stored itself, so the first turns of a chain were dropped while the last one was young. All keepers then reported the first turn as missing, which is certain absence.

Ruled out by reading: the entry, which keeps no turns and answers 404 only when all members but the tolerance report the same turn as missing.

Change: TurnIndex counts the turns that continue a turn, and removes from the newest end of a chain. Adding and expiring cost the same whatever the length of the chain; the scan of all turns each second is gone. A turn that is stored again keeps its first content, so a chain cannot become a circle when a caller repeats a request id.

Why it works: a turn is removed only if its own retention has ended and no stored turn names it, so whatever a keeper holds it holds with all predecessors that it ever held.

--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -38,7 +37,7 @@
 
 	private final LongSupplier wallClockMillis;
 
-	private final Map<String, StoredTurn> turns = new HashMap<>();
+	private final TurnIndex turns = new TurnIndex();
 
 	private final Map<String, ProgramLedger> programs = new HashMap<>();
 
@@ -62,7 +61,7 @@
 	void load() throws IOException {
 		this.log.replay((segment, entry) -> {
 			if (entry.hasTurn()) {
-				this.turns.put(entry.getTurn().getId(), new StoredTurn(entry.getTurn(), segment));
+				this.turns.move(addIfAbsent(entry.getTurn(), segment), segment);
 			}
 			else {
 				ProgramCharges charges = entry.getCharges();
@@ -82,7 +81,7 @@
 	}
 
 	List<String> turnIds() {
-		return List.copyOf(this.turns.keySet());
+		return this.turns.ids();
 	}
 
 	List<ProgramCharges> ledgers() {
@@ -110,16 +109,7 @@
 	 */
 	Chain.Builder chain(String id) {
 		Chain.Builder chain = Chain.newBuilder();
-		String next = id;
-		while (!next.isEmpty()) {
-			StoredTurn turn = this.turns.get(next);
-			if (turn == null) {
-				return chain.setMissing(next);
-			}
-			chain.addTurn(turn.turn());
-			next = turn.turn().getPrevious();
-		}
-		return chain;
+		return chain.setMissing(this.turns.forEachOfChain(id, chain::addTurn));
 	}
 
 	/**
@@ -148,37 +138,29 @@
 	}
 
 	/**
-	 * Stores a turn.
+	 * Stores a turn. A turn never changes, so the content that was stored first is kept.
 	 * @param turn the turn
 	 * @param done receives {@code null} once the turn is synced to disk, or the failure
 	 */
 	void storeTurn(Turn turn, Consumer<IOException> done) {
 		long now = this.wallClockMillis.getAsLong();
 		Turn stampedTurn = (turn.getStoredMs() != 0) ? turn : turn.toBuilder().setStoredMs(now).build();
-		this.turns.put(stampedTurn.getId(), new StoredTurn(stampedTurn, this.log.segment()));
-		this.log.append(LogEntry.newBuilder().setStoredMs(now).setTurn(stampedTurn).build(), done);
+		StoredTurn stored = addIfAbsent(stampedTurn, this.log.segment());
+		this.log.append(LogEntry.newBuilder().setStoredMs(now).setTurn(stored.turn()).build(), done);
 	}
 
 	/**
 	 * Removes turns and charges whose retention has ended, and deletes log segments
-	 * without live content. Charges that would keep an older segment alive than the turns
-	 * do are rewritten to the current segment.
+	 * without live content. A turn is retained with its whole chain, so one that was
+	 * continued lives as long as the youngest of the turns that continue it. Charges that
+	 * would keep an older segment alive than the turns do are rewritten to the current
+	 * segment.
 	 */
 	void expire() {
 		long now = this.wallClockMillis.getAsLong();
-		long oldest = this.log.segment();
-		Iterator<StoredTurn> turnIterator = this.turns.values().iterator();
-		while (turnIterator.hasNext()) {
-			StoredTurn turn = turnIterator.next();
-			if (now > turn.turn().getStoredMs() + turn.turn().getRetentionMs() + RETENTION_MARGIN.toMillis()) {
-				turnIterator.remove();
-			}
-			else {
-				oldest = Math.min(oldest, turn.segment());
-			}
-		}
+		this.turns.expire(now);
 		this.programs.values().removeIf((p) -> now > p.lastChangeMs + LEDGER_RETENTION.toMillis());
-		long oldestTurnSegment = oldest;
+		long oldestTurnSegment = this.turns.oldestSegment(this.log.segment());
 		this.programs.forEach((name, p) -> {
 			if (p.oldestSegment < oldestTurnSegment) {
 				rewrite(name, p, now);
@@ -194,6 +176,14 @@
 
 	// ---- Helpers
 
+	private StoredTurn addIfAbsent(Turn turn, long segment) {
+		StoredTurn known = this.turns.get(turn.getId());
+		if (known != null) {
+			return known;
+		}
+		return this.turns.add(turn, segment, turn.getStoredMs() + turn.getRetentionMs() + RETENTION_MARGIN.toMillis());
+	}
+
 	private void rewrite(String name, ProgramLedger program, long now) {
 		long segment = this.log.segment();
 		ProgramCharges charges = ProgramCharges.newBuilder().setProgram(name).addAllCharge(program.charges()).build();
@@ -209,15 +199,6 @@
 		return this.programs.computeIfAbsent(name, (n) -> new ProgramLedger());
 	}
 
-	/**
-	 * A turn and the log segment that it is stored in.
-	 *
-	 * @param turn the turn
-	 * @param segment the number of the segment
-	 */
-	private record StoredTurn(Turn turn, long segment) {
-	}
-
 	/**
 	 * The ledger of a program and the oldest log segment that it depends on.
 	 */
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
@@ -0,0 +1,122 @@
+package org.mangorack.keeper;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mangorack.keeper.proto.Chain;
+import org.mangorack.keeper.proto.Turn;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link TurnStore}: how long turns are retained.
+ */
+class TurnStoreTests {
+
+	private static final Duration RETENTION = Duration.ofSeconds(60);
+
+	private static final long LIMIT_SECONDS = 20;
+
+	@TempDir
+	Path folder;
+
+	private final AtomicLong wallClock = new AtomicLong(1_000_000);
+
+	private RecordLog log;
+
+	private TurnStore store;
+
+	@BeforeEach
+	void open() throws IOException {
+		this.log = new RecordLog(this.folder, Runnable::run);
+		this.store = new TurnStore(this.log, this.wallClock::get);
+		this.store.load();
+		this.log.start();
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.log.close();
+	}
+
+	// Guards against 404 for a turn whose chain began longer ago than its retention.
+	@ParameterizedTest
+	@ValueSource(ints = { 2, 3, 20 })
+	void aChainIsRetainedAsLongAsItsNewestTurn(int length) throws Exception {
+		store("t1", "");
+		for (int i = 2; i <= length; i++) {
+			advance(Duration.ofSeconds(45));
+			store("t" + i, "t" + (i - 1));
+		}
+		advance(RETENTION.minusSeconds(1));
+		assertThat(chain("t" + length)).hasSize(length);
+	}
+
+	// Guards against 404 when the oldest of several turns that continue the same one
+	// expires.
+	@Test
+	void theYoungestOfSeveralContinuationsKeepsTheirChain() throws Exception {
+		store("root", "");
+		store("older", "root");
+		advance(Duration.ofSeconds(50));
+		store("younger", "root");
+		advance(Duration.ofSeconds(50));
+		assertThat(chain("younger")).containsExactly("younger", "root");
+		assertThat(this.store.turnIds()).containsExactlyInAnyOrder("younger", "root");
+	}
+
+	@Test
+	void aChainIsRemovedOnceItsNewestTurnHasExpired() throws Exception {
+		store("t1", "");
+		advance(Duration.ofSeconds(45));
+		store("t2", "t1");
+		advance(RETENTION.plus(TurnStore.RETENTION_MARGIN).plusSeconds(1));
+		assertThat(this.store.turnIds()).isEmpty();
+	}
+
+	// Guards against 404 after a restart: the first turns of a chain are read before the
+	// turns that keep them.
+	@Test
+	void aChainWhoseFirstTurnIsOlderThanItsRetentionSurvivesARestart() throws Exception {
+		store("t1", "");
+		advance(Duration.ofSeconds(45));
+		store("t2", "t1");
+		advance(Duration.ofSeconds(45));
+		close();
+		open();
+		this.store.expire();
+		assertThat(chain("t2")).containsExactly("t2", "t1");
+	}
+
+	private void store(String id, String previous) throws Exception {
+		CompletableFuture<IOException> done = new CompletableFuture<>();
+		this.store.storeTurn(
+				Turn.newBuilder().setId(id).setPrevious(previous).setRetentionMs(RETENTION.toMillis()).build(),
+				done::complete);
+		assertThat(done.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isNull();
+	}
+
+	private void advance(Duration time) {
+		this.wallClock.addAndGet(time.toMillis());
+		this.store.expire();
+	}
+
+	private List<String> chain(String id) {
+		Chain.Builder chain = this.store.chain(id);
+		assertThat(chain.getMissing()).isEmpty();
+		return chain.getTurnList().stream().map(Turn::getId).toList();
+	}
+
+}
