--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -28,7 +28,6 @@
 import org.mangorack.keeper.proto.Pulse;
 import org.mangorack.keeper.proto.Reply;
 import org.mangorack.keeper.proto.Request;
-import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
@@ -214,11 +213,12 @@
 	 * @param attempt the attempt
 	 * @param tokens the tokens that the attempt used
 	 * @param charged whether the attempt has a reservation
-	 * @param turn the turn, or {@code null} if it did not complete
-	 * @param done receives whether turn and charge are durable, that is, survive a power
-	 * failure
+	 * @param turn the turn with its chain, or {@code null} if it did not complete
+	 * @param done receives whether the turn, its chain and the charge are durable, that
+	 * is, survive a power failure
 	 */
-	public void settle(String program, String attempt, int tokens, boolean charged, Turn turn, Consumer<Boolean> done) {
+	public void settle(String program, String attempt, int tokens, boolean charged, ChainedTurn turn,
+			Consumer<Boolean> done) {
 		new SettleCall(this, program, attempt, tokens, charged, turn, done).start();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -38,6 +38,7 @@
 import org.mangorack.keeper.proto.Settle;
 import org.mangorack.keeper.proto.Status;
 import org.mangorack.keeper.proto.Store;
+import org.mangorack.keeper.proto.Turn;
 import org.mangorack.member.MessageFrames;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
@@ -252,7 +253,8 @@
 	}
 
 	private void settle(Settle settle, Consumer<Reply.Builder> out) {
-		AppendBarrier barrier = new AppendBarrier((failure) -> out.accept(outcome(failure)));
+		AppendBarrier barrier = new AppendBarrier(
+				(failure) -> out.accept(outcome(failure).setMissingPredecessor(missingPredecessor(settle))));
 		if (settle.getCharged()) {
 			Charge charge = Charge.newBuilder()
 				.setAttempt(settle.getAttempt())
@@ -265,9 +267,18 @@
 		if (settle.hasTurn()) {
 			this.turns.storeTurn(settle.getTurn(), barrier.newCallback());
 		}
+		settle.getPredecessorList().forEach((t) -> this.turns.storeTurn(t, barrier.newCallback()));
 		barrier.start();
 	}
 
+	// A settlement holds consecutive turns, so only the predecessors of the oldest one
+	// can be missing.
+	private String missingPredecessor(Settle settle) {
+		int predecessors = settle.getPredecessorCount();
+		Turn oldest = (predecessors > 0) ? settle.getPredecessor(predecessors - 1) : settle.getTurn();
+		return this.turns.newestMissing(oldest.getPrevious());
+	}
+
 	private void store(Store store, Consumer<Reply.Builder> out) {
 		AppendBarrier barrier = new AppendBarrier((failure) -> out.accept(outcome(failure)));
 		store.getTurnList().forEach((t) -> this.turns.storeTurn(t, barrier.newCallback()));
--- a/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
@@ -16,6 +16,10 @@
 
 	private boolean expired;
 
+	private boolean synced;
+
+	private boolean chainSynced;
+
 	/**
 	 * Creates the stored form of a turn.
 	 * @param turn the turn
@@ -64,6 +68,18 @@
 		return this.expired;
 	}
 
+	boolean isSynced() {
+		return this.synced;
+	}
+
+	/**
+	 * Returns whether the turn and all its predecessors are synced to disk.
+	 * @return {@code true} once the whole chain is synced
+	 */
+	boolean isChainSynced() {
+		return this.chainSynced;
+	}
+
 	// ---- Changes
 
 	void setSegment(long segment) {
@@ -74,4 +90,12 @@
 		this.expired = true;
 	}
 
+	void setSynced() {
+		this.synced = true;
+	}
+
+	void setChainSynced() {
+		this.chainSynced = true;
+	}
+
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
@@ -1,7 +1,9 @@
 package org.mangorack.keeper;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -69,6 +71,24 @@
 		return "";
 	}
 
+	/**
+	 * Returns the newest turn of a chain that is not synced to disk here. Follows the
+	 * chain only if one is missing.
+	 * @param id the id of the newest turn, or an empty string for no turn
+	 * @return the id of the missing turn, or an empty string if the chain is whole
+	 */
+	String newestMissing(String id) {
+		String next = id;
+		while (!next.isEmpty()) {
+			StoredTurn turn = this.turns.get(next);
+			if ((turn == null) || !turn.isSynced()) {
+				return next;
+			}
+			next = turn.isChainSynced() ? "" : turn.previous();
+		}
+		return "";
+	}
+
 	/**
 	 * Returns the oldest log segment that holds a turn.
 	 * @param otherwise the default value
@@ -99,6 +119,22 @@
 		return added;
 	}
 
+	/**
+	 * Records that a turn is synced to disk.
+	 * @param turn the turn
+	 */
+	void synced(StoredTurn turn) {
+		turn.setSynced();
+		Deque<StoredTurn> candidates = new ArrayDeque<>(List.of(turn));
+		while (!candidates.isEmpty()) {
+			StoredTurn candidate = candidates.poll();
+			if (candidate.isSynced() && !candidate.isChainSynced() && isChainSynced(candidate.previous())) {
+				candidate.setChainSynced();
+				candidates.addAll(this.continuations.getOrDefault(candidate.id(), Set.of()));
+			}
+		}
+	}
+
 	/**
 	 * Moves a turn to another log segment.
 	 * @param turn the turn
@@ -126,6 +162,11 @@
 
 	// ---- Helpers
 
+	private boolean isChainSynced(String id) {
+		StoredTurn turn = this.turns.get(id);
+		return id.isEmpty() || ((turn != null) && turn.isChainSynced());
+	}
+
 	// Removes a turn that is no longer needed, and the predecessors that only it needed.
 	private void removeUnused(StoredTurn last) {
 		StoredTurn turn = last;
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -61,7 +61,9 @@
 	void load() throws IOException {
 		this.log.replay((segment, entry) -> {
 			if (entry.hasTurn()) {
-				this.turns.move(addIfAbsent(entry.getTurn(), segment), segment);
+				StoredTurn turn = addIfAbsent(entry.getTurn(), segment);
+				this.turns.move(turn, segment);
+				this.turns.synced(turn);
 			}
 			else {
 				ProgramCharges charges = entry.getCharges();
@@ -112,6 +114,15 @@
 		return chain.setMissing(this.turns.forEachOfChain(id, chain::addTurn));
 	}
 
+	/**
+	 * Returns the newest turn of a chain that is not synced to disk here.
+	 * @param id the id of the newest turn of the chain, or an empty string for no turn
+	 * @return the id of the missing turn, or an empty string if the chain is whole
+	 */
+	String newestMissing(String id) {
+		return this.turns.newestMissing(id);
+	}
+
 	/**
 	 * Returns the charges of a program.
 	 * @param program the name of the program
@@ -138,7 +149,8 @@
 	}
 
 	/**
-	 * Stores a turn. A turn never changes, so the content that was stored first is kept.
+	 * Stores a turn. A turn never changes, so the content that was stored first is kept,
+	 * and a turn that is already synced to disk is not written again.
 	 * @param turn the turn
 	 * @param done receives {@code null} once the turn is synced to disk, or the failure
 	 */
@@ -146,7 +158,16 @@
 		long now = this.wallClockMillis.getAsLong();
 		Turn stampedTurn = (turn.getStoredMs() != 0) ? turn : turn.toBuilder().setStoredMs(now).build();
 		StoredTurn stored = addIfAbsent(stampedTurn, this.log.segment());
-		this.log.append(LogEntry.newBuilder().setStoredMs(now).setTurn(stored.turn()).build(), done);
+		if (stored.isSynced()) {
+			done.accept(null);
+			return;
+		}
+		this.log.append(LogEntry.newBuilder().setStoredMs(now).setTurn(stored.turn()).build(), (failure) -> {
+			if (failure == null) {
+				this.turns.synced(stored);
+			}
+			done.accept(failure);
+		});
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -220,93 +220,95 @@
       "\030\r \001(\0132$.mangorack.keeper.FetchConfigura" +
       "tionH\000\022F\n\023offer_configuration\030\016 \001(\0132\'.ma" +
       "ngorack.keeper.ConfigurationDocumentH\000B\006" +
-      "\n\004body\"\302\003\n\005Reply\022\n\n\002id\030\001 \001(\004\022(\n\006status\030\002" +
+      "\n\004body\"\337\003\n\005Reply\022\n\n\002id\030\001 \001(\004\022(\n\006status\030\002" +
       " \001(\0162\030.mangorack.keeper.Status\022\017\n\007durabl" +
       "e\030\003 \001(\010\022$\n\004view\030\004 \001(\0132\026.mangorack.keeper" +
-      ".View\022,\n\007charges\030\005 \001(\0132\031.mangorack.keepe" +
-      "r.ChargesH\000\022(\n\005chain\030\006 \001(\0132\027.mangorack.k" +
-      "eeper.ChainH\000\022(\n\005pulse\030\007 \001(\0132\027.mangorack" +
-      ".keeper.PulseH\000\022(\n\005drawn\030\010 \001(\0132\027.mangora" +
-      "ck.keeper.DrawnH\000\022,\n\007listing\030\t \001(\0132\031.man" +
-      "gorack.keeper.ListingH\000\022(\n\005batch\030\n \001(\0132\027" +
-      ".mangorack.keeper.BatchH\000\022@\n\rconfigurati" +
-      "on\030\013 \001(\0132\'.mangorack.keeper.Configuratio" +
-      "nDocumentH\000B\006\n\004body\":\n\006Charge\022\017\n\007attempt" +
-      "\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\022\017\n\007settled\030\003 \001(\010\"" +
-      "3\n\007Charges\022(\n\006charge\030\001 \003(\0132\030.mangorack.k" +
-      "eeper.Charge\";\n\007Reserve\022\017\n\007program\030\001 \001(\t" +
-      "\022\017\n\007attempt\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\"q\n\006Set" +
-      "tle\022\017\n\007program\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\t\022\016\n" +
-      "\006tokens\030\003 \001(\r\022\017\n\007charged\030\004 \001(\010\022$\n\004turn\030\005" +
-      " \001(\0132\026.mangorack.keeper.Turn\"\177\n\004Turn\022\n\n\002" +
-      "id\030\001 \001(\t\022\021\n\tworkspace\030\002 \001(\t\022\020\n\010previous\030" +
-      "\003 \001(\t\022\r\n\005input\030\004 \001(\014\022\016\n\006output\030\005 \001(\014\022\021\n\t" +
-      "stored_ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n" +
-      "\005Fetch\022\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 " +
-      "\003(\0132\026.mangorack.keeper.Turn\022\017\n\007missing\030\002" +
-      " \001(\t\022\020\n\010complete\030\003 \001(\010\"\234\003\n\004Beat\022\020\n\010insta" +
-      "nce\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zon" +
-      "e\030\003 \001(\t\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(" +
-      "\0132\027.mangorack.keeper.Usage\022\025\n\rconfigurat" +
-      "ion\030\006 \001(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\013" +
-      "2\026.mangorack.keeper.Load\022\026\n\016contact_age_" +
-      "ms\030\t \001(\004\022\034\n\024configuration_age_ms\030\013 \001(\004\022\025" +
-      "\n\rpulse_time_ms\030\014 \001(\003\022\022\n\nwith_lists\030\r \001(" +
-      "\010\022\021\n\tupstreams\030\016 \001(\004\022.\n\tdeparture\030\017 \003(\0132" +
-      "\033.mangorack.keeper.Departure\022\022\n\ndepartur" +
-      "es\030\020 \001(\004\022\025\n\rentries_start\030\021 \001(\006J\004\010\n\020\013\"R\n" +
-      "\tDeparture\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030" +
-      "\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(" +
-      "\004\"=\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002" +
-      " \001(\021\022\022\n\nbeginnings\030\003 \001(\021\"X\n\004Load\022\020\n\010upst" +
-      "ream\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007answers\030\003 \001" +
-      "(\r\022\020\n\010pace_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\"\310\004\n\005P" +
-      "ulse\022&\n\005level\030\001 \003(\0132\027.mangorack.keeper.L" +
-      "evel\022\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configura" +
-      "tion_age_ms\030\003 \001(\004\022\017\n\007entries\030\005 \001(\004\022&\n\005en" +
-      "try\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004lo" +
-      "ad\030\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016cont" +
-      "act_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_" +
-      "ms\030\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_" +
-      "ms\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstream" +
-      "s\030\r \001(\0132\036.mangorack.keeper.UpstreamNews\022" +
-      "2\n\007contact\030\016 \001(\0132!.mangorack.keeper.Plat" +
-      "formContact\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdepar" +
-      "ture\030\020 \003(\0132\033.mangorack.keeper.Departure\022" +
-      "\034\n\024configuration_wanted\030\021 \001(\010\022\025\n\rentries" +
-      "_since\030\022 \001(\004\022\022\n\nentry_gone\030\023 \003(\t\022\025\n\rentr" +
-      "ies_start\030\024 \001(\006J\004\010\004\020\005\"#\n\022FetchConfigurat" +
-      "ion\022\r\n\005known\030\001 \001(\004\"I\n\025ConfigurationDocum" +
-      "ent\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\022\016\n" +
-      "\006age_ms\030\003 \001(\004\"G\n\017PlatformContact\022\021\n\tansw" +
-      "ering\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006broken" +
-      "\030\003 \001(\010\"v\n\014UpstreamNews\022\017\n\007version\030\001 \001(\004\022" +
-      "\r\n\005whole\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .mango" +
-      "rack.keeper.UpstreamObject\022\014\n\004gone\030\004 \003(\t" +
-      "J\004\010\005\020\006\"0\n\016UpstreamObject\022\014\n\004name\030\001 \001(\t\022\020" +
-      "\n\010document\030\002 \001(\014\"?\n\005Entry\022\020\n\010instance\030\001 " +
-      "\001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(" +
-      "\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002" +
-      " \001(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspa" +
-      "ce\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 " +
-      "\001(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007gran" +
-      "ted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004" +
-      "view\030\001 \001(\0132\026.mangorack.keeper.View\"\013\n\tIn" +
-      "ventory\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007prog" +
-      "ram\030\002 \003(\0132 .mangorack.keeper.ProgramChar" +
-      "ges\"K\n\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(" +
-      "\n\006charge\030\002 \003(\0132\030.mangorack.keeper.Charge" +
-      "\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n\004turn\030" +
-      "\001 \003(\0132\026.mangorack.keeper.Turn\"`\n\005Store\022$" +
-      "\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\0221\n\007" +
-      "program\030\002 \003(\0132 .mangorack.keeper.Program" +
-      "Charges\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030\001 \001(\003\022" +
-      "&\n\004turn\030\002 \001(\0132\026.mangorack.keeper.TurnH\000\022" +
-      "3\n\007charges\030\003 \001(\0132 .mangorack.keeper.Prog" +
-      "ramChargesH\000B\006\n\004body*N\n\006Status\022\006\n\002OK\020\000\022\016" +
-      "\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAIL" +
-      "ED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.mangorack.ke" +
-      "eper.protoB\013KeeperProtoP\001b\006proto3"
+      ".View\022\033\n\023missing_predecessor\030\014 \001(\t\022,\n\007ch" +
+      "arges\030\005 \001(\0132\031.mangorack.keeper.ChargesH\000" +
+      "\022(\n\005chain\030\006 \001(\0132\027.mangorack.keeper.Chain" +
+      "H\000\022(\n\005pulse\030\007 \001(\0132\027.mangorack.keeper.Pul" +
+      "seH\000\022(\n\005drawn\030\010 \001(\0132\027.mangorack.keeper.D" +
+      "rawnH\000\022,\n\007listing\030\t \001(\0132\031.mangorack.keep" +
+      "er.ListingH\000\022(\n\005batch\030\n \001(\0132\027.mangorack." +
+      "keeper.BatchH\000\022@\n\rconfiguration\030\013 \001(\0132\'." +
+      "mangorack.keeper.ConfigurationDocumentH\000" +
+      "B\006\n\004body\":\n\006Charge\022\017\n\007attempt\030\001 \001(\t\022\016\n\006t" +
+      "okens\030\002 \001(\r\022\017\n\007settled\030\003 \001(\010\"3\n\007Charges\022" +
+      "(\n\006charge\030\001 \003(\0132\030.mangorack.keeper.Charg" +
+      "e\";\n\007Reserve\022\017\n\007program\030\001 \001(\t\022\017\n\007attempt" +
+      "\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\"\236\001\n\006Settle\022\017\n\007pro" +
+      "gram\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\t\022\016\n\006tokens\030\003 " +
+      "\001(\r\022\017\n\007charged\030\004 \001(\010\022$\n\004turn\030\005 \001(\0132\026.man" +
+      "gorack.keeper.Turn\022+\n\013predecessor\030\006 \003(\0132" +
+      "\026.mangorack.keeper.Turn\"\177\n\004Turn\022\n\n\002id\030\001 " +
+      "\001(\t\022\021\n\tworkspace\030\002 \001(\t\022\020\n\010previous\030\003 \001(\t" +
+      "\022\r\n\005input\030\004 \001(\014\022\016\n\006output\030\005 \001(\014\022\021\n\tstore" +
+      "d_ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005Fetc" +
+      "h\022\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026" +
+      ".mangorack.keeper.Turn\022\017\n\007missing\030\002 \001(\t\022" +
+      "\020\n\010complete\030\003 \001(\010\"\234\003\n\004Beat\022\020\n\010instance\030\001" +
+      " \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001" +
+      "(\t\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.m" +
+      "angorack.keeper.Usage\022\025\n\rconfiguration\030\006" +
+      " \001(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.ma" +
+      "ngorack.keeper.Load\022\026\n\016contact_age_ms\030\t " +
+      "\001(\004\022\034\n\024configuration_age_ms\030\013 \001(\004\022\025\n\rpul" +
+      "se_time_ms\030\014 \001(\003\022\022\n\nwith_lists\030\r \001(\010\022\021\n\t" +
+      "upstreams\030\016 \001(\004\022.\n\tdeparture\030\017 \003(\0132\033.man" +
+      "gorack.keeper.Departure\022\022\n\ndepartures\030\020 " +
+      "\001(\004\022\025\n\rentries_start\030\021 \001(\006J\004\010\n\020\013\"R\n\tDepa" +
+      "rture\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t" +
+      "\022\022\n\nstarted_at\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\004\"=\n\005" +
+      "Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022" +
+      "\022\n\nbeginnings\030\003 \001(\021\"X\n\004Load\022\020\n\010upstream\030" +
+      "\001 \001(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\020\n" +
+      "\010pace_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\"\310\004\n\005Pulse\022" +
+      "&\n\005level\030\001 \003(\0132\027.mangorack.keeper.Level\022" +
+      "\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configuration_" +
+      "age_ms\030\003 \001(\004\022\017\n\007entries\030\005 \001(\004\022&\n\005entry\030\006" +
+      " \003(\0132\027.mangorack.keeper.Entry\022$\n\004load\030\007 " +
+      "\003(\0132\026.mangorack.keeper.Load\022\026\n\016contact_a" +
+      "ge_ms\030\010 \001(\004\022\036\n\026entries_contact_age_ms\030\t " +
+      "\001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_ms\030\013 " +
+      "\001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstreams\030\r \001" +
+      "(\0132\036.mangorack.keeper.UpstreamNews\0222\n\007co" +
+      "ntact\030\016 \001(\0132!.mangorack.keeper.PlatformC" +
+      "ontact\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdeparture\030" +
+      "\020 \003(\0132\033.mangorack.keeper.Departure\022\034\n\024co" +
+      "nfiguration_wanted\030\021 \001(\010\022\025\n\rentries_sinc" +
+      "e\030\022 \001(\004\022\022\n\nentry_gone\030\023 \003(\t\022\025\n\rentries_s" +
+      "tart\030\024 \001(\006J\004\010\004\020\005\"#\n\022FetchConfiguration\022\r" +
+      "\n\005known\030\001 \001(\004\"I\n\025ConfigurationDocument\022\017" +
+      "\n\007version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\022\016\n\006age_" +
+      "ms\030\003 \001(\004\"G\n\017PlatformContact\022\021\n\tanswering" +
+      "\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006broken\030\003 \001(" +
+      "\010\"v\n\014UpstreamNews\022\017\n\007version\030\001 \001(\004\022\r\n\005wh" +
+      "ole\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .mangorack." +
+      "keeper.UpstreamObject\022\014\n\004gone\030\004 \003(\tJ\004\010\005\020" +
+      "\006\"0\n\016UpstreamObject\022\014\n\004name\030\001 \001(\t\022\020\n\010doc" +
+      "ument\030\002 \001(\014\"?\n\005Entry\022\020\n\010instance\030\001 \001(\t\022\026" +
+      "\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005" +
+      "Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022" +
+      "\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspace\030\001 " +
+      "\001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(\010\022\022" +
+      "\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007granted\030\001" +
+      " \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030" +
+      "\001 \001(\0132\026.mangorack.keeper.View\"\013\n\tInvento" +
+      "ry\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002" +
+      " \003(\0132 .mangorack.keeper.ProgramCharges\"K" +
+      "\n\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(\n\006cha" +
+      "rge\030\002 \003(\0132\030.mangorack.keeper.Charge\"\024\n\004C" +
+      "opy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\013" +
+      "2\026.mangorack.keeper.Turn\"`\n\005Store\022$\n\004tur" +
+      "n\030\001 \003(\0132\026.mangorack.keeper.Turn\0221\n\007progr" +
+      "am\030\002 \003(\0132 .mangorack.keeper.ProgramCharg" +
+      "es\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004tu" +
+      "rn\030\002 \001(\0132\026.mangorack.keeper.TurnH\000\0223\n\007ch" +
+      "arges\030\003 \001(\0132 .mangorack.keeper.ProgramCh" +
+      "argesH\000B\006\n\004body*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTA" +
+      "LE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022" +
+      "\016\n\nWRONG_DISK\020\004B+\n\032org.mangorack.keeper." +
+      "protoB\013KeeperProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -335,7 +337,7 @@
     internal_static_mangorack_keeper_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Reply_descriptor,
-        new java.lang.String[] { "Id", "Status", "Durable", "View", "Charges", "Chain", "Pulse", "Drawn", "Listing", "Batch", "Configuration", "Body", });
+        new java.lang.String[] { "Id", "Status", "Durable", "View", "MissingPredecessor", "Charges", "Chain", "Pulse", "Drawn", "Listing", "Batch", "Configuration", "Body", });
     internal_static_mangorack_keeper_Charge_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_mangorack_keeper_Charge_fieldAccessorTable = new
@@ -359,7 +361,7 @@
     internal_static_mangorack_keeper_Settle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Settle_descriptor,
-        new java.lang.String[] { "Program", "Attempt", "Tokens", "Charged", "Turn", });
+        new java.lang.String[] { "Program", "Attempt", "Tokens", "Charged", "Turn", "Predecessor", });
     internal_static_mangorack_keeper_Turn_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_mangorack_keeper_Turn_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Reply.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Reply.java
@@ -29,6 +29,7 @@
   }
   private Reply() {
     status_ = 0;
+    missingPredecessor_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -167,6 +168,53 @@
     return view_ == null ? org.mangorack.keeper.proto.View.getDefaultInstance() : view_;
   }
 
+  public static final int MISSING_PREDECESSOR_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object missingPredecessor_ = "";
+  /**
+   * <pre>
+   * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+   * </pre>
+   *
+   * <code>string missing_predecessor = 12;</code>
+   * @return The missingPredecessor.
+   */
+  @java.lang.Override
+  public java.lang.String getMissingPredecessor() {
+    java.lang.Object ref = missingPredecessor_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      missingPredecessor_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+   * </pre>
+   *
+   * <code>string missing_predecessor = 12;</code>
+   * @return The bytes for missingPredecessor.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getMissingPredecessorBytes() {
+    java.lang.Object ref = missingPredecessor_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      missingPredecessor_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   public static final int CHARGES_FIELD_NUMBER = 5;
   /**
    * <code>.mangorack.keeper.Charges charges = 5;</code>
@@ -431,6 +479,9 @@
     if (bodyCase_ == 11) {
       output.writeMessage(11, (org.mangorack.keeper.proto.ConfigurationDocument) body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(missingPredecessor_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 12, missingPredecessor_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -484,6 +535,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, (org.mangorack.keeper.proto.ConfigurationDocument) body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(missingPredecessor_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(12, missingPredecessor_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -509,6 +563,8 @@
       if (!getView()
           .equals(other.getView())) return false;
     }
+    if (!getMissingPredecessor()
+        .equals(other.getMissingPredecessor())) return false;
     if (!getBodyCase().equals(other.getBodyCase())) return false;
     switch (bodyCase_) {
       case 5:
@@ -565,6 +621,8 @@
       hash = (37 * hash) + VIEW_FIELD_NUMBER;
       hash = (53 * hash) + getView().hashCode();
     }
+    hash = (37 * hash) + MISSING_PREDECESSOR_FIELD_NUMBER;
+    hash = (53 * hash) + getMissingPredecessor().hashCode();
     switch (bodyCase_) {
       case 5:
         hash = (37 * hash) + CHARGES_FIELD_NUMBER;
@@ -742,6 +800,7 @@
         viewBuilder_.dispose();
         viewBuilder_ = null;
       }
+      missingPredecessor_ = "";
       if (chargesBuilder_ != null) {
         chargesBuilder_.clear();
       }
@@ -815,6 +874,9 @@
             : viewBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.missingPredecessor_ = missingPredecessor_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -875,6 +937,11 @@
       if (other.hasView()) {
         mergeView(other.getView());
       }
+      if (!other.getMissingPredecessor().isEmpty()) {
+        missingPredecessor_ = other.missingPredecessor_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       switch (other.getBodyCase()) {
         case CHARGES: {
           mergeCharges(other.getCharges());
@@ -1005,6 +1072,11 @@
               bodyCase_ = 11;
               break;
             } // case 90
+            case 98: {
+              missingPredecessor_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1285,6 +1357,98 @@
       return viewBuilder_;
     }
 
+    private java.lang.Object missingPredecessor_ = "";
+    /**
+     * <pre>
+     * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+     * </pre>
+     *
+     * <code>string missing_predecessor = 12;</code>
+     * @return The missingPredecessor.
+     */
+    public java.lang.String getMissingPredecessor() {
+      java.lang.Object ref = missingPredecessor_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        missingPredecessor_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+     * </pre>
+     *
+     * <code>string missing_predecessor = 12;</code>
+     * @return The bytes for missingPredecessor.
+     */
+    public com.google.protobuf.ByteString
+        getMissingPredecessorBytes() {
+      java.lang.Object ref = missingPredecessor_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        missingPredecessor_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+     * </pre>
+     *
+     * <code>string missing_predecessor = 12;</code>
+     * @param value The missingPredecessor to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMissingPredecessor(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      missingPredecessor_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+     * </pre>
+     *
+     * <code>string missing_predecessor = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMissingPredecessor() {
+      missingPredecessor_ = getDefaultInstance().getMissingPredecessor();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+     * </pre>
+     *
+     * <code>string missing_predecessor = 12;</code>
+     * @param value The bytes for missingPredecessor to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMissingPredecessorBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      missingPredecessor_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.mangorack.keeper.proto.Charges, org.mangorack.keeper.proto.Charges.Builder, org.mangorack.keeper.proto.ChargesOrBuilder> chargesBuilder_;
     /**
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/ReplyOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/ReplyOrBuilder.java
@@ -52,6 +52,26 @@
    */
   org.mangorack.keeper.proto.ViewOrBuilder getViewOrBuilder();
 
+  /**
+   * <pre>
+   * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+   * </pre>
+   *
+   * <code>string missing_predecessor = 12;</code>
+   * @return The missingPredecessor.
+   */
+  java.lang.String getMissingPredecessor();
+  /**
+   * <pre>
+   * The newest predecessor of a settled turn that is not held here; empty if its chain is whole.
+   * </pre>
+   *
+   * <code>string missing_predecessor = 12;</code>
+   * @return The bytes for missingPredecessor.
+   */
+  com.google.protobuf.ByteString
+      getMissingPredecessorBytes();
+
   /**
    * <code>.mangorack.keeper.Charges charges = 5;</code>
    * @return Whether the charges field is set.
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Settle.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Settle.java
@@ -34,6 +34,7 @@
   private Settle() {
     program_ = "";
     attempt_ = "";
+    predecessor_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -180,6 +181,67 @@
     return turn_ == null ? org.mangorack.keeper.proto.Turn.getDefaultInstance() : turn_;
   }
 
+  public static final int PREDECESSOR_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.mangorack.keeper.proto.Turn> predecessor_;
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.mangorack.keeper.proto.Turn> getPredecessorList() {
+    return predecessor_;
+  }
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.mangorack.keeper.proto.TurnOrBuilder> 
+      getPredecessorOrBuilderList() {
+    return predecessor_;
+  }
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  @java.lang.Override
+  public int getPredecessorCount() {
+    return predecessor_.size();
+  }
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.Turn getPredecessor(int index) {
+    return predecessor_.get(index);
+  }
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.TurnOrBuilder getPredecessorOrBuilder(
+      int index) {
+    return predecessor_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -209,6 +271,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(5, getTurn());
     }
+    for (int i = 0; i < predecessor_.size(); i++) {
+      output.writeMessage(6, predecessor_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -236,6 +301,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, getTurn());
     }
+    for (int i = 0; i < predecessor_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, predecessor_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -264,6 +333,8 @@
       if (!getTurn()
           .equals(other.getTurn())) return false;
     }
+    if (!getPredecessorList()
+        .equals(other.getPredecessorList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -288,6 +359,10 @@
       hash = (37 * hash) + TURN_FIELD_NUMBER;
       hash = (53 * hash) + getTurn().hashCode();
     }
+    if (getPredecessorCount() > 0) {
+      hash = (37 * hash) + PREDECESSOR_FIELD_NUMBER;
+      hash = (53 * hash) + getPredecessorList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -423,6 +498,7 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetTurnFieldBuilder();
+        internalGetPredecessorFieldBuilder();
       }
     }
     @java.lang.Override
@@ -438,6 +514,13 @@
         turnBuilder_.dispose();
         turnBuilder_ = null;
       }
+      if (predecessorBuilder_ == null) {
+        predecessor_ = java.util.Collections.emptyList();
+      } else {
+        predecessor_ = null;
+        predecessorBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -464,11 +547,24 @@
     @java.lang.Override
     public org.mangorack.keeper.proto.Settle buildPartial() {
       org.mangorack.keeper.proto.Settle result = new org.mangorack.keeper.proto.Settle(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.mangorack.keeper.proto.Settle result) {
+      if (predecessorBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          predecessor_ = java.util.Collections.unmodifiableList(predecessor_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.predecessor_ = predecessor_;
+      } else {
+        result.predecessor_ = predecessorBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.mangorack.keeper.proto.Settle result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -524,6 +620,32 @@
       if (other.hasTurn()) {
         mergeTurn(other.getTurn());
       }
+      if (predecessorBuilder_ == null) {
+        if (!other.predecessor_.isEmpty()) {
+          if (predecessor_.isEmpty()) {
+            predecessor_ = other.predecessor_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensurePredecessorIsMutable();
+            predecessor_.addAll(other.predecessor_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.predecessor_.isEmpty()) {
+          if (predecessorBuilder_.isEmpty()) {
+            predecessorBuilder_.dispose();
+            predecessorBuilder_ = null;
+            predecessor_ = other.predecessor_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            predecessorBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPredecessorFieldBuilder() : null;
+          } else {
+            predecessorBuilder_.addAllMessages(other.predecessor_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -577,6 +699,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              org.mangorack.keeper.proto.Turn m =
+                  input.readMessage(
+                      org.mangorack.keeper.proto.Turn.parser(),
+                      extensionRegistry);
+              if (predecessorBuilder_ == null) {
+                ensurePredecessorIsMutable();
+                predecessor_.add(m);
+              } else {
+                predecessorBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -935,6 +1070,318 @@
       return turnBuilder_;
     }
 
+    private java.util.List<org.mangorack.keeper.proto.Turn> predecessor_ =
+      java.util.Collections.emptyList();
+    private void ensurePredecessorIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        predecessor_ = new java.util.ArrayList<org.mangorack.keeper.proto.Turn>(predecessor_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mangorack.keeper.proto.Turn, org.mangorack.keeper.proto.Turn.Builder, org.mangorack.keeper.proto.TurnOrBuilder> predecessorBuilder_;
+
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public java.util.List<org.mangorack.keeper.proto.Turn> getPredecessorList() {
+      if (predecessorBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(predecessor_);
+      } else {
+        return predecessorBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public int getPredecessorCount() {
+      if (predecessorBuilder_ == null) {
+        return predecessor_.size();
+      } else {
+        return predecessorBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public org.mangorack.keeper.proto.Turn getPredecessor(int index) {
+      if (predecessorBuilder_ == null) {
+        return predecessor_.get(index);
+      } else {
+        return predecessorBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder setPredecessor(
+        int index, org.mangorack.keeper.proto.Turn value) {
+      if (predecessorBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePredecessorIsMutable();
+        predecessor_.set(index, value);
+        onChanged();
+      } else {
+        predecessorBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder setPredecessor(
+        int index, org.mangorack.keeper.proto.Turn.Builder builderForValue) {
+      if (predecessorBuilder_ == null) {
+        ensurePredecessorIsMutable();
+        predecessor_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        predecessorBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder addPredecessor(org.mangorack.keeper.proto.Turn value) {
+      if (predecessorBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePredecessorIsMutable();
+        predecessor_.add(value);
+        onChanged();
+      } else {
+        predecessorBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder addPredecessor(
+        int index, org.mangorack.keeper.proto.Turn value) {
+      if (predecessorBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePredecessorIsMutable();
+        predecessor_.add(index, value);
+        onChanged();
+      } else {
+        predecessorBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder addPredecessor(
+        org.mangorack.keeper.proto.Turn.Builder builderForValue) {
+      if (predecessorBuilder_ == null) {
+        ensurePredecessorIsMutable();
+        predecessor_.add(builderForValue.build());
+        onChanged();
+      } else {
+        predecessorBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder addPredecessor(
+        int index, org.mangorack.keeper.proto.Turn.Builder builderForValue) {
+      if (predecessorBuilder_ == null) {
+        ensurePredecessorIsMutable();
+        predecessor_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        predecessorBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder addAllPredecessor(
+        java.lang.Iterable<? extends org.mangorack.keeper.proto.Turn> values) {
+      if (predecessorBuilder_ == null) {
+        ensurePredecessorIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, predecessor_);
+        onChanged();
+      } else {
+        predecessorBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder clearPredecessor() {
+      if (predecessorBuilder_ == null) {
+        predecessor_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        predecessorBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public Builder removePredecessor(int index) {
+      if (predecessorBuilder_ == null) {
+        ensurePredecessorIsMutable();
+        predecessor_.remove(index);
+        onChanged();
+      } else {
+        predecessorBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public org.mangorack.keeper.proto.Turn.Builder getPredecessorBuilder(
+        int index) {
+      return internalGetPredecessorFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public org.mangorack.keeper.proto.TurnOrBuilder getPredecessorOrBuilder(
+        int index) {
+      if (predecessorBuilder_ == null) {
+        return predecessor_.get(index);  } else {
+        return predecessorBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public java.util.List<? extends org.mangorack.keeper.proto.TurnOrBuilder> 
+         getPredecessorOrBuilderList() {
+      if (predecessorBuilder_ != null) {
+        return predecessorBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(predecessor_);
+      }
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public org.mangorack.keeper.proto.Turn.Builder addPredecessorBuilder() {
+      return internalGetPredecessorFieldBuilder().addBuilder(
+          org.mangorack.keeper.proto.Turn.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public org.mangorack.keeper.proto.Turn.Builder addPredecessorBuilder(
+        int index) {
+      return internalGetPredecessorFieldBuilder().addBuilder(
+          index, org.mangorack.keeper.proto.Turn.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+     * </pre>
+     *
+     * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+     */
+    public java.util.List<org.mangorack.keeper.proto.Turn.Builder> 
+         getPredecessorBuilderList() {
+      return internalGetPredecessorFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.mangorack.keeper.proto.Turn, org.mangorack.keeper.proto.Turn.Builder, org.mangorack.keeper.proto.TurnOrBuilder> 
+        internalGetPredecessorFieldBuilder() {
+      if (predecessorBuilder_ == null) {
+        predecessorBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.mangorack.keeper.proto.Turn, org.mangorack.keeper.proto.Turn.Builder, org.mangorack.keeper.proto.TurnOrBuilder>(
+                predecessor_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        predecessor_ = null;
+      }
+      return predecessorBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Settle)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/SettleOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/SettleOrBuilder.java
@@ -64,4 +64,48 @@
    * <code>.mangorack.keeper.Turn turn = 5;</code>
    */
   org.mangorack.keeper.proto.TurnOrBuilder getTurnOrBuilder();
+
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  java.util.List<org.mangorack.keeper.proto.Turn> 
+      getPredecessorList();
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  org.mangorack.keeper.proto.Turn getPredecessor(int index);
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  int getPredecessorCount();
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  java.util.List<? extends org.mangorack.keeper.proto.TurnOrBuilder> 
+      getPredecessorOrBuilderList();
+  /**
+   * <pre>
+   * Consecutive predecessors of the turn, newest first, that the keeper said it lacks.
+   * </pre>
+   *
+   * <code>repeated .mangorack.keeper.Turn predecessor = 6;</code>
+   */
+  org.mangorack.keeper.proto.TurnOrBuilder getPredecessorOrBuilder(
+      int index);
 }
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -15,6 +15,7 @@
 import org.mangorack.call.Refusal;
 import org.mangorack.call.Verdict;
 import org.mangorack.keeper.ChainListener;
+import org.mangorack.keeper.ChainedTurn;
 import org.mangorack.keeper.ReservationListener;
 import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.Event;
@@ -648,7 +649,7 @@
 		return full.toByteArray();
 	}
 
-	private Turn turn() {
+	private ChainedTurn turn() {
 		Turn.Builder turn = Turn.newBuilder()
 			.setId(this.head.requestId())
 			.setWorkspace(workspaceName())
@@ -658,7 +659,7 @@
 		if (this.head.previousTurn() != null) {
 			turn.setPrevious(this.head.previousTurn());
 		}
-		return turn.build();
+		return new ChainedTurn(turn.build(), this.chain);
 	}
 
 	/**
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -47,6 +47,10 @@
 
 	private static final long LIMIT_SECONDS = 20;
 
+	private static final Duration RETENTION = Duration.ofSeconds(60);
+
+	private static final Duration BEYOND_RETENTION = RETENTION.plus(TurnStore.RETENTION_MARGIN).plusSeconds(1);
+
 	@TempDir
 	Path folder;
 
@@ -96,6 +100,54 @@
 		assertThat(fetch("third", "t2")).isEqualTo("found t2 t1");
 	}
 
+	// Guards against 404 for a turn whose run lasted until its predecessor had expired.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aTurnThatEndsAfterItsPredecessorExpiredIsStoredWithItsChain(boolean charged) throws Exception {
+		awaitServing(4);
+		store("t1", "", "p");
+		store("t2", "t1", "p");
+		List<Turn> predecessors = fetchChain("p", "t2");
+		this.keepers.forEach((k) -> k.advance(BEYOND_RETENTION));
+		assertThat(fetch("p", "t2")).isEqualTo("absent");
+		assertThat(settle("p", new ChainedTurn(turn("t3", "t2", "in"), predecessors), charged)).isTrue();
+		assertThat(fetch("p", "t3")).isEqualTo("found t3 t2 t1");
+		this.keepers.forEach((k) -> k.advance(RETENTION));
+		assertThat(fetch("p", "t3")).isEqualTo("found t3 t2 t1");
+	}
+
+	// Guards against 404 after the loss of a disk, for a turn whose predecessors had
+	// expired at keepers that were down when it was stored.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void eachKeeperThatConfirmsATurnHoldsItsChain(boolean charged) throws Exception {
+		this.keepers.get(2).kill();
+		this.keepers.get(3).kill();
+		awaitServing(2);
+		store("t1", "", "p");
+		this.keepers.get(2).start();
+		this.keepers.get(3).start();
+		awaitServing(4);
+		List<Turn> predecessors = fetchChain("p", "t1");
+		this.keepers.get(0).kill();
+		assertThat(settle("p", new ChainedTurn(turn("t2", "t1", "in"), predecessors), charged)).isTrue();
+		assertThat(this.keepers.subList(1, 4).stream().filter((k) -> k.chain("t2").size() == 2).count())
+			.isGreaterThanOrEqualTo(2);
+		this.keepers.get(1).kill();
+		assertThat(fetch("p", "t2")).isEqualTo("found t2 t1");
+	}
+
+	@Test
+	void predecessorsThatExceedOneMessageAreSentInSeveral() throws Exception {
+		List<Turn> predecessors = new ArrayList<>();
+		for (int i = 6; i >= 1; i--) {
+			predecessors
+				.add(turn("t" + i, (i > 1) ? ("t" + (i - 1)) : "", "x".repeat(SettleCall.MAX_BATCH_BYTES * 2 / 5)));
+		}
+		assertThat(settle("p", new ChainedTurn(turn("t7", "t6", "in"), predecessors), true)).isTrue();
+		assertThat(fetch("p", "t7")).isEqualTo("found t7 t6 t5 t4 t3 t2 t1");
+	}
+
 	@Test
 	void aTurnSurvivesTheLossOfAnyOneDisk() throws Exception {
 		for (int i = 0; i < 8; i++) {
@@ -222,7 +274,7 @@
 		this.keepers.forEach((k) -> k.delaySyncs(KeeperClient.HEDGE_DELAY.multipliedBy(12)));
 		CompletableFuture<Boolean> stored = new CompletableFuture<>();
 		Turn turn = Turn.newBuilder().setId("t1").setWorkspace("w").setRetentionMs(60_000).build();
-		onLoop(() -> this.client.settle("p", "a1", 1, charged, turn, stored::complete));
+		onLoop(() -> this.client.settle("p", "a1", 1, charged, new ChainedTurn(turn, List.of()), stored::complete));
 		assertThat(stored.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
 		for (TestKeeper k : this.keepers) {
 			assertThat(k.killAndCountTurns()).as(k.member().getDisk()).isLessThanOrEqualTo(1);
@@ -254,7 +306,7 @@
 		awaitServing(2);
 		CompletableFuture<Boolean> stored = new CompletableFuture<>();
 		Turn turn = Turn.newBuilder().setId("t1").setWorkspace("w").setRetentionMs(60_000).build();
-		onLoop(() -> this.client.settle("p", "a1", 1, true, turn, stored::complete));
+		onLoop(() -> this.client.settle("p", "a1", 1, true, new ChainedTurn(turn, List.of()), stored::complete));
 		assertThat(stored.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
 		assertThat(remaining).allSatisfy((k) -> assertThat(k.turnIds()).containsExactly("t1"));
 	}
@@ -409,14 +461,22 @@
 	}
 
 	private boolean store(String id, String previous, String program) throws Exception {
-		CompletableFuture<Boolean> done = new CompletableFuture<>();
-		Turn turn = Turn.newBuilder()
+		List<Turn> predecessors = previous.isEmpty() ? List.of() : fetchChain(program, previous);
+		return settle(program, new ChainedTurn(turn(id, previous, "in " + id), predecessors), false);
+	}
+
+	private static Turn turn(String id, String previous, String input) {
+		return Turn.newBuilder()
 			.setId(id)
 			.setPrevious(previous)
-			.setInput(ByteString.copyFromUtf8("in " + id))
-			.setRetentionMs(60_000)
+			.setInput(ByteString.copyFromUtf8(input))
+			.setRetentionMs(RETENTION.toMillis())
 			.build();
-		onLoop(() -> this.client.settle(program, id, 10, false, turn, done::complete));
+	}
+
+	private boolean settle(String program, ChainedTurn turn, boolean charged) throws Exception {
+		CompletableFuture<Boolean> done = new CompletableFuture<>();
+		onLoop(() -> this.client.settle(program, turn.turn().getId(), 10, charged, turn, done::complete));
 		return done.get(LIMIT_SECONDS, TimeUnit.SECONDS);
 	}
 
@@ -427,13 +487,29 @@
 	}
 
 	private String fetch(String program, String turn) throws Exception {
+		CompletableFuture<List<Turn>> chain = new CompletableFuture<>();
+		String outcome = fetch(program, turn, chain);
+		if (!outcome.equals("found")) {
+			return outcome;
+		}
+		StringBuilder ids = new StringBuilder(outcome);
+		chain.get().forEach((t) -> ids.append(' ').append(t.getId()));
+		return ids.toString();
+	}
+
+	private List<Turn> fetchChain(String program, String turn) throws Exception {
+		CompletableFuture<List<Turn>> chain = new CompletableFuture<>();
+		assertThat(fetch(program, turn, chain)).isEqualTo("found");
+		return chain.get();
+	}
+
+	private String fetch(String program, String turn, CompletableFuture<List<Turn>> chain) throws Exception {
 		CompletableFuture<String> done = new CompletableFuture<>();
 		onLoop(() -> this.client.fetch(program, turn, new ChainListener() {
 			@Override
-			public void found(List<Turn> chain) {
-				StringBuilder ids = new StringBuilder("found");
-				chain.forEach((t) -> ids.append(' ').append(t.getId()));
-				done.complete(ids.toString());
+			public void found(List<Turn> turns) {
+				chain.complete(turns);
+				done.complete("found");
 			}
 
 			@Override
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -17,6 +17,7 @@
 
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.ContactTracker;
@@ -51,6 +52,8 @@
 
 	private volatile Duration syncDelay = Duration.ZERO;
 
+	private volatile Duration elapsed = Duration.ZERO;
+
 	TestKeeper(String name, String disk, Path folder, ConfigurationRelay configuration) {
 		this.name = name;
 		this.disk = disk;
@@ -61,7 +64,7 @@
 	TestKeeper start() throws IOException {
 		this.log = new RecordLog(this.folder.resolve("log"),
 				(task) -> this.loops.next().schedule(task, this.syncDelay.toMillis(), TimeUnit.MILLISECONDS));
-		TurnStore turns = new TurnStore(this.log, System::currentTimeMillis);
+		TurnStore turns = new TurnStore(this.log, () -> System.currentTimeMillis() + this.elapsed.toMillis());
 		turns.load();
 		this.log.start();
 		ViewFile file = new ViewFile(this.folder.resolve("view"), 1);
@@ -113,6 +116,27 @@
 		return turns.get();
 	}
 
+	/**
+	 * Lets time pass for the retention of turns, and removes those that have expired.
+	 * @param time the time to pass
+	 */
+	void advance(Duration time) {
+		this.elapsed = this.elapsed.plus(time);
+		this.loops.next().submit(() -> this.service.turns().expire()).syncUninterruptibly();
+	}
+
+	/**
+	 * Returns the turns of a chain that this keeper holds.
+	 * @param id the id of the newest turn
+	 * @return their ids, newest first
+	 */
+	List<String> chain(String id) {
+		return this.loops.next()
+			.submit(() -> this.service.turns().chain(id).getTurnList().stream().map(Turn::getId).toList())
+			.syncUninterruptibly()
+			.getNow();
+	}
+
 	void listenOn(int number) {
 		this.port = number;
 	}
