Measure the retention of turns and charges by the steady clock

What callers would see: 404 no_turn, or a budget that begins anew, after the time of day of a keeper's machine was set forward by more than 15 s plus what is left of the retention.

Cause: turns and charges expired by the time of day at which they had been written, here or at the keeper that they were copied from. A step of the clock moved the end of all of them.

Change: within a process the retention runs by the steady clock from the moment at which the keeper stored the turn. After a restart it starts anew, as the time since the writing cannot be told from an error of the time of day; only what was written more than ten minutes before its retention ended is dropped, so that a keeper that is restarted again and again does not keep everything. Copies start anew too, so the clocks of other machines have no part in it. Price: a restart keeps turns in memory for one retention longer.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -89,7 +89,7 @@
 		Path folder = this.settings.dataFolder();
 		String disk = readOrCreateDiskId(folder);
 		this.log = new RecordLog(folder.resolve("log"), this.loops.next()::execute);
-		TurnStore turns = new TurnStore(this.log, System::currentTimeMillis);
+		TurnStore turns = new TurnStore(this.log, this.clock, System::currentTimeMillis);
 		turns.load();
 		this.log.start();
 		ViewFile viewFile = new ViewFile(folder.resolve("view"), this.settings.tolerance());
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.mangorack.keeper.proto.Turn;
 
@@ -160,6 +161,18 @@
 		due.forEach(this::removeUnused);
 	}
 
+	/**
+	 * Ends the retention of some turns early, and removes those that no other turn
+	 * continues.
+	 * @param ended selects the turns
+	 */
+	void expire(Predicate<Turn> ended) {
+		List<StoredTurn> due = this.unexpired.stream().filter((t) -> ended.test(t.turn())).toList();
+		this.unexpired.removeAll(Set.copyOf(due));
+		due.forEach(StoredTurn::setExpired);
+		due.forEach(this::removeUnused);
+	}
+
 	// ---- Helpers
 
 	private boolean isChainSynced(String id) {
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -15,6 +16,7 @@
 import org.mangorack.keeper.proto.LogEntry;
 import org.mangorack.keeper.proto.ProgramCharges;
 import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.MonotonicClock;
 
 /**
  * Stores the turns and budgets of a keeper in memory and in its log. Not thread-safe.
@@ -22,8 +24,7 @@
 final class TurnStore {
 
 	/**
-	 * Added to the retention of a turn, to allow for clock differences between instances
-	 * and for turns whose response ends after they were stored.
+	 * Added to the retention of a turn, as its response ends after it was stored.
 	 */
 	static final Duration RETENTION_MARGIN = Duration.ofSeconds(15);
 
@@ -33,8 +34,16 @@
 	 */
 	static final Duration LEDGER_RETENTION = Duration.ofSeconds(180);
 
+	/**
+	 * The error of the time of day that is allowed for on a restart. What was written
+	 * longer before than its retention and this time is not retained any further.
+	 */
+	static final Duration MAX_CLOCK_ERROR = Duration.ofMinutes(10);
+
 	private final RecordLog log;
 
+	private final MonotonicClock clock;
+
 	private final LongSupplier wallClockMillis;
 
 	private final TurnIndex turns = new TurnIndex();
@@ -44,18 +53,21 @@
 	/**
 	 * Creates an empty store.
 	 * @param log the log that changes are written to
-	 * @param wallClockMillis supplies the time of day in milliseconds, which unlike a
-	 * monotonic clock can be compared across restarts
+	 * @param clock measures the retention
+	 * @param wallClockMillis supplies the time of day in milliseconds. It may be wrong or
+	 * change suddenly, but unlike the clock can be compared across restarts
 	 */
-	TurnStore(RecordLog log, LongSupplier wallClockMillis) {
+	TurnStore(RecordLog log, MonotonicClock clock, LongSupplier wallClockMillis) {
 		this.log = log;
+		this.clock = clock;
 		this.wallClockMillis = wallClockMillis;
 	}
 
 	// ---- Life-cycle
 
 	/**
-	 * Loads the content of the log into memory.
+	 * Loads the content of the log into memory. The retention of all content starts anew,
+	 * because the time since it was written cannot be told from an error of the clock.
 	 * @throws IOException if the log cannot be read
 	 */
 	void load() throws IOException {
@@ -67,9 +79,12 @@
 			}
 			else {
 				ProgramCharges charges = entry.getCharges();
-				program(charges.getProgram()).merge(charges.getChargeList(), entry.getStoredMs(), segment);
+				program(charges.getProgram()).merge(charges.getChargeList(), clockMillis(), entry.getStoredMs(),
+						segment);
 			}
 		});
+		this.turns.expire((turn) -> isOutdated(turn.getStoredMs(), Duration.ofMillis(turn.getRetentionMs())));
+		this.programs.values().removeIf((p) -> isOutdated(p.storedMs, LEDGER_RETENTION));
 	}
 
 	// ---- Accessors
@@ -144,7 +159,7 @@
 	 */
 	void charge(ProgramCharges charges, Consumer<IOException> done) {
 		long now = this.wallClockMillis.getAsLong();
-		program(charges.getProgram()).merge(charges.getChargeList(), now, this.log.segment());
+		program(charges.getProgram()).merge(charges.getChargeList(), clockMillis(), now, this.log.segment());
 		this.log.append(LogEntry.newBuilder().setStoredMs(now).setCharges(charges).build(), done);
 	}
 
@@ -178,13 +193,13 @@
 	 * segment.
 	 */
 	void expire() {
-		long now = this.wallClockMillis.getAsLong();
+		long now = clockMillis();
 		this.turns.expire(now);
-		this.programs.values().removeIf((p) -> now > p.lastChangeMs + LEDGER_RETENTION.toMillis());
+		this.programs.values().removeIf((p) -> now > p.changedAt + LEDGER_RETENTION.toMillis());
 		long oldestTurnSegment = this.turns.oldestSegment(this.log.segment());
 		this.programs.forEach((name, p) -> {
 			if (p.oldestSegment < oldestTurnSegment) {
-				rewrite(name, p, now);
+				rewrite(name, p);
 			}
 		});
 		long oldestLedgerSegment = this.programs.values()
@@ -202,13 +217,22 @@
 		if (known != null) {
 			return known;
 		}
-		return this.turns.add(turn, segment, turn.getStoredMs() + turn.getRetentionMs() + RETENTION_MARGIN.toMillis());
+		return this.turns.add(turn, segment, clockMillis() + turn.getRetentionMs() + RETENTION_MARGIN.toMillis());
 	}
 
-	private void rewrite(String name, ProgramLedger program, long now) {
+	private boolean isOutdated(long storedMs, Duration retention) {
+		Duration age = Duration.ofMillis(this.wallClockMillis.getAsLong() - storedMs);
+		return age.compareTo(retention.plus(RETENTION_MARGIN).plus(MAX_CLOCK_ERROR)) > 0;
+	}
+
+	private long clockMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime());
+	}
+
+	private void rewrite(String name, ProgramLedger program) {
 		long segment = this.log.segment();
 		ProgramCharges charges = ProgramCharges.newBuilder().setProgram(name).addAllCharge(program.charges()).build();
-		LogEntry entry = LogEntry.newBuilder().setStoredMs(program.lastChangeMs).setCharges(charges).build();
+		LogEntry entry = LogEntry.newBuilder().setStoredMs(program.storedMs).setCharges(charges).build();
 		this.log.append(entry, (failure) -> {
 			if (failure == null) {
 				program.oldestSegment = segment;
@@ -227,13 +251,18 @@
 
 		private final BudgetLedger ledger = new BudgetLedger();
 
-		private long lastChangeMs;
+		// By the clock of this process, in milliseconds.
+		private long changedAt;
+
+		// The time of day of the latest change.
+		private long storedMs;
 
 		private long oldestSegment = Long.MAX_VALUE;
 
-		private void merge(List<Charge> charges, long time, long segment) {
+		private void merge(List<Charge> charges, long now, long timeOfDay, long segment) {
 			charges.forEach(this.ledger::merge);
-			this.lastChangeMs = Math.max(this.lastChangeMs, time);
+			this.changedAt = now;
+			this.storedMs = Math.max(this.storedMs, timeOfDay);
 			this.oldestSegment = Math.min(this.oldestSegment, segment);
 		}
 
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -64,7 +64,8 @@
 	TestKeeper start() throws IOException {
 		this.log = new RecordLog(this.folder.resolve("log"),
 				(task) -> this.loops.next().schedule(task, this.syncDelay.toMillis(), TimeUnit.MILLISECONDS));
-		TurnStore turns = new TurnStore(this.log, () -> System.currentTimeMillis() + this.elapsed.toMillis());
+		TurnStore turns = new TurnStore(this.log, () -> System.nanoTime() + this.elapsed.toNanos(),
+				System::currentTimeMillis);
 		turns.load();
 		this.log.start();
 		ViewFile file = new ViewFile(this.folder.resolve("view"), 1);
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
@@ -16,7 +16,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.keeper.proto.Chain;
+import org.mangorack.keeper.proto.Charge;
+import org.mangorack.keeper.proto.ProgramCharges;
 import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -32,7 +35,9 @@
 	@TempDir
 	Path folder;
 
-	private final AtomicLong wallClock = new AtomicLong(1_000_000);
+	private final ManualClock clock = new ManualClock();
+
+	private final AtomicLong wallClock = new AtomicLong(Duration.ofDays(2).toMillis());
 
 	private RecordLog log;
 
@@ -41,7 +46,7 @@
 	@BeforeEach
 	void open() throws IOException {
 		this.log = new RecordLog(this.folder, Runnable::run);
-		this.store = new TurnStore(this.log, this.wallClock::get);
+		this.store = new TurnStore(this.log, this.clock, this.wallClock::get);
 		this.store.load();
 		this.log.start();
 	}
@@ -100,6 +105,53 @@
 		assertThat(chain("t2")).containsExactly("t2", "t1");
 	}
 
+	// Guards against 404 after the time of day of a keeper's machine was set.
+	@ParameterizedTest
+	@ValueSource(longs = { -86_000, -2, 2, 100, 86_000 })
+	void aStepOfTheTimeOfDayDoesNotChangeTheRetention(long seconds) throws Exception {
+		store("t1", "");
+		this.wallClock.addAndGet(TimeUnit.SECONDS.toMillis(seconds));
+		advance(RETENTION.minusSeconds(1));
+		assertThat(chain("t1")).containsExactly("t1");
+		advance(TurnStore.RETENTION_MARGIN.plusSeconds(2));
+		assertThat(this.store.turnIds()).isEmpty();
+	}
+
+	// Guards against 404 if the time of day was set while the keeper was down.
+	@ParameterizedTest
+	@ValueSource(longs = { -86_000, 100, 500 })
+	void aStepOfTheTimeOfDayBeforeARestartDoesNotEndTheRetention(long seconds) throws Exception {
+		store("t1", "");
+		charge("p", "t1");
+		close();
+		this.wallClock.addAndGet(TimeUnit.SECONDS.toMillis(seconds));
+		open();
+		advance(RETENTION.minusSeconds(1));
+		assertThat(chain("t1")).containsExactly("t1");
+		assertThat(this.store.charges("p").getChargeCount()).isEqualTo(1);
+	}
+
+	@Test
+	void contentThatIsMuchOlderThanItsRetentionIsNotRetainedAfterARestart() throws Exception {
+		store("t1", "");
+		store("t2", "t1");
+		charge("p", "t1");
+		close();
+		this.wallClock.addAndGet(TurnStore.MAX_CLOCK_ERROR.plusMinutes(5).toMillis());
+		open();
+		assertThat(this.store.turnIds()).isEmpty();
+		assertThat(this.store.programCount()).isZero();
+	}
+
+	private void charge(String program, String attempt) throws Exception {
+		CompletableFuture<IOException> done = new CompletableFuture<>();
+		this.store.charge(ProgramCharges.newBuilder()
+			.setProgram(program)
+			.addCharge(Charge.newBuilder().setAttempt(attempt).setTokens(1))
+			.build(), done::complete);
+		assertThat(done.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isNull();
+	}
+
 	private void store(String id, String previous) throws Exception {
 		CompletableFuture<IOException> done = new CompletableFuture<>();
 		this.store.storeTurn(
@@ -109,6 +161,7 @@
 	}
 
 	private void advance(Duration time) {
+		this.clock.advance(time);
 		this.wallClock.addAndGet(time.toMillis());
 		this.store.expire();
 	}
