Move the turns of long chains out of old log segments

Cause: segments are deleted from the oldest one on, and only without live content. Since turns live as long as the turns that continue them, the first turns of a long chain pin their segment and all later ones. Charges were rewritten, turns were not.

Change: while the closed segments are larger than twice the retained turns (and 16 MB), a pass of each second moves up to 1 MB of the turns in the oldest segment to the current one; the segment goes once all its turns are synced there. At the most half of the log is then content that nobody needs, so moving costs at most about one byte for each byte written.

Bound of the test: 16 MB plus two segments. The chain of 120 turns is whole at the end and after a restart.

--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -48,7 +48,9 @@
 
 	private final Deque<PendingEntry> queue = new ArrayDeque<>();
 
-	private final Deque<Long> olderSegments = new ArrayDeque<>();
+	private final Deque<OlderSegment> olderSegments = new ArrayDeque<>();
+
+	private long olderBytes;
 
 	private FileChannel channel;
 
@@ -77,9 +79,12 @@
 			for (String name : names) {
 				numbers.add(segmentNumber(name));
 			}
-			numbers.stream().sorted().forEach(this.olderSegments::add);
+			numbers.sort(null);
+			for (long number : numbers) {
+				addOlderSegment(new OlderSegment(number, Files.size(file(number))));
+			}
 		}
-		this.segment = this.olderSegments.isEmpty() ? 1 : (this.olderSegments.peekLast() + 1);
+		this.segment = this.olderSegments.isEmpty() ? 1 : (this.olderSegments.peekLast().number() + 1);
 		this.writer = new Thread(this::runWriter, "log-writer");
 		this.writer.setDaemon(true);
 	}
@@ -93,7 +98,8 @@
 	 * @throws IOException if a segment cannot be read
 	 */
 	void replay(BiConsumer<Long, LogEntry> reader) throws IOException {
-		for (long number : this.olderSegments) {
+		for (OlderSegment older : this.olderSegments) {
+			long number = older.number();
 			ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file(number)));
 			while (bytes.remaining() >= HEADER_BYTES) {
 				byte[] entry = readEntry(bytes);
@@ -161,13 +167,14 @@
 	 * @param firstToKeep the number of the first segment to keep
 	 */
 	void deleteBefore(long firstToKeep) {
-		while (!this.olderSegments.isEmpty() && (this.olderSegments.peekFirst() < firstToKeep)) {
-			long number = this.olderSegments.pollFirst();
+		while (!this.olderSegments.isEmpty() && (this.olderSegments.peekFirst().number() < firstToKeep)) {
+			OlderSegment older = this.olderSegments.pollFirst();
+			this.olderBytes -= older.bytes();
 			try {
-				Files.deleteIfExists(file(number));
+				Files.deleteIfExists(file(older.number()));
 			}
 			catch (IOException ex) {
-				EventLog.log(Event.LOG_FAILED, ex, "operation", "delete", "segment", number);
+				EventLog.log(Event.LOG_FAILED, ex, "operation", "delete", "segment", older.number());
 			}
 		}
 	}
@@ -177,12 +184,25 @@
 	 * @return the number of the segment, which may be the current one
 	 */
 	long oldest() {
-		Long first = this.olderSegments.peekFirst();
-		return (first != null) ? first : this.segment;
+		OlderSegment first = this.olderSegments.peekFirst();
+		return (first != null) ? first.number() : this.segment;
+	}
+
+	/**
+	 * Returns the size of the segments before the current one.
+	 * @return the size in bytes
+	 */
+	long olderBytes() {
+		return this.olderBytes;
 	}
 
 	// ---- Helpers
 
+	private void addOlderSegment(OlderSegment older) {
+		this.olderSegments.add(older);
+		this.olderBytes += older.bytes();
+	}
+
 	private long segmentNumber(String name) throws IOException {
 		try {
 			return Long.parseLong(name.substring(0, name.length() - SUFFIX.length()));
@@ -264,10 +284,10 @@
 	private void write(List<PendingEntry> batch) throws IOException {
 		if (this.bytesInSegment > SEGMENT_BYTES) {
 			this.channel.close();
-			long completedSegment = this.segment;
-			this.segment = completedSegment + 1;
+			OlderSegment completed = new OlderSegment(this.segment, this.bytesInSegment);
+			this.segment = completed.number() + 1;
 			openSegment();
-			this.callbackExecutor.accept(() -> this.olderSegments.add(completedSegment));
+			this.callbackExecutor.accept(() -> addOlderSegment(completed));
 		}
 		int size = batch.stream().mapToInt((p) -> HEADER_BYTES + p.bytes().length).sum();
 		ByteBuffer buffer = ByteBuffer.allocate(size);
@@ -282,6 +302,15 @@
 		this.bytesInSegment += size;
 	}
 
+	/**
+	 * A segment that is no longer written to.
+	 *
+	 * @param number the number of the segment
+	 * @param bytes its size in bytes
+	 */
+	private record OlderSegment(long number, long bytes) {
+	}
+
 	/**
 	 * An entry that is waiting to be written.
 	 *
--- a/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
@@ -16,6 +16,8 @@
 
 	private boolean expired;
 
+	private boolean moving;
+
 	private boolean synced;
 
 	private boolean chainSynced;
@@ -68,6 +70,14 @@
 		return this.expired;
 	}
 
+	/**
+	 * Returns whether the turn is being written to another log segment.
+	 * @return {@code true} until that write has ended
+	 */
+	boolean isMoving() {
+		return this.moving;
+	}
+
 	boolean isSynced() {
 		return this.synced;
 	}
@@ -86,6 +96,10 @@
 		this.segment = segment;
 	}
 
+	void setMoving(boolean moving) {
+		this.moving = moving;
+	}
+
 	void setExpired() {
 		this.expired = true;
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
@@ -34,6 +34,8 @@
 
 	private final TreeMap<Long, Set<StoredTurn>> segments = new TreeMap<>();
 
+	private long bytes;
+
 	// ---- Accessors
 
 	int size() {
@@ -44,6 +46,14 @@
 		return List.copyOf(this.turns.keySet());
 	}
 
+	/**
+	 * Returns the size of all turns that are held.
+	 * @return the size in bytes
+	 */
+	long bytes() {
+		return this.bytes;
+	}
+
 	/**
 	 * Returns a turn.
 	 * @param id the id of the turn
@@ -99,6 +109,15 @@
 		return this.segments.isEmpty() ? otherwise : Math.min(otherwise, this.segments.firstKey());
 	}
 
+	/**
+	 * Returns the turns in a log segment.
+	 * @param segment the number of the segment
+	 * @return an immutable copy of the turns
+	 */
+	List<StoredTurn> inSegment(long segment) {
+		return List.copyOf(this.segments.getOrDefault(segment, Set.of()));
+	}
+
 	// ---- Changes
 
 	/**
@@ -112,6 +131,7 @@
 	StoredTurn add(Turn turn, long segment, long expiresAt) {
 		StoredTurn added = new StoredTurn(turn, segment, expiresAt);
 		this.turns.put(added.id(), added);
+		this.bytes += turn.getSerializedSize();
 		this.unexpired.add(added);
 		this.segments.computeIfAbsent(segment, (s) -> new HashSet<>()).add(added);
 		if (!added.previous().isEmpty()) {
@@ -137,11 +157,14 @@
 	}
 
 	/**
-	 * Moves a turn to another log segment.
+	 * Moves a turn to another log segment, unless it was removed in the meantime.
 	 * @param turn the turn
 	 * @param segment the number of the segment
 	 */
 	void move(StoredTurn turn, long segment) {
+		if (this.turns.get(turn.id()) != turn) {
+			return;
+		}
 		removeFrom(this.segments, turn.segment(), turn);
 		turn.setSegment(segment);
 		this.segments.computeIfAbsent(segment, (s) -> new HashSet<>()).add(turn);
@@ -191,6 +214,7 @@
 
 	private void remove(StoredTurn turn) {
 		this.turns.remove(turn.id());
+		this.bytes -= turn.turn().getSerializedSize();
 		removeFrom(this.segments, turn.segment(), turn);
 		removeFrom(this.continuations, turn.previous(), turn);
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -40,6 +40,23 @@
 	 */
 	static final Duration MAX_CLOCK_ERROR = Duration.ofMinutes(10);
 
+	/**
+	 * The size of the log, as a multiple of the turns in it that are retained, above
+	 * which turns are moved out of its oldest segment.
+	 */
+	static final int MAX_LOG_RATIO = 2;
+
+	/**
+	 * The size in bytes below which no turns are moved.
+	 */
+	static final long MIN_COMPACTED_BYTES = 4L * RecordLog.SEGMENT_BYTES;
+
+	/**
+	 * The size in bytes of the turns that one pass moves, which bounds the time that it
+	 * delays requests.
+	 */
+	static final int MAX_MOVED_BYTES = 1024 * 1024;
+
 	private final RecordLog log;
 
 	private final MonotonicClock clock;
@@ -177,12 +194,7 @@
 			done.accept(null);
 			return;
 		}
-		this.log.append(LogEntry.newBuilder().setStoredMs(now).setTurn(stored.turn()).build(), (failure) -> {
-			if (failure == null) {
-				this.turns.synced(stored);
-			}
-			done.accept(failure);
-		});
+		append(stored, done);
 	}
 
 	/**
@@ -190,12 +202,13 @@
 	 * without live content. A turn is retained with its whole chain, so one that was
 	 * continued lives as long as the youngest of the turns that continue it. Charges that
 	 * would keep an older segment alive than the turns do are rewritten to the current
-	 * segment.
+	 * segment, and so are turns if too much of the log is content that is not retained.
 	 */
 	void expire() {
 		long now = clockMillis();
 		this.turns.expire(now);
 		this.programs.values().removeIf((p) -> now > p.changedAt + LEDGER_RETENTION.toMillis());
+		compact();
 		long oldestTurnSegment = this.turns.oldestSegment(this.log.segment());
 		this.programs.forEach((name, p) -> {
 			if (p.oldestSegment < oldestTurnSegment) {
@@ -229,6 +242,46 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime());
 	}
 
+	// Segments are deleted from the oldest one on. A turn of a chain that lives for long
+	// would keep the log of all other programs since then.
+	private void compact() {
+		if (this.log.olderBytes() <= Math.max(MIN_COMPACTED_BYTES, MAX_LOG_RATIO * this.turns.bytes())) {
+			return;
+		}
+		long oldest = this.turns.oldestSegment(this.log.segment());
+		int moved = 0;
+		for (StoredTurn turn : (oldest < this.log.segment()) ? this.turns.inSegment(oldest) : List.<StoredTurn>of()) {
+			if (!turn.isMoving() && (moved < MAX_MOVED_BYTES)) {
+				moved += turn.turn().getSerializedSize();
+				move(turn);
+			}
+		}
+	}
+
+	private void move(StoredTurn turn) {
+		long segment = this.log.segment();
+		turn.setMoving(true);
+		append(turn, (failure) -> {
+			turn.setMoving(false);
+			if (failure == null) {
+				this.turns.move(turn, segment);
+			}
+		});
+	}
+
+	private void append(StoredTurn turn, Consumer<IOException> done) {
+		LogEntry entry = LogEntry.newBuilder()
+			.setStoredMs(this.wallClockMillis.getAsLong())
+			.setTurn(turn.turn())
+			.build();
+		this.log.append(entry, (failure) -> {
+			if (failure == null) {
+				this.turns.synced(turn);
+			}
+			done.accept(failure);
+		});
+	}
+
 	private void rewrite(String name, ProgramLedger program) {
 		long segment = this.log.segment();
 		ProgramCharges charges = ProgramCharges.newBuilder().setProgram(name).addAllCharge(program.charges()).build();
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
@@ -4,10 +4,13 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.google.protobuf.ByteString;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,9 +35,20 @@
 
 	private static final long LIMIT_SECONDS = 20;
 
+	// One turn of the chain and the turns of other programs, each half minute of an hour.
+	private static final int STEPS = 120;
+
+	private static final Duration STEP = Duration.ofSeconds(30);
+
+	private static final int OTHER_TURNS = 12;
+
+	private static final int OTHER_TURN_BYTES = 64 * 1024;
+
 	@TempDir
 	Path folder;
 
+	private final BlockingQueue<Runnable> callbacks = new LinkedBlockingQueue<>();
+
 	private final ManualClock clock = new ManualClock();
 
 	private final AtomicLong wallClock = new AtomicLong(Duration.ofDays(2).toMillis());
@@ -45,7 +59,7 @@
 
 	@BeforeEach
 	void open() throws IOException {
-		this.log = new RecordLog(this.folder, Runnable::run);
+		this.log = new RecordLog(this.folder, this.callbacks::add);
 		this.store = new TurnStore(this.log, this.clock, this.wallClock::get);
 		this.store.load();
 		this.log.start();
@@ -143,21 +157,59 @@
 		assertThat(this.store.programCount()).isZero();
 	}
 
+	// Guards against a disk that fills up because a chain of an hour keeps the log of all
+	// programs of that hour.
+	@Test
+	void aLongChainDoesNotKeepTheLogOfOtherPrograms() throws Exception {
+		long live = STEPS * 1024L + 4L * OTHER_TURNS * OTHER_TURN_BYTES;
+		long limit = Math.max(TurnStore.MIN_COMPACTED_BYTES, TurnStore.MAX_LOG_RATIO * live)
+				+ 2L * RecordLog.SEGMENT_BYTES;
+		for (int step = 0; step < STEPS; step++) {
+			store("t" + step, (step > 0) ? ("t" + (step - 1)) : "", 1024);
+			for (int i = 0; i < OTHER_TURNS; i++) {
+				store("other" + step + "-" + i, "", OTHER_TURN_BYTES);
+			}
+			advance(STEP);
+			assertThat(this.log.olderBytes()).as("step %d", step).isLessThanOrEqualTo(limit);
+		}
+		assertThat(chain("t" + (STEPS - 1))).hasSize(STEPS);
+		close();
+		this.callbacks.clear();
+		open();
+		assertThat(chain("t" + (STEPS - 1))).hasSize(STEPS);
+	}
+
 	private void charge(String program, String attempt) throws Exception {
 		CompletableFuture<IOException> done = new CompletableFuture<>();
 		this.store.charge(ProgramCharges.newBuilder()
 			.setProgram(program)
 			.addCharge(Charge.newBuilder().setAttempt(attempt).setTokens(1))
 			.build(), done::complete);
-		assertThat(done.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isNull();
+		await(done);
 	}
 
 	private void store(String id, String previous) throws Exception {
+		store(id, previous, 1);
+	}
+
+	private void store(String id, String previous, int bytes) throws Exception {
 		CompletableFuture<IOException> done = new CompletableFuture<>();
-		this.store.storeTurn(
-				Turn.newBuilder().setId(id).setPrevious(previous).setRetentionMs(RETENTION.toMillis()).build(),
-				done::complete);
-		assertThat(done.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isNull();
+		this.store.storeTurn(Turn.newBuilder()
+			.setId(id)
+			.setPrevious(previous)
+			.setInput(ByteString.copyFrom(new byte[bytes]))
+			.setRetentionMs(RETENTION.toMillis())
+			.build(), done::complete);
+		await(done);
+	}
+
+	private void await(CompletableFuture<IOException> done) throws InterruptedException {
+		while (!done.isDone()) {
+			Runnable callback = this.callbacks.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+			assertThat(callback).as("callback of the log").isNotNull();
+			callback.run();
+		}
+		assertThat(done.join()).isNull();
 	}
 
 	private void advance(Duration time) {
