Retain the charges of a program as long as its turns

What would go wrong: on a route that keeps turns for more than 165 s a stopped program could come back to its turns with a budget that began anew, since its charges had been forgotten: more tokens than its budget (BUDGET).

The retention of charges was a constant of 180 s, whatever the route's retention and time-out say; the retention of turns is configured.

Change: a reservation and a settlement say how long the charges of the program are needed (the route's retention and time-out); the ledger keeps the longest time that was named, also over restarts and copies to other keepers. 180 s stay the minimum. The attempt, its program and that time are one value (ProgramAttempt).

Evidence: TurnStoreTests#chargesAreRetainedAsLongAsTheTurnsOfTheirProgram (600 and 3,600 s) and KeeperClientTests#aChargeIsRetainedAsLongAsItsAttemptAsks (reserved and settled) fail in a scratch copy of this tree with the constant, 4 of 51; cases of up to 180 s hold there.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -196,20 +196,18 @@
 
 	/**
 	 * Reserves tokens of a program's budget.
-	 * @param program the program
-	 * @param attempt the attempt, unique within the program
+	 * @param attempt the attempt
 	 * @param tokens the maximum number of tokens that the attempt may use
 	 * @param budget the token budget of the entire program
 	 * @param listener receives the outcome
 	 */
-	public void reserve(String program, String attempt, int tokens, long budget, ReservationListener listener) {
-		new ReserveCall(this, program, attempt, tokens, budget, listener).start();
+	public void reserve(ProgramAttempt attempt, int tokens, long budget, ReservationListener listener) {
+		new ReserveCall(this, attempt, tokens, budget, listener).start();
 	}
 
 	/**
 	 * Settles a charge and stores a turn. The request is resent to members that do not
 	 * reply for up to {@link #SETTLE_TIMEOUT}, even after the outcome has been reported.
-	 * @param program the program
 	 * @param attempt the attempt
 	 * @param tokens the tokens that the attempt used
 	 * @param charged whether the attempt has a reservation
@@ -217,9 +215,8 @@
 	 * @param done receives whether the turn, its chain and the charge are durable, that
 	 * is, survive a power failure
 	 */
-	public void settle(String program, String attempt, int tokens, boolean charged, ChainedTurn turn,
-			Consumer<Boolean> done) {
-		new SettleCall(this, program, attempt, tokens, charged, turn, done).start();
+	public void settle(ProgramAttempt attempt, int tokens, boolean charged, ChainedTurn turn, Consumer<Boolean> done) {
+		new SettleCall(this, attempt, tokens, charged, turn, done).start();
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -247,7 +247,12 @@
 
 	private void reserve(Reserve reserve, Consumer<Reply.Builder> out) {
 		Charge charge = Charge.newBuilder().setAttempt(reserve.getAttempt()).setTokens(reserve.getTokens()).build();
-		this.turns.charge(ProgramCharges.newBuilder().setProgram(reserve.getProgram()).addCharge(charge).build(),
+		ProgramCharges charges = ProgramCharges.newBuilder()
+			.setProgram(reserve.getProgram())
+			.addCharge(charge)
+			.setRetentionMs(reserve.getRetentionMs())
+			.build();
+		this.turns.charge(charges,
 				(failure) -> out.accept(outcome(failure).setCharges(this.turns.charges(reserve.getProgram()))));
 		out.accept(Reply.newBuilder().setCharges(this.turns.charges(reserve.getProgram())));
 	}
@@ -261,8 +266,12 @@
 				.setTokens(settle.getTokens())
 				.setSettled(true)
 				.build();
-			this.turns.charge(ProgramCharges.newBuilder().setProgram(settle.getProgram()).addCharge(charge).build(),
-					barrier.newCallback());
+			ProgramCharges charges = ProgramCharges.newBuilder()
+				.setProgram(settle.getProgram())
+				.addCharge(charge)
+				.setRetentionMs(settle.getRetentionMs())
+				.build();
+			this.turns.charge(charges, barrier.newCallback());
 		}
 		if (settle.hasTurn()) {
 			this.turns.storeTurn(settle.getTurn(), barrier.newCallback());
--- a/mangorack/src/main/java/org/mangorack/keeper/ReserveCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ReserveCall.java
@@ -15,7 +15,7 @@
  */
 final class ReserveCall extends GroupCall {
 
-	private final String program;
+	private final ProgramAttempt attempt;
 
 	private final Charge charge;
 
@@ -33,11 +33,10 @@
 
 	private boolean granted;
 
-	ReserveCall(KeeperClient client, String program, String attempt, int tokens, long budget,
-			ReservationListener listener) {
+	ReserveCall(KeeperClient client, ProgramAttempt attempt, int tokens, long budget, ReservationListener listener) {
 		super(client, KeeperClient.CALL_TIMEOUT);
-		this.program = program;
-		this.charge = Charge.newBuilder().setAttempt(attempt).setTokens(tokens).build();
+		this.attempt = attempt;
+		this.charge = Charge.newBuilder().setAttempt(attempt.attempt()).setTokens(tokens).build();
 		this.budget = budget;
 		this.listener = listener;
 	}
@@ -46,9 +45,10 @@
 	Request.Builder request(Member member) {
 		return Request.newBuilder()
 			.setReserve(Reserve.newBuilder()
-				.setProgram(this.program)
+				.setProgram(this.attempt.program())
 				.setAttempt(this.charge.getAttempt())
-				.setTokens(this.charge.getTokens()));
+				.setTokens(this.charge.getTokens())
+				.setRetentionMs(this.attempt.retention().toMillis()));
 	}
 
 	@Override
@@ -72,7 +72,7 @@
 		long tokens = this.charge.getTokens();
 		if (used + tokens > this.budget) {
 			end();
-			client().settle(this.program, this.charge.getAttempt(), 0, true, null, (done) -> {
+			client().settle(this.attempt, 0, true, null, (done) -> {
 			});
 			this.listener.budgetExceeded(used);
 		}
--- a/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SettleCall.java
@@ -46,13 +46,18 @@
 
 	private boolean widened;
 
-	SettleCall(KeeperClient client, String program, String attempt, int tokens, boolean charged, ChainedTurn turn,
+	SettleCall(KeeperClient client, ProgramAttempt attempt, int tokens, boolean charged, ChainedTurn turn,
 			Consumer<Boolean> done) {
 		super(client, KeeperClient.SETTLE_TIMEOUT);
-		this.program = program;
+		this.program = attempt.program();
 		this.turn = turn;
 		this.done = done;
-		this.settle = Settle.newBuilder().setProgram(program).setAttempt(attempt).setTokens(tokens).setCharged(charged);
+		this.settle = Settle.newBuilder()
+			.setProgram(attempt.program())
+			.setAttempt(attempt.attempt())
+			.setTokens(tokens)
+			.setCharged(charged)
+			.setRetentionMs(attempt.retention().toMillis());
 	}
 
 	@Override
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -29,10 +29,10 @@
 	static final Duration RETENTION_MARGIN = Duration.ofSeconds(15);
 
 	/**
-	 * How long the charges of a program are retained after the last one. Longer than the
-	 * retention of turns, because a stopped program may resume during that time.
+	 * The shortest time for which the charges of a program are retained after the last
+	 * one. They are retained for longer if the turns of the program are.
 	 */
-	static final Duration LEDGER_RETENTION = Duration.ofSeconds(180);
+	static final Duration MIN_LEDGER_RETENTION = Duration.ofSeconds(180);
 
 	/**
 	 * The error of the time of day that is allowed for on a restart. What was written
@@ -96,12 +96,11 @@
 			}
 			else {
 				ProgramCharges charges = entry.getCharges();
-				program(charges.getProgram()).merge(charges.getChargeList(), clockMillis(), entry.getStoredMs(),
-						segment);
+				program(charges.getProgram()).merge(charges, clockMillis(), entry.getStoredMs(), segment);
 			}
 		});
 		this.turns.expire((turn) -> isOutdated(turn.getStoredMs(), Duration.ofMillis(turn.getRetentionMs())));
-		this.programs.values().removeIf((p) -> isOutdated(p.storedMs, LEDGER_RETENTION));
+		this.programs.values().removeIf((p) -> isOutdated(p.storedMs, p.retention()));
 	}
 
 	// ---- Accessors
@@ -120,8 +119,7 @@
 
 	List<ProgramCharges> ledgers() {
 		List<ProgramCharges> all = new ArrayList<>();
-		this.programs.forEach(
-				(name, p) -> all.add(ProgramCharges.newBuilder().setProgram(name).addAllCharge(p.charges()).build()));
+		this.programs.forEach((name, p) -> all.add(p.toProto(name)));
 		return all;
 	}
 
@@ -176,7 +174,7 @@
 	 */
 	void charge(ProgramCharges charges, Consumer<IOException> done) {
 		long now = this.wallClockMillis.getAsLong();
-		program(charges.getProgram()).merge(charges.getChargeList(), clockMillis(), now, this.log.segment());
+		program(charges.getProgram()).merge(charges, clockMillis(), now, this.log.segment());
 		this.log.append(LogEntry.newBuilder().setStoredMs(now).setCharges(charges).build(), done);
 	}
 
@@ -207,7 +205,7 @@
 	void expire() {
 		long now = clockMillis();
 		this.turns.expire(now);
-		this.programs.values().removeIf((p) -> now > p.changedAt + LEDGER_RETENTION.toMillis());
+		this.programs.values().removeIf((p) -> now > p.changedAt + p.retention().toMillis());
 		compact();
 		long oldestTurnSegment = this.turns.oldestSegment(this.log.segment());
 		this.programs.forEach((name, p) -> {
@@ -284,8 +282,7 @@
 
 	private void rewrite(String name, ProgramLedger program) {
 		long segment = this.log.segment();
-		ProgramCharges charges = ProgramCharges.newBuilder().setProgram(name).addAllCharge(program.charges()).build();
-		LogEntry entry = LogEntry.newBuilder().setStoredMs(program.storedMs).setCharges(charges).build();
+		LogEntry entry = LogEntry.newBuilder().setStoredMs(program.storedMs).setCharges(program.toProto(name)).build();
 		this.log.append(entry, (failure) -> {
 			if (failure == null) {
 				program.oldestSegment = segment;
@@ -310,10 +307,14 @@
 		// The time of day of the latest change.
 		private long storedMs;
 
+		// The longest retention that a charge asked for.
+		private long retentionMs;
+
 		private long oldestSegment = Long.MAX_VALUE;
 
-		private void merge(List<Charge> charges, long now, long timeOfDay, long segment) {
-			charges.forEach(this.ledger::merge);
+		private void merge(ProgramCharges charges, long now, long timeOfDay, long segment) {
+			charges.getChargeList().forEach(this.ledger::merge);
+			this.retentionMs = Math.max(this.retentionMs, charges.getRetentionMs());
 			this.changedAt = now;
 			this.storedMs = Math.max(this.storedMs, timeOfDay);
 			this.oldestSegment = Math.min(this.oldestSegment, segment);
@@ -323,6 +324,19 @@
 			return this.ledger.charges();
 		}
 
+		private Duration retention() {
+			Duration asked = Duration.ofMillis(this.retentionMs).plus(RETENTION_MARGIN);
+			return (asked.compareTo(MIN_LEDGER_RETENTION) > 0) ? asked : MIN_LEDGER_RETENTION;
+		}
+
+		private ProgramCharges toProto(String program) {
+			return ProgramCharges.newBuilder()
+				.setProgram(program)
+				.addAllCharge(charges())
+				.setRetentionMs(this.retentionMs)
+				.build();
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -235,80 +235,82 @@
       "B\006\n\004body\":\n\006Charge\022\017\n\007attempt\030\001 \001(\t\022\016\n\006t" +
       "okens\030\002 \001(\r\022\017\n\007settled\030\003 \001(\010\"3\n\007Charges\022" +
       "(\n\006charge\030\001 \003(\0132\030.mangorack.keeper.Charg" +
-      "e\";\n\007Reserve\022\017\n\007program\030\001 \001(\t\022\017\n\007attempt" +
-      "\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\"\236\001\n\006Settle\022\017\n\007pro" +
-      "gram\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\t\022\016\n\006tokens\030\003 " +
-      "\001(\r\022\017\n\007charged\030\004 \001(\010\022$\n\004turn\030\005 \001(\0132\026.man" +
-      "gorack.keeper.Turn\022+\n\013predecessor\030\006 \003(\0132" +
-      "\026.mangorack.keeper.Turn\"\177\n\004Turn\022\n\n\002id\030\001 " +
-      "\001(\t\022\021\n\tworkspace\030\002 \001(\t\022\020\n\010previous\030\003 \001(\t" +
-      "\022\r\n\005input\030\004 \001(\014\022\016\n\006output\030\005 \001(\014\022\021\n\tstore" +
-      "d_ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005Fetc" +
-      "h\022\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003(\0132\026" +
-      ".mangorack.keeper.Turn\022\017\n\007missing\030\002 \001(\t\022" +
-      "\020\n\010complete\030\003 \001(\010\"\234\003\n\004Beat\022\020\n\010instance\030\001" +
-      " \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001" +
-      "(\t\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\0132\027.m" +
-      "angorack.keeper.Usage\022\025\n\rconfiguration\030\006" +
-      " \001(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132\026.ma" +
-      "ngorack.keeper.Load\022\026\n\016contact_age_ms\030\t " +
-      "\001(\004\022\034\n\024configuration_age_ms\030\013 \001(\004\022\025\n\rpul" +
-      "se_time_ms\030\014 \001(\003\022\022\n\nwith_lists\030\r \001(\010\022\021\n\t" +
-      "upstreams\030\016 \001(\004\022.\n\tdeparture\030\017 \003(\0132\033.man" +
-      "gorack.keeper.Departure\022\022\n\ndepartures\030\020 " +
-      "\001(\004\022\025\n\rentries_start\030\021 \001(\006J\004\010\n\020\013\"R\n\tDepa" +
-      "rture\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t" +
-      "\022\022\n\nstarted_at\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\004\"=\n\005" +
-      "Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022" +
-      "\022\n\nbeginnings\030\003 \001(\021\"X\n\004Load\022\020\n\010upstream\030" +
-      "\001 \001(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\020\n" +
-      "\010pace_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\"\310\004\n\005Pulse\022" +
-      "&\n\005level\030\001 \003(\0132\027.mangorack.keeper.Level\022" +
-      "\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configuration_" +
-      "age_ms\030\003 \001(\004\022\017\n\007entries\030\005 \001(\004\022&\n\005entry\030\006" +
-      " \003(\0132\027.mangorack.keeper.Entry\022$\n\004load\030\007 " +
-      "\003(\0132\026.mangorack.keeper.Load\022\026\n\016contact_a" +
-      "ge_ms\030\010 \001(\004\022\036\n\026entries_contact_age_ms\030\t " +
-      "\001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_ms\030\013 " +
-      "\001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstreams\030\r \001" +
-      "(\0132\036.mangorack.keeper.UpstreamNews\0222\n\007co" +
-      "ntact\030\016 \001(\0132!.mangorack.keeper.PlatformC" +
-      "ontact\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdeparture\030" +
-      "\020 \003(\0132\033.mangorack.keeper.Departure\022\034\n\024co" +
-      "nfiguration_wanted\030\021 \001(\010\022\025\n\rentries_sinc" +
-      "e\030\022 \001(\004\022\022\n\nentry_gone\030\023 \003(\t\022\025\n\rentries_s" +
-      "tart\030\024 \001(\006J\004\010\004\020\005\"#\n\022FetchConfiguration\022\r" +
-      "\n\005known\030\001 \001(\004\"I\n\025ConfigurationDocument\022\017" +
-      "\n\007version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\022\016\n\006age_" +
-      "ms\030\003 \001(\004\"G\n\017PlatformContact\022\021\n\tanswering" +
-      "\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006broken\030\003 \001(" +
-      "\010\"v\n\014UpstreamNews\022\017\n\007version\030\001 \001(\004\022\r\n\005wh" +
-      "ole\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .mangorack." +
-      "keeper.UpstreamObject\022\014\n\004gone\030\004 \003(\tJ\004\010\005\020" +
-      "\006\"0\n\016UpstreamObject\022\014\n\004name\030\001 \001(\t\022\020\n\010doc" +
-      "ument\030\002 \001(\014\"?\n\005Entry\022\020\n\010instance\030\001 \001(\t\022\026" +
-      "\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005" +
-      "Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022" +
-      "\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspace\030\001 " +
-      "\001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(\010\022\022" +
-      "\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007granted\030\001" +
-      " \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004view\030" +
-      "\001 \001(\0132\026.mangorack.keeper.View\"\013\n\tInvento" +
-      "ry\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007program\030\002" +
-      " \003(\0132 .mangorack.keeper.ProgramCharges\"K" +
-      "\n\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(\n\006cha" +
-      "rge\030\002 \003(\0132\030.mangorack.keeper.Charge\"\024\n\004C" +
-      "opy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\013" +
-      "2\026.mangorack.keeper.Turn\"`\n\005Store\022$\n\004tur" +
-      "n\030\001 \003(\0132\026.mangorack.keeper.Turn\0221\n\007progr" +
+      "e\"Q\n\007Reserve\022\017\n\007program\030\001 \001(\t\022\017\n\007attempt" +
+      "\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\022\024\n\014retention_ms\030\004" +
+      " \001(\003\"\264\001\n\006Settle\022\017\n\007program\030\001 \001(\t\022\017\n\007atte" +
+      "mpt\030\002 \001(\t\022\016\n\006tokens\030\003 \001(\r\022\017\n\007charged\030\004 \001" +
+      "(\010\022$\n\004turn\030\005 \001(\0132\026.mangorack.keeper.Turn" +
+      "\022+\n\013predecessor\030\006 \003(\0132\026.mangorack.keeper" +
+      ".Turn\022\024\n\014retention_ms\030\007 \001(\003\"\177\n\004Turn\022\n\n\002i" +
+      "d\030\001 \001(\t\022\021\n\tworkspace\030\002 \001(\t\022\020\n\010previous\030\003" +
+      " \001(\t\022\r\n\005input\030\004 \001(\014\022\016\n\006output\030\005 \001(\014\022\021\n\ts" +
+      "tored_ms\030\006 \001(\003\022\024\n\014retention_ms\030\007 \001(\003\"\025\n\005" +
+      "Fetch\022\014\n\004turn\030\001 \001(\t\"P\n\005Chain\022$\n\004turn\030\001 \003" +
+      "(\0132\026.mangorack.keeper.Turn\022\017\n\007missing\030\002 " +
+      "\001(\t\022\020\n\010complete\030\003 \001(\010\"\234\003\n\004Beat\022\020\n\010instan" +
+      "ce\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone" +
+      "\030\003 \001(\t\022\021\n\taccepting\030\004 \001(\010\022&\n\005usage\030\005 \003(\013" +
+      "2\027.mangorack.keeper.Usage\022\025\n\rconfigurati" +
+      "on\030\006 \001(\004\022\017\n\007entries\030\007 \001(\004\022$\n\004load\030\010 \003(\0132" +
+      "\026.mangorack.keeper.Load\022\026\n\016contact_age_m" +
+      "s\030\t \001(\004\022\034\n\024configuration_age_ms\030\013 \001(\004\022\025\n" +
+      "\rpulse_time_ms\030\014 \001(\003\022\022\n\nwith_lists\030\r \001(\010" +
+      "\022\021\n\tupstreams\030\016 \001(\004\022.\n\tdeparture\030\017 \003(\0132\033" +
+      ".mangorack.keeper.Departure\022\022\n\ndeparture" +
+      "s\030\020 \001(\004\022\025\n\rentries_start\030\021 \001(\006J\004\010\n\020\013\"R\n\t" +
+      "Departure\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002" +
+      " \001(\t\022\022\n\nstarted_at\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\004" +
+      "\"=\n\005Usage\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 " +
+      "\001(\021\022\022\n\nbeginnings\030\003 \001(\021\"X\n\004Load\022\020\n\010upstr" +
+      "eam\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007answers\030\003 \001(" +
+      "\r\022\020\n\010pace_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\"\310\004\n\005Pu" +
+      "lse\022&\n\005level\030\001 \003(\0132\027.mangorack.keeper.Le" +
+      "vel\022\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configurat" +
+      "ion_age_ms\030\003 \001(\004\022\017\n\007entries\030\005 \001(\004\022&\n\005ent" +
+      "ry\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004loa" +
+      "d\030\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016conta" +
+      "ct_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_m" +
+      "s\030\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_m" +
+      "s\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstreams" +
+      "\030\r \001(\0132\036.mangorack.keeper.UpstreamNews\0222" +
+      "\n\007contact\030\016 \001(\0132!.mangorack.keeper.Platf" +
+      "ormContact\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdepart" +
+      "ure\030\020 \003(\0132\033.mangorack.keeper.Departure\022\034" +
+      "\n\024configuration_wanted\030\021 \001(\010\022\025\n\rentries_" +
+      "since\030\022 \001(\004\022\022\n\nentry_gone\030\023 \003(\t\022\025\n\rentri" +
+      "es_start\030\024 \001(\006J\004\010\004\020\005\"#\n\022FetchConfigurati" +
+      "on\022\r\n\005known\030\001 \001(\004\"I\n\025ConfigurationDocume" +
+      "nt\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\022\016\n\006" +
+      "age_ms\030\003 \001(\004\"G\n\017PlatformContact\022\021\n\tanswe" +
+      "ring\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006broken\030" +
+      "\003 \001(\010\"v\n\014UpstreamNews\022\017\n\007version\030\001 \001(\004\022\r" +
+      "\n\005whole\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .mangor" +
+      "ack.keeper.UpstreamObject\022\014\n\004gone\030\004 \003(\tJ" +
+      "\004\010\005\020\006\"0\n\016UpstreamObject\022\014\n\004name\030\001 \001(\t\022\020\n" +
+      "\010document\030\002 \001(\014\"?\n\005Entry\022\020\n\010instance\030\001 \001" +
+      "(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t" +
+      "\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 " +
+      "\001(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspac" +
+      "e\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001" +
+      "(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007grant" +
+      "ed\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004v" +
+      "iew\030\001 \001(\0132\026.mangorack.keeper.View\"\013\n\tInv" +
+      "entory\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007progr" +
       "am\030\002 \003(\0132 .mangorack.keeper.ProgramCharg" +
-      "es\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004tu" +
-      "rn\030\002 \001(\0132\026.mangorack.keeper.TurnH\000\0223\n\007ch" +
-      "arges\030\003 \001(\0132 .mangorack.keeper.ProgramCh" +
-      "argesH\000B\006\n\004body*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTA" +
-      "LE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022" +
-      "\016\n\nWRONG_DISK\020\004B+\n\032org.mangorack.keeper." +
-      "protoB\013KeeperProtoP\001b\006proto3"
+      "es\"a\n\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(\n" +
+      "\006charge\030\002 \003(\0132\030.mangorack.keeper.Charge\022" +
+      "\024\n\014retention_ms\030\003 \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001 " +
+      "\003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack.k" +
+      "eeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mang" +
+      "orack.keeper.Turn\0221\n\007program\030\002 \003(\0132 .man" +
+      "gorack.keeper.ProgramCharges\"\202\001\n\010LogEntr" +
+      "y\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.man" +
+      "gorack.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 ." +
+      "mangorack.keeper.ProgramChargesH\000B\006\n\004bod" +
+      "y*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014U" +
+      "NKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020" +
+      "\004B+\n\032org.mangorack.keeper.protoB\013KeeperP" +
+      "rotoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -355,13 +357,13 @@
     internal_static_mangorack_keeper_Reserve_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Reserve_descriptor,
-        new java.lang.String[] { "Program", "Attempt", "Tokens", });
+        new java.lang.String[] { "Program", "Attempt", "Tokens", "RetentionMs", });
     internal_static_mangorack_keeper_Settle_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_mangorack_keeper_Settle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Settle_descriptor,
-        new java.lang.String[] { "Program", "Attempt", "Tokens", "Charged", "Turn", "Predecessor", });
+        new java.lang.String[] { "Program", "Attempt", "Tokens", "Charged", "Turn", "Predecessor", "RetentionMs", });
     internal_static_mangorack_keeper_Turn_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_mangorack_keeper_Turn_fieldAccessorTable = new
@@ -487,7 +489,7 @@
     internal_static_mangorack_keeper_ProgramCharges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_ProgramCharges_descriptor,
-        new java.lang.String[] { "Program", "Charge", });
+        new java.lang.String[] { "Program", "Charge", "RetentionMs", });
     internal_static_mangorack_keeper_Copy_descriptor =
       getDescriptor().getMessageType(29);
     internal_static_mangorack_keeper_Copy_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/ProgramCharges.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/ProgramCharges.java
@@ -125,6 +125,21 @@
     return charge_.get(index);
   }
 
+  public static final int RETENTION_MS_FIELD_NUMBER = 3;
+  private long retentionMs_ = 0L;
+  /**
+   * <pre>
+   * How long the charges are kept after the last one, in milliseconds. The longest time that was named holds.
+   * </pre>
+   *
+   * <code>int64 retention_ms = 3;</code>
+   * @return The retentionMs.
+   */
+  @java.lang.Override
+  public long getRetentionMs() {
+    return retentionMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -145,6 +160,9 @@
     for (int i = 0; i < charge_.size(); i++) {
       output.writeMessage(2, charge_.get(i));
     }
+    if (retentionMs_ != 0L) {
+      output.writeInt64(3, retentionMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -161,6 +179,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, charge_.get(i));
     }
+    if (retentionMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, retentionMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -180,6 +202,8 @@
         .equals(other.getProgram())) return false;
     if (!getChargeList()
         .equals(other.getChargeList())) return false;
+    if (getRetentionMs()
+        != other.getRetentionMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -197,6 +221,9 @@
       hash = (37 * hash) + CHARGE_FIELD_NUMBER;
       hash = (53 * hash) + getChargeList().hashCode();
     }
+    hash = (37 * hash) + RETENTION_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetentionMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -336,6 +363,7 @@
         chargeBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      retentionMs_ = 0L;
       return this;
     }
 
@@ -385,6 +413,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.program_ = program_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.retentionMs_ = retentionMs_;
+      }
     }
 
     @java.lang.Override
@@ -430,6 +461,9 @@
           }
         }
       }
+      if (other.getRetentionMs() != 0L) {
+        setRetentionMs(other.getRetentionMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -474,6 +508,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              retentionMs_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -803,6 +842,50 @@
       return chargeBuilder_;
     }
 
+    private long retentionMs_ ;
+    /**
+     * <pre>
+     * How long the charges are kept after the last one, in milliseconds. The longest time that was named holds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 3;</code>
+     * @return The retentionMs.
+     */
+    @java.lang.Override
+    public long getRetentionMs() {
+      return retentionMs_;
+    }
+    /**
+     * <pre>
+     * How long the charges are kept after the last one, in milliseconds. The longest time that was named holds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 3;</code>
+     * @param value The retentionMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetentionMs(long value) {
+
+      retentionMs_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the charges are kept after the last one, in milliseconds. The longest time that was named holds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetentionMs() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      retentionMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.ProgramCharges)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/ProgramChargesOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/ProgramChargesOrBuilder.java
@@ -45,4 +45,14 @@
    */
   org.mangorack.keeper.proto.ChargeOrBuilder getChargeOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * How long the charges are kept after the last one, in milliseconds. The longest time that was named holds.
+   * </pre>
+   *
+   * <code>int64 retention_ms = 3;</code>
+   * @return The retentionMs.
+   */
+  long getRetentionMs();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Reserve.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Reserve.java
@@ -138,6 +138,21 @@
     return tokens_;
   }
 
+  public static final int RETENTION_MS_FIELD_NUMBER = 4;
+  private long retentionMs_ = 0L;
+  /**
+   * <pre>
+   * How long the charges of the program are kept after this one, in milliseconds.
+   * </pre>
+   *
+   * <code>int64 retention_ms = 4;</code>
+   * @return The retentionMs.
+   */
+  @java.lang.Override
+  public long getRetentionMs() {
+    return retentionMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -161,6 +176,9 @@
     if (tokens_ != 0) {
       output.writeUInt32(3, tokens_);
     }
+    if (retentionMs_ != 0L) {
+      output.writeInt64(4, retentionMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -180,6 +198,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, tokens_);
     }
+    if (retentionMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, retentionMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -201,6 +223,8 @@
         .equals(other.getAttempt())) return false;
     if (getTokens()
         != other.getTokens()) return false;
+    if (getRetentionMs()
+        != other.getRetentionMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -218,6 +242,9 @@
     hash = (53 * hash) + getAttempt().hashCode();
     hash = (37 * hash) + TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + getTokens();
+    hash = (37 * hash) + RETENTION_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetentionMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -356,6 +383,7 @@
       program_ = "";
       attempt_ = "";
       tokens_ = 0;
+      retentionMs_ = 0L;
       return this;
     }
 
@@ -398,6 +426,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.tokens_ = tokens_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.retentionMs_ = retentionMs_;
+      }
     }
 
     @java.lang.Override
@@ -425,6 +456,9 @@
       if (other.getTokens() != 0) {
         setTokens(other.getTokens());
       }
+      if (other.getRetentionMs() != 0L) {
+        setRetentionMs(other.getRetentionMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -466,6 +500,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              retentionMs_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -659,6 +698,50 @@
       return this;
     }
 
+    private long retentionMs_ ;
+    /**
+     * <pre>
+     * How long the charges of the program are kept after this one, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 4;</code>
+     * @return The retentionMs.
+     */
+    @java.lang.Override
+    public long getRetentionMs() {
+      return retentionMs_;
+    }
+    /**
+     * <pre>
+     * How long the charges of the program are kept after this one, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 4;</code>
+     * @param value The retentionMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetentionMs(long value) {
+
+      retentionMs_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the charges of the program are kept after this one, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetentionMs() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      retentionMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Reserve)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/ReserveOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/ReserveOrBuilder.java
@@ -39,4 +39,14 @@
    * @return The tokens.
    */
   int getTokens();
+
+  /**
+   * <pre>
+   * How long the charges of the program are kept after this one, in milliseconds.
+   * </pre>
+   *
+   * <code>int64 retention_ms = 4;</code>
+   * @return The retentionMs.
+   */
+  long getRetentionMs();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Settle.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Settle.java
@@ -242,6 +242,21 @@
     return predecessor_.get(index);
   }
 
+  public static final int RETENTION_MS_FIELD_NUMBER = 7;
+  private long retentionMs_ = 0L;
+  /**
+   * <pre>
+   * How long the charges of the program are kept after this one, in milliseconds.
+   * </pre>
+   *
+   * <code>int64 retention_ms = 7;</code>
+   * @return The retentionMs.
+   */
+  @java.lang.Override
+  public long getRetentionMs() {
+    return retentionMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -274,6 +289,9 @@
     for (int i = 0; i < predecessor_.size(); i++) {
       output.writeMessage(6, predecessor_.get(i));
     }
+    if (retentionMs_ != 0L) {
+      output.writeInt64(7, retentionMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -305,6 +323,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, predecessor_.get(i));
     }
+    if (retentionMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, retentionMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -335,6 +357,8 @@
     }
     if (!getPredecessorList()
         .equals(other.getPredecessorList())) return false;
+    if (getRetentionMs()
+        != other.getRetentionMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -363,6 +387,9 @@
       hash = (37 * hash) + PREDECESSOR_FIELD_NUMBER;
       hash = (53 * hash) + getPredecessorList().hashCode();
     }
+    hash = (37 * hash) + RETENTION_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetentionMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -521,6 +548,7 @@
         predecessorBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      retentionMs_ = 0L;
       return this;
     }
 
@@ -586,6 +614,9 @@
             : turnBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.retentionMs_ = retentionMs_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -646,6 +677,9 @@
           }
         }
       }
+      if (other.getRetentionMs() != 0L) {
+        setRetentionMs(other.getRetentionMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -712,6 +746,11 @@
               }
               break;
             } // case 50
+            case 56: {
+              retentionMs_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1382,6 +1421,50 @@
       return predecessorBuilder_;
     }
 
+    private long retentionMs_ ;
+    /**
+     * <pre>
+     * How long the charges of the program are kept after this one, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 7;</code>
+     * @return The retentionMs.
+     */
+    @java.lang.Override
+    public long getRetentionMs() {
+      return retentionMs_;
+    }
+    /**
+     * <pre>
+     * How long the charges of the program are kept after this one, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 7;</code>
+     * @param value The retentionMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetentionMs(long value) {
+
+      retentionMs_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the charges of the program are kept after this one, in milliseconds.
+     * </pre>
+     *
+     * <code>int64 retention_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetentionMs() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      retentionMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Settle)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/SettleOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/SettleOrBuilder.java
@@ -108,4 +108,14 @@
    */
   org.mangorack.keeper.proto.TurnOrBuilder getPredecessorOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * How long the charges of the program are kept after this one, in milliseconds.
+   * </pre>
+   *
+   * <code>int64 retention_ms = 7;</code>
+   * @return The retentionMs.
+   */
+  long getRetentionMs();
 }
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -16,6 +16,7 @@
 import org.mangorack.call.Verdict;
 import org.mangorack.keeper.ChainListener;
 import org.mangorack.keeper.ChainedTurn;
+import org.mangorack.keeper.ProgramAttempt;
 import org.mangorack.keeper.ReservationListener;
 import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.Event;
@@ -306,8 +307,7 @@
 		this.reservationDurable = this.reserved;
 		if (!this.reserved) {
 			this.server.keepers()
-				.reserve(program(), this.head.requestId(), this.head.maxTokens(), this.head.budget(),
-						new ReservationHandler());
+				.reserve(programAttempt(), this.head.maxTokens(), this.head.budget(), new ReservationHandler());
 		}
 		if (!this.chainReady && !this.ended) {
 			this.server.keepers().fetch(program(), this.head.previousTurn(), new ChainHandler());
@@ -325,6 +325,11 @@
 		return workspaceName() + "/" + ((this.head.program() != null) ? this.head.program() : this.head.requestId());
 	}
 
+	private ProgramAttempt programAttempt() {
+		Duration retention = this.route.storesTurns() ? this.route.retention() : Duration.ZERO;
+		return new ProgramAttempt(program(), this.head.requestId(), retention.plus(this.route.timeout()));
+	}
+
 	private String workspaceName() {
 		return (this.workspace != null) ? this.workspace.name() : "";
 	}
@@ -566,7 +571,7 @@
 			this.caller.endStream();
 			return;
 		}
-		this.server.keepers().settle(program(), this.head.requestId(), tokens(), isBudgeted(), turn(), (kept) -> {
+		this.server.keepers().settle(programAttempt(), tokens(), isBudgeted(), turn(), (kept) -> {
 			if (this.ended) {
 				return;
 			}
@@ -607,7 +612,7 @@
 	// Replaces the reservation by the tokens that the caller may have received.
 	private void settleCharge() {
 		if ((this.pool != null) && isBudgeted()) {
-			this.server.keepers().settle(program(), this.head.requestId(), tokens(), true, null, (done) -> {
+			this.server.keepers().settle(programAttempt(), tokens(), true, null, (done) -> {
 			});
 		}
 	}
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -49,6 +49,8 @@
 
 	private static final Duration RETENTION = Duration.ofSeconds(60);
 
+	private static final Duration CHARGE_RETENTION = TurnStore.MIN_LEDGER_RETENTION.multipliedBy(2);
+
 	private static final Duration BEYOND_RETENTION = RETENTION.plus(TurnStore.RETENTION_MARGIN).plusSeconds(1);
 
 	@TempDir
@@ -229,6 +231,21 @@
 		assertThat(nextOutcome(reserve("p", "a2", 200, 500))).isEqualTo("spent 400");
 	}
 
+	// Guards against a budget that begins anew while its program can still be continued.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aChargeIsRetainedAsLongAsItsAttemptAsks(boolean settled) throws Exception {
+		awaitServing(4);
+		BlockingQueue<String> first = reserve("p", "a1", 400, 500);
+		assertThat(nextOutcome(first)).isEqualTo("granted");
+		assertThat(nextOutcome(first)).isEqualTo("durable");
+		if (settled) {
+			assertThat(settle("p", "a1", 400)).isTrue();
+		}
+		this.keepers.forEach((k) -> k.advance(CHARGE_RETENTION));
+		assertThat(nextOutcome(reserve("p", "a2", 200, 500))).isEqualTo("spent 400");
+	}
+
 	@Test
 	void aReservationIsRefusedWhileTwoKeepersAreLost() throws Exception {
 		this.keepers.get(0).kill();
@@ -274,7 +291,8 @@
 		this.keepers.forEach((k) -> k.delaySyncs(KeeperClient.HEDGE_DELAY.multipliedBy(12)));
 		CompletableFuture<Boolean> stored = new CompletableFuture<>();
 		Turn turn = Turn.newBuilder().setId("t1").setWorkspace("w").setRetentionMs(60_000).build();
-		onLoop(() -> this.client.settle("p", "a1", 1, charged, new ChainedTurn(turn, List.of()), stored::complete));
+		onLoop(() -> this.client.settle(attempt("p", "a1"), 1, charged, new ChainedTurn(turn, List.of()),
+				stored::complete));
 		assertThat(stored.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
 		for (TestKeeper k : this.keepers) {
 			assertThat(k.killAndCountTurns()).as(k.member().getDisk()).isLessThanOrEqualTo(1);
@@ -306,7 +324,8 @@
 		awaitServing(2);
 		CompletableFuture<Boolean> stored = new CompletableFuture<>();
 		Turn turn = Turn.newBuilder().setId("t1").setWorkspace("w").setRetentionMs(60_000).build();
-		onLoop(() -> this.client.settle("p", "a1", 1, true, new ChainedTurn(turn, List.of()), stored::complete));
+		onLoop(() -> this.client.settle(attempt("p", "a1"), 1, true, new ChainedTurn(turn, List.of()),
+				stored::complete));
 		assertThat(stored.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
 		assertThat(remaining).allSatisfy((k) -> assertThat(k.turnIds()).containsExactly("t1"));
 	}
@@ -465,6 +484,10 @@
 		return settle(program, new ChainedTurn(turn(id, previous, "in " + id), predecessors), false);
 	}
 
+	private static ProgramAttempt attempt(String program, String attempt) {
+		return new ProgramAttempt(program, attempt, CHARGE_RETENTION);
+	}
+
 	private static Turn turn(String id, String previous, String input) {
 		return Turn.newBuilder()
 			.setId(id)
@@ -476,13 +499,13 @@
 
 	private boolean settle(String program, ChainedTurn turn, boolean charged) throws Exception {
 		CompletableFuture<Boolean> done = new CompletableFuture<>();
-		onLoop(() -> this.client.settle(program, turn.turn().getId(), 10, charged, turn, done::complete));
+		onLoop(() -> this.client.settle(attempt(program, turn.turn().getId()), 10, charged, turn, done::complete));
 		return done.get(LIMIT_SECONDS, TimeUnit.SECONDS);
 	}
 
 	private boolean settle(String program, String attempt, int tokens) throws Exception {
 		CompletableFuture<Boolean> done = new CompletableFuture<>();
-		onLoop(() -> this.client.settle(program, attempt, tokens, true, null, done::complete));
+		onLoop(() -> this.client.settle(attempt(program, attempt), tokens, true, null, done::complete));
 		return done.get(LIMIT_SECONDS, TimeUnit.SECONDS);
 	}
 
@@ -527,7 +550,7 @@
 
 	private BlockingQueue<String> reserve(String program, String attempt, int tokens, long budget) throws Exception {
 		BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
-		onLoop(() -> this.client.reserve(program, attempt, tokens, budget, new ReservationListener() {
+		onLoop(() -> this.client.reserve(attempt(program, attempt), tokens, budget, new ReservationListener() {
 			@Override
 			public void granted() {
 				outcomes.add("granted");
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
@@ -179,10 +179,34 @@
 		assertThat(chain("t" + (STEPS - 1))).hasSize(STEPS);
 	}
 
+	// Guards against a budget that begins anew while its program can still be continued.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 60, 180, 600, 3600 })
+	void chargesAreRetainedAsLongAsTheTurnsOfTheirProgram(int retentionSeconds) throws Exception {
+		Duration retention = Duration.ofSeconds(retentionSeconds);
+		charge("p", "t1", retention);
+		charge("p", "t2", Duration.ZERO);
+		advance(retention);
+		assertThat(this.store.charges("p").getChargeCount()).isEqualTo(2);
+		close();
+		open();
+		advance(retention);
+		assertThat(this.store.charges("p").getChargeCount()).isEqualTo(2);
+		assertThat(this.store.ledgers()).singleElement()
+			.satisfies((p) -> assertThat(p.getRetentionMs()).isEqualTo(retention.toMillis()));
+		advance(TurnStore.MIN_LEDGER_RETENTION.plus(TurnStore.RETENTION_MARGIN));
+		assertThat(this.store.programCount()).isZero();
+	}
+
 	private void charge(String program, String attempt) throws Exception {
+		charge(program, attempt, RETENTION);
+	}
+
+	private void charge(String program, String attempt, Duration retention) throws Exception {
 		CompletableFuture<IOException> done = new CompletableFuture<>();
 		this.store.charge(ProgramCharges.newBuilder()
 			.setProgram(program)
+			.setRetentionMs(retention.toMillis())
 			.addCharge(Charge.newBuilder().setAttempt(attempt).setTokens(1))
 			.build(), done::complete);
 		await(done);
