Reject messages that end within their head on the own interface

It happens here on the own interface: PooledHttpClient, which speaks to model engines, plain services and the platform, returned a response for heads that were cut within or right after the status line or a header: 200 with an empty body, or with the first digits of a Content-Length taken for the whole.

Cause: HttpCore's message parser takes the end of the connection for the end of the head. The same parser reads callers' requests, so a request whose caller closed the connection within the head was served with the headers that had come.

Change: the stream that a head is read from may end before the head, but not within it (HeadInputStream, in the parsers of responses and requests). For a response the verdict is may_have_run.

An answer without a length that ends with its connection is served as before (#aResponseWithoutALengthEndsWithItsConnection).

--- a/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
+++ b/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
@@ -153,7 +153,8 @@
 			socket.setTcpNoDelay(true);
 			socket.connect(new InetSocketAddress(address.host(), address.port()),
 					Math.max(1, (int) this.connectTimeout.toMillis()));
-			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT, null, null,
+					null, null, null, ResponseHeadParser::new);
 			connection.bind(socket);
 			this.open.add(connection);
 			return connection;
--- a/mangorack/src/main/java/org/mangorack/http/RequestHeadParser.java
+++ b/mangorack/src/main/java/org/mangorack/http/RequestHeadParser.java
@@ -17,7 +17,8 @@
 import org.mangorack.call.Refusal;
 
 /**
- * Parses request heads and rejects those that violate the {@link RequestRules}.
+ * Parses request heads and rejects those that break off or violate the
+ * {@link RequestRules}.
  */
 final class RequestHeadParser extends DefaultHttpRequestParser {
 
@@ -44,11 +45,12 @@
 	 * @return the request head, or {@code null} if the connection was closed before it
 	 * @throws RefusedRequestException if the head violates a rule
 	 * @throws HttpException if the head cannot be parsed
-	 * @throws IOException if the connection fails
+	 * @throws IOException if the connection fails or is closed within the head
 	 */
 	@Override
 	public ClassicHttpRequest parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
-		ClassicHttpRequest head = super.parse(new RequestHeadBuffer(buffer, this.maxHeadBytes), in);
+		ClassicHttpRequest head = super.parse(new RequestHeadBuffer(buffer, this.maxHeadBytes),
+				new HeadInputStream(in, buffer.length() > 0));
 		if (head != null) {
 			check(head);
 		}
--- a/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
@@ -6,12 +6,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.CallAnswer;
@@ -88,6 +91,25 @@
 		assertRefused("GET /a HTTP/1.1\r\nHost: h\r\n" + ("X: " + "x".repeat(100) + "\r\n").repeat(2000) + "\r\n", 431);
 	}
 
+	// Guards against running a request whose caller closed the connection within the
+	// head.
+	@ParameterizedTest
+	@MethodSource("partsOfHead")
+	void aRequestThatEndsWithinItsHeadIsNotServed(String part) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", this.server.port())) {
+			socket.setSoTimeout(10_000);
+			socket.getOutputStream().write(part.getBytes(StandardCharsets.ISO_8859_1));
+			socket.shutdownOutput();
+			readToEnd(socket);
+		}
+		assertThat(this.served).isEmpty();
+	}
+
+	static Stream<String> partsOfHead() {
+		String head = "DELETE /a HTTP/1.1\r\nHost: h\r\nX-Test: 1\r\n\r\n";
+		return IntStream.range(1, head.length()).mapToObj((length) -> head.substring(0, length));
+	}
+
 	// ---- Helpers
 
 	private void assertRefused(String request, int status) throws IOException {
@@ -111,18 +133,22 @@
 				// The server responded and closed the connection before it read the whole
 				// request.
 			}
-			StringBuilder answer = new StringBuilder();
-			try {
-				for (int b = socket.getInputStream().read(); b >= 0; b = socket.getInputStream().read()) {
-					answer.append((char) b);
-				}
-			}
-			catch (SocketException ex) {
-				// Request bytes that the server left unread reset the connection after
-				// the response.
+			return readToEnd(socket);
+		}
+	}
+
+	private static String readToEnd(Socket socket) throws IOException {
+		StringBuilder answer = new StringBuilder();
+		try {
+			for (int b = socket.getInputStream().read(); b >= 0; b = socket.getInputStream().read()) {
+				answer.append((char) b);
 			}
-			return answer.toString();
 		}
+		catch (SocketException ex) {
+			// Request bytes that the server left unread reset the connection after
+			// the response.
+		}
+		return answer.toString();
 	}
 
 }
--- a/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
@@ -9,10 +9,14 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import org.mangorack.call.CallAnswer;
 import org.mangorack.call.Verdict;
@@ -27,6 +31,8 @@
 	// Well above the client's limit for treating a pooled connection as stale.
 	private static final Duration CLOSE_DELAY = Duration.ofMillis(600);
 
+	private static final String EMPTY_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 	private final PooledHttpClient client = new PooledHttpClient(TIMEOUT);
 
 	private HttpFrontEnd server;
@@ -82,6 +88,55 @@
 		}
 	}
 
+	// Guards against a response whose head breaks off and that is passed on as a complete
+	// one, with an empty or shortened body.
+	@ParameterizedTest
+	@MethodSource("partsOfHead")
+	void aResponseThatEndsWithinItsHeadIsNotReturned(String part) throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+			Thread server = new Thread(() -> answerOnce(listener, part), "cutting-server");
+			server.setDaemon(true);
+			server.start();
+			HttpAddress target = new HttpAddress("127.0.0.1", listener.getLocalPort());
+			assertThatExceptionOfType(HttpCallException.class).isThrownBy(() -> get(target, ConnectionUse.FRESH))
+				.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+			server.join();
+		}
+	}
+
+	static Stream<String> partsOfHead() {
+		String head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n";
+		return IntStream.range(0, head.length()).mapToObj((length) -> head.substring(0, length));
+	}
+
+	// Guards against a response without a length that is cut in the last byte of its
+	// head.
+	@Test
+	void aResponseWithoutALengthThatEndsWithinItsHeadIsNotReturned() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+			Thread server = new Thread(() -> answerOnce(listener, "HTTP/1.1 200 OK\r\nX-Test: 1\r\n\r"), "server");
+			server.setDaemon(true);
+			server.start();
+			HttpAddress target = new HttpAddress("127.0.0.1", listener.getLocalPort());
+			assertThatExceptionOfType(HttpCallException.class).isThrownBy(() -> get(target, ConnectionUse.FRESH));
+			server.join();
+		}
+	}
+
+	@Test
+	void aResponseWithoutALengthEndsWithItsConnection() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
+			Thread server = new Thread(() -> answerOnce(listener, "HTTP/1.1 200 OK\r\n\r\nwhole"), "server");
+			server.setDaemon(true);
+			server.start();
+			HttpAddress target = new HttpAddress("127.0.0.1", listener.getLocalPort());
+			try (HttpReply reply = this.client.send(target, "GET", "/", Map.of(), null, TIMEOUT, ConnectionUse.FRESH)) {
+				assertThat(new String(reply.readAll(1024), StandardCharsets.UTF_8)).isEqualTo("whole");
+			}
+			server.join();
+		}
+	}
+
 	@Test
 	void bodyOverTheLimitIsRefused() throws IOException {
 		try (HttpReply reply = this.client.send(this.address, "POST", "/", Map.of(), new byte[2048], TIMEOUT,
@@ -137,8 +192,13 @@
 	}
 
 	private static void answerOnce(ServerSocket listener) {
+		answerOnce(listener, EMPTY_RESPONSE);
+	}
+
+	private static void answerOnce(ServerSocket listener, String response) {
 		try (Socket socket = listener.accept()) {
-			answer(socket);
+			readHead(socket);
+			socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
@@ -147,8 +207,7 @@
 
 	private static void answer(Socket socket) throws IOException {
 		readHead(socket);
-		socket.getOutputStream()
-			.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+		socket.getOutputStream().write(EMPTY_RESPONSE.getBytes(StandardCharsets.US_ASCII));
 	}
 
 	private static void readHead(Socket socket) throws IOException {
