Take no repeated refusal of an upstream for the answer to another call

It can happen here on the own interface: a turn's call to a model engine goes over pooled connections, a 429 counts as not run and costs nothing, and a response without an id was taken for the answer to whatever request was on the connection.

Cause: UpstreamClient rejected a response with another id, but accepted one without. Nothing then proves that it belongs to the request.

Change: on a connection that carried another request before, only the echoed id counts; otherwise the verdict is may_have_run. A first response without an id is accepted, but its connection is closed after it, so the connections to upstreams that never echo ids carry one request each. Resumptions and control requests go the same way, on connections of their own.

Calls of plain services that may not be repeated always had a new connection. Price: a new connection for each call to an upstream that does not echo ids.

--- a/mangorack/src/main/java/org/mangorack/http/HttpReply.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpReply.java
@@ -28,18 +28,21 @@
 
 	private final DefaultBHttpClientConnection connection;
 
-	private final boolean keepAlive;
+	private final boolean connectionReused;
+
+	private boolean keepAlive;
 
 	private boolean endOfBodyReached;
 
 	private boolean closed;
 
 	HttpReply(ClassicHttpResponse response, PooledHttpClient client, HttpAddress address,
-			DefaultBHttpClientConnection connection, boolean keepAlive) {
+			DefaultBHttpClientConnection connection, boolean connectionReused, boolean keepAlive) {
 		this.response = response;
 		this.client = client;
 		this.address = address;
 		this.connection = connection;
+		this.connectionReused = connectionReused;
 		this.keepAlive = keepAlive;
 	}
 
@@ -62,6 +65,22 @@
 		return (header != null) ? header.getValue() : otherwise;
 	}
 
+	/**
+	 * Returns whether the connection carried other requests before this one. A server may
+	 * then have sent the response to one of them again.
+	 * @return {@code true} if the connection came from the pool
+	 */
+	public boolean isConnectionReused() {
+		return this.connectionReused;
+	}
+
+	/**
+	 * Makes {@link #close()} close the connection instead of returning it to the pool.
+	 */
+	public void preventReuse() {
+		this.keepAlive = false;
+	}
+
 	/**
 	 * Sets the timeout of each read from the body.
 	 * @param timeout the maximum time to wait for data
--- a/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
+++ b/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
@@ -83,7 +83,7 @@
 		if (pooled != null) {
 			long sentAt = MonotonicClock.SYSTEM.nanoTime();
 			try {
-				return exchange(address, pooled, request(address, method, path, headers, body), readTimeout);
+				return exchange(address, pooled, true, request(address, method, path, headers, body), readTimeout);
 			}
 			catch (IOException | HttpException ex) {
 				discard(pooled);
@@ -129,7 +129,7 @@
 			throws HttpCallException {
 		DefaultBHttpClientConnection connection = connect(address);
 		try {
-			return exchange(address, connection, request, readTimeout);
+			return exchange(address, connection, false, request, readTimeout);
 		}
 		catch (IOException | HttpException ex) {
 			discard(connection);
@@ -137,14 +137,14 @@
 		}
 	}
 
-	private HttpReply exchange(HttpAddress address, DefaultBHttpClientConnection connection, ClassicHttpRequest request,
-			Duration readTimeout) throws IOException, HttpException {
+	private HttpReply exchange(HttpAddress address, DefaultBHttpClientConnection connection, boolean reused,
+			ClassicHttpRequest request, Duration readTimeout) throws IOException, HttpException {
 		connection.setSocketTimeout(Timeout.ofMilliseconds(Math.max(1, readTimeout.toMillis())));
 		HttpCoreContext context = HttpCoreContext.create();
 		this.executor.preProcess(request, this.processor, context);
 		ClassicHttpResponse response = this.executor.execute(request, connection, context);
 		boolean keepAlive = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
-		return new HttpReply(response, this, address, connection, keepAlive);
+		return new HttpReply(response, this, address, connection, reused, keepAlive);
 	}
 
 	private DefaultBHttpClientConnection connect(HttpAddress address) throws HttpCallException {
--- a/mangorack/src/main/java/org/mangorack/upstream/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/upstream/UpstreamClient.java
@@ -19,7 +19,11 @@
 import org.mangorack.http.PooledHttpClient;
 
 /**
- * Sends calls and control requests to upstreams over HTTP.
+ * Sends calls and control requests to upstreams over HTTP. Each request has an id, which
+ * an upstream echoes. On a connection that carried another request before, only the id
+ * proves that a response belongs to the request: the upstream may send an earlier
+ * response, such as a refusal, once more. The connections to an upstream that does not
+ * echo ids therefore carry one request each.
  */
 public final class UpstreamClient {
 
@@ -67,17 +71,8 @@
 	 */
 	public HttpReply send(Upstream upstream, String method, String path, Map<String, String> headers, byte[] body,
 			Duration readTimeout, boolean idempotent) throws HttpCallException {
-		ConnectionUse use = idempotent ? ConnectionUse.POOLED : ConnectionUse.FRESH;
-		String id = UUID.randomUUID().toString();
-		Map<String, String> requestHeaders = new LinkedHashMap<>(headers);
-		requestHeaders.put(REQUEST_ID, id);
-		HttpReply reply = this.client.send(upstream.address(), method, path, requestHeaders, body, readTimeout, use);
-		if (!reply.header(REQUEST_ID, id).equals(id)) {
-			reply.abort();
-			throw new HttpCallException("upstream \"" + upstream.id() + "\" answered another request",
-					Verdict.MAY_HAVE_RUN, null);
-		}
-		return reply;
+		return exchange(upstream, method, path, headers, body, readTimeout,
+				idempotent ? ConnectionUse.POOLED : ConnectionUse.FRESH);
 	}
 
 	/**
@@ -91,8 +86,8 @@
 	 */
 	public HttpReply resume(Upstream upstream, String stream, int offset, Duration readTimeout)
 			throws HttpCallException {
-		return this.client.send(upstream.address(), "GET", "/v1/streams/" + stream + "?offset=" + offset, Map.of(),
-				null, readTimeout, ConnectionUse.FRESH);
+		return exchange(upstream, "GET", "/v1/streams/" + stream + "?offset=" + offset, Map.of(), null, readTimeout,
+				ConnectionUse.FRESH);
 	}
 
 	/**
@@ -117,10 +112,28 @@
 		return sendControlRequest(upstream, "POST", "/admin/release", body);
 	}
 
+	private HttpReply exchange(Upstream upstream, String method, String path, Map<String, String> headers, byte[] body,
+			Duration readTimeout, ConnectionUse use) throws HttpCallException {
+		String id = UUID.randomUUID().toString();
+		Map<String, String> requestHeaders = new LinkedHashMap<>(headers);
+		requestHeaders.put(REQUEST_ID, id);
+		HttpReply reply = this.client.send(upstream.address(), method, path, requestHeaders, body, readTimeout, use);
+		String echoed = reply.header(REQUEST_ID, "");
+		if (echoed.isEmpty() && !reply.isConnectionReused()) {
+			reply.preventReuse();
+		}
+		else if (!echoed.equals(id)) {
+			reply.abort();
+			throw new HttpCallException("upstream \"" + upstream.id() + "\" answered another request",
+					Verdict.MAY_HAVE_RUN, null);
+		}
+		return reply;
+	}
+
 	private boolean sendControlRequest(Upstream upstream, String method, String path, JsonNode body) {
 		byte[] bytes = (body != null) ? Jsons.bytes(body) : null;
-		try (HttpReply reply = this.client.send(upstream.address(), method, path, JSON_HEADERS, bytes, CONTROL_TIMEOUT,
-				ConnectionUse.POOLED)) {
+		try (HttpReply reply = exchange(upstream, method, path, JSON_HEADERS, bytes, CONTROL_TIMEOUT,
+				ConnectionUse.FRESH)) {
 			reply.readAll(MAX_CONTROL_RESPONSE_BYTES);
 			return reply.status() < 300;
 		}
