--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.file.Path;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
@@ -13,6 +16,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -69,6 +73,64 @@
 		}
 	}
 
+	// Guards against refusing a request that ran as not run, because the upstream sent an
+	// earlier refusal once more.
+	@ParameterizedTest
+	@CsvSource({ "true, 0", "true, 5", "false, 0", "false, 5" })
+	void aRepeatedRefusalIsNeverTakenForTheResponseToTheNextCall(boolean withId, int delayMillis) throws Exception {
+		Set<String> run = ConcurrentHashMap.newKeySet();
+		this.upstream.setScript((request, out, socket) -> {
+			String id = request.header("Request-Id");
+			if (id.startsWith("refused")) {
+				write(out, refusal("Request-Id: " + id + "\r\n"));
+				ScriptedUpstream.sleep(delayMillis);
+				write(out, refusal(withId ? ("Request-Id: " + id + "\r\n") : ""));
+			}
+			else {
+				run.add(id);
+				out.write(ScriptedUpstream.plain(request, "for " + id));
+			}
+			return true;
+		});
+		for (int i = 0; i < 20; i++) {
+			assertThat(call("POST", "/write/1", "refused" + i)).startsWith("HTTP/1.1 503");
+			String response = call("POST", "/write/1", "r" + i);
+			if (response.startsWith("HTTP/1.1 503")) {
+				assertThat(run).doesNotContain("r" + i);
+			}
+			else {
+				assertThat(response).startsWith("HTTP/1.1 200").endsWith("for r" + i);
+			}
+			// Longer than the entry avoids an upstream that refused a call.
+			ScriptedUpstream.sleep(100);
+		}
+		assertThat(run).hasSizeGreaterThan(10);
+		assertThat(this.upstream.received().stream().map((r) -> r.header("Request-Id"))).doesNotHaveDuplicates();
+	}
+
+	// Guards against passing on a response that breaks off within its head as a complete
+	// one.
+	@ParameterizedTest
+	@CsvSource({ "/write/1, 'Content-Length: 12\\r\\n'", "/write/1, ''", "/turns/1, 'Content-Length: 12\\r\\n'",
+			"/turns/1, ''" })
+	void aResponseThatEndsWithinItsHeadIsNeverPassedOn(String path, String length) throws Exception {
+		AtomicInteger cut = new AtomicInteger();
+		this.upstream.setScript((request, out, socket) -> {
+			String head = "HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
+					+ "\r\nResponse-Signature: s\r\n" + length.replace("\\r\\n", "\r\n") + "\r\n";
+			cut.set(Math.min(cut.get(), head.length() - 1));
+			write(out, head.substring(0, cut.get()));
+			return false;
+		});
+		int headBytes = 70;
+		for (int i = 0; i < headBytes; i++) {
+			cut.set(i);
+			String response = call("POST", path, "cut" + i);
+			assertThat(response).as("after %d bytes", cut.get()).doesNotStartWith("HTTP/1.1 200");
+		}
+		assertThat(this.upstream.received()).hasSizeGreaterThan(headBytes / 2);
+	}
+
 	@Test
 	void aSlowButValidStreamIsNotCut() throws Exception {
 		this.upstream.setScript((request, out, socket) -> {
@@ -173,6 +235,11 @@
 		return this.fleet.exchange(TestFleetNodes.request(method, path, id, "", "x"));
 	}
 
+	private static String refusal(String id) {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + id
+				+ "Not-Executed: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+	}
+
 	private static long writes(ScriptedUpstream upstream) {
 		return upstream.received().stream().filter((r) -> r.start().contains("/write/")).count();
 	}
