Leave no request without a response in a planned stop of an entry

A stream that began before the stop left its connection open when it ended, however late; the next request on it was passed on. (Only answers that begin after the announcement say that their connection closes.) 2. A request whose head had come and whose body ended late was passed on, though its time limit lay beyond the end of the stop. 3. A call that outlasts the grace period was cut without a response. And a grace period below 2.7 s ended before the entry stopped accepting connections.

Cause: idle connections were closed once, 2.5 s after the signal, not whenever a request ended after that; nothing compared a request's time limit with the time that is left; at the limit the process simply ended.

Change: from the end of the linger on, a connection closes with its response, and a request that may outlast the stop is refused at once as not run (503 instance_stopping). While connections are accepted, requests are taken as before whatever their time limit is: nearly all take far less, and one that does not now gets an answer.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -271,7 +271,27 @@
 	 * @throws IOException if the document cannot be read
 	 */
 	void configure(long version, ObjectNode changes) throws IOException {
-		ObjectNode document = (ObjectNode) MAPPER.readTree("""
+		ObjectNode document = defaultConfiguration();
+		document.put("version", version);
+		document.setAll(changes);
+		this.store.put("config", "main", document);
+	}
+
+	/**
+	 * Writes the default configuration with another time-out of all routes.
+	 * @param version the version
+	 * @param timeout the time-out
+	 * @throws IOException if the document cannot be read
+	 */
+	void configureTimeout(long version, Duration timeout) throws IOException {
+		ObjectNode document = defaultConfiguration();
+		document.put("version", version);
+		document.get("routes").forEach((route) -> ((ObjectNode) route).put("timeout_ms", timeout.toMillis()));
+		this.store.put("config", "main", document);
+	}
+
+	private static ObjectNode defaultConfiguration() throws IOException {
+		return (ObjectNode) MAPPER.readTree("""
 				{"routes":[
 				{"name":"turns","host":"check.example","path_prefix":"/turns/","kind":"streaming","timeout_ms":4000,
 				"service":"pool","max_attempts":2,"retains_context":true,"retention_s":60,"sticky_sessions":true},
@@ -287,9 +307,6 @@
 				"limits":{"max_header_bytes":4096,"max_body_bytes":10000,"header_timeout_ms":600,
 				"idle_timeout_ms":3000},
 				"tenants":[{"name":"a","api_keys":["key-a"]},{"name":"b","api_keys":["key-b"]}]}""");
-		document.put("version", version);
-		document.setAll(changes);
-		this.store.put("config", "main", document);
 	}
 
 	void addUpstream(String id, ScriptedUpstream upstream) {
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -126,6 +126,24 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Ends the current request with a response, because the entry stops.
+	 */
+	void endForStop() {
+		switch (this.state) {
+			case IDLE -> close();
+			case HEAD, BODY -> refuse(RelayCall.stopping("the request was not whole before the instance stopped"));
+			case BUSY -> {
+				if (this.call != null) {
+					this.call.endForStop();
+				}
+			}
+			case CLOSED -> {
+				// Nothing is left to end.
+			}
+		}
+	}
+
 	// ---- Responses
 
 	/**
@@ -329,7 +347,7 @@
 
 	private void finish(Object last) {
 		this.call = null;
-		boolean keep = this.keepAlive;
+		boolean keep = this.keepAlive && this.server.isAccepting();
 		this.channel.writeAndFlush(last).addListener((ChannelFutureListener) (f) -> {
 			if (!f.isSuccess() || !keep) {
 				f.channel().close();
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -73,17 +73,6 @@
 	 */
 	static final Duration MAX_DIRECTORY_AGE = Duration.ofSeconds(1);
 
-	/**
-	 * How long a stopping entry still accepts connections. Some callers cache the list of
-	 * addresses for three times its time to live.
-	 */
-	static final Duration SHUTDOWN_LINGER = Duration.ofMillis(2500);
-
-	/**
-	 * The fraction of the grace period for which a stop waits for open calls.
-	 */
-	static final double DRAIN_GRACE_FRACTION = 0.93;
-
 	/**
 	 * The configuration age above which the entry queries the platform itself. Keepers
 	 * that reach the platform confirm the configuration more often than that.
@@ -207,23 +196,24 @@
 
 	/**
 	 * Stops gracefully: removes the entry from the list of addresses, keeps serving
-	 * callers with an outdated list, and waits for open calls within the grace period.
+	 * callers with an outdated list, and waits for open calls. Calls that do not end
+	 * within the grace period are answered before the process ends.
 	 */
 	public void stop() {
 		long startedAt = this.clock.nanoTime();
 		this.stopping = true;
 		EventLog.log(Event.DRAIN_STARTED, "instance", this.settings.instance(), "role", "entry");
+		StopSchedule schedule = StopSchedule.of(this.settings.grace());
 		try {
 			runOnLoop(() -> {
-				this.server.announceClose();
+				this.server.announceStop(startedAt + schedule.callsUntil().toNanos());
 				sendHeartbeat();
 			});
-			TimeUnit.MILLISECONDS.sleep(SHUTDOWN_LINGER.toMillis());
-			runOnLoop(this.server::closeIdle);
-			long limit = (long) (this.settings.grace().toNanos() * DRAIN_GRACE_FRACTION);
-			while ((this.server.openConnections() > 0) && (this.clock.nanoTime() - startedAt < limit)) {
-				TimeUnit.MILLISECONDS.sleep(20);
-			}
+			TimeUnit.NANOSECONDS.sleep(schedule.acceptingUntil().toNanos());
+			runOnLoop(this.server::stopAccepting);
+			awaitConnectionsClosed(startedAt + schedule.callsUntil().toNanos());
+			runOnLoop(this.server::endCalls);
+			awaitConnectionsClosed(startedAt + schedule.responsesUntil().toNanos());
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -251,6 +241,12 @@
 		this.stopped.await();
 	}
 
+	private void awaitConnectionsClosed(long until) throws InterruptedException {
+		while ((this.server.openConnections() > 0) && (this.clock.nanoTime() - until < 0)) {
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+	}
+
 	// ---- Platform contact
 
 	private Duration timeSinceContact() {
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -64,6 +64,8 @@
 	 */
 	static final Duration DEADLINE_MARGIN = Duration.ofMillis(10);
 
+	private static final String STOPPING = "instance_stopping";
+
 	private final RelayServer server;
 
 	private final CallerConnection caller;
@@ -217,6 +219,10 @@
 			}
 		}
 		setDeadline();
+		if (!this.server.isServable(timeLimit())) {
+			refuse(stopping("the instance may stop before the request ends"));
+			return;
+		}
 		if (this.workspace == null) {
 			onAdmitted();
 			return;
@@ -251,11 +257,14 @@
 		return this.route.storesTurns() && (this.head.previousTurn() == null);
 	}
 
-	private void setDeadline() {
+	private Duration timeLimit() {
+		Duration remaining = this.head.remainingTime();
 		Duration limit = this.route.timeout();
-		if ((this.head.remainingTime() != null) && (this.head.remainingTime().compareTo(limit) < 0)) {
-			limit = this.head.remainingTime();
-		}
+		return ((remaining != null) && (remaining.compareTo(limit) < 0)) ? remaining : limit;
+	}
+
+	private void setDeadline() {
+		Duration limit = timeLimit();
 		this.deadline = this.arrivedAt + limit.toNanos();
 		this.deadlineTask = this.server.schedule(this::onDeadline,
 				limit.minus(DEADLINE_MARGIN).isNegative() ? Duration.ZERO : limit.minus(DEADLINE_MARGIN));
@@ -460,6 +469,24 @@
 		}
 	}
 
+	/**
+	 * Ends the call with a response, because the entry stops. A stream that has begun is
+	 * broken off.
+	 */
+	void endForStop() {
+		String detail = "the instance stopped before the request ended";
+		refuse(this.sent ? Refusal.mayHaveRun(502, STOPPING, detail) : stopping(detail));
+	}
+
+	/**
+	 * Returns the refusal of a request that was not sent, because the entry stops.
+	 * @param detail what prevents the request from being served
+	 * @return the refusal
+	 */
+	static Refusal stopping(String detail) {
+		return Refusal.unavailable(STOPPING, detail, RETRY_AFTER);
+	}
+
 	/**
 	 * Ends the call because its caller closed the connection.
 	 */
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -76,6 +76,10 @@
 
 	private boolean closing;
 
+	private boolean accepting = true;
+
+	private long callsEndAt;
+
 	private long keepersLastServingAt;
 
 	RelayServer(EventLoop loop, FleetProtocol protocol, MonotonicClock clock, Metrics metrics,
@@ -134,19 +138,31 @@
 
 	/**
 	 * Makes every further response close its connection.
+	 * @param callsEndAt when calls that are still in progress will be ended, in
+	 * nanoseconds of the clock
 	 */
-	void announceClose() {
+	void announceStop(long callsEndAt) {
 		this.closing = true;
+		this.callsEndAt = callsEndAt;
 	}
 
 	/**
-	 * Stops accepting connections and closes those without a request.
+	 * Stops accepting connections and closes those without a request, now and whenever a
+	 * request has been answered.
 	 */
-	void closeIdle() {
+	void stopAccepting() {
+		this.accepting = false;
 		this.serverChannel.close();
 		List.copyOf(this.connections).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
 	}
 
+	/**
+	 * Ends all requests with a response.
+	 */
+	void endCalls() {
+		List.copyOf(this.connections).forEach(CallerConnection::endForStop);
+	}
+
 	// ---- Accessors
 
 	/**
@@ -165,6 +181,21 @@
 		return this.closing;
 	}
 
+	boolean isAccepting() {
+		return this.accepting;
+	}
+
+	/**
+	 * Returns whether a request can be served before the entry stops. While the entry
+	 * accepts connections this is taken for granted, as most requests take much less than
+	 * their time limit.
+	 * @param limit the longest time that the request may take
+	 * @return {@code true} if the request can be served
+	 */
+	boolean isServable(Duration limit) {
+		return this.accepting || (now() + limit.toNanos() - this.callsEndAt <= 0);
+	}
+
 	FleetProtocol protocol() {
 		return this.protocol;
 	}
