Say "not run" only if no attempt may have run, on the own interface

What callers saw: "not_run, try again" for a call that an upstream had taken: the first attempt broke off after the upstream had read it, the next one could not connect (or the key was withdrawn meanwhile), and the refusal carried the verdict of the last attempt only.

Cause: plain services, chats and turns each returned the refusal of the last attempt. The path of the users' platform combines the verdicts of all attempts.

Change: Verdict#combine keeps the one that leaves less hope, Refusal#withEarlierAttempts applies it; both paths use it.

Chats and turns use the same method; they were changed by reading, without a test of their own.

--- a/mangorack/src/main/java/org/mangorack/call/Refusal.java
+++ b/mangorack/src/main/java/org/mangorack/call/Refusal.java
@@ -66,4 +66,13 @@
 		return new Refusal(this.status, this.code, this.detail, other, this.retryAfter);
 	}
 
+	/**
+	 * Creates a copy whose verdict also holds for earlier attempts of the request.
+	 * @param earlier the refusal after these attempts, or {@code null} if there were none
+	 * @return the refusal
+	 */
+	public Refusal withEarlierAttempts(Refusal earlier) {
+		return (earlier != null) ? withVerdict(this.verdict.combine(earlier.verdict())) : this;
+	}
+
 }
--- a/mangorack/src/main/java/org/mangorack/call/Verdict.java
+++ b/mangorack/src/main/java/org/mangorack/call/Verdict.java
@@ -1,7 +1,7 @@
 package org.mangorack.call;
 
 /**
- * Whether a request ran on its upstream.
+ * Whether a request ran on its upstream, from no to yes.
  */
 public enum Verdict {
 
@@ -57,6 +57,15 @@
 	 */
 	public abstract boolean allowsRetry(boolean idempotent);
 
+	/**
+	 * Returns the verdict on a request that was attempted several times.
+	 * @param other the verdict on the other attempts
+	 * @return the verdict that leaves less hope that the request did not run
+	 */
+	public Verdict combine(Verdict other) {
+		return (compareTo(other) > 0) ? this : other;
+	}
+
 	/**
 	 * Finds a verdict by its wire name.
 	 * @param name the wire name
--- a/mangorack/src/main/java/org/mangorack/entry/DirectChat.java
+++ b/mangorack/src/main/java/org/mangorack/entry/DirectChat.java
@@ -92,7 +92,9 @@
 				Refusal current = slot.isLeft() ? slot.getLeft() : refusal.get();
 				return Either.left((lastRefusal != null) ? lastRefusal : current);
 			}
-			Either<Refusal, CallAnswer> answer = attempt(slot.get(), body);
+			Refusal earlier = lastRefusal;
+			Either<Refusal, CallAnswer> answer = attempt(slot.get(), body)
+				.mapLeft((failure) -> failure.withEarlierAttempts(earlier));
 			if (answer.isRight() || !answer.getLeft().code().equals("upstream_failed")) {
 				return answer;
 			}
--- a/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
@@ -145,7 +145,8 @@
 		}
 		Optional<Refusal> refusal = this.guard.check();
 		if (refusal.isPresent()) {
-			abort(refusal.get(), 0);
+			Refusal combined = refusal.get().withEarlierAttempts(this.lastFailure);
+			abort(combined, tokensToCharge(combined));
 			return true;
 		}
 		return call(slot);
@@ -194,7 +195,8 @@
 					false);
 		}
 		Verdict verdict = (reply.status() == 429) ? Verdict.NOT_RUN : Verdict.RAN;
-		this.lastFailure = new Refusal(reply.status(), "upstream_refused", text, verdict, null);
+		this.lastFailure = new Refusal(reply.status(), "upstream_refused", text, verdict, null)
+			.withEarlierAttempts(this.lastFailure);
 		abort(this.lastFailure, 0);
 		return true;
 	}
@@ -203,7 +205,8 @@
 		EventLog.log(Event.UPSTREAM_FAILED, "upstream", upstream.id(), "verdict", verdict, "cause", cause);
 		this.failedUpstreams.add(upstream.id());
 		this.lastFailure = new Refusal(502, "upstream_failed", "upstream \"" + upstream.id() + "\": " + cause, verdict,
-				RETRY_AFTER);
+				RETRY_AFTER)
+			.withEarlierAttempts(this.lastFailure);
 		if (answerStarted) {
 			abort(this.lastFailure, tokensToCharge(this.lastFailure));
 		}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -433,7 +433,7 @@
 	void retryOrFail(Upstream upstream, Verdict verdict, String cause) {
 		this.tried.add(upstream);
 		this.attempt = null;
-		this.lastVerdict = (this.lastVerdict == Verdict.MAY_HAVE_RUN) ? Verdict.MAY_HAVE_RUN : verdict;
+		this.lastVerdict = this.lastVerdict.combine(verdict);
 		this.server.log()
 			.log(Event.ATTEMPT_FAILED, "request", this.head.requestId(), "upstream", upstream.id(), "attempt",
 					this.attempts, "verdict", verdict.wireName(), "cause", cause, "failures",
--- a/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
+++ b/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
@@ -98,7 +98,9 @@
 				return Either.left((lastRefusal != null) ? lastRefusal : slot.getLeft());
 			}
 			try (Slot acquired = slot.get()) {
-				Either<Refusal, CallAnswer> answer = attempt(call, acquired, guard, deadline);
+				Refusal earlier = lastRefusal;
+				Either<Refusal, CallAnswer> answer = attempt(call, acquired, guard, deadline)
+					.mapLeft((refusal) -> refusal.withEarlierAttempts(earlier));
 				if (answer.isRight() || !mayRetry(answer.getLeft(), call)) {
 					return answer;
 				}
