Forward nothing of a call that has already been answered

What callers saw: a second response, 200 with the events of a stream, on a connection on which the request had been answered with 504 and no request was waiting (MIXED).

Cause: an upstream's whole stream waits until the budget reservation is synced at a majority of keepers. If the deadline of the request comes first, the caller gets 504 and the call ends, which aborts an attempt only if it has not finished; a whole answer has. When the sync was confirmed within the 1.8 s of the reservation's call, the buffered stream was forwarded all the same. It takes keepers that are slower than the time that a request has left, as on an overloaded machine.

Change: nothing is forwarded once the call has ended.

--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -25,12 +26,14 @@
 import org.mangorack.bench.standin.FleetStoreStandIn;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.http.PooledHttpClient;
+import org.mangorack.keeper.GroupDocument;
 import org.mangorack.keeper.KeeperNode;
 import org.mangorack.keeper.KeeperSettings;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.KindCache;
 import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.StoredObject;
 import org.mangorack.relay.ConfigurationHolder;
 import org.mangorack.relay.EntryNode;
 import org.mangorack.relay.EntrySettings;
@@ -108,11 +111,42 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	void start(Path folder, int count, int tolerance) throws IOException, InterruptedException {
+		startKeepers(folder, count, tolerance);
+		startEntry(tolerance);
+	}
+
+	private void startKeepers(Path folder, int count, int tolerance) throws IOException, InterruptedException {
 		configure(1, MAPPER.createObjectNode());
 		for (int i = 0; i < count; i++) {
 			startKeeper("keeper-" + i, Files.createDirectories(folder.resolve("k" + i)), tolerance, true);
 		}
-		startEntry(tolerance);
+	}
+
+	/**
+	 * Starts one keeper behind a proxy and an entry with one upstream, and waits until
+	 * they serve.
+	 * @param folder receives the data of the keeper
+	 * @param upstream the upstream, which gets the id u-1
+	 * @param proxy the proxy, which is started for the keeper
+	 * @throws Exception if the nodes cannot be started
+	 */
+	void startServing(Path folder, ScriptedUpstream upstream, KeeperReplyProxy proxy) throws Exception {
+		startKeepers(folder, 1, 0);
+		HttpAddress proxied = proxy.start(this.keeperAddresses.get(0));
+		PlatformStore client = newStore();
+		Optional<StoredObject> group = client.get(ObjectKind.KEEPER_GROUP, GroupDocument.NAME);
+		while (group.isEmpty()) {
+			TimeUnit.MILLISECONDS.sleep(50);
+			group = client.get(ObjectKind.KEEPER_GROUP, GroupDocument.NAME);
+		}
+		ObjectNode view = group.get().spec().deepCopy();
+		((ObjectNode) view.path("members").path(0)).put("host", proxied.host()).put("port", proxied.port());
+		this.store.put(ObjectKind.KEEPER_GROUP.plural(), GroupDocument.NAME, view);
+		// The seeds are the keepers themselves, which would lead around the proxy.
+		this.keeperAddresses.clear();
+		startEntry(0);
+		addUpstream("u-1", upstream);
+		awaitServing();
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -169,10 +169,12 @@
 	}
 
 	/**
-	 * Forwards complete events, but none before the reservation is durable.
+	 * Forwards complete events, but none before the reservation is durable and none once
+	 * the call has ended, whose caller has got another response by then.
 	 */
 	void flushBuffered() {
-		if (!this.streaming || (this.finished && !this.complete) || !this.call.isReservationDurable()) {
+		boolean aborted = this.call.isEnded() || (this.finished && !this.complete);
+		if (!this.streaming || aborted || !this.call.isReservationDurable()) {
 			return;
 		}
 		if (!this.call.stream().isBegun()) {
