Leave no call without a response in a planned stop of an instance

Cause: a stop waits until no call has begun or ended for 300 ms, takes calls all the while, and closes all connections at the limit.

Change: the schedule of a stop moves to the package http and serves both. Calls that come after half of the period are refused as not run (503 instance_stopping). At 0.93 of it the connections to upstreams are closed, which ends the calls that wait for them with may_have_run; they have until 0.97 to be written. The linger is at most 0.4 of the period.

--- a/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
+++ b/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
@@ -255,6 +255,23 @@
 		assertThat(this.fleet.violations()).isZero();
 	}
 
+	// Guards against closing the connection of a call that outlasts a planned stop
+	// without
+	// a response, and against serving calls that come too late to end.
+	@Test
+	void aPlannedStopAnswersCallsThatOutlastIt() throws Exception {
+		Member stopping = this.fleet.member(0);
+		this.fleet.service.setDelayMillis(TimeUnit.MINUTES.toMillis(1));
+		CompletableFuture<Answer> outlasting = async(
+				() -> this.fleet.call(stopping, "POST", "/v1/services/desk/orders/long", Map.of(), "{}"));
+		this.fleet.await("the call to be sent", () -> !this.fleet.service.runs().isEmpty());
+		this.fleet.terminate(stopping);
+		Answer answer = outlasting.get(40, TimeUnit.SECONDS);
+		assertThat(answer.status()).isEqualTo(502);
+		assertThat(answer.json().path("verdict").asText()).isEqualTo("may_have_run");
+		this.fleet.awaitExit(stopping);
+	}
+
 	@Test
 	void engineMemoryOfEndedProgramIsReleasedAcrossOwners() throws Exception {
 		String program = "p-" + UUID.randomUUID();
--- a/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
@@ -68,6 +68,8 @@
 
 	private volatile boolean closing;
 
+	private volatile Refusal refusal;
+
 	/**
 	 * Creates a server without binding its port.
 	 * @param address the address to listen on; port 0 selects a free port
@@ -119,6 +121,14 @@
 		this.closing = true;
 	}
 
+	/**
+	 * Refuses all further requests. Those that are being served are not affected.
+	 * @param reason the response to them
+	 */
+	public void refuseRequests(Refusal reason) {
+		this.refusal = reason;
+	}
+
 	/**
 	 * Waits until no request is active and none has started or finished for a given time.
 	 * @param quiet the required time without activity
@@ -196,6 +206,10 @@
 	}
 
 	private CallAnswer callService(CallRequest call) {
+		Refusal refused = this.refusal;
+		if (refused != null) {
+			return CallAnswer.refusal(refused, call.requestId());
+		}
 		try {
 			return this.service.answer(call);
 		}
--- a/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
+++ b/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
@@ -59,6 +59,8 @@
 
 	private final Duration connectTimeout;
 
+	private volatile boolean closed;
+
 	public PooledHttpClient(Duration connectTimeout) {
 		this.connectTimeout = connectTimeout;
 	}
@@ -100,8 +102,13 @@
 		return sendOnNewConnection(address, request(address, method, path, headers, body), readTimeout);
 	}
 
+	/**
+	 * Closes all connections. Requests in progress fail, and further requests fail
+	 * without being sent.
+	 */
 	@Override
 	public void close() {
+		this.closed = true;
 		this.open.forEach((c) -> c.close(CloseMode.IMMEDIATE));
 		this.open.clear();
 		this.idle.clear();
@@ -157,6 +164,11 @@
 					null, null, null, ResponseHeadParser::new);
 			connection.bind(socket);
 			this.open.add(connection);
+			// Checked after the addition, so that close() cannot miss the connection.
+			if (this.closed) {
+				discard(connection);
+				throw new IOException("the client is closed");
+			}
 			return connection;
 		}
 		catch (IOException ex) {
--- a/mangorack/src/main/java/org/mangorack/relay/StopSchedule.java
+++ b/mangorack/src/main/java/org/mangorack/http/StopSchedule.java
@@ -1,4 +1,4 @@
-package org.mangorack.relay;
+package org.mangorack.http;
 
 import java.time.Duration;
 
@@ -6,18 +6,12 @@
  * The times of a graceful stop, each counted from its start. All lie within the grace
  * period, at whose end the process is killed.
  *
- * @param acceptingUntil when the entry stops accepting connections and requests that may
- * outlast the stop
+ * @param acceptingUntil until when requests are accepted as always, as callers may not
+ * know of the stop yet
  * @param callsUntil when calls in progress are ended with a response
  * @param responsesUntil when the process ends, even if responses have not been read
  */
-record StopSchedule(Duration acceptingUntil, Duration callsUntil, Duration responsesUntil) {
-
-	/**
-	 * How long a stopping entry accepts connections. Some callers cache the list of
-	 * addresses for three times its time to live.
-	 */
-	static final Duration LINGER = Duration.ofMillis(2500);
+public record StopSchedule(Duration acceptingUntil, Duration callsUntil, Duration responsesUntil) {
 
 	// Shortens the time for new calls if the grace period is short.
 	private static final double MAX_LINGER_FRACTION = 0.4;
@@ -29,14 +23,25 @@
 	/**
 	 * Creates the schedule for a grace period.
 	 * @param grace the time after which the process is killed
+	 * @param linger how long requests are to be accepted; shortened if the grace period
+	 * leaves too little time for them
 	 * @return the schedule
 	 */
-	static StopSchedule of(Duration grace) {
+	public static StopSchedule of(Duration grace, Duration linger) {
 		Duration maxLinger = fraction(grace, MAX_LINGER_FRACTION);
-		return new StopSchedule((LINGER.compareTo(maxLinger) < 0) ? LINGER : maxLinger, fraction(grace, CALLS_FRACTION),
+		return new StopSchedule((linger.compareTo(maxLinger) < 0) ? linger : maxLinger, fraction(grace, CALLS_FRACTION),
 				fraction(grace, RESPONSES_FRACTION));
 	}
 
+	/**
+	 * Returns until when requests may still be accepted whose duration is not known, so
+	 * that they have as much time again.
+	 * @return the time, counted from the start of the stop
+	 */
+	public Duration requestsUntil() {
+		return this.callsUntil.dividedBy(2);
+	}
+
 	private static Duration fraction(Duration grace, double fraction) {
 		return Duration.ofNanos((long) (grace.toNanos() * fraction));
 	}
--- a/mangorack/src/main/java/org/mangorack/instance/Instance.java
+++ b/mangorack/src/main/java/org/mangorack/instance/Instance.java
@@ -10,12 +10,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.mangorack.call.Refusal;
 import org.mangorack.config.ConfigurationStore;
 import org.mangorack.config.Settings;
 import org.mangorack.entry.CallerEntry;
 import org.mangorack.entry.ShardContents;
 import org.mangorack.http.HttpFrontEnd;
 import org.mangorack.http.PooledHttpClient;
+import org.mangorack.http.StopSchedule;
 import org.mangorack.key.KeyRegistry;
 import org.mangorack.member.Fleet;
 import org.mangorack.member.PeerLinks;
@@ -48,6 +50,9 @@
 
 	private static final Duration IDLE_PERIOD = Duration.ofMillis(300);
 
+	private static final Refusal STOPPING = Refusal.unavailable("instance_stopping",
+			"the instance may stop before the request ends", Duration.ofMillis(500));
+
 	private final Settings settings;
 
 	private final MonotonicClock clock = MonotonicClock.SYSTEM;
@@ -174,16 +179,15 @@
 			awaitStopQuietly();
 			return;
 		}
-		Duration limit = this.settings.limits().drain();
+		long startedAt = this.clock.nanoTime();
 		EventLog.log(Event.DRAIN_STARTED, "instance", this.settings.instance());
 		try {
 			this.ready = false;
 			this.host.leave();
-			long deadline = System.nanoTime() + limit.toNanos();
-			TimeUnit.MILLISECONDS.sleep(this.settings.limits().linger().toMillis());
+			StopSchedule schedule = StopSchedule.of(this.settings.limits().drain(), this.settings.limits().linger());
+			TimeUnit.NANOSECONDS.sleep(schedule.acceptingUntil().toNanos());
 			this.callers.announceClose();
-			this.host.awaitHandover(Duration.ofNanos(deadline - System.nanoTime()));
-			this.callers.awaitIdle(IDLE_PERIOD, Duration.ofNanos(deadline - System.nanoTime()));
+			finishCalls(schedule, startedAt);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -250,6 +254,25 @@
 		}
 	}
 
+	// Requests that come in the second half of the time are refused, as nothing is known
+	// of how long they take. Calls that are still in progress at its end are answered.
+	private void finishCalls(StopSchedule schedule, long startedAt) throws InterruptedException {
+		this.host.awaitHandover(remaining(startedAt, schedule.requestsUntil()));
+		if (this.callers.awaitIdle(IDLE_PERIOD, remaining(startedAt, schedule.requestsUntil()))) {
+			return;
+		}
+		this.callers.refuseRequests(STOPPING);
+		this.host.awaitHandover(remaining(startedAt, schedule.callsUntil()));
+		if (!this.callers.awaitIdle(Duration.ZERO, remaining(startedAt, schedule.callsUntil()))) {
+			this.entry.close();
+			this.callers.awaitIdle(Duration.ZERO, remaining(startedAt, schedule.responsesUntil()));
+		}
+	}
+
+	private Duration remaining(long startedAt, Duration until) {
+		return until.minus(this.clock.elapsed(startedAt));
+	}
+
 	private void startShardHost() throws InterruptedException {
 		while (true) {
 			try {
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -21,6 +21,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 import org.mangorack.http.StatusServer;
+import org.mangorack.http.StopSchedule;
 import org.mangorack.keeper.ConfigurationRelay;
 import org.mangorack.keeper.ConfigurationSource;
 import org.mangorack.keeper.GroupDocument;
@@ -73,6 +74,12 @@
 	 */
 	static final Duration MAX_DIRECTORY_AGE = Duration.ofSeconds(1);
 
+	/**
+	 * How long a stopping entry still accepts connections. Some callers cache the list of
+	 * addresses for three times its time to live.
+	 */
+	static final Duration SHUTDOWN_LINGER = Duration.ofMillis(2500);
+
 	/**
 	 * The configuration age above which the entry queries the platform itself. Keepers
 	 * that reach the platform confirm the configuration more often than that.
@@ -203,7 +210,7 @@
 		long startedAt = this.clock.nanoTime();
 		this.stopping = true;
 		EventLog.log(Event.DRAIN_STARTED, "instance", this.settings.instance(), "role", "entry");
-		StopSchedule schedule = StopSchedule.of(this.settings.grace());
+		StopSchedule schedule = StopSchedule.of(this.settings.grace(), SHUTDOWN_LINGER);
 		try {
 			runOnLoop(() -> {
 				this.server.announceStop(startedAt + schedule.callsUntil().toNanos());
--- a/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.IntStream;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.CallAnswer;
+import org.mangorack.call.Refusal;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -54,6 +56,17 @@
 		assertThat(this.served).containsExactly("/a");
 	}
 
+	@Test
+	void aRequestAfterTheStartOfRefusalsIsRefusedWithoutBeingServed() throws IOException {
+		this.server.refuseRequests(Refusal.unavailable("stopping", "the server stops", Duration.ofSeconds(1)));
+		this.server.announceClose();
+		String answer = exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi");
+		assertThat(answer).startsWith("HTTP/1.1 503 ")
+			.contains("\"verdict\":\"not_run\"")
+			.contains("Connection: close");
+		assertThat(this.served).isEmpty();
+	}
+
 	@ParameterizedTest
 	@CsvSource(delimiter = '|', value = { "Content-Length: 1\\r\\nTransfer-Encoding: chunked\\r\\n | 400",
 			"Transfer-Encoding: chunked\\r\\nContent-Length: 1\\r\\n | 400",
--- a/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
@@ -137,6 +137,31 @@
 		}
 	}
 
+	// Guards against cutting a caller off: a request in progress must end with a verdict
+	// when the client is closed.
+	@Test
+	void closingTheClientEndsRequestsInProgressAndPreventsOthers() throws Exception {
+		try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			HttpAddress target = new HttpAddress("127.0.0.1", silent.getLocalPort());
+			Thread closing = new Thread(() -> {
+				try (Socket socket = silent.accept()) {
+					readHead(socket);
+					this.client.close();
+					socket.getInputStream().read();
+				}
+				catch (IOException ex) {
+					throw new UncheckedIOException(ex);
+				}
+			}, "closing");
+			closing.start();
+			assertThatExceptionOfType(HttpCallException.class).isThrownBy(() -> get(target, ConnectionUse.POOLED))
+				.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+			closing.join();
+			assertThatExceptionOfType(HttpCallException.class).isThrownBy(() -> get(target, ConnectionUse.POOLED))
+				.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.NOT_RUN));
+		}
+	}
+
 	@Test
 	void bodyOverTheLimitIsRefused() throws IOException {
 		try (HttpReply reply = this.client.send(this.address, "POST", "/", Map.of(), new byte[2048], TIMEOUT,
--- a/mangorack/src/test/java/org/mangorack/relay/StopScheduleTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/StopScheduleTests.java
@@ -1,4 +1,4 @@
-package org.mangorack.relay;
+package org.mangorack.http;
 
 import java.time.Duration;
 
@@ -12,14 +12,17 @@
  */
 class StopScheduleTests {
 
+	private static final Duration LINGER = Duration.ofMillis(2500);
+
 	// Guards against calls that are accepted until the process is killed.
 	@ParameterizedTest
 	@ValueSource(longs = { 500, 1000, 2000, 2600, 8000, 30_000, 3_600_000 })
 	void allTimesLieWithinTheGracePeriodInTheirOrder(long graceMillis) {
 		Duration grace = Duration.ofMillis(graceMillis);
-		StopSchedule schedule = StopSchedule.of(grace);
-		assertThat(schedule.acceptingUntil()).isPositive().isLessThanOrEqualTo(StopSchedule.LINGER);
-		assertThat(schedule.acceptingUntil().multipliedBy(2)).isLessThan(schedule.callsUntil());
+		StopSchedule schedule = StopSchedule.of(grace, LINGER);
+		assertThat(schedule.acceptingUntil()).isPositive().isLessThanOrEqualTo(LINGER);
+		assertThat(schedule.acceptingUntil()).isLessThan(schedule.requestsUntil());
+		assertThat(schedule.requestsUntil().multipliedBy(2)).isLessThanOrEqualTo(schedule.callsUntil());
 		assertThat(schedule.callsUntil()).isLessThan(schedule.responsesUntil());
 		assertThat(schedule.responsesUntil()).isLessThan(grace);
 	}
