Keep a program while a sub-agent of it is in use, on the own interface

What would go wrong: a program ends ("expired after ...", its next turn gets 409) while a turn of its sub-agent runs for longer than the program may be idle, or while its sub-agent's own sub-agent works. Ten minutes after that it is evicted, and the sub-agent goes on without the budget that it shared with it.

What other records depend on was kept by the time of its own last use only: the end of a turn counted for the program and its root, not for programs between them, and a running turn for nobody else. The end of a sub-agent counted as a use of its root, so which of them ended first depended on the order of a map.

Change: the last use of a program is that of the latest of it and its live descendants, where a running turn counts as now.

--- a/mangorack/src/main/java/org/mangorack/program/ProgramStates.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramStates.java
@@ -65,6 +65,26 @@
 		return this.programs.values().stream().filter((p) -> isDescendant(p, ancestor)).toList();
 	}
 
+	/**
+	 * Returns when each program or a live descendant of it was last used.
+	 * @param now the time, which is that of the last use of programs with a running turn
+	 * @return the times by program, in nanoseconds of the clock
+	 */
+	Map<ProgramKey, Long> lastUses(long now) {
+		Map<ProgramKey, Long> lastUses = new HashMap<>();
+		this.programs.forEach((key, program) -> lastUses.put(key, program.lastUsed()));
+		for (ProgramState program : this.programs.values()) {
+			long used = (program.running() != null) ? now : program.lastUsed();
+			ProgramState current = program.isEnded() ? null : program;
+			for (int depth = 0; (depth <= MAX_DEPTH) && (current != null); depth++) {
+				lastUses.merge(current.key(), used, (a, b) -> (a - b > 0) ? a : b);
+				current = (current.parent() != null) ? this.programs.get(current.key().withProgram(current.parent()))
+						: null;
+			}
+		}
+		return lastUses;
+	}
+
 	// ---- Journal
 
 	void replay(Entry entry) {
--- a/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
+++ b/mangorack/src/main/java/org/mangorack/program/ProgramTable.java
@@ -251,8 +251,9 @@
 
 	/**
 	 * Ends programs that have been idle for longer than their workspace allows, and
-	 * evicts ended programs after the retention period. An ended program with unconfirmed
-	 * releases is kept.
+	 * evicts ended programs after the retention period. A program is not idle while a
+	 * sub-agent of it is in use, which needs its budget and to which it will return. An
+	 * ended program with unconfirmed releases is kept.
 	 * @param workspaces the configured workspaces
 	 */
 	public void expire(Collection<Workspace> workspaces) {
@@ -260,8 +261,9 @@
 		workspaces.forEach((w) -> limits.put(w.id(), w.programIdle()));
 		synchronized (this.monitor) {
 			List<ProgramState> expired = new ArrayList<>();
+			Map<ProgramKey, Long> lastUses = this.states.lastUses(this.clock.nanoTime());
 			for (ProgramState program : this.states.all()) {
-				Duration idle = this.clock.elapsed(program.lastUsed());
+				Duration idle = this.clock.elapsed(lastUses.get(program.key()));
 				Duration limit = limits.get(program.key().workspace());
 				if (program.isEnded()) {
 					if (program.unreleased().isEmpty() && (idle.compareTo(ENDED_RETENTION) > 0)) {
