Test the stop of an instance with a call that outlasts it

The route of the former form of ProgramSurvivalTests#aPlannedStopAnswersCallsThatOutlastIt ended calls after 10 s itself, so the test passed on the former code, too.

--- a/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
+++ b/bench/src/test/java/org/mangorack/bench/ProgramSurvivalTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
@@ -263,10 +264,10 @@
 		Member stopping = this.fleet.member(0);
 		this.fleet.service.setDelayMillis(TimeUnit.MINUTES.toMillis(1));
 		CompletableFuture<Answer> outlasting = async(
-				() -> this.fleet.call(stopping, "POST", "/v1/services/desk/orders/long", Map.of(), "{}"));
+				() -> this.fleet.callWithTimeout(Duration.ofMinutes(2), stopping, "POST", "/v1/services/desk/slow"));
 		this.fleet.await("the call to be sent", () -> !this.fleet.service.runs().isEmpty());
 		this.fleet.terminate(stopping);
-		Answer answer = outlasting.get(40, TimeUnit.SECONDS);
+		Answer answer = outlasting.get(2, TimeUnit.MINUTES);
 		assertThat(answer.status()).isEqualTo(502);
 		assertThat(answer.json().path("verdict").asText()).isEqualTo("may_have_run");
 		this.fleet.awaitExit(stopping);
--- a/bench/src/test/java/org/mangorack/bench/TestFleet.java
+++ b/bench/src/test/java/org/mangorack/bench/TestFleet.java
@@ -256,6 +256,7 @@
 		routes.putObject("read").put("pool", "desk").put("path", "/read").put("idempotent", true);
 		routes.putObject("open").put("pool", "desk").put("path", "/open").put("idempotent", true).put("open", true);
 		routes.putObject("orders").put("pool", "desk").put("path", "/orders").put("deadlineMillis", 10_000);
+		routes.putObject("slow").put("pool", "desk").put("path", "/slow").put("deadlineMillis", 120_000);
 		Files.writeString(config.resolve("10-all.json"), json.toString());
 	}
 
@@ -294,6 +295,20 @@
 		return callWithKey(member, this.key, method, path, headers, body);
 	}
 
+	/**
+	 * Sends a call without a body by a client of its own.
+	 * @param timeout how long the client waits for the response
+	 * @param member the instance
+	 * @param method the HTTP method
+	 * @param path the path
+	 * @return the response
+	 * @throws Exception if there was no response
+	 */
+	Answer callWithTimeout(Duration timeout, Member member, String method, String path) throws Exception {
+		return new CallerClient(timeout).send(method, member.callers, path,
+				Map.of("Authorization", "Bearer " + this.key), null);
+	}
+
 	Answer callWithKey(Member member, String presentedKey, String method, String path, Map<String, String> headers,
 			String body) throws Exception {
 		Map<String, String> all = new LinkedHashMap<>(headers);
