--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -178,6 +178,8 @@
 			return;
 		}
 		this.metrics.gauge("mangorack.keeper.turns", turns::turnCount);
+		this.metrics.gauge("mangorack.keeper.turns.bytes", turns::turnBytes);
+		this.metrics.gauge("mangorack.keeper.log.bytes", turns::logBytes);
 		this.metrics.gauge("mangorack.keeper.programs", turns::programCount);
 		this.metrics.gauge("mangorack.keeper.epoch", () -> this.service.view().epoch());
 		new StatusServer(this.loops.next(), (request) -> StatusServer.metrics(this.metrics))
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -109,6 +109,22 @@
 		return this.turns.size();
 	}
 
+	/**
+	 * Returns the size of the turns that are retained.
+	 * @return the size in bytes
+	 */
+	long turnBytes() {
+		return this.turns.bytes();
+	}
+
+	/**
+	 * Returns the size of the log before its current segment.
+	 * @return the size in bytes
+	 */
+	long logBytes() {
+		return this.log.olderBytes();
+	}
+
 	int programCount() {
 		return this.programs.size();
 	}
