Test chains under random pauses, kills and long calls

KeeperClientTests#confirmedTurnsAreFoundWithTheirChains: four keepers, 50 steps of turns that continue random earlier ones, calls that outlast the retention of their predecessors, pauses, kills and restarts, then the loss of each keeper in turn; each confirmed turn that is younger than its retention has to be found with its whole chain.

--- a/mangorack/src/main/java/org/mangorack/call/Verdict.java
+++ b/mangorack/src/main/java/org/mangorack/call/Verdict.java
@@ -1,7 +1,7 @@
 package org.mangorack.call;
 
 /**
- * Whether a request ran on its upstream, from no to yes.
+ * Whether a request ran on its upstream, in the order from no to yes.
  */
 public enum Verdict {
 
@@ -58,9 +58,10 @@
 	public abstract boolean allowsRetry(boolean idempotent);
 
 	/**
-	 * Returns the verdict on a request that was attempted several times.
+	 * Returns the verdict on a request that was attempted several times. It did not run
+	 * only if none of the attempts ran.
 	 * @param other the verdict on the other attempts
-	 * @return the verdict that leaves less hope that the request did not run
+	 * @return the one of the two verdicts that is further from {@link #NOT_RUN}
 	 */
 	public Verdict combine(Verdict other) {
 		return (compareTo(other) > 0) ? this : other;
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -4,8 +4,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -150,6 +153,92 @@
 		assertThat(fetch("p", "t7")).isEqualTo("found t7 t6 t5 t4 t3 t2 t1");
 	}
 
+	// Guards against 404 for confirmed turns over pauses, restarts and calls that outlast
+	// the
+	// retention of their predecessors, in random order.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6 })
+	void confirmedTurnsAreFoundWithTheirChains(long seed) throws Exception {
+		Random random = new Random(seed);
+		Map<String, List<String>> chains = new HashMap<>();
+		Map<String, Duration> confirmedAt = new HashMap<>();
+		Duration now = Duration.ZERO;
+		awaitServing(4);
+		for (int step = 0; step < 50; step++) {
+			Duration passed = randomTime(random, RETENTION.dividedBy(2));
+			switch (random.nextInt(5)) {
+				case 0 -> toggleKeeper(random);
+				case 1 -> {
+					this.keepers.forEach((k) -> k.advance(passed));
+					now = now.plus(passed);
+				}
+				default -> {
+					String id = "t" + step;
+					String previous = youngerThanRetention(confirmedAt, now, random);
+					List<Turn> predecessors = previous.isEmpty() ? List.of() : fetchChain("p", previous);
+					assertThat(ids(predecessors)).isEqualTo(chains.getOrDefault(previous, List.of()));
+					Duration run = (random.nextInt(3) == 0) ? randomTime(random, BEYOND_RETENTION) : Duration.ZERO;
+					this.keepers.forEach((k) -> k.advance(run));
+					now = now.plus(run);
+					assertThat(
+							settle("p", new ChainedTurn(turn(id, previous, "in"), predecessors), random.nextBoolean()))
+						.as("step %d", step)
+						.isTrue();
+					confirmedAt.put(id, now);
+					chains.put(id, new ArrayList<>(ids(predecessors)));
+					chains.get(id).add(0, id);
+				}
+			}
+		}
+		for (TestKeeper lost : this.keepers) {
+			restartAll();
+			lost.kill();
+			for (String id : List.copyOf(confirmedAt.keySet())) {
+				if (now.minus(confirmedAt.get(id)).compareTo(RETENTION) < 0) {
+					assertThat(ids(fetchChain("p", id))).as("without %s", lost.member().getDisk())
+						.isEqualTo(chains.get(id));
+				}
+			}
+		}
+	}
+
+	private static Duration randomTime(Random random, Duration limit) {
+		return Duration.ofMillis(random.nextInt((int) limit.toMillis()));
+	}
+
+	// Kills a keeper if all are running, and starts the one that is not otherwise.
+	private void toggleKeeper(Random random) throws Exception {
+		if (this.keepers.stream().allMatch(TestKeeper::isRunning)) {
+			this.keepers.get(random.nextInt(this.keepers.size())).kill();
+			awaitServing(this.keepers.size() - 1);
+		}
+		else {
+			restartAll();
+		}
+	}
+
+	private void restartAll() throws Exception {
+		for (TestKeeper k : this.keepers) {
+			if (!k.isRunning()) {
+				k.start();
+			}
+		}
+		awaitServing(this.keepers.size());
+	}
+
+	private static String youngerThanRetention(Map<String, Duration> confirmedAt, Duration now, Random random) {
+		List<String> young = confirmedAt.keySet()
+			.stream()
+			.filter((id) -> now.minus(confirmedAt.get(id)).compareTo(RETENTION) < 0)
+			.sorted()
+			.toList();
+		return (young.isEmpty() || (random.nextInt(8) == 0)) ? "" : young.get(random.nextInt(young.size()));
+	}
+
+	private static List<String> ids(List<Turn> chain) {
+		return chain.stream().map(Turn::getId).toList();
+	}
+
 	@Test
 	void aTurnSurvivesTheLossOfAnyOneDisk() throws Exception {
 		for (int i = 0; i < 8; i++) {
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -54,6 +54,8 @@
 
 	private volatile Duration elapsed = Duration.ZERO;
 
+	private boolean running;
+
 	TestKeeper(String name, String disk, Path folder, ConfigurationRelay configuration) {
 		this.name = name;
 		this.disk = disk;
@@ -76,6 +78,7 @@
 				MonotonicClock.SYSTEM, new Metrics());
 		bind();
 		this.port = this.service.port();
+		this.running = true;
 		return this;
 	}
 
@@ -118,12 +121,19 @@
 	}
 
 	/**
-	 * Lets time pass for the retention of turns, and removes those that have expired.
+	 * Lets time pass for the retention of turns, and removes those that have expired if
+	 * the keeper is running.
 	 * @param time the time to pass
 	 */
 	void advance(Duration time) {
 		this.elapsed = this.elapsed.plus(time);
-		this.loops.next().submit(() -> this.service.turns().expire()).syncUninterruptibly();
+		if (this.running) {
+			this.loops.next().submit(() -> this.service.turns().expire()).syncUninterruptibly();
+		}
+	}
+
+	boolean isRunning() {
+		return this.running;
 	}
 
 	/**
@@ -178,6 +188,7 @@
 	 * @throws IOException if the log cannot be closed
 	 */
 	void kill() throws IOException {
+		this.running = false;
 		this.service.close();
 		this.log.close();
 	}
