Load no class at a keeper's restart that its first start does not load

Cause (read): the archive of classes is recorded by selfcheck, whose keeper starts with an empty folder. RecordLog$OlderSegment was only loaded where older segments exist, so a restart had to open the jar for it.

Change: the older segments are a map of numbers and sizes, without a class of their own. Tests: RecordLogTests, TurnStoreTests, DiskFuzzTests, KeeperClientTests as they are.

--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -48,7 +50,8 @@
 
 	private final Deque<PendingEntry> queue = new ArrayDeque<>();
 
-	private final Deque<OlderSegment> olderSegments = new ArrayDeque<>();
+	// The sizes in bytes of the segments that are no longer written to, by their numbers.
+	private final TreeMap<Long, Long> olderSegments = new TreeMap<>();
 
 	private long olderBytes;
 
@@ -79,12 +82,11 @@
 			for (String name : names) {
 				numbers.add(segmentNumber(name));
 			}
-			numbers.sort(null);
 			for (long number : numbers) {
-				addOlderSegment(new OlderSegment(number, Files.size(file(number))));
+				addOlderSegment(number, Files.size(file(number)));
 			}
 		}
-		this.segment = this.olderSegments.isEmpty() ? 1 : (this.olderSegments.peekLast().number() + 1);
+		this.segment = this.olderSegments.isEmpty() ? 1 : (this.olderSegments.lastKey() + 1);
 		this.writer = new Thread(this::runWriter, "log-writer");
 		this.writer.setDaemon(true);
 	}
@@ -98,8 +100,7 @@
 	 * @throws IOException if a segment cannot be read
 	 */
 	void replay(BiConsumer<Long, LogEntry> reader) throws IOException {
-		for (OlderSegment older : this.olderSegments) {
-			long number = older.number();
+		for (long number : this.olderSegments.keySet()) {
 			ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file(number)));
 			while (bytes.remaining() >= HEADER_BYTES) {
 				byte[] entry = readEntry(bytes);
@@ -167,14 +168,14 @@
 	 * @param firstToKeep the number of the first segment to keep
 	 */
 	void deleteBefore(long firstToKeep) {
-		while (!this.olderSegments.isEmpty() && (this.olderSegments.peekFirst().number() < firstToKeep)) {
-			OlderSegment older = this.olderSegments.pollFirst();
-			this.olderBytes -= older.bytes();
+		while (!this.olderSegments.isEmpty() && (this.olderSegments.firstKey() < firstToKeep)) {
+			Map.Entry<Long, Long> older = this.olderSegments.pollFirstEntry();
+			this.olderBytes -= older.getValue();
 			try {
-				Files.deleteIfExists(file(older.number()));
+				Files.deleteIfExists(file(older.getKey()));
 			}
 			catch (IOException ex) {
-				EventLog.log(Event.LOG_FAILED, ex, "operation", "delete", "segment", older.number());
+				EventLog.log(Event.LOG_FAILED, ex, "operation", "delete", "segment", older.getKey());
 			}
 		}
 	}
@@ -184,8 +185,7 @@
 	 * @return the number of the segment, which may be the current one
 	 */
 	long oldest() {
-		OlderSegment first = this.olderSegments.peekFirst();
-		return (first != null) ? first.number() : this.segment;
+		return this.olderSegments.isEmpty() ? this.segment : this.olderSegments.firstKey();
 	}
 
 	/**
@@ -198,9 +198,9 @@
 
 	// ---- Helpers
 
-	private void addOlderSegment(OlderSegment older) {
-		this.olderSegments.add(older);
-		this.olderBytes += older.bytes();
+	private void addOlderSegment(long number, long bytes) {
+		this.olderSegments.put(number, bytes);
+		this.olderBytes += bytes;
 	}
 
 	private long segmentNumber(String name) throws IOException {
@@ -284,10 +284,11 @@
 	private void write(List<PendingEntry> batch) throws IOException {
 		if (this.bytesInSegment > SEGMENT_BYTES) {
 			this.channel.close();
-			OlderSegment completed = new OlderSegment(this.segment, this.bytesInSegment);
-			this.segment = completed.number() + 1;
+			long completed = this.segment;
+			long completedBytes = this.bytesInSegment;
+			this.segment = completed + 1;
 			openSegment();
-			this.callbackExecutor.accept(() -> addOlderSegment(completed));
+			this.callbackExecutor.accept(() -> addOlderSegment(completed, completedBytes));
 		}
 		int size = batch.stream().mapToInt((p) -> HEADER_BYTES + p.bytes().length).sum();
 		ByteBuffer buffer = ByteBuffer.allocate(size);
@@ -302,15 +303,6 @@
 		this.bytesInSegment += size;
 	}
 
-	/**
-	 * A segment that is no longer written to.
-	 *
-	 * @param number the number of the segment
-	 * @param bytes its size in bytes
-	 */
-	private record OlderSegment(long number, long bytes) {
-	}
-
 	/**
 	 * An entry that is waiting to be written.
 	 *
