Say which disks call a turn missing and which a joining disk has read

Neither the answer 404 no_turn nor the end of a join said which disks took part, so the hypotheses of the incident of lost turns could not be told apart in the log (docs/incidents/2026-12-lost-disks.md).

- 2015 "turn absent" (new) names the disks that lack the turn, how many members the group has and the epoch, beside 2102 with no_turn.
A turn of another workspace is refused without it, as no keeper called it missing.
- 2014 "disk caught up" names the disks that were read, the turns and charges that were copied and the time since the start of the change.
- mangorack_keeper_group_short_seconds: for how long the group has had fewer members than it should, has been changing, or has listed a disk that its keeper has lost.

The logic is unchanged. Tests run the membership of in-process keepers step by step (TestGroup), without threads of their own.

--- a/mangorack/src/main/java/org/mangorack/keeper/ChainListener.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ChainListener.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.util.List;
+import java.util.Set;
 
 import org.mangorack.keeper.proto.Turn;
 
@@ -17,8 +18,10 @@
 
 	/**
 	 * Called if the turn does not exist.
+	 * @param disks the disks of the members that lack the turn
+	 * @param view the view of the group in which they are enough
 	 */
-	void absent();
+	void absent(Set<String> disks, GroupView view);
 
 	/**
 	 * Called if too few keepers replied to tell whether the turn exists.
--- a/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
@@ -75,7 +75,7 @@
 		}
 		if (view().isReadQuorum(this.confirmedAbsent)) {
 			end();
-			this.listener.absent();
+			this.listener.absent(Set.copyOf(this.confirmedAbsent), view());
 			return;
 		}
 		if (progress) {
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -75,7 +75,10 @@
 
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
 
-	private static final Duration COPY_TIMEOUT = Duration.ofSeconds(3);
+	/**
+	 * How long a request that copies data may take.
+	 */
+	static final Duration COPY_TIMEOUT = Duration.ofSeconds(3);
 
 	// Limits the memory that one message takes.
 	private static final int COPY_BATCH_TURNS = 100;
@@ -108,11 +111,11 @@
 
 	private final long startedAt;
 
-	private boolean registered;
+	private volatile Optional<Long> shortSince = Optional.empty();
 
-	private long changingEpoch;
+	private CatchUp catchUp;
 
-	private long changingSince;
+	private boolean registered;
 
 	private long retiringSince;
 
@@ -135,6 +138,7 @@
 		this.peers = new KeeperPeers(loop, clock);
 		this.clock = clock;
 		this.startedAt = clock.nanoTime();
+		this.catchUp = new CatchUp(0, this.startedAt);
 		this.thread = new Thread(this::run, "group");
 		this.thread.setDaemon(true);
 	}
@@ -152,6 +156,18 @@
 		this.peers.close();
 	}
 
+	// ---- Accessors
+
+	/**
+	 * Returns how long the group has been short of members. It is if it has fewer than it
+	 * should, is changing, or has a former disk of this keeper as a member. May be called
+	 * by any thread.
+	 * @return the time, or zero if the group is not short of members
+	 */
+	Duration timeShortOfMembers() {
+		return this.shortSince.map(this.clock::elapsed).orElse(Duration.ZERO);
+	}
+
 	// ---- Membership thread
 
 	private void run() {
@@ -185,28 +201,60 @@
 
 	private void step() throws StoreException, InterruptedException {
 		Optional<StoredObject> object = this.groups.object(GroupDocument.NAME);
-		if (object.isEmpty()) {
+		if (object.isPresent()) {
+			step(object.get());
+		}
+		else {
 			form();
-			return;
 		}
-		GroupView view = GroupDocument.read(object.get().spec(), this.tolerance);
+	}
+
+	/**
+	 * Continues, begins or aborts a change of the group if this keeper has to.
+	 * @param object the object that holds the group
+	 * @throws StoreException if the group cannot be changed, for example because another
+	 * keeper changed it
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void step(StoredObject object) throws StoreException, InterruptedException {
+		GroupView view = GroupDocument.read(object.spec(), this.tolerance);
 		adopt(view);
+		recordShortage(view);
 		String disk = this.self.getDisk();
 		boolean retiring = this.retirements.requested().contains(this.self.getName());
 		if (view.isChanging()) {
-			continueChange(object.get(), view);
+			continueChange(object, view);
 		}
 		else if (!view.isMember(disk)) {
 			if (retiring) {
 				this.retirements.report(this.self.getName(), true);
 			}
 			else {
-				join(object.get(), view);
+				join(object, view);
 			}
 		}
 		else if (retiring) {
-			leave(object.get(), view);
+			leave(object, view);
+		}
+	}
+
+	private void recordShortage(GroupView view) {
+		boolean complete = !view.isChanging() && (view.members().size() >= targetSize())
+				&& findFormerDisk(view).isEmpty();
+		if (complete) {
+			this.shortSince = Optional.empty();
 		}
+		else if (this.shortSince.isEmpty()) {
+			this.shortSince = Optional.of(this.clock.nanoTime());
+		}
+	}
+
+	// Finds the member whose disk was lost before this keeper started with another one.
+	private Optional<Member> findFormerDisk(GroupView view) {
+		return view.members()
+			.stream()
+			.filter((m) -> m.getName().equals(this.self.getName()) && !m.getDisk().equals(this.self.getDisk()))
+			.findFirst();
 	}
 
 	// ---- Forming the group
@@ -282,10 +330,9 @@
 	}
 
 	private Optional<Member> findReplaceableMember(GroupView view) throws InterruptedException {
-		for (Member m : view.members()) {
-			if (m.getName().equals(this.self.getName())) {
-				return Optional.of(m);
-			}
+		Optional<Member> former = findFormerDisk(view);
+		if (former.isPresent()) {
+			return former;
 		}
 		Set<String> leaving = this.retirements.requested();
 		for (Member m : view.members()) {
@@ -348,16 +395,17 @@
 	// ---- Continuing a change
 
 	private void continueChange(StoredObject object, GroupView view) throws StoreException, InterruptedException {
-		if (this.changingEpoch != view.epoch()) {
-			this.changingEpoch = view.epoch();
-			this.changingSince = this.clock.nanoTime();
+		if (this.catchUp.epoch() != view.epoch()) {
+			this.catchUp = new CatchUp(view.epoch(), this.clock.nanoTime());
 		}
 		String disk = this.self.getDisk();
 		boolean joining = view.isNext(disk) && !view.isMember(disk);
 		boolean leaving = view.isMember(disk) && !view.isNext(disk) && joiners(view).isEmpty();
-		boolean stalled = this.clock.elapsed(this.changingSince).compareTo(STALL_TIMEOUT) > 0;
+		boolean stalled = this.clock.elapsed(this.catchUp.startedAt()).compareTo(STALL_TIMEOUT) > 0;
 		if ((joining && copyFromMembers(view)) || (leaving && copyToNextMembers(view))) {
-			EventLog.log(Event.DISK_CAUGHT_UP, "epoch", view.epoch(), "joining", joining);
+			EventLog.log(Event.DISK_CAUGHT_UP, "epoch", view.epoch(), "joining", joining, "read", this.catchUp.read(),
+					"turns", this.catchUp.turns(), "charges", this.catchUp.charges(), "afterMillis",
+					this.clock.elapsed(this.catchUp.startedAt()).toMillis());
 			write(object, new GroupView(view.epoch() + 1, view.next(), List.of(), this.tolerance));
 		}
 		else if (!joining && (findLostJoiner(view) != null)) {
@@ -395,14 +443,14 @@
 	// Copies the data that this disk lacks. Members first stop accepting requests of
 	// older views, so a write that is missing from the copies was never completed.
 	private boolean copyFromMembers(GroupView view) throws InterruptedException {
-		Set<String> copied = new HashSet<>();
+		this.catchUp.clearRead();
 		Set<String> held = new HashSet<>(runOnEventLoop(() -> this.service.turns().turnIds()));
 		for (Member m : view.members()) {
 			if (hasAdopted(m, view) && copyFrom(m, held)) {
-				copied.add(m.getDisk());
+				this.catchUp.addRead(m.getDisk());
 			}
 		}
-		return view.isReadQuorum(copied);
+		return view.isReadQuorum(this.catchUp.read());
 	}
 
 	private boolean copyFrom(Member member, Set<String> held) throws InterruptedException {
@@ -413,6 +461,7 @@
 		if (!storeCharges(listing.get().getProgramList())) {
 			return false;
 		}
+		this.catchUp.addCharges(listing.get().getProgramList().stream().mapToInt(ProgramCharges::getChargeCount).sum());
 		List<String> missing = listing.get().getTurnList().stream().filter((t) -> !held.contains(t)).toList();
 		for (int i = 0; i < missing.size(); i += COPY_BATCH_TURNS) {
 			List<String> batch = missing.subList(i, Math.min(missing.size(), i + COPY_BATCH_TURNS));
@@ -425,6 +474,7 @@
 			if (!storeTurns(turns)) {
 				return false;
 			}
+			this.catchUp.addTurns(turns.size());
 			turns.forEach((t) -> held.add(t.getId()));
 		}
 		return true;
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -182,6 +182,8 @@
 		this.metrics.gauge("mangorack.keeper.log.bytes", turns::logBytes);
 		this.metrics.gauge("mangorack.keeper.programs", turns::programCount);
 		this.metrics.gauge("mangorack.keeper.epoch", () -> this.service.view().epoch());
+		this.metrics.gauge("mangorack.keeper.group.short.seconds",
+				() -> this.membership.timeShortOfMembers().toMillis() / 1000.0);
 		new StatusServer(this.loops.next(), (request) -> StatusServer.metrics(this.metrics))
 			.start(this.settings.metrics());
 	}
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -151,6 +151,9 @@
 	/** A joining disk has copied all entries that it must hold. */
 	DISK_CAUGHT_UP(2014, Level.INFO, "disk caught up"),
 
+	/** Enough members of the keeper group lack a turn for it to be reported as absent. */
+	TURN_ABSENT(2015, Level.INFO, "turn absent"),
+
 	/** The log of a keeper ends in a partially written entry. */
 	LOG_TORN(2021, Level.INFO, "log ends in a torn entry"),
 
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -16,6 +16,7 @@
 import org.mangorack.call.Verdict;
 import org.mangorack.keeper.ChainListener;
 import org.mangorack.keeper.ChainedTurn;
+import org.mangorack.keeper.GroupView;
 import org.mangorack.keeper.ProgramAttempt;
 import org.mangorack.keeper.ReservationListener;
 import org.mangorack.keeper.proto.Turn;
@@ -702,7 +703,7 @@
 		@Override
 		public void found(List<Turn> turns) {
 			if (!turns.get(0).getWorkspace().equals(workspaceName())) {
-				absent();
+				refuseAsAbsent();
 				return;
 			}
 			RelayCall.this.chain = turns;
@@ -711,7 +712,15 @@
 		}
 
 		@Override
-		public void absent() {
+		public void absent(Set<String> disks, GroupView view) {
+			RelayCall call = RelayCall.this;
+			call.server.log()
+				.log(Event.TURN_ABSENT, "request", call.head.requestId(), "turn", call.head.previousTurn(), "disks",
+						disks, "members", view.members().size(), "epoch", view.epoch());
+			refuseAsAbsent();
+		}
+
+		private void refuseAsAbsent() {
 			refuse(Refusal.notRun(404, "no_turn",
 					"there is no turn \"" + RelayCall.this.head.previousTurn() + "\" to continue"));
 		}
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -73,6 +73,8 @@
 
 	private GroupView view;
 
+	private volatile Set<String> lackingDisks = Set.of();
+
 	@BeforeEach
 	void startKeepers() throws Exception {
 		for (int i = 0; i < 4; i++) {
@@ -269,6 +271,7 @@
 	void anAbsentTurnIsCertainWhileOneKeeperIsLost() throws Exception {
 		this.keepers.get(2).kill();
 		assertThat(fetch("p", "none")).isEqualTo("absent");
+		assertThat(this.lackingDisks).containsExactlyInAnyOrder("d0", "d1", "d3");
 	}
 
 	@Test
@@ -625,7 +628,8 @@
 			}
 
 			@Override
-			public void absent() {
+			public void absent(Set<String> disks, GroupView absentIn) {
+				KeeperClientTests.this.lackingDisks = disks;
 				done.complete("absent");
 			}
 
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestGroup.java
@@ -0,0 +1,340 @@
+package org.mangorack.keeper;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.FakeStore;
+import org.mangorack.platform.KindCache;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.StoreException;
+import org.mangorack.platform.StoredObject;
+
+/**
+ * A group of in-process keepers whose membership logic runs only when a test calls it,
+ * and a client. The group tolerates the loss of some disks and has as many members as
+ * that requires, all of which run at first.
+ */
+final class TestGroup implements AutoCloseable {
+
+	private static final long TIMEOUT_SECONDS = 20;
+
+	private static final Duration RETENTION = Duration.ofSeconds(600);
+
+	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.loops.next();
+
+	private final FakeStore store = new FakeStore();
+
+	private final Retirements retirements = new Retirements();
+
+	private final AtomicLong elapsedNanos = new AtomicLong();
+
+	private final MonotonicClock clock = () -> System.nanoTime() + this.elapsedNanos.get();
+
+	private final Path folder;
+
+	private final int tolerance;
+
+	private final Map<String, TestKeeper> keepers = new HashMap<>();
+
+	private final Map<String, GroupMembership> memberships = new HashMap<>();
+
+	private final KeeperClient client;
+
+	private int disks;
+
+	TestGroup(Path folder, int tolerance) throws Exception {
+		this.folder = folder;
+		this.tolerance = tolerance;
+		this.client = new KeeperClient(this.loop, MonotonicClock.SYSTEM, "dc", tolerance);
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < (2 * tolerance) + 2; i++) {
+			members.add(add("k" + i).member());
+		}
+		GroupView view = new GroupView(1, members, List.of(), tolerance);
+		this.store.create(ObjectKind.KEEPER_GROUP, GroupDocument.NAME, GroupDocument.write(view));
+		for (TestKeeper keeper : this.keepers.values()) {
+			keeper.adopt(view);
+		}
+		awaitConnected();
+	}
+
+	// ---- Keepers
+
+	/**
+	 * Starts a keeper with an empty disk that is not a member.
+	 * @param name the name of its instance
+	 * @return the keeper
+	 * @throws IOException if it cannot be started
+	 */
+	TestKeeper add(String name) throws IOException {
+		String disk = name + "-" + this.disks++;
+		TestKeeper keeper = new TestKeeper(name, disk, this.folder.resolve(disk), new FixedConfiguration(null),
+				this.tolerance);
+		TestKeeper former = this.keepers.put(name, keeper);
+		if (former != null) {
+			keeper.listenOn(former.member().getPort());
+		}
+		keeper.start();
+		join(name);
+		return keeper;
+	}
+
+	void start(String name) throws IOException {
+		this.keepers.get(name).start();
+		join(name);
+	}
+
+	void kill(String name) throws IOException {
+		this.memberships.remove(name).close();
+		this.keepers.get(name).kill();
+	}
+
+	/**
+	 * Replaces a keeper by one with an empty disk at the same address.
+	 * @param name the name of the instance
+	 * @throws IOException if the keeper cannot be started
+	 */
+	void loseDisk(String name) throws IOException {
+		if (isRunning(name)) {
+			this.memberships.remove(name).close();
+		}
+		this.keepers.get(name).close();
+		add(name);
+	}
+
+	boolean isRunning(String name) {
+		return this.keepers.get(name).isRunning();
+	}
+
+	TestKeeper keeper(String name) {
+		return this.keepers.get(name);
+	}
+
+	GroupMembership membership(String name) {
+		return this.memberships.get(name);
+	}
+
+	Retirements retirements() {
+		return this.retirements;
+	}
+
+	FakeStore store() {
+		return this.store;
+	}
+
+	void advance(Duration time) {
+		this.elapsedNanos.addAndGet(time.toNanos());
+	}
+
+	private void join(String name) {
+		TestKeeper keeper = this.keepers.get(name);
+		KindCache unused = new KindCache(this.store, ObjectKind.KEEPER, this.clock, () -> {
+		});
+		this.memberships.put(name, new GroupMembership(keeper.member(), this.tolerance, false, this.store, unused,
+				unused, this.retirements, keeper.service(), keeper.loop(), this.clock));
+	}
+
+	// ---- Group
+
+	GroupView view() throws StoreException {
+		return GroupDocument.read(object().spec(), this.tolerance);
+	}
+
+	private StoredObject object() throws StoreException {
+		return this.store.get(ObjectKind.KEEPER_GROUP, GroupDocument.NAME).orElseThrow();
+	}
+
+	/**
+	 * Lets some keepers continue the change of the group once each.
+	 * @param names the names of their instances
+	 * @throws Exception if a step fails for another reason than a concurrent change
+	 */
+	void step(String... names) throws Exception {
+		for (String name : names) {
+			try {
+				this.memberships.get(name).step(object());
+			}
+			catch (StoreException ex) {
+				if (ex.reason() != StoreException.Reason.CONFLICT) {
+					throw ex;
+				}
+			}
+		}
+	}
+
+	/**
+	 * Lets all running keepers take steps until the present disks of all members belong
+	 * to running keepers and no change is in progress.
+	 * @param limit how many rounds of steps may be taken
+	 * @return whether the group became complete
+	 * @throws Exception if a step fails
+	 */
+	boolean stepUntilComplete(int limit) throws Exception {
+		for (int round = 0; round < limit; round++) {
+			if (isComplete()) {
+				return true;
+			}
+			step(this.memberships.keySet().stream().sorted().toArray(String[]::new));
+		}
+		return isComplete();
+	}
+
+	boolean isComplete() throws StoreException {
+		GroupView view = view();
+		return !view.isChanging() && view.members().stream().allMatch(this::isPresent);
+	}
+
+	private boolean isPresent(Member member) {
+		TestKeeper keeper = this.keepers.get(member.getName());
+		return keeper.isRunning() && keeper.member().getDisk().equals(member.getDisk());
+	}
+
+	/**
+	 * Returns whether enough of some members run for turns to be stored or read.
+	 * @return {@code true} if a call does not have to wait for a keeper to start
+	 * @throws StoreException if the group cannot be read
+	 */
+	boolean isServing() throws StoreException {
+		GroupView view = view();
+		Set<String> present = new HashSet<>();
+		view.all().stream().filter(this::isPresent).forEach((m) -> present.add(m.getDisk()));
+		return view.isWriteQuorum(present) && view.isReadQuorum(present);
+	}
+
+	// ---- Client
+
+	/**
+	 * Waits until the client is connected to all running keepers of the current view.
+	 * @throws Exception if the view cannot be read or the wait times out
+	 */
+	void awaitConnected() throws Exception {
+		GroupView view = view();
+		onLoop(() -> this.client.adopt(view));
+		Set<String> running = new HashSet<>();
+		view.all().stream().filter(this::isPresent).forEach((m) -> running.add(m.getDisk()));
+		long startedAt = System.nanoTime();
+		Set<String> connected = connectedDisks();
+		while (!connected.containsAll(running)) {
+			if (System.nanoTime() - startedAt > TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)) {
+				throw new IllegalStateException("connected to " + connected + " instead of " + running);
+			}
+			TimeUnit.MILLISECONDS.sleep(10);
+			connected = connectedDisks();
+		}
+	}
+
+	Set<String> connectedDisks() throws Exception {
+		Set<String> disks = ConcurrentHashMap.newKeySet();
+		onLoop(() -> this.client.connectedMembers().forEach((m) -> disks.add(m.getDisk())));
+		return disks;
+	}
+
+	KeeperClient client() {
+		return this.client;
+	}
+
+	boolean storeTurn(String id, String program) throws Exception {
+		Turn turn = Turn.newBuilder()
+			.setId(id)
+			.setInput(ByteString.copyFromUtf8("in " + id))
+			.setRetentionMs(RETENTION.toMillis())
+			.build();
+		CompletableFuture<Boolean> done = new CompletableFuture<>();
+		onLoop(() -> this.client.settle(new ProgramAttempt(program, id, RETENTION), 10, true,
+				new ChainedTurn(turn, List.of()), done::complete));
+		return done.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Looks for a turn.
+	 * @param id the id of the turn
+	 * @param program the program
+	 * @return {@code found}, {@code undetermined} or the disks that lack the turn
+	 * @throws Exception if the call does not end
+	 */
+	String fetch(String id, String program) throws Exception {
+		CompletableFuture<String> done = new CompletableFuture<>();
+		onLoop(() -> this.client.fetch(program, id, new ChainListener() {
+			@Override
+			public void found(List<Turn> chain) {
+				done.complete("found");
+			}
+
+			@Override
+			public void absent(Set<String> disks, GroupView absentIn) {
+				done.complete("absent");
+			}
+
+			@Override
+			public void undetermined(String cause) {
+				done.complete("undetermined");
+			}
+		}));
+		return done.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private void onLoop(Runnable task) throws Exception {
+		this.loop.submit(task).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.memberships.values().forEach(GroupMembership::close);
+		for (TestKeeper keeper : this.keepers.values()) {
+			keeper.close();
+		}
+		this.loops.shutdownGracefully();
+	}
+
+	/**
+	 * Retirement requests and what was reported last about each.
+	 */
+	static final class Retirements implements RetirementBoard {
+
+		private final Set<String> requested = new HashSet<>();
+
+		private final Map<String, Boolean> reported = new HashMap<>();
+
+		void request(String instance) {
+			this.requested.add(instance);
+		}
+
+		boolean isCompleted(String instance) {
+			return this.reported.getOrDefault(instance, false);
+		}
+
+		@Override
+		public Set<String> requested() {
+			return Set.copyOf(this.requested);
+		}
+
+		@Override
+		public void report(String instance, boolean done) {
+			this.reported.put(instance, done);
+		}
+
+	}
+
+}
--- a/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestKeeper.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -44,6 +45,8 @@
 
 	private final ConfigurationRelay configuration;
 
+	private final int tolerance;
+
 	private RecordLog log;
 
 	private KeeperService service;
@@ -57,10 +60,15 @@
 	private boolean running;
 
 	TestKeeper(String name, String disk, Path folder, ConfigurationRelay configuration) {
+		this(name, disk, folder, configuration, 1);
+	}
+
+	TestKeeper(String name, String disk, Path folder, ConfigurationRelay configuration, int tolerance) {
 		this.name = name;
 		this.disk = disk;
 		this.folder = folder;
 		this.configuration = configuration;
+		this.tolerance = tolerance;
 	}
 
 	TestKeeper start() throws IOException {
@@ -70,8 +78,8 @@
 				System::currentTimeMillis);
 		turns.load();
 		this.log.start();
-		ViewFile file = new ViewFile(this.folder.resolve("view"), 1);
-		GroupView view = file.read().orElse(GroupView.unknown(1));
+		ViewFile file = new ViewFile(this.folder.resolve("view"), this.tolerance);
+		GroupView view = file.read().orElse(GroupView.unknown(this.tolerance));
 		this.service = new KeeperService(this.loops, turns, file, this.disk, view, this.configuration,
 				new UpstreamList(() -> new KindCache.Snapshot(Map.of(), 0),
 						() -> new ContactTracker.Contact(true, Duration.ZERO, false)),
@@ -166,6 +174,10 @@
 		return this.service;
 	}
 
+	EventLoop loop() {
+		return this.loops.next();
+	}
+
 	List<String> turnIds() {
 		return this.loops.next().submit(() -> this.service.turns().turnIds()).syncUninterruptibly().getNow();
 	}
