--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -63,6 +64,14 @@
 
 	private boolean closed;
 
+	private volatile long unreadBytes;
+
+	private volatile int tornSegments;
+
+	// When the first of the writes that failed in a row did, or null if the last one
+	// succeeded.
+	private volatile Long failingSince;
+
 	/**
 	 * Opens the log. Existing segments are read by {@link #replay(BiConsumer)}.
 	 * @param folder the folder of the segments
@@ -105,12 +114,13 @@
 			while (bytes.remaining() >= HEADER_BYTES) {
 				byte[] entry = readEntry(bytes);
 				if (entry == null) {
-					EventLog.log(Event.LOG_TORN, "segment", number, "position", bytes.position(), "bytes",
-							bytes.limit());
 					break;
 				}
 				reader.accept(number, LogEntry.parseFrom(entry));
 			}
+			if (bytes.hasRemaining()) {
+				reportTorn(number, bytes);
+			}
 		}
 	}
 
@@ -196,6 +206,46 @@
 		return this.olderBytes;
 	}
 
+	// ---- Metrics
+
+	/**
+	 * Returns how many segments {@link #replay(BiConsumer)} read only in part.
+	 * @return the number of segments
+	 */
+	int tornSegments() {
+		return this.tornSegments;
+	}
+
+	/**
+	 * Returns the size of what {@link #replay(BiConsumer)} did not read.
+	 * @return the size in bytes
+	 */
+	long unreadBytes() {
+		return this.unreadBytes;
+	}
+
+	/**
+	 * Returns for how long writes have been failing.
+	 * @return the time since the first of them, or zero if the last write succeeded
+	 */
+	Duration failingTime() {
+		Long since = this.failingSince;
+		return (since != null) ? Duration.ofNanos(System.nanoTime() - since) : Duration.ZERO;
+	}
+
+	/**
+	 * Returns the room that is left on the disk of the log.
+	 * @return the size in bytes, or -1 if it is unknown
+	 */
+	long roomBytes() {
+		try {
+			return Files.getFileStore(this.folder).getUsableSpace();
+		}
+		catch (IOException | RuntimeException ex) {
+			return -1;
+		}
+	}
+
 	// ---- Helpers
 
 	private void addOlderSegment(long number, long bytes) {
@@ -203,6 +253,28 @@
 		this.olderBytes += bytes;
 	}
 
+	private void reportTorn(long number, ByteBuffer bytes) {
+		this.tornSegments++;
+		this.unreadBytes += bytes.remaining();
+		EventLog.log(Event.LOG_TORN, "segment", number, "position", bytes.position(), "bytes", bytes.limit(),
+				"unreadBytes", bytes.remaining());
+	}
+
+	private void writeFailed(IOException failure) {
+		if (this.failingSince == null) {
+			this.failingSince = System.nanoTime();
+		}
+		EventLog.log(Event.LOG_FAILED, failure, "operation", "write", "segment", this.segment, "failingMillis",
+				failingTime().toMillis(), "roomBytes", roomBytes());
+	}
+
+	private void writeSucceeded() {
+		if (this.failingSince != null) {
+			EventLog.log(Event.LOG_RECOVERED, "segment", this.segment, "failingMillis", failingTime().toMillis());
+			this.failingSince = null;
+		}
+	}
+
 	private long segmentNumber(String name) throws IOException {
 		try {
 			return Long.parseLong(name.substring(0, name.length() - SUFFIX.length()));
@@ -255,9 +327,10 @@
 			IOException failure = null;
 			try {
 				write(batch);
+				writeSucceeded();
 			}
 			catch (IOException ex) {
-				EventLog.log(Event.LOG_FAILED, ex, "operation", "write", "segment", this.segment);
+				writeFailed(ex);
 				failure = ex;
 			}
 			IOException outcome = failure;
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -160,6 +160,9 @@
 	/** The log of a keeper could not be written. */
 	LOG_FAILED(2022, Level.ERROR, "log failed"),
 
+	/** The log of a keeper is written again after it failed. */
+	LOG_RECOVERED(2023, Level.INFO, "log recovered"),
+
 	/** A request was served. */
 	RELAY_SERVED(2101, Level.INFO, "request served"),
 
--- a/mangorack/src/test/java/org/mangorack/keeper/RecordLogTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/RecordLogTests.java
@@ -4,6 +4,7 @@
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -71,6 +72,22 @@
 		assertThat(replay()).containsExactly("a", "b");
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 7, 8, 9, 20 })
+	void bytesThatAreNotReadAreCounted(int size) throws Exception {
+		append("a");
+		Files.write(lastSegment(), new byte[size], StandardOpenOption.APPEND);
+		try (RecordLog log = new RecordLog(this.folder, Runnable::run)) {
+			log.replay((segment, entry) -> {
+			});
+			log.start();
+			assertThat(log.unreadBytes()).isEqualTo(size);
+			assertThat(log.tornSegments()).isEqualTo(1);
+			assertThat(log.failingTime()).isZero();
+			assertThat(log.roomBytes()).isPositive();
+		}
+	}
+
 	@Test
 	void segmentsAreDeletedAsAWhole() throws Exception {
 		append("a");
