Sync the name of a new segment of the log of a keeper

What callers would see: 404 no_turn after a loss of power of machines, for all turns of the current segment. Not known to have happened.

Cause: a segment was synced when it was created, its folder was not. After a loss of power a file that was created without a sync of its directory may be lost, whatever was synced in it.

Change: the folder is synced instead of the empty file, once a segment; so is the parent of the log's folder when that is created.

Test: RecordLogFaultTests#confirmedEntriesAreReplayed plays appends, full disks, writes torn at any byte, failing syncs, creations and deletions, restarts and losses of power in random order; each unsynced write is then kept, lost or torn, each name kept or lost.

--- a/mangorack/src/main/java/org/mangorack/keeper/DiskFiles.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/DiskFiles.java
@@ -22,7 +22,7 @@
 	DiskFiles SYSTEM = new SystemFiles();
 
 	/**
-	 * Creates a folder and its parents, unless it exists.
+	 * Creates a folder and its parents, unless it exists, and syncs its name to disk.
 	 * @param folder the folder
 	 * @throws IOException if it cannot be created
 	 */
@@ -132,7 +132,10 @@
 
 		@Override
 		public void createFolder(Path folder) throws IOException {
-			Files.createDirectories(folder);
+			if (!Files.isDirectory(folder)) {
+				Files.createDirectories(folder);
+				syncFolder(folder.toAbsolutePath().getParent());
+			}
 		}
 
 		@Override
--- a/mangorack/src/main/java/org/mangorack/keeper/SegmentWriter.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SegmentWriter.java
@@ -97,7 +97,7 @@
 	private void openFile() throws IOException {
 		if (this.file == null) {
 			this.file = this.files.create(path());
-			this.file.sync();
+			this.files.syncFolder(path().getParent());
 		}
 	}
 
--- a/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
@@ -5,11 +5,19 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.keeper.proto.LogEntry;
 import org.mangorack.keeper.proto.Turn;
@@ -42,6 +50,31 @@
 		}
 	}
 
+	// Guards against 404 after a loss of power for turns that were confirmed after a sync
+	// that failed.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void entriesAfterASyncThatFailedAreReplayedAfterALossOfPower(long seed) throws Exception {
+		History history = new History(seed);
+		history.append(1, 40);
+		history.disk.failSyncs(1);
+		assertThat(history.append(2, 40)).isFalse();
+		history.pause();
+		assertThat(history.append(1, 40)).isTrue();
+		history.disk.losePower();
+		history.restart();
+	}
+
+	// Guards against 404 after a loss of power for all turns of a new segment.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void aNewSegmentSurvivesALossOfPower(long seed) throws Exception {
+		History history = new History(seed);
+		assertThat(history.append(1, 40)).isTrue();
+		history.disk.losePower();
+		history.restart();
+	}
+
 	// Guards against segments that are never deleted because the next one could not be
 	// created.
 	@Test
@@ -60,6 +93,111 @@
 		assertThat(history.disk.list(FOLDER)).hasSize(1);
 	}
 
+	@Property(seed = "2106", tries = 500)
+	void confirmedEntriesAreReplayed(@ForAll("actions") List<Action> actions, @ForAll long seed) throws IOException {
+		playAll(actions, seed);
+	}
+
+	@Provide
+	Arbitrary<List<Action>> actions() {
+		return Arbitraries.of(Action.class).list().ofMinSize(2).ofMaxSize(40);
+	}
+
+	private static void playAll(List<Action> actions, long seed) throws IOException {
+		History history = new History(seed);
+		for (Action action : actions) {
+			action.play(history);
+		}
+		history.restart();
+	}
+
+	/**
+	 * What happens to a log.
+	 */
+	private enum Action {
+
+		APPEND {
+			@Override
+			void play(History history) {
+				history.append(1 + history.random.nextInt(4), history.random.nextInt(200));
+			}
+		},
+
+		APPEND_MUCH {
+			@Override
+			void play(History history) {
+				history.append(1, RecordLog.SEGMENT_BYTES);
+			}
+		},
+
+		LEAVE_ROOM {
+			@Override
+			void play(History history) {
+				history.disk.leaveRoom(history.random.nextInt(400));
+			}
+		},
+
+		MAKE_ROOM {
+			@Override
+			void play(History history) {
+				history.disk.makeRoom();
+			}
+		},
+
+		FAIL_SYNCS {
+			@Override
+			void play(History history) {
+				history.disk.failSyncs(1 + history.random.nextInt(3));
+			}
+		},
+
+		FAIL_CREATIONS {
+			@Override
+			void play(History history) {
+				history.disk.failCreations(1 + history.random.nextInt(2));
+			}
+		},
+
+		FAIL_DELETIONS {
+			@Override
+			void play(History history) {
+				history.disk.failDeletions(1 + history.random.nextInt(2));
+			}
+		},
+
+		DELETE {
+			@Override
+			void play(History history) {
+				history.delete();
+			}
+		},
+
+		PAUSE {
+			@Override
+			void play(History history) {
+				history.pause();
+			}
+		},
+
+		RESTART {
+			@Override
+			void play(History history) throws IOException {
+				history.restart();
+			}
+		},
+
+		LOSE_POWER {
+			@Override
+			void play(History history) throws IOException {
+				history.disk.losePower();
+				history.restart();
+			}
+		};
+
+		abstract void play(History history) throws IOException;
+
+	}
+
 	/**
 	 * A log and what was confirmed by it.
 	 */
@@ -67,6 +205,8 @@
 
 		private final FaultyDisk disk;
 
+		private final Random random;
+
 		private RecordLog log;
 
 		private int appended;
@@ -77,6 +217,7 @@
 
 		private History(long seed) throws IOException {
 			this.disk = new FaultyDisk(seed);
+			this.random = new Random(seed);
 			this.log = new RecordLog(FOLDER, Runnable::run, this.disk);
 		}
 
@@ -104,6 +245,12 @@
 			return written.size() == count;
 		}
 
+		private void delete() {
+			long first = this.log.segment();
+			this.log.deleteBefore(first);
+			this.confirmed.values().removeIf((segment) -> segment < first);
+		}
+
 		// Lets the time pass for which the log rejects entries after a failure.
 		private void pause() {
 		}
