Delete segments of the log of a keeper later if it failed once

What an operator would see: a disk that fills up until the next start. Not known to have happened.

Cause: a segment that could not be deleted was forgotten, and so was its size.

Change: it is counted and tried again until it is gone. Test: RecordLogFaultTests#aSegmentThatCannotBeDeletedIsDeletedLater, failed before with "Expecting actual: 0L to be greater than: 4194304L".

--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -194,18 +195,21 @@
 	}
 
 	/**
-	 * Deletes the segments before a given one.
+	 * Deletes the segments before a given one. Those that cannot be deleted are left to
+	 * the next call.
 	 * @param firstToKeep the number of the first segment to keep
 	 */
 	void deleteBefore(long firstToKeep) {
-		while (!this.olderSegments.isEmpty() && (this.olderSegments.firstKey() < firstToKeep)) {
-			Map.Entry<Long, Long> older = this.olderSegments.pollFirstEntry();
-			this.olderBytes -= older.getValue();
+		Iterator<Map.Entry<Long, Long>> older = this.olderSegments.headMap(firstToKeep).entrySet().iterator();
+		while (older.hasNext()) {
+			Map.Entry<Long, Long> segment = older.next();
 			try {
-				this.files.delete(file(older.getKey()));
+				this.files.delete(file(segment.getKey()));
+				this.olderBytes -= segment.getValue();
+				older.remove();
 			}
 			catch (IOException ex) {
-				EventLog.log(Event.LOG_FAILED, ex, "operation", "delete", "segment", older.getKey());
+				EventLog.log(Event.LOG_FAILED, ex, "operation", "delete", "segment", segment.getKey());
 			}
 		}
 	}
--- a/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
@@ -93,6 +93,20 @@
 		assertThat(history.disk.list(FOLDER)).hasSize(1);
 	}
 
+	// Guards against a disk that fills up with segments whose deletion failed once.
+	@Test
+	void aSegmentThatCannotBeDeletedIsDeletedLater() throws Exception {
+		History history = new History(1);
+		history.append(1, RecordLog.SEGMENT_BYTES + 1);
+		history.append(1, 40);
+		history.disk.failDeletions(1);
+		history.log.deleteBefore(history.log.segment());
+		assertThat(history.log.olderBytes()).isGreaterThan(RecordLog.SEGMENT_BYTES);
+		history.log.deleteBefore(history.log.segment());
+		assertThat(history.log.olderBytes()).isZero();
+		assertThat(history.disk.list(FOLDER)).hasSize(1);
+	}
+
 	@Property(seed = "2106", tries = 500)
 	void confirmedEntriesAreReplayed(@ForAll("actions") List<Action> actions, @ForAll long seed) throws IOException {
 		playAll(actions, seed);
