Sync what a keeper reads from its log at a start

What callers would see: 404 no_turn after a kill that is followed by a loss of power. Not known to have happened.

Cause: a process that is killed between a write and its sync leaves entries that only the operating system holds. The next start read them and took them for synced: a turn that was sent again was confirmed and not written. A loss of power then takes it.

Change: a start syncs the last segment before it reads the log; the ones before were synced or cut back when they were left. A start whose sync fails ends with the error. Not covered: a failed sync of a start after which the next start succeeds though the content was dropped.

--- a/mangorack/src/main/java/org/mangorack/keeper/DiskFiles.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/DiskFiles.java
@@ -67,6 +67,13 @@
 	 */
 	OpenFile create(Path file) throws IOException;
 
+	/**
+	 * Syncs the content of an existing file to disk.
+	 * @param file the file
+	 * @throws IOException if the content may not be on disk
+	 */
+	void sync(Path file) throws IOException;
+
 	/**
 	 * Renames a file, atomically replacing the one of the new name.
 	 * @param from the file
@@ -166,6 +173,13 @@
 					StandardOpenOption.TRUNCATE_EXISTING));
 		}
 
+		@Override
+		public void sync(Path file) throws IOException {
+			try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+				channel.force(false);
+			}
+		}
+
 		@Override
 		public void rename(Path from, Path to) throws IOException {
 			Files.move(from, to, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -109,11 +109,15 @@
 	/**
 	 * Reads the entries of the segments that earlier starts wrote. A corrupt or partially
 	 * written entry ends its segment: nothing that follows was confirmed, and the content
-	 * of a turn may look like an entry.
+	 * of a turn may look like an entry. What is read is on disk, also if the earlier
+	 * start was killed before a sync.
 	 * @param reader receives each entry with the number of its segment
-	 * @throws IOException if a segment cannot be read
+	 * @throws IOException if a segment cannot be read, or the last one not be synced
 	 */
 	void replay(BiConsumer<Long, LogEntry> reader) throws IOException {
+		if (!this.olderSegments.isEmpty()) {
+			this.files.sync(file(this.olderSegments.lastKey()));
+		}
 		for (long number : this.olderSegments.keySet()) {
 			ByteBuffer bytes = ByteBuffer.wrap(this.files.read(file(number)));
 			while (bytes.remaining() >= HEADER_BYTES) {
--- a/mangorack/src/test/java/org/mangorack/keeper/FaultyDisk.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/FaultyDisk.java
@@ -34,6 +34,10 @@
 
 	private int failingDeletions;
 
+	private boolean killedBySync;
+
+	private boolean killed;
+
 	private Throwable nextWrite;
 
 	private int syncs;
@@ -76,6 +80,21 @@
 		this.nextWrite = failure;
 	}
 
+	/**
+	 * Lets the process be killed by the next sync: it changes nothing any more.
+	 */
+	void killAtNextSync() {
+		this.killedBySync = true;
+	}
+
+	/**
+	 * Lets a new process use the disk.
+	 */
+	void restart() {
+		this.killed = false;
+		this.killedBySync = false;
+	}
+
 	/**
 	 * Loses power. The files that were open must not be used any further.
 	 */
@@ -138,6 +157,7 @@
 
 	@Override
 	public OpenFile create(Path file) throws IOException {
+		checkAlive();
 		if (this.failingCreations > 0) {
 			this.failingCreations--;
 			throw new IOException("cannot create " + file);
@@ -147,14 +167,21 @@
 		return content;
 	}
 
+	@Override
+	public void sync(Path file) throws IOException {
+		content(file).sync();
+	}
+
 	@Override
 	public void rename(Path from, Path to) throws IOException {
+		checkAlive();
 		this.names.put(to, content(from));
 		this.names.remove(from);
 	}
 
 	@Override
 	public void delete(Path file) throws IOException {
+		checkAlive();
 		if (this.failingDeletions > 0) {
 			this.failingDeletions--;
 			throw new IOException("cannot delete " + file);
@@ -181,7 +208,15 @@
 		return content;
 	}
 
+	private void checkAlive() throws IOException {
+		if (this.killed) {
+			throw new IOException("the process was killed");
+		}
+	}
+
 	private void failSync(Object what) throws IOException {
+		this.killed |= this.killedBySync;
+		checkAlive();
 		this.syncs++;
 		if (this.failingSyncs > 0) {
 			this.failingSyncs--;
@@ -228,6 +263,7 @@
 		@Override
 		public void write(ByteBuffer bytes) throws IOException {
 			FaultyDisk disk = FaultyDisk.this;
+			checkAlive();
 			if (disk.nextWrite != null) {
 				Throwable failure = disk.nextWrite;
 				disk.nextWrite = null;
@@ -248,7 +284,8 @@
 		}
 
 		@Override
-		public void truncate(long size) {
+		public void truncate(long size) throws IOException {
+			checkAlive();
 			change(new Change((int) size, null, false));
 		}
 
@@ -264,7 +301,9 @@
 				failSync("content");
 			}
 			catch (IOException ex) {
-				this.unsynced.replaceAll((c) -> new Change(c.offset(), c.bytes(), true));
+				if (!FaultyDisk.this.killed) {
+					this.unsynced.replaceAll((c) -> new Change(c.offset(), c.bytes(), true));
+				}
 				throw ex;
 			}
 			byte[] seen = this.visible;
--- a/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
@@ -75,6 +75,20 @@
 		history.restart();
 	}
 
+	// Guards against 404 after a loss of power for turns that a keeper took for synced
+	// because it had read them at its start.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void entriesThatARestartHasReadSurviveALossOfPower(long seed) throws Exception {
+		History history = new History(seed);
+		history.append(1, 40);
+		history.disk.killAtNextSync();
+		history.append(2, 40);
+		history.restart();
+		history.disk.losePower();
+		history.restart();
+	}
+
 	// Guards against segments that are never deleted because the next one could not be
 	// created.
 	@Test
@@ -193,6 +207,15 @@
 			}
 		},
 
+		KILL_IN_SYNC {
+			@Override
+			void play(History history) throws IOException {
+				history.disk.killAtNextSync();
+				history.append(3, 40);
+				history.restart();
+			}
+		},
+
 		RESTART {
 			@Override
 			void play(History history) throws IOException {
@@ -269,7 +292,11 @@
 		private void pause() {
 		}
 
+		// What a restart has read counts as confirmed, as it is not written again. A log
+		// whose last segment cannot be synced is not started.
 		private void restart() throws IOException {
+			this.disk.restart();
+			this.disk.failSyncs(0);
 			this.log = new RecordLog(FOLDER, Runnable::run, this.disk);
 			List<Integer> replayed = new ArrayList<>();
 			List<Long> segments = new ArrayList<>();
@@ -279,6 +306,9 @@
 			});
 			assertThat(replayed).isSorted().doesNotHaveDuplicates().containsAll(this.confirmed.keySet());
 			assertThat(replayed).allMatch((number) -> number <= this.appended);
+			for (int i = 0; i < replayed.size(); i++) {
+				this.confirmed.put(replayed.get(i), segments.get(i));
+			}
 		}
 
 	}
