Never count an empty disk as the one that was lost

Cause: requests name the disk that they mean, but keepers compared it for calls of entries only. A process that came back with an empty disk answered ADOPT, INVENTORY, COPY and STORE for its lost disk, which is still a member at the same address. A joining disk so counted its own lost disk as read, and with two lost disks the other one too: with a tolerance of 2 two of the four disks that it has to read were empty. Entries counted the address as a connected member, and its heartbeat replies as those of two keepers while the group changed.

Now each request that depends on what the disk holds, or whose reply counts for a quorum, is answered WRONG_DISK by any other disk, with the keeper's view if it is newer. Beats are answered in full, as entries of the former version need the pulse, and marked; entries take the view from it and nothing else, and do not count the member as connected until the connection is made anew. So a join waits for the members that hold what the lost disk held, and a turn is undetermined (503) until then.

Requests of the former version name their disk too, so versions may run side by side. A keeper of the former version still answers for a disk that it has lost.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
@@ -164,6 +164,12 @@
 					call.outstanding.remove(this.member.getDisk());
 					call.client.sendView(this.link);
 				}
+				case WRONG_DISK -> {
+					call.outstanding.remove(this.member.getDisk());
+					call.finished.add(this.member.getDisk());
+					call.client.adoptView(reply);
+					call.client.markReplaced(this.member);
+				}
 				default -> {
 					// A keeper that reports a failure is not asked again by this call.
 					call.outstanding.remove(this.member.getDisk());
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -28,6 +28,7 @@
 import org.mangorack.keeper.proto.Pulse;
 import org.mangorack.keeper.proto.Reply;
 import org.mangorack.keeper.proto.Request;
+import org.mangorack.keeper.proto.Status;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
@@ -80,6 +81,9 @@
 
 	private final Map<String, KeeperLink> links = new HashMap<>();
 
+	// Members whose address belongs to a keeper with another disk since it was connected.
+	private final Set<String> replacedDisks = new HashSet<>();
+
 	private final Set<GroupCall> calls = new HashSet<>();
 
 	private GroupView view;
@@ -139,7 +143,7 @@
 		newer.all().forEach((m) -> {
 			wanted.add(m.getDisk());
 			this.links.computeIfAbsent(m.getDisk(), (disk) -> {
-				KeeperLink link = new KeeperLink(this.loop, m, this.clock, this::memberConnected);
+				KeeperLink link = new KeeperLink(this.loop, m, this.clock, () -> memberConnected(m));
 				this.loop.execute(link::connect);
 				return link;
 			});
@@ -151,6 +155,7 @@
 			}
 			return unwanted;
 		});
+		this.replacedDisks.retainAll(wanted);
 		this.onView.accept(newer);
 		sendMissing();
 	}
@@ -177,10 +182,11 @@
 
 	/**
 	 * Returns the members that are connected.
-	 * @return the members with an established connection
+	 * @return the members with an established connection, without those whose disk was
+	 * replaced
 	 */
 	public List<Member> connectedMembers() {
-		return this.links.values().stream().filter(KeeperLink::isConnected).map(KeeperLink::member).toList();
+		return this.links.values().stream().map(KeeperLink::member).filter((m) -> link(m).isPresent()).toList();
 	}
 
 	/**
@@ -242,7 +248,8 @@
 	/**
 	 * Sends a heartbeat to every connected member.
 	 * @param beat creates the heartbeat for a member, given its disk
-	 * @param listener receives the reply of each member
+	 * @param listener receives the reply of each member, unless another keeper replies at
+	 * its address
 	 */
 	public void sendHeartbeats(Function<String, Beat> beat, HeartbeatReplyListener listener) {
 		for (KeeperLink link : List.copyOf(this.links.values())) {
@@ -256,6 +263,10 @@
 				@Override
 				public void replied(Reply reply) {
 					adoptView(reply);
+					if (reply.getStatus() == Status.WRONG_DISK) {
+						markReplaced(link.member());
+						return;
+					}
 					listener.pulseReceived(link.member(), reply.getPulse(), new LinkConfigurationSource(link));
 				}
 
@@ -311,10 +322,23 @@
 	/**
 	 * Returns the link to a member.
 	 * @param member the member
-	 * @return the link, or empty if there is none or it is not connected
+	 * @return the link, or empty if there is none, it is not connected or the disk of the
+	 * member was replaced
 	 */
 	Optional<KeeperLink> link(Member member) {
-		return Optional.ofNullable(this.links.get(member.getDisk())).filter(KeeperLink::isConnected);
+		return Optional.ofNullable(this.links.get(member.getDisk()))
+			.filter((l) -> l.isConnected() && !this.replacedDisks.contains(member.getDisk()));
+	}
+
+	/**
+	 * Excludes a member until it is connected again, because a keeper with another disk
+	 * replies at its address.
+	 * @param member the member
+	 */
+	void markReplaced(Member member) {
+		if (this.links.containsKey(member.getDisk())) {
+			this.replacedDisks.add(member.getDisk());
+		}
 	}
 
 	/**
@@ -336,7 +360,8 @@
 		}
 	}
 
-	private void memberConnected() {
+	private void memberConnected(Member member) {
+		this.replacedDisks.remove(member.getDisk());
 		sendMissing();
 		this.onConnected.run();
 	}
@@ -356,6 +381,9 @@
 		link.send(request, new ReplyListener() {
 			@Override
 			public void replied(Reply reply) {
+				if (reply.getStatus() == Status.WRONG_DISK) {
+					markReplaced(link.member());
+				}
 				sendMissing();
 			}
 
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -208,15 +208,11 @@
 	// ---- Helpers
 
 	private void handle(Request request, Consumer<Reply.Builder> out) {
-		boolean requiresCurrentView = switch (request.getBodyCase()) {
-			case RESERVE, SETTLE, FETCH, DRAW -> true;
-			default -> false;
-		};
-		if (requiresCurrentView && !request.getDisk().equals(this.disk)) {
-			out.accept(Reply.newBuilder().setStatus(Status.WRONG_DISK));
+		if (requiresNamedDisk(request) && !request.getDisk().equals(this.disk)) {
+			out.accept(withNewerView(Reply.newBuilder().setStatus(Status.WRONG_DISK), request));
 			return;
 		}
-		if (requiresCurrentView && (request.getEpoch() != this.view.epoch())) {
+		if (requiresCurrentView(request) && (request.getEpoch() != this.view.epoch())) {
 			boolean stale = request.getEpoch() < this.view.epoch();
 			out.accept(Reply.newBuilder()
 				.setStatus(stale ? Status.STALE_VIEW : Status.UNKNOWN_VIEW)
@@ -241,6 +237,25 @@
 		}
 	}
 
+	// Replies to these requests count towards a quorum or depend on what the disk holds.
+	private static boolean requiresNamedDisk(Request request) {
+		return requiresCurrentView(request) || switch (request.getBodyCase()) {
+			case ADOPT, INVENTORY, COPY, STORE -> true;
+			default -> false;
+		};
+	}
+
+	private static boolean requiresCurrentView(Request request) {
+		return switch (request.getBodyCase()) {
+			case RESERVE, SETTLE, FETCH, DRAW -> true;
+			default -> false;
+		};
+	}
+
+	private Reply.Builder withNewerView(Reply.Builder reply, Request request) {
+		return (this.view.epoch() > request.getEpoch()) ? reply.setView(this.view.toProto()) : reply;
+	}
+
 	private static Reply.Builder durableReply() {
 		return Reply.newBuilder().setDurable(true);
 	}
@@ -320,10 +335,8 @@
 			addLists(beat, pulse);
 		}
 		Reply.Builder reply = durableReply().setPulse(pulse);
-		if (this.view.epoch() > request.getEpoch()) {
-			reply.setView(this.view.toProto());
-		}
-		return reply;
+		boolean otherDisk = !request.getDisk().isEmpty() && !request.getDisk().equals(this.disk);
+		return withNewerView(otherDisk ? reply.setStatus(Status.WRONG_DISK) : reply, request);
 	}
 
 	private void addLists(Beat beat, Pulse.Builder pulse) {
--- a/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
@@ -3,10 +3,30 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.mangorack.keeper.proto.Adopt;
+import org.mangorack.keeper.proto.Copy;
+import org.mangorack.keeper.proto.Inventory;
+import org.mangorack.keeper.proto.Member;
+import org.mangorack.keeper.proto.Reply;
+import org.mangorack.keeper.proto.Request;
+import org.mangorack.keeper.proto.Status;
+import org.mangorack.keeper.proto.Store;
+import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.MonotonicClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -15,6 +35,10 @@
  */
 class GroupMembershipTests {
 
+	private static final int PROGRAMS = 24;
+
+	private static final int TURNS_PER_ROUND = 8;
+
 	private static final int MAX_ROUNDS = 20;
 
 	@TempDir
@@ -46,4 +70,218 @@
 		assertThat(this.group.membership("k0").timeShortOfMembers()).isZero();
 	}
 
+	// Guards against an empty disk that answers for the one that was lost at its address.
+	@ParameterizedTest
+	@EnumSource
+	void aRequestMeantForALostDiskIsNotAnsweredByAnother(ContentRequest kind) throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		Member lost = this.group.keeper("k0").member();
+		this.group.loseDisk("k0");
+		try (KeeperPeers peers = new KeeperPeers(this.group.keeper("k1").loop(), MonotonicClock.SYSTEM)) {
+			Optional<Reply> reply = peers.call(lost, kind.request(this.group.view()), GroupMembership.COPY_TIMEOUT);
+			assertThat(reply).isPresent();
+			assertThat(reply.get().getStatus()).isEqualTo(Status.WRONG_DISK);
+		}
+		assertThat(this.group.keeper("k0").turnIds()).isEmpty();
+		assertThat(this.group.keeper("k0").service().view().epoch()).isZero();
+	}
+
+	// Guards against an entry that counts an empty disk as the member it has replaced.
+	@Test
+	void aMemberWhoseDiskWasReplacedIsNotCountedAsConnected() throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		String lost = this.group.keeper("k0").member().getDisk();
+		this.group.loseDisk("k0");
+		assertThat(this.group.heartbeatUntilConnected(3)).hasSize(3).doesNotContain(lost);
+		assertThat(this.group.connectedDisks()).doesNotContain(lost);
+	}
+
+	// Guards against 404 after lost disks were replaced without reading members that
+	// start late.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2 })
+	void emptyDisksWaitForTheMembersThatHoldTheTurnsOfTheLostOnes(int tolerance) throws Exception {
+		this.group = new TestGroup(this.folder, tolerance);
+		List<String> lost = names(0, tolerance);
+		List<String> away = names(tolerance, 2 * tolerance);
+		List<String> late = names(tolerance + 2, (2 * tolerance) + 2);
+		for (String name : away) {
+			this.group.kill(name);
+		}
+		storeTurns();
+		for (String name : away) {
+			this.group.start(name);
+		}
+		for (String name : late) {
+			if (this.group.isRunning(name)) {
+				this.group.kill(name);
+			}
+		}
+		for (String name : lost) {
+			this.group.loseDisk(name);
+		}
+		for (int i = 0; i < 4; i++) {
+			this.group.step(lost.toArray(String[]::new));
+		}
+		this.group.awaitConnected();
+		assertThat(outcomes()).doesNotContain("absent");
+		for (String name : late) {
+			this.group.start(name);
+		}
+		assertThat(this.group.stepUntilComplete(MAX_ROUNDS)).as("group %s", this.group.view()).isTrue();
+		for (String name : late) {
+			this.group.kill(name);
+		}
+		this.group.awaitConnected();
+		assertThat(outcomes()).containsOnly("found");
+	}
+
+	// Guards against 404 for confirmed turns over starts, lost disks and changes of the
+	// group that are interrupted, in random order.
+	@ParameterizedTest
+	@CsvSource({ "1, 1", "1, 2", "1, 3", "1, 4", "1, 5", "2, 1", "2, 2", "2, 3", "2, 4", "2, 5" })
+	void confirmedTurnsAreNeverCalledMissing(int tolerance, long seed) throws Exception {
+		this.group = new TestGroup(this.folder, tolerance);
+		Random random = new Random(seed);
+		List<String> names = names(0, (2 * tolerance) + 3);
+		this.group.add(names.get(names.size() - 1));
+		List<String> stored = new ArrayList<>();
+		for (int round = 0; round < 4; round++) {
+			killSome(tolerance, random);
+			for (int i = 0; i < TURNS_PER_ROUND; i++) {
+				String id = round + "-" + i;
+				assertThat(this.group.storeTurn("t" + id, "p" + id)).as("turn t%s", id).isTrue();
+				stored.add(id);
+			}
+			start(names);
+			for (String lost : randomMembers(1 + random.nextInt(tolerance), random)) {
+				this.group.loseDisk(lost);
+			}
+			killSome(random.nextInt(tolerance + 2), random);
+			stepAtRandom(4 + random.nextInt(12), random);
+			assertNoneAbsent(stored);
+			start(names);
+			assertThat(this.group.stepUntilComplete(MAX_ROUNDS)).as("group %s", this.group.view()).isTrue();
+			this.group.awaitConnected();
+			for (String id : stored) {
+				assertThat(this.group.fetch("t" + id, "p" + id)).as("turn t%s", id).isEqualTo("found");
+			}
+		}
+	}
+
+	// ---- Helpers
+
+	private static List<String> names(int from, int to) {
+		List<String> names = new ArrayList<>();
+		for (int i = from; i < to; i++) {
+			names.add("k" + i);
+		}
+		return names;
+	}
+
+	private void storeTurns() throws Exception {
+		this.group.awaitConnected();
+		for (int i = 0; i < PROGRAMS; i++) {
+			assertThat(this.group.storeTurn("t" + i, "p" + i)).as("turn t%d", i).isTrue();
+		}
+	}
+
+	private List<String> outcomes() throws Exception {
+		List<String> outcomes = new ArrayList<>();
+		for (int i = 0; i < PROGRAMS; i++) {
+			outcomes.add(this.group.fetch("t" + i, "p" + i));
+			if (outcomes.get(i).equals("undetermined")) {
+				return outcomes;
+			}
+		}
+		return outcomes;
+	}
+
+	private void killSome(int count, Random random) throws Exception {
+		for (String name : randomMembers(count, random)) {
+			this.group.kill(name);
+		}
+		this.group.awaitConnected();
+	}
+
+	// Selects members whose disk is present.
+	private List<String> randomMembers(int count, Random random) throws Exception {
+		List<String> present = new ArrayList<>(this.group.presentMembers());
+		Collections.sort(present);
+		Collections.shuffle(present, random);
+		return present.subList(0, count);
+	}
+
+	private void stepAtRandom(int steps, Random random) throws Exception {
+		for (int i = 0; i < steps; i++) {
+			List<String> running = this.group.running();
+			this.group.step(running.get(random.nextInt(running.size())));
+			if (random.nextInt(6) == 0) {
+				this.group.advance(GroupMembership.UNRESPONSIVE_TIMEOUT.plusMillis(1));
+			}
+		}
+	}
+
+	private void start(List<String> names) throws IOException {
+		for (String name : names) {
+			if (!this.group.isRunning(name)) {
+				this.group.start(name);
+			}
+		}
+	}
+
+	private void assertNoneAbsent(List<String> stored) throws Exception {
+		this.group.awaitConnected();
+		for (String id : stored) {
+			String outcome = this.group.fetch("t" + id, "p" + id);
+			assertThat(outcome).as("turn t%s", id).isNotEqualTo("absent");
+			if (outcome.equals("undetermined")) {
+				return;
+			}
+		}
+	}
+
+	/**
+	 * The requests that read or change the content of a disk besides those of calls of
+	 * entries.
+	 */
+	enum ContentRequest {
+
+		/** Makes a view known. */
+		ADOPT {
+			@Override
+			Request.Builder request(GroupView view) {
+				return Request.newBuilder().setAdopt(Adopt.newBuilder().setView(view.toProto()));
+			}
+		},
+
+		/** Lists the content. */
+		INVENTORY {
+			@Override
+			Request.Builder request(GroupView view) {
+				return Request.newBuilder().setInventory(Inventory.getDefaultInstance());
+			}
+		},
+
+		/** Reads turns. */
+		COPY {
+			@Override
+			Request.Builder request(GroupView view) {
+				return Request.newBuilder().setCopy(Copy.newBuilder().addTurn("t1"));
+			}
+		},
+
+		/** Stores turns. */
+		STORE {
+			@Override
+			Request.Builder request(GroupView view) {
+				return Request.newBuilder()
+					.setStore(Store.newBuilder().addTurn(Turn.newBuilder().setId("t1").setRetentionMs(60_000)));
+			}
+		};
+
+		abstract Request.Builder request(GroupView view);
+
+	}
+
 }
--- a/mangorack/src/test/java/org/mangorack/keeper/TestGroup.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestGroup.java
@@ -20,6 +20,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.MonotonicClock;
@@ -196,7 +197,7 @@
 			if (isComplete()) {
 				return true;
 			}
-			step(this.memberships.keySet().stream().sorted().toArray(String[]::new));
+			step(running().toArray(String[]::new));
 		}
 		return isComplete();
 	}
@@ -211,16 +212,12 @@
 		return keeper.isRunning() && keeper.member().getDisk().equals(member.getDisk());
 	}
 
-	/**
-	 * Returns whether enough of some members run for turns to be stored or read.
-	 * @return {@code true} if a call does not have to wait for a keeper to start
-	 * @throws StoreException if the group cannot be read
-	 */
-	boolean isServing() throws StoreException {
-		GroupView view = view();
-		Set<String> present = new HashSet<>();
-		view.all().stream().filter(this::isPresent).forEach((m) -> present.add(m.getDisk()));
-		return view.isWriteQuorum(present) && view.isReadQuorum(present);
+	List<String> presentMembers() throws StoreException {
+		return view().members().stream().filter(this::isPresent).map(Member::getName).toList();
+	}
+
+	List<String> running() {
+		return this.memberships.keySet().stream().sorted().toList();
 	}
 
 	// ---- Client
@@ -245,6 +242,26 @@
 		}
 	}
 
+	/**
+	 * Sends heartbeats until a number of members counts as connected.
+	 * @param count the number of members
+	 * @return the disks of all members that were reported to reply
+	 * @throws Exception if the wait times out
+	 */
+	Set<String> heartbeatUntilConnected(int count) throws Exception {
+		Set<String> replied = ConcurrentHashMap.newKeySet();
+		long startedAt = System.nanoTime();
+		while ((connectedDisks().size() != count) || (replied.size() < count)) {
+			if (System.nanoTime() - startedAt > TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)) {
+				throw new IllegalStateException("connected to " + connectedDisks() + ", replies of " + replied);
+			}
+			onLoop(() -> this.client.sendHeartbeats((disk) -> Beat.newBuilder().setInstance("e").build(),
+					(member, pulse, source) -> replied.add(member.getDisk())));
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+		return replied;
+	}
+
 	Set<String> connectedDisks() throws Exception {
 		Set<String> disks = ConcurrentHashMap.newKeySet();
 		onLoop(() -> this.client.connectedMembers().forEach((m) -> disks.add(m.getDisk())));
