Read the objects of a list or watch one by one

Callers saw, or would have seen: after another writer left one odd entry among those of the servers, no keeper followed the servers any more. A list failed as a whole, a watch failed at the same event for ever, and a keeper that was started anew knew no server at all, so servers that left went on getting requests and new ones got none.

Cause: a page of a list, and a response of a watch, were parsed as one document. A value that is nested too deeply, a number of more than 1,000 digits or a field that occurs twice failed the document, and with it all other objects. Elements without a name were taken as objects named "".

JsonSlice delimits values by their brackets and quotes alone, without recursion, and parses each on request. StoredObjectReader reads objects one by one for both object APIs; an object that cannot be read is left out, logged with its name and the reason (1405) and counted once, until it is readable again or gone. A watched object that becomes unreadable is reported as deleted, as its former content no longer holds. A line of a watch that was cut off still ends the watch.

--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -61,6 +61,9 @@
 	/** A watch ended and is started again. */
 	WATCH_RESTARTED(1403, Level.INFO, "watch restarted"),
 
+	/** An object of the platform could not be read and is left out. */
+	OBJECT_UNREADABLE(1405, Level.WARN, "object unreadable"),
+
 	/** This instance applied a newer configuration. */
 	CONFIGURATION_IN_FORCE(1501, Level.INFO, "configuration in force"),
 
--- a/mangorack/src/main/java/org/mangorack/platform/HttpObjectStore.java
+++ b/mangorack/src/main/java/org/mangorack/platform/HttpObjectStore.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.mangorack.call.JsonSlice;
 import org.mangorack.call.Jsons;
 import org.mangorack.call.Verdict;
 import org.mangorack.http.ConnectionUse;
@@ -22,6 +23,8 @@
 import org.mangorack.http.PooledHttpClient;
 import org.mangorack.observe.Metrics;
 import org.mangorack.platform.StoreException.Reason;
+import org.mangorack.platform.StoredObjectReader.Reading;
+import org.mangorack.platform.StoredObjectReader.VersionFormat;
 
 /**
  * Accesses the object API over HTTP with JSON objects in the style of Kubernetes. A
@@ -50,11 +53,14 @@
 
 	private final Metrics metrics;
 
+	private final StoredObjectReader reader;
+
 	public HttpObjectStore(HttpAddress address, Duration timeout, PooledHttpClient client, Metrics metrics) {
 		this.address = address;
 		this.timeout = timeout;
 		this.client = client;
 		this.metrics = metrics;
+		this.reader = new StoredObjectReader(VersionFormat.RESOURCE_VERSION, "spec", metrics);
 	}
 
 	// ---- Public API
@@ -62,7 +68,7 @@
 	@Override
 	public Optional<StoredObject> get(ObjectKind kind, String name) throws StoreException {
 		try {
-			return Optional.of(toObject(call("GET", path(kind, name), null)));
+			return Optional.of(callForObject("GET", path(kind, name), null));
 		}
 		catch (StoreException ex) {
 			if (ex.reason() == Reason.NOT_FOUND) {
@@ -74,12 +80,12 @@
 
 	@Override
 	public StoredObject create(ObjectKind kind, String name, JsonNode spec) throws StoreException {
-		return toObject(call("POST", path(kind), document(name, null, spec)));
+		return callForObject("POST", path(kind), document(name, null, spec));
 	}
 
 	@Override
 	public StoredObject update(ObjectKind kind, String name, String version, JsonNode spec) throws StoreException {
-		return toObject(call("PUT", path(kind, name), document(name, version, spec)));
+		return callForObject("PUT", path(kind, name), document(name, version, spec));
 	}
 
 	@Override
@@ -101,10 +107,18 @@
 
 	@Override
 	public ObjectList list(ObjectKind kind) throws StoreException {
-		JsonNode json = call("GET", path(kind), null);
-		List<StoredObject> items = new ArrayList<>();
-		json.path("items").forEach((item) -> items.add(toObject(item)));
-		return new ObjectList(json.path("metadata").path("resourceVersion").asText(), items);
+		return send("GET", path(kind), null, (response) -> {
+			JsonSlice list = JsonSlice.of(response);
+			String version = this.reader.versionOf(list)
+				.orElseThrow(() -> new IOException("list of " + kind.plural() + " without a resourceVersion"));
+			Optional<JsonSlice> elements = list.find("items");
+			List<Reading> readings = new ArrayList<>();
+			for (JsonSlice item : elements.isPresent() ? elements.get().elements() : List.<JsonSlice>of()) {
+				readings.add(this.reader.read(kind, item));
+			}
+			this.reader.retain(kind, readings.stream().map((reading) -> reading.object().name()).toList());
+			return new ObjectList(version, readings.stream().filter(Reading::readable).map(Reading::object).toList());
+		});
 	}
 
 	@Override
@@ -116,7 +130,7 @@
 			checkStatus(reply.status(), path, reply);
 			BufferedReader lines = new BufferedReader(new InputStreamReader(reply.body(), StandardCharsets.UTF_8));
 			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-				deliver(line, listener);
+				deliver(kind, line, listener);
 			}
 		}
 		catch (IOException ex) {
@@ -126,14 +140,23 @@
 
 	// ---- Helpers
 
-	private JsonNode call(String method, String path, JsonNode body) throws StoreException {
+	private StoredObject callForObject(String method, String path, JsonNode body) throws StoreException {
+		return send(method, path, body, (response) -> this.reader.readObject(JsonSlice.of(response)));
+	}
+
+	private void call(String method, String path, JsonNode body) throws StoreException {
+		send(method, path, body, (response) -> response);
+	}
+
+	private <T> T send(String method, String path, JsonNode body, ResponseReader<T> responseReader)
+			throws StoreException {
 		this.metrics.count("mangorack.platform.calls", 1, "operation", method);
 		byte[] bytes = (body != null) ? Jsons.bytes(body) : null;
 		ConnectionUse connectionUse = method.equals("DELETE") ? ConnectionUse.FRESH : ConnectionUse.POOLED;
 		try (HttpReply reply = this.client.send(this.address, method, path, JSON_HEADERS, bytes, this.timeout,
 				connectionUse)) {
 			checkStatus(reply.status(), method + " " + path, reply);
-			return Jsons.parse(reply.readAll(MAX_RESPONSE_BYTES));
+			return responseReader.read(reply.readAll(MAX_RESPONSE_BYTES));
 		}
 		catch (HttpCallException ex) {
 			Reason reason = (ex.verdict() == Verdict.NOT_RUN) ? Reason.UNREACHABLE : Reason.UNKNOWN;
@@ -160,18 +183,24 @@
 		throw new StoreException(reason, request + " answered status " + status);
 	}
 
-	private static void deliver(String line, WatchListener listener) throws StoreException, IOException {
-		JsonNode event = Jsons.MAPPER.readTree(line);
-		StoredObject object = toObject(event.path("object"));
-		switch (event.path("type").asText()) {
-			case "ADDED", "MODIFIED" -> listener.changed(object);
-			case "DELETED" -> listener.deleted(object);
-			case "ERROR" -> throw new StoreException(Reason.TOO_OLD, "watch ended: " + event);
+	// A line that is not one complete value was cut off, so the watch has to start again.
+	private void deliver(ObjectKind kind, String line, WatchListener listener) throws StoreException, IOException {
+		JsonSlice event = JsonSlice.of(line.getBytes(StandardCharsets.UTF_8));
+		Optional<JsonSlice> type = event.find("type");
+		JsonSlice object = event.find("object").orElse(null);
+		switch (type.isPresent() ? type.get().parse().asText() : "") {
+			case "ADDED", "MODIFIED" -> this.reader.read(kind, object).deliver(listener, false);
+			case "DELETED" -> {
+				Reading reading = this.reader.read(kind, object);
+				reading.deliver(listener, true);
+				this.reader.forget(kind, reading.object().name());
+			}
+			case "ERROR" -> throw new StoreException(Reason.TOO_OLD, "watch ended: " + line);
 			default -> {
 				// A bookmark carries only a version.
 			}
 		}
-		listener.progress(object.version());
+		this.reader.versionOf(object).ifPresent(listener::progress);
 	}
 
 	private static ObjectNode document(String name, String version, JsonNode spec) {
@@ -185,12 +214,6 @@
 		return json;
 	}
 
-	private static StoredObject toObject(JsonNode json) {
-		JsonNode metadata = json.path("metadata");
-		return new StoredObject(metadata.path("name").asText(), metadata.path("resourceVersion").asText(),
-				json.path("spec"));
-	}
-
 	private static String path(ObjectKind kind) {
 		return ROOT + kind.plural();
 	}
@@ -199,4 +222,15 @@
 		return ROOT + kind.plural() + "/" + name;
 	}
 
+	/**
+	 * Reads the body of a response.
+	 *
+	 * @param <T> the type of the result
+	 */
+	private interface ResponseReader<T> {
+
+		T read(byte[] body) throws IOException;
+
+	}
+
 }
--- /dev/null
+++ b/mangorack/src/test/java/org/mangorack/platform/HttpObjectStoreTests.java
@@ -0,0 +1,134 @@
+package org.mangorack.platform;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.mangorack.http.HttpAddress;
+import org.mangorack.http.PooledHttpClient;
+import org.mangorack.observe.Metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests for {@link HttpObjectStore}.
+ */
+class HttpObjectStoreTests {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+	private final PooledHttpClient client = new PooledHttpClient(TIMEOUT);
+
+	private final List<String> delivered = new ArrayList<>();
+
+	private HttpServer server;
+
+	private HttpObjectStore store;
+
+	private volatile String body;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+		this.server.createContext("/", (exchange) -> {
+			byte[] bytes = this.body.getBytes(StandardCharsets.UTF_8);
+			try (exchange) {
+				exchange.sendResponseHeaders(200, bytes.length);
+				exchange.getResponseBody().write(bytes);
+			}
+		});
+		this.server.start();
+		this.store = new HttpObjectStore(new HttpAddress("127.0.0.1", this.server.getAddress().getPort()), TIMEOUT,
+				this.client, new Metrics());
+	}
+
+	@AfterEach
+	void stop() {
+		this.client.close();
+		this.server.stop(0);
+	}
+
+	static Stream<String> oddObjects() {
+		return Stream.of(object("\"odd\"", "[".repeat(1200) + "]".repeat(1200)), object("\"odd\"", "7".repeat(2000)),
+				object("\"odd\"", "{\"x\":1,\"x\":2}"), object("17", "{}"), object("\"\"", "{}"), "{}", "null", "[]");
+	}
+
+	@ParameterizedTest
+	@MethodSource("oddObjects")
+	void anUnreadableObjectLeavesTheOthersListed(String odd) throws StoreException {
+		this.body = "{\"metadata\":{\"resourceVersion\":\"9\"},\"items\":[" + object("\"a\"", "{}") + "," + odd + ","
+				+ object("\"b\"", "{}") + "]}";
+		ObjectList list = this.store.list(ObjectKind.KEY);
+		assertThat(list.items()).extracting(StoredObject::name).containsExactly("a", "b");
+		assertThat(list.version()).isEqualTo("9");
+	}
+
+	@ParameterizedTest
+	@MethodSource("oddObjects")
+	void anUnreadableObjectLeavesTheOthersWatched(String odd) throws StoreException {
+		this.body = modified(object("\"a\"", "{}")) + modified(odd) + "null\n17\n" + modified(object("\"b\"", "{}"));
+		this.store.watch(ObjectKind.KEY, "7", new Recorder());
+		assertThat(this.delivered).startsWith("changed a", "progress 8")
+			.endsWith("changed b", "progress 8")
+			.doesNotContain("changed odd", "changed ", "progress ");
+	}
+
+	@Test
+	void aWatchedObjectThatBecomesUnreadableIsNoLongerUsed() throws StoreException {
+		this.body = modified(object("\"a\"", "[".repeat(1200) + "]".repeat(1200)));
+		this.store.watch(ObjectKind.KEY, "7", new Recorder());
+		assertThat(this.delivered).containsExactly("deleted a", "progress 8");
+	}
+
+	@Test
+	void anEventThatIsCutOffFailsTheWatch() {
+		this.body = modified(object("\"a\"", "{}")) + modified(object("\"b\"", "{}")).substring(0, 60);
+		assertThatExceptionOfType(StoreException.class)
+			.isThrownBy(() -> this.store.watch(ObjectKind.KEY, "7", new Recorder()));
+		assertThat(this.delivered).containsExactly("changed a", "progress 8");
+	}
+
+	private static String object(String name, String content) {
+		return "{\"metadata\":{\"name\":" + name + ",\"resourceVersion\":\"8\"},\"spec\":" + content + "}";
+	}
+
+	private static String modified(String object) {
+		return "{\"type\":\"MODIFIED\",\"object\":" + object + "}\n";
+	}
+
+	/**
+	 * Records what a watch delivers.
+	 */
+	private final class Recorder implements WatchListener {
+
+		@Override
+		public void changed(StoredObject object) {
+			HttpObjectStoreTests.this.delivered.add("changed " + object.name());
+		}
+
+		@Override
+		public void deleted(StoredObject object) {
+			HttpObjectStoreTests.this.delivered.add("deleted " + object.name());
+		}
+
+		@Override
+		public void progress(String version) {
+			HttpObjectStoreTests.this.delivered.add("progress " + version);
+		}
+
+	}
+
+}
