Start a watch again after any failure

Callers would have seen: an instance that goes on with the servers, keys or configuration of the moment at which its watch ended, until it is started again, and no record of it but a stack trace on standard error.

Cause: KindCache.run caught only StoreException, so that an unexpected exception, or an error such as StackOverflowError, ended the watch thread for good. A query of an entry that failed unexpectedly skipped the queries after it, each time.

A query that fails unexpectedly no longer skips the others.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -183,7 +183,7 @@
 			catch (InterruptedException ex) {
 				this.closed = true;
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				EventLog.log(Event.INTERNAL_ERROR, ex, "place", "group membership");
 				pauseAfterFailure();
 			}
--- a/mangorack/src/main/java/org/mangorack/platform/KindCache.java
+++ b/mangorack/src/main/java/org/mangorack/platform/KindCache.java
@@ -14,7 +14,8 @@
 
 /**
  * A local cache of all objects of a kind, kept up to date by a watch. Listeners run on
- * the watch thread.
+ * the watch thread. The watch ends only when the cache is closed: after any failure, it
+ * starts again.
  */
 public final class KindCache implements AutoCloseable {
 
@@ -231,6 +232,12 @@
 				recordFailure(ex);
 				sleepBeforeRetry();
 			}
+			catch (RuntimeException | Error ex) {
+				// Changes may have been applied in part, so the objects are listed again.
+				version = null;
+				EventLog.log(Event.INTERNAL_ERROR, ex, "place", "watch of " + this.kind.plural());
+				sleepBeforeRetry();
+			}
 		}
 	}
 
@@ -263,12 +270,12 @@
 		return list.version();
 	}
 
-	// An exception in the listener must neither end the watch nor cause a new listing.
+	// A failure of the listener must neither end the watch nor cause a new listing.
 	private void notifyListener() {
 		try {
 			this.onChange.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			EventLog.log(Event.INTERNAL_ERROR, ex, "place", "listener of " + this.kind.plural());
 		}
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
+++ b/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
@@ -128,7 +128,7 @@
 		due.forEach((need) -> this.schedules.get(need).delay(currentNeeds.interval()));
 		try {
 			for (Need need : due) {
-				if (!need.query(this)) {
+				if (!query(need)) {
 					return;
 				}
 			}
@@ -138,6 +138,17 @@
 		}
 	}
 
+	// An unexpected failure in one query must not skip the others, which are as due.
+	private boolean query(Need need) throws StoreException {
+		try {
+			return need.query(this);
+		}
+		catch (RuntimeException | Error ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "place", "query of " + need);
+			return true;
+		}
+	}
+
 	private boolean queryGroup() throws StoreException {
 		Optional<StoredObject> group = this.store.get(ObjectKind.KEEPER_GROUP, GroupDocument.NAME);
 		recordOutcome(null);
--- a/mangorack/src/test/java/org/mangorack/platform/KindCacheTests.java
+++ b/mangorack/src/test/java/org/mangorack/platform/KindCacheTests.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.Jsons;
 import org.mangorack.observe.MonotonicClock;
@@ -26,6 +28,9 @@
 
 	private final BlockingQueue<String> processed = new LinkedBlockingQueue<>();
 
+	// The store throws each of them once.
+	private final BlockingQueue<Throwable> failures = new LinkedBlockingQueue<>();
+
 	@Test
 	void failingListenerDoesNotEndTheWatch() throws InterruptedException {
 		try (KindCache cache = new KindCache(store(), ObjectKind.UPSTREAM, MonotonicClock.SYSTEM,
@@ -58,6 +63,37 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(classes = { IllegalStateException.class, StackOverflowError.class, OutOfMemoryError.class })
+	void anUnexpectedFailureOfListOrWatchDoesNotEndTheWatch(Class<? extends Throwable> type) throws Exception {
+		Throwable failure = type.getConstructor(String.class).newInstance("thrown by the store");
+		this.failures.add(failure);
+		try (KindCache cache = new KindCache(store(), ObjectKind.UPSTREAM, MonotonicClock.SYSTEM, () -> {
+		})) {
+			cache.start();
+			assertThat(cache.awaitListed(LIMIT)).isTrue();
+			this.changes.add("a");
+			assertThat(this.processed.poll(LIMIT.toMillis(), TimeUnit.MILLISECONDS)).isEqualTo("a");
+			this.failures.add(failure);
+			this.changes.add("b");
+			this.changes.add("c");
+			assertThat(this.processed.poll(LIMIT.toMillis(), TimeUnit.MILLISECONDS)).isEqualTo("c");
+			assertThat(cache.object("c")).isPresent();
+		}
+	}
+
+	@Test
+	void anErrorOfTheListenerDoesNotEndTheWatch() throws InterruptedException {
+		try (KindCache cache = new KindCache(store(), ObjectKind.UPSTREAM, MonotonicClock.SYSTEM, () -> {
+			throw new StackOverflowError("thrown by the listener");
+		})) {
+			cache.start();
+			this.changes.add("a");
+			assertThat(this.processed.poll(LIMIT.toMillis(), TimeUnit.MILLISECONDS)).isEqualTo("a");
+			assertThat(cache.awaitListed(LIMIT)).isTrue();
+		}
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			latch.await(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
@@ -76,9 +112,11 @@
 		return (ObjectStore) Proxy.newProxyInstance(ObjectStore.class.getClassLoader(),
 				new Class<?>[] { ObjectStore.class }, (proxy, method, arguments) -> {
 					if (method.getName().equals("list")) {
+						throwNextFailure();
 						return new ObjectList("1", List.of());
 					}
 					String name = this.changes.take();
+					throwNextFailure();
 					WatchListener listener = (WatchListener) arguments[2];
 					listener.changed(new StoredObject(name, "2", Jsons.object()));
 					this.processed.add(name);
@@ -86,4 +124,11 @@
 				});
 	}
 
+	private void throwNextFailure() throws Throwable {
+		Throwable failure = this.failures.poll();
+		if (failure != null) {
+			throw failure;
+		}
+	}
+
 }
--- a/mangorack/src/test/java/org/mangorack/relay/PlatformProbeTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/PlatformProbeTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.Jsons;
 import org.mangorack.keeper.proto.UpstreamNews;
@@ -37,6 +38,8 @@
 
 	private ContactTracker.Contact contact;
 
+	private Throwable groupFailure;
+
 	private final List<String> reported = new ArrayList<>();
 
 	private final PlatformProbe probe = new PlatformProbe(this.store, () -> this.now, new Metrics(), new Listener());
@@ -131,6 +134,15 @@
 		assertThat(this.contact.length()).isLessThan(Duration.ofSeconds(1));
 	}
 
+	@ParameterizedTest
+	@ValueSource(classes = { IllegalStateException.class, StackOverflowError.class })
+	void anUnexpectedFailureOfOneQueryDoesNotSkipTheOthers(Class<? extends Throwable> type) throws Exception {
+		this.groupFailure = type.getConstructor().newInstance();
+		this.probe.setNeeds(ALL);
+		run(1300);
+		assertThat(this.reported).containsExactly("configuration", "upstreams of 42, whole");
+	}
+
 	private void run(int millis) {
 		for (int i = 0; i < millis; i += 100) {
 			this.now += Duration.ofMillis(100).toNanos();
@@ -157,6 +169,12 @@
 
 		@Override
 		public void group(StoredObject object) {
+			if (PlatformProbeTests.this.groupFailure instanceof RuntimeException failure) {
+				throw failure;
+			}
+			if (PlatformProbeTests.this.groupFailure instanceof Error failure) {
+				throw failure;
+			}
 			PlatformProbeTests.this.reported.add("group");
 		}
 
