--- a/mangorack/src/main/java/org/mangorack/call/Jsons.java
+++ b/mangorack/src/main/java/org/mangorack/call/Jsons.java
@@ -60,6 +60,32 @@
 		}
 	}
 
+	/**
+	 * Reads an upper limit. A limit beyond the range of the type is the largest value of
+	 * the type, which is as good as none.
+	 * @param json the value
+	 * @param absent the limit if the value is absent or not a number
+	 * @return the limit
+	 */
+	public static int intLimit(JsonNode json, int absent) {
+		return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, longLimit(json, absent)));
+	}
+
+	/**
+	 * Reads an upper limit. A limit beyond the range of the type is the largest value of
+	 * the type, which is as good as none.
+	 * @param json the value
+	 * @param absent the limit if the value is absent or not a number
+	 * @return the limit
+	 */
+	public static long longLimit(JsonNode json, long absent) {
+		if (!json.isNumber()) {
+			return json.asLong(absent);
+		}
+		// A floating-point number is converted to the nearest value of the type.
+		return json.canConvertToLong() ? json.longValue() : (long) json.doubleValue();
+	}
+
 	/**
 	 * Creates an empty JSON object.
 	 * @return the new object
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -650,7 +650,7 @@
 	}
 
 	private int tokens() {
-		return events() * this.tokensPerEvent;
+		return (int) Math.min(Integer.MAX_VALUE, (long) events() * this.tokensPerEvent);
 	}
 
 	private static void cancel(Future<?> task) {
