Keep the connection of a late keeper until another one is answered

Cause: a link closed its connection after 800 ms without a byte, dropped the requests that waited on it and connected again 150 ms later. A keeper that was only late got the same work again on another connection, and its replies to the former one were thrown away: failures that cause the load that causes them. Besides, the silence was taken from the clock, so a stall of the own process counted as silence of the keeper, also where the reply had arrived and had not been read.

Change: a silent connection gets no more requests but stays open. 150 ms later another connection is made beside it, and is used once a request without a body was answered on it; what waited on the former is lost only then. If the former sends anything first, it is used again and the new one is closed. A check adds at most two check intervals to a silence, so a keeper is silent only after several checks of a loop that ran, with a read between each two. A connection that went silent for good is found as soon as before and replaced one round trip later.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -71,8 +71,6 @@
 	 */
 	static final int REREAD_MARGIN_TURNS = 8;
 
-	private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
-
 	private final EventLoop loop;
 
 	private final MonotonicClock clock;
@@ -106,8 +104,8 @@
 		this.clock = clock;
 		this.dataCentre = dataCentre;
 		this.view = GroupView.unknown(tolerance);
-		loop.scheduleWithFixedDelay(new GuardedTask("keeper calls", this::check), CHECK_INTERVAL.toMillis(),
-				CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		loop.scheduleWithFixedDelay(new GuardedTask("keeper calls", this::check), KeeperLink.CHECK_INTERVAL.toMillis(),
+				KeeperLink.CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	// ---- Configuration
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -31,18 +31,41 @@
 import org.mangorack.observe.MonotonicClock;
 
 /**
- * A connection to a keeper that reconnects whenever it is lost. Not thread-safe unless
+ * A link to a keeper that reconnects whenever its connection is lost. A connection on
+ * which replies are late is taken out of use, but not closed before another one has
+ * proved to be served: a keeper that is only slow would otherwise be burdened with
+ * connections and with the requests that were lost with them. Not thread-safe unless
  * noted otherwise: confined to its event loop.
  */
 final class KeeperLink {
 
 	/**
-	 * The inactivity timeout. A connection with pending requests is closed if for this
-	 * long the keeper has neither sent a byte nor accepted a part of a large request.
-	 * Several times the heartbeat interval and the duration of a slow disk sync.
+	 * The interval at which {@link #checkInactivity()} is to be called.
+	 */
+	static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+	/**
+	 * The inactivity timeout. A connection with pending requests is taken out of use if
+	 * for this long the keeper has neither sent a byte nor accepted a part of a large
+	 * request. Several times the heartbeat interval and the duration of a slow disk sync.
 	 */
 	static final Duration INACTIVITY_TIMEOUT = Duration.ofMillis(800);
 
+	/**
+	 * How long a new connection that is to replace a silent one may stay silent itself.
+	 */
+	static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
+
+	/**
+	 * How long a silent connection is kept if no other one is served either. No call
+	 * waits longer for a reply.
+	 */
+	static final Duration MAX_SILENCE = KeeperClient.SETTLE_TIMEOUT;
+
+	// The longest time that one check adds to a silence. The event loop reads between two
+	// checks, so a stall of this process does not count as silence of the keeper.
+	private static final Duration MAX_STEP = CHECK_INTERVAL.multipliedBy(2);
+
 	private static final Duration RECONNECT_DELAY = Duration.ofMillis(150);
 
 	private static final int CONNECT_TIMEOUT_MS = 500;
@@ -55,11 +78,13 @@
 
 	private final Runnable onConnected;
 
-	private final Map<Long, Pending> pending = new LinkedHashMap<>();
+	// The connection that requests are sent on, or null.
+	private Connection current;
 
-	private Channel channel;
+	// A connection that is being established or has not been answered yet, or null.
+	private Connection candidate;
 
-	private boolean connected;
+	private boolean silent;
 
 	private boolean connectedBefore;
 
@@ -67,6 +92,8 @@
 
 	private long lastRequestId;
 
+	private long lastCheck;
+
 	private volatile long lastActivity;
 
 	KeeperLink(EventLoop loop, Member member, MonotonicClock clock, Runnable onConnected) {
@@ -74,14 +101,17 @@
 		this.member = member;
 		this.clock = clock;
 		this.onConnected = onConnected;
+		this.lastCheck = clock.nanoTime();
 	}
 
 	// ---- Life-cycle
 
 	void connect() {
-		if (this.closed) {
+		if (this.closed || isConnected() || (this.candidate != null)) {
 			return;
 		}
+		Connection connection = new Connection();
+		this.candidate = connection;
 		ChannelFuture future = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -89,23 +119,27 @@
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel ch) {
-					ch.pipeline().addLast(new ReadActivity());
+					ch.pipeline().addLast(new ReadActivity(connection));
 					MessageFrames.addTo(ch.pipeline(), Reply.getDefaultInstance());
-					ch.pipeline().addLast(new Handler());
+					ch.pipeline().addLast(connection);
 				}
 			})
 			.connect(this.member.getHost(), this.member.getPort());
+		connection.channel = future.channel();
 		future.addListener((f) -> {
 			if (!f.isSuccess()) {
-				scheduleConnect();
+				onDisconnected(connection);
 			}
 		});
 	}
 
 	void close() {
 		this.closed = true;
-		if (this.channel != null) {
-			this.channel.close();
+		if (this.current != null) {
+			this.current.channel.close();
+		}
+		if (this.candidate != null) {
+			this.candidate.channel.close();
 		}
 	}
 
@@ -115,8 +149,12 @@
 		return this.member;
 	}
 
+	/**
+	 * Returns whether requests can be sent.
+	 * @return {@code true} if there is a connection on which replies are not late
+	 */
 	boolean isConnected() {
-		return this.connected;
+		return (this.current != null) && !this.silent;
 	}
 
 	/**
@@ -136,31 +174,37 @@
 	 * @param listener receives the outcome
 	 */
 	void send(Request.Builder request, ReplyListener listener) {
-		if (!this.connected) {
+		if (!isConnected()) {
 			listener.connectionLost();
 			return;
 		}
-		long id = ++this.lastRequestId;
-		this.pending.put(id, new Pending(listener, this.clock.nanoTime()));
-		ChannelProgressivePromise written = this.channel.newProgressivePromise();
-		written.addListener(new WriteActivity());
-		this.channel.writeAndFlush(request.setId(id).setDisk(this.member.getDisk()).build(), written);
+		this.current.send(request, listener);
 	}
 
 	/**
-	 * Closes the connection if requests are pending and the inactivity timeout has
-	 * expired.
+	 * Takes the connection out of use if requests are pending and the inactivity timeout
+	 * has expired, and then connects anew. The keeper is reached again once it sends
+	 * bytes on the former connection, or answers on the new one, which then replaces the
+	 * former.
 	 */
 	void checkInactivity() {
-		if (this.pending.isEmpty()) {
-			return;
-		}
 		long now = this.clock.nanoTime();
-		long oldest = this.pending.values().iterator().next().sentAt();
-		if (now - Math.max(oldest, this.lastActivity) > INACTIVITY_TIMEOUT.toNanos()) {
-			EventLog.log(Event.KEEPER_SILENT, "keeper", this.member.getName(), "waiting", this.pending.size());
-			this.channel.close();
+		if ((this.candidate != null) && (this.candidate.silence(now) > PROBE_TIMEOUT.toNanos())) {
+			this.candidate.channel.close();
+		}
+		if (this.current != null) {
+			long silence = this.current.silence(now);
+			if (!this.silent && (silence > INACTIVITY_TIMEOUT.toNanos())) {
+				EventLog.log(Event.KEEPER_SILENT, "keeper", this.member.getName(), "waiting",
+						this.current.pending.size());
+				this.silent = true;
+				scheduleConnect();
+			}
+			else if (silence > MAX_SILENCE.toNanos()) {
+				this.current.channel.close();
+			}
 		}
+		this.lastCheck = now;
 	}
 
 	// ---- Helpers
@@ -171,16 +215,79 @@
 		}
 	}
 
-	private void onDisconnected() {
-		boolean wasConnected = this.connected;
-		this.connected = false;
-		List<Pending> lost = new ArrayList<>(this.pending.values());
-		this.pending.clear();
-		if (wasConnected && !this.closed) {
-			EventLog.log(Event.KEEPER_LOST, "keeper", this.member.getName(), "waiting", lost.size());
+	private void onEstablished(Connection connection) {
+		if (this.closed || (connection != this.candidate)) {
+			connection.channel.close();
+		}
+		else if (this.current == null) {
+			use(connection);
+		}
+		else {
+			connection.send(Request.newBuilder(), new Probe(connection));
+		}
+	}
+
+	private void use(Connection connection) {
+		Connection former = this.current;
+		this.current = connection;
+		this.candidate = null;
+		if (former != null) {
+			former.channel.close();
+			former.reportLost();
+		}
+		onUsable("new");
+	}
+
+	private void onUsable(String connection) {
+		this.silent = false;
+		this.lastActivity = this.clock.nanoTime();
+		EventLog.log(this.connectedBefore ? Event.KEEPER_REGAINED : Event.KEEPER_CONNECTED, "keeper",
+				this.member.getName(), "connection", connection);
+		this.connectedBefore = true;
+		this.onConnected.run();
+	}
+
+	private void onActivity(Connection connection) {
+		connection.silence = 0;
+		connection.activeAt = this.clock.nanoTime();
+		if (connection != this.current) {
+			return;
+		}
+		this.lastActivity = connection.activeAt;
+		if (this.silent) {
+			if (this.candidate != null) {
+				this.candidate.channel.close();
+				this.candidate = null;
+			}
+			onUsable("former");
+		}
+	}
+
+	private void onDisconnected(Connection connection) {
+		if (connection == this.candidate) {
+			this.candidate = null;
+			scheduleConnect();
+		}
+		else if (connection == this.current) {
+			onCurrentLost();
+		}
+		connection.reportLost();
+	}
+
+	private void onCurrentLost() {
+		if (!this.closed) {
+			EventLog.log(Event.KEEPER_LOST, "keeper", this.member.getName(), "waiting", this.current.pending.size());
+		}
+		Connection lost = this.current;
+		this.current = null;
+		this.silent = false;
+		lost.reportLost();
+		if ((this.candidate != null) && this.candidate.channel.isActive()) {
+			use(this.candidate);
+		}
+		else if (this.candidate == null) {
+			scheduleConnect();
 		}
-		lost.forEach((p) -> p.listener().connectionLost());
-		scheduleConnect();
 	}
 
 	/**
@@ -189,9 +296,15 @@
 	 */
 	private final class ReadActivity extends ChannelInboundHandlerAdapter {
 
+		private final Connection connection;
+
+		private ReadActivity(Connection connection) {
+			this.connection = connection;
+		}
+
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) {
-			KeeperLink.this.lastActivity = KeeperLink.this.clock.nanoTime();
+			onActivity(this.connection);
 			ctx.fireChannelRead(message);
 		}
 
@@ -204,10 +317,16 @@
 	 */
 	private final class WriteActivity implements ChannelProgressiveFutureListener {
 
+		private final Connection connection;
+
+		private WriteActivity(Connection connection) {
+			this.connection = connection;
+		}
+
 		@Override
 		public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
 			if (progress < total) {
-				KeeperLink.this.lastActivity = KeeperLink.this.clock.nanoTime();
+				onActivity(this.connection);
 			}
 		}
 
@@ -219,38 +338,63 @@
 	}
 
 	/**
-	 * Dispatches replies to the listeners of their requests.
+	 * A connection to the keeper. Dispatches replies to the listeners of their requests.
 	 */
-	private final class Handler extends SimpleChannelInboundHandler<Reply> {
+	private final class Connection extends SimpleChannelInboundHandler<Reply> {
 
-		@Override
-		public void channelActive(ChannelHandlerContext ctx) {
+		private final Map<Long, Pending> pending = new LinkedHashMap<>();
+
+		private Channel channel;
+
+		private long activeAt = KeeperLink.this.clock.nanoTime();
+
+		private long silence;
+
+		private void send(Request.Builder request, ReplyListener listener) {
 			KeeperLink link = KeeperLink.this;
-			if (link.closed) {
-				ctx.close();
-				return;
+			long id = ++link.lastRequestId;
+			this.pending.put(id, new Pending(listener, link.clock.nanoTime()));
+			ChannelProgressivePromise written = this.channel.newProgressivePromise();
+			written.addListener(new WriteActivity(this));
+			this.channel.writeAndFlush(request.setId(id).setDisk(link.member.getDisk()).build(), written);
+		}
+
+		// Returns for how many nanoseconds, seen by checks, requests were left without a
+		// sign of activity.
+		private long silence(long now) {
+			if (this.pending.isEmpty()) {
+				this.silence = 0;
+				return 0;
 			}
-			link.channel = ctx.channel();
-			link.connected = true;
-			link.lastActivity = link.clock.nanoTime();
-			EventLog.log(link.connectedBefore ? Event.KEEPER_REGAINED : Event.KEEPER_CONNECTED, "keeper",
-					link.member.getName());
-			link.connectedBefore = true;
-			link.onConnected.run();
+			long oldest = this.pending.values().iterator().next().sentAt();
+			long since = Math.max(Math.max(oldest, this.activeAt), KeeperLink.this.lastCheck);
+			this.silence += Math.min(now - since, MAX_STEP.toNanos());
+			return this.silence;
+		}
+
+		private void reportLost() {
+			List<Pending> lost = new ArrayList<>(this.pending.values());
+			this.pending.clear();
+			lost.forEach((p) -> p.listener().connectionLost());
+		}
+
+		@Override
+		public void channelActive(ChannelHandlerContext ctx) {
+			this.channel = ctx.channel();
+			onEstablished(this);
 		}
 
 		@Override
 		public void channelInactive(ChannelHandlerContext ctx) {
-			onDisconnected();
+			onDisconnected(this);
 		}
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, Reply reply) {
-			KeeperLink link = KeeperLink.this;
 			boolean last = reply.getDurable() || (reply.getStatusValue() != 0);
-			Pending pendingRequest = last ? link.pending.remove(reply.getId()) : link.pending.get(reply.getId());
-			if (pendingRequest != null) {
-				pendingRequest.listener().replied(reply);
+			Pending request = last ? this.pending.remove(reply.getId()) : this.pending.get(reply.getId());
+			if (request != null) {
+				request.listener().replied(reply);
 			}
 		}
 
@@ -262,6 +406,33 @@
 
 	}
 
+	/**
+	 * A request without a body, which each keeper answers at once. The reply shows that a
+	 * connection is served, which its establishment does not: the operating system
+	 * accepts connections for a process that does not run.
+	 */
+	private final class Probe implements ReplyListener {
+
+		private final Connection connection;
+
+		private Probe(Connection connection) {
+			this.connection = connection;
+		}
+
+		@Override
+		public void replied(Reply reply) {
+			if (this.connection == KeeperLink.this.candidate) {
+				use(this.connection);
+			}
+		}
+
+		@Override
+		public void connectionLost() {
+			// The link connects again.
+		}
+
+	}
+
 	/**
 	 * A request whose last reply has not arrived.
 	 *
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -133,10 +133,10 @@
 	/** A connection to a keeper failed. */
 	KEEPER_LOST(2002, Level.WARN, "keeper lost"),
 
-	/** A connection to a keeper was re-established. */
+	/** A keeper replies again, on its former connection or a new one. */
 	KEEPER_REGAINED(2003, Level.INFO, "keeper regained"),
 
-	/** A keeper did not reply to requests in time; its connection is closed. */
+	/** A keeper did not reply to requests in time; its connection is not used. */
 	KEEPER_SILENT(2004, Level.WARN, "keeper silent"),
 
 	/** A client connection to this keeper failed. */
