Check the links between keepers periodically

A link between keepers was checked for inactivity only when the next request was sent on it, which no longer suffices as one check adds a bounded time. The first request of a link was sent again whenever the link was connected and the request was unanswered; with a late keeper, whose link comes back without losing its requests, it would be sent twice.

KeeperPeersTests#aRequestIsNotSentAgainWhenItsKeeperIsReachedAgain failed with the former condition: "Expecting value to be true but was false", the second request on the link was the first one again.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperPeers.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperPeers.java
@@ -6,14 +6,17 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.EventLoop;
 
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Reply;
 import org.mangorack.keeper.proto.Request;
+import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
 
 /**
@@ -27,9 +30,14 @@
 
 	private final Map<String, KeeperLink> links = new HashMap<>();
 
+	private final Future<?> checks;
+
 	KeeperPeers(EventLoop loop, MonotonicClock clock) {
 		this.loop = loop;
 		this.clock = clock;
+		this.checks = loop.scheduleWithFixedDelay(
+				new GuardedTask("peers", () -> this.links.values().forEach(KeeperLink::checkInactivity)),
+				KeeperLink.CHECK_INTERVAL.toMillis(), KeeperLink.CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -53,6 +61,7 @@
 
 	@Override
 	public void close() {
+		this.checks.cancel(false);
 		this.loop.execute(() -> {
 			this.links.values().forEach(KeeperLink::close);
 			this.links.clear();
@@ -62,13 +71,13 @@
 	private void send(Member member, Request.Builder request, CompletableFuture<Reply> result) {
 		KeeperLink known = this.links.get(member.getDisk());
 		if (known != null) {
-			known.checkInactivity();
 			deliver(known, request, result);
 			return;
 		}
 		KeeperLink[] created = new KeeperLink[1];
+		AtomicBoolean sent = new AtomicBoolean();
 		created[0] = new KeeperLink(this.loop, member, this.clock, () -> {
-			if (!result.isDone()) {
+			if (!sent.getAndSet(true)) {
 				deliver(created[0], request, result);
 			}
 		});
