Leave nothing of a view that could not be written on the disk of a keeper

What is seen: the room that a disk has left is taken by a view that was written in part.

Cause: the temporary file stayed where it was. The view itself was and is kept as it was; the change is refused and tried again with the next round of the group, so the keeper follows once there is room.

Test: ViewFileTests#aViewThatFoundNoRoomLeavesNothingAndIsWrittenLater, failed before in 4 of 5 cases, the first with "expected: 23L but was: 24L" bytes used. #aLossOfPowerInAWriteLeavesTheOldOrTheNewView passed before as well.

--- a/mangorack/src/main/java/org/mangorack/keeper/ViewFile.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ViewFile.java
@@ -67,6 +67,7 @@
 
 	/**
 	 * Replaces a file atomically: after a crash it has either the old or the new content.
+	 * A failure leaves nothing behind that takes room on the disk.
 	 * @param files the files of the disk
 	 * @param target the file to replace
 	 * @param content the new content
@@ -74,14 +75,29 @@
 	 */
 	static void writeSynced(DiskFiles files, Path target, ByteBuffer content) throws IOException {
 		Path temporary = target.resolveSibling(target.getFileName() + ".new");
-		try (DiskFiles.OpenFile out = files.create(temporary)) {
-			out.write(content);
-			out.sync();
+		try {
+			try (DiskFiles.OpenFile out = files.create(temporary)) {
+				out.write(content);
+				out.sync();
+			}
+			files.rename(temporary, target);
+		}
+		catch (IOException ex) {
+			deleteAfter(ex, files, temporary);
+			throw ex;
 		}
-		files.rename(temporary, target);
 		files.syncFolder(target.getParent());
 	}
 
+	private static void deleteAfter(IOException failure, DiskFiles files, Path temporary) {
+		try {
+			files.delete(temporary);
+		}
+		catch (IOException ex) {
+			failure.addSuppressed(ex);
+		}
+	}
+
 	private static long checksum(byte[] bytes) {
 		CRC32C crc = new CRC32C();
 		crc.update(bytes);
