Refuse at once what a keeper cannot store after its disk failed

What callers saw: turns and reservations that waited for a keeper whose disk took nothing, and a keeper that granted a reservation in its first reply before the second one reported the failure. What it could not store stayed in its memory for the whole retention.

Cause: each entry was written, whatever had become of the one before, and turns and charges were taken into memory before.

Change: after a failed write or sync the log rejects entries at once for 250 ms, then tries the next one, which tells whether there is room again; no restart is needed. What waits when a write fails fails with it. The store asks the log before it takes anything into memory; a rejected reservation gets one reply, the refusal.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -267,9 +267,11 @@
 			.addCharge(charge)
 			.setRetentionMs(reserve.getRetentionMs())
 			.build();
-		this.turns.charge(charges,
+		boolean counted = this.turns.charge(charges,
 				(failure) -> out.accept(outcome(failure).setCharges(this.turns.charges(reserve.getProgram()))));
-		out.accept(Reply.newBuilder().setCharges(this.turns.charges(reserve.getProgram())));
+		if (counted) {
+			out.accept(Reply.newBuilder().setCharges(this.turns.charges(reserve.getProgram())));
+		}
 	}
 
 	private void settle(Settle settle, Consumer<Reply.Builder> out) {
--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
@@ -18,6 +19,7 @@
 import org.mangorack.keeper.proto.LogEntry;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.MonotonicClock;
 
 /**
  * The append-only log of a keeper, made of numbered segment files. A segment is deleted
@@ -33,6 +35,12 @@
 	 */
 	static final int SEGMENT_BYTES = 4 * 1024 * 1024;
 
+	/**
+	 * The time for which entries are rejected after a write failed. The first entry after
+	 * that is written, which tells whether the disk takes entries again.
+	 */
+	static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
 	private static final String SUFFIX = ".log";
 
 	// The length and the checksum that precede each entry.
@@ -46,6 +54,8 @@
 
 	private final DiskFiles files;
 
+	private final MonotonicClock clock;
+
 	private final Thread writer;
 
 	private final Deque<PendingEntry> queue = new ArrayDeque<>();
@@ -63,9 +73,10 @@
 
 	private volatile int tornSegments;
 
-	// When the first of the writes that failed in a row did, or null if the last one
-	// succeeded.
-	private volatile Long failingSince;
+	// Null if the last write succeeded.
+	private volatile Outage outage;
+
+	private final AtomicLong rejected = new AtomicLong();
 
 	/**
 	 * Opens the log. Existing segments are read by {@link #replay(BiConsumer)}.
@@ -75,7 +86,7 @@
 	 * is not a segment number
 	 */
 	RecordLog(Path folder, Consumer<Runnable> callbackExecutor) throws IOException {
-		this(folder, callbackExecutor, DiskFiles.SYSTEM);
+		this(folder, callbackExecutor, DiskFiles.SYSTEM, MonotonicClock.SYSTEM);
 	}
 
 	/**
@@ -83,13 +94,16 @@
 	 * @param folder the folder of the segments
 	 * @param callbackExecutor runs the callbacks of appends
 	 * @param files the files of the disk
+	 * @param clock measures how long entries are rejected after a failure
 	 * @throws IOException if the folder cannot be read or contains a log file whose name
 	 * is not a segment number
 	 */
-	RecordLog(Path folder, Consumer<Runnable> callbackExecutor, DiskFiles files) throws IOException {
+	RecordLog(Path folder, Consumer<Runnable> callbackExecutor, DiskFiles files, MonotonicClock clock)
+			throws IOException {
 		this.folder = folder;
 		this.callbackExecutor = callbackExecutor;
 		this.files = files;
+		this.clock = clock;
 		files.createFolder(folder);
 		for (String name : files.list(folder)) {
 			if (name.endsWith(SUFFIX)) {
@@ -167,11 +181,31 @@
 	}
 
 	/**
-	 * Appends an entry.
+	 * Returns why an entry would be rejected if it was appended now.
+	 * @return the reason, or {@code null} if the entry would be written
+	 */
+	IOException rejection() {
+		Outage current = this.outage;
+		if ((current == null) || (this.clock.nanoTime() - current.retryAt() >= 0)) {
+			return null;
+		}
+		return new IOException("log in " + this.folder + " is not written since its disk failed "
+				+ failingTime().toMillis() + " ms ago", current.cause());
+	}
+
+	/**
+	 * Appends an entry, or rejects it at once.
 	 * @param entry the entry
-	 * @param done receives {@code null} once the entry is synced to disk, or the failure
+	 * @param done receives {@code null} once the entry is synced to disk, or the failure.
+	 * Always called by the executor of callbacks
 	 */
 	void append(LogEntry entry, Consumer<IOException> done) {
+		IOException rejection = rejection();
+		if (rejection != null) {
+			this.rejected.incrementAndGet();
+			this.callbackExecutor.accept(() -> done.accept(rejection));
+			return;
+		}
 		synchronized (this.queue) {
 			this.queue.add(new PendingEntry(entry.toByteArray(), done));
 			this.queue.notifyAll();
@@ -179,11 +213,14 @@
 	}
 
 	/**
-	 * Writes the entries that are waiting and reports the outcome. Called by the writer
-	 * thread.
+	 * Writes the entries that are waiting and reports the outcome. After a failure the
+	 * entries that arrived in the meantime fail as well. Called by the writer thread.
 	 */
 	void writeNextBatch() {
 		List<PendingEntry> batch = takeBatch();
+		if (batch.isEmpty()) {
+			return;
+		}
 		long segment = segment();
 		IOException failure = null;
 		try {
@@ -193,6 +230,7 @@
 		catch (IOException ex) {
 			writeFailed(segment, ex);
 			failure = ex;
+			batch.addAll(takeBatch());
 		}
 		IOException outcome = failure;
 		this.callbackExecutor.accept(() -> batch.forEach((p) -> p.done().accept(outcome)));
@@ -257,8 +295,16 @@
 	 * @return the time since the first of them, or zero if the last write succeeded
 	 */
 	Duration failingTime() {
-		Long since = this.failingSince;
-		return (since != null) ? Duration.ofNanos(System.nanoTime() - since) : Duration.ZERO;
+		Outage current = this.outage;
+		return (current != null) ? this.clock.elapsed(current.since()) : Duration.ZERO;
+	}
+
+	/**
+	 * Returns how many entries were rejected without an attempt to write them.
+	 * @return the number of entries since the start
+	 */
+	long rejectedEntries() {
+		return this.rejected.get();
 	}
 
 	/**
@@ -289,17 +335,18 @@
 	}
 
 	private void writeFailed(long segment, IOException failure) {
-		if (this.failingSince == null) {
-			this.failingSince = System.nanoTime();
-		}
+		long now = this.clock.nanoTime();
+		long since = (this.outage != null) ? this.outage.since() : now;
+		this.outage = new Outage(failure, since, now + RETRY_DELAY.toNanos());
 		EventLog.log(Event.LOG_FAILED, failure, "operation", "write", "segment", segment, "failingMillis",
 				failingTime().toMillis(), "roomBytes", roomBytes());
 	}
 
 	private void writeSucceeded() {
-		if (this.failingSince != null) {
-			EventLog.log(Event.LOG_RECOVERED, "segment", segment(), "failingMillis", failingTime().toMillis());
-			this.failingSince = null;
+		if (this.outage != null) {
+			EventLog.log(Event.LOG_RECOVERED, "segment", segment(), "failingMillis", failingTime().toMillis(),
+					"rejected", this.rejected.get());
+			this.outage = null;
 		}
 	}
 
@@ -368,6 +415,16 @@
 		}
 	}
 
+	/**
+	 * The time in which writes fail.
+	 *
+	 * @param cause the latest failure
+	 * @param since when the first write failed, on the clock of the log in nanoseconds
+	 * @param retryAt when the next write is tried, on the same clock
+	 */
+	private record Outage(IOException cause, long since, long retryAt) {
+	}
+
 	/**
 	 * An entry that is waiting to be written.
 	 *
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -184,32 +184,42 @@
 	// ---- Changes
 
 	/**
-	 * Adds or settles charges.
+	 * Adds or settles charges, unless the log rejects them.
 	 * @param charges the charges of one program
 	 * @param done receives {@code null} once the charges are synced to disk, or the
 	 * failure
+	 * @return whether the charges count. If not, the failure was reported
 	 */
-	void charge(ProgramCharges charges, Consumer<IOException> done) {
+	boolean charge(ProgramCharges charges, Consumer<IOException> done) {
+		IOException rejection = this.log.rejection();
+		if (rejection != null) {
+			done.accept(rejection);
+			return false;
+		}
 		long now = this.wallClockMillis.getAsLong();
 		program(charges.getProgram()).merge(charges, clockMillis(), now, this.log.segment());
 		this.log.append(LogEntry.newBuilder().setStoredMs(now).setCharges(charges).build(), done);
+		return true;
 	}
 
 	/**
-	 * Stores a turn. A turn never changes, so the content that was stored first is kept,
-	 * and a turn that is already synced to disk is not written again.
+	 * Stores a turn, unless the log rejects it. A turn never changes, so the content that
+	 * was stored first is kept, and a turn that is already synced to disk is not written
+	 * again.
 	 * @param turn the turn
 	 * @param done receives {@code null} once the turn is synced to disk, or the failure
 	 */
 	void storeTurn(Turn turn, Consumer<IOException> done) {
-		long now = this.wallClockMillis.getAsLong();
-		Turn stampedTurn = (turn.getStoredMs() != 0) ? turn : turn.toBuilder().setStoredMs(now).build();
-		StoredTurn stored = addIfAbsent(stampedTurn, this.log.segment());
-		if (stored.isSynced()) {
-			done.accept(null);
+		StoredTurn known = this.turns.get(turn.getId());
+		boolean synced = (known != null) && known.isSynced();
+		IOException rejection = synced ? null : this.log.rejection();
+		if (synced || (rejection != null)) {
+			done.accept(rejection);
 			return;
 		}
-		append(stored, done);
+		long now = this.wallClockMillis.getAsLong();
+		Turn stampedTurn = (turn.getStoredMs() != 0) ? turn : turn.toBuilder().setStoredMs(now).build();
+		append(addIfAbsent(stampedTurn, this.log.segment()), done);
 	}
 
 	/**
--- a/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
@@ -21,6 +21,7 @@
 
 import org.mangorack.keeper.proto.LogEntry;
 import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -121,6 +122,26 @@
 		assertThat(history.disk.list(FOLDER)).hasSize(1);
 	}
 
+	// Guards against callers that wait for a disk that takes nothing, and against a
+	// restart that is needed when it has room again.
+	@Test
+	void aDiskWithoutRoomRejectsEntriesAtOnceAndTakesThemAgain() throws Exception {
+		History history = new History(1);
+		history.append(1, 40);
+		history.disk.leaveRoom(10);
+		assertThat(history.append(2, 40)).isFalse();
+		int syncs = history.disk.syncs();
+		history.disk.makeRoom();
+		assertThat(history.append(2, 40)).isFalse();
+		assertThat(history.log.rejectedEntries()).isEqualTo(2);
+		assertThat(history.disk.syncs()).isEqualTo(syncs);
+		history.pause();
+		assertThat(history.log.failingTime()).isEqualTo(RecordLog.RETRY_DELAY);
+		assertThat(history.append(2, 40)).isTrue();
+		assertThat(history.log.failingTime()).isZero();
+		history.restart();
+	}
+
 	@Property(seed = "2106", tries = 500)
 	void confirmedEntriesAreReplayed(@ForAll("actions") List<Action> actions, @ForAll long seed) throws IOException {
 		playAll(actions, seed);
@@ -242,6 +263,8 @@
 
 		private final FaultyDisk disk;
 
+		private final ManualClock clock = new ManualClock();
+
 		private final Random random;
 
 		private RecordLog log;
@@ -255,7 +278,7 @@
 		private History(long seed) throws IOException {
 			this.disk = new FaultyDisk(seed);
 			this.random = new Random(seed);
-			this.log = new RecordLog(FOLDER, Runnable::run, this.disk);
+			this.log = new RecordLog(FOLDER, Runnable::run, this.disk, this.clock);
 		}
 
 		/**
@@ -290,6 +313,7 @@
 
 		// Lets the time pass for which the log rejects entries after a failure.
 		private void pause() {
+			this.clock.advance(RecordLog.RETRY_DELAY);
 		}
 
 		// What a restart has read counts as confirmed, as it is not written again. A log
@@ -297,7 +321,7 @@
 		private void restart() throws IOException {
 			this.disk.restart();
 			this.disk.failSyncs(0);
-			this.log = new RecordLog(FOLDER, Runnable::run, this.disk);
+			this.log = new RecordLog(FOLDER, Runnable::run, this.disk, this.clock);
 			List<Integer> replayed = new ArrayList<>();
 			List<Long> segments = new ArrayList<>();
 			this.log.replay((segment, entry) -> {
