List no turn whose write failed as held by a keeper

What callers would see: 404 no_turn after a restart of a disk that joined while its writes failed. Not known to have happened.

Cause: a turn whose write failed stays in memory. A join that failed for it is repeated and copies what the disk does not list; it listed that turn, so the repeated join completed without it on disk. A member that copies to the others before it leaves read the same list of theirs.

Change: a turn is listed while it is being written or once it is synced, not after a failed write.

Test: TurnStoreFaultTests#aTurnWhoseWriteFailedIsNotListed, failed before: Expecting actual: ["first", "second"] to contain exactly (and in same order): ["first"]

--- a/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
@@ -28,6 +28,8 @@
 
 	private boolean moving;
 
+	private boolean lost;
+
 	private boolean synced;
 
 	private boolean chainSynced;
@@ -104,6 +106,14 @@
 		return this.moving;
 	}
 
+	/**
+	 * Returns whether the turn is in memory only, because its last write failed.
+	 * @return {@code true} until it is written again
+	 */
+	boolean isLost() {
+		return this.lost;
+	}
+
 	boolean isSynced() {
 		return this.synced;
 	}
@@ -144,6 +154,10 @@
 		this.moving = moving;
 	}
 
+	void setLost(boolean lost) {
+		this.lost = lost;
+	}
+
 	void setExpired() {
 		this.expired = true;
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
@@ -40,8 +40,13 @@
 		return this.turns.size();
 	}
 
+	/**
+	 * Returns the turns that are on disk or being written. A turn whose write failed is
+	 * not one of them, or a disk that copies what it lacks would leave it out.
+	 * @return the ids of the turns
+	 */
 	List<String> ids() {
-		return List.copyOf(this.turns.keySet());
+		return this.turns.values().stream().filter((t) -> !t.isLost()).map(StoredTurn::id).toList();
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -298,10 +298,12 @@
 			.setStoredMs(this.wallClockMillis.getAsLong())
 			.setTurn(turn.turn())
 			.build();
+		turn.setLost(false);
 		this.log.append(entry, (failure) -> {
 			if (failure == null) {
 				this.turns.synced(turn);
 			}
+			turn.setLost((failure != null) && !turn.isSynced());
 			done.accept(failure);
 		});
 	}
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
@@ -36,6 +36,19 @@
 		assertThat(store("first")).isNull();
 	}
 
+	// Guards against 404 after a restart of a disk that joined: a copy whose write failed
+	// was left out when the copy was repeated.
+	@Test
+	void aTurnWhoseWriteFailedIsNotListed() {
+		this.disk.leaveRoom(0);
+		assertThat(store("second")).isNotNull();
+		assertThat(this.store.turnIds()).containsExactly("first");
+		this.disk.makeRoom();
+		this.clock.advance(RecordLog.RETRY_DELAY);
+		assertThat(store("second")).isNull();
+		assertThat(this.store.turnIds()).containsExactlyInAnyOrder("first", "second");
+	}
+
 	// Guards against a keeper without room on its disk that runs out of memory.
 	@Test
 	void contentThatTheLogRejectsIsNotHeld() {
