Keep what one odd entry breaks to itself at entries and keepers

UpstreamTable treats an entry whose decoding fails as one that names no upstream, logs it once (it was logged twice at first, and again with each list), with an excerpt of 2 kB at most, and forgets it when it is gone. The group is rejected as a whole if a member or the epoch is invalid: a view without some of its members would have smaller quorums. A keeper that registered wrongly is left out when the group is formed.

By reading: the records of unreadable entries, and the keeper left out when the group is formed.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupDocument.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupDocument.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -20,6 +21,8 @@
 	 */
 	public static final String NAME = "main";
 
+	private static final int MAX_PORT = 65535;
+
 	private GroupDocument() {
 	}
 
@@ -28,10 +31,15 @@
 	 * @param spec the spec of the object
 	 * @param tolerance how many disks may be lost at once
 	 * @return the view
+	 * @throws IllegalArgumentException if the epoch or a member is missing or invalid; a
+	 * view without some of its members would have smaller quorums
 	 */
 	public static GroupView read(JsonNode spec, int tolerance) {
-		return new GroupView(spec.path("epoch").asLong(), members(spec.path("members")), members(spec.path("next")),
-				tolerance);
+		JsonNode epoch = spec.path("epoch");
+		if (!epoch.isIntegralNumber() || !epoch.canConvertToLong()) {
+			throw new IllegalArgumentException("group of keepers without a valid epoch: " + epoch);
+		}
+		return new GroupView(epoch.longValue(), members(spec.path("members")), members(spec.path("next")), tolerance);
 	}
 
 	static ObjectNode write(GroupView view) {
@@ -52,16 +60,52 @@
 		return json;
 	}
 
+	/**
+	 * Reads a keeper.
+	 * @param json the keeper
+	 * @return the member
+	 * @throws IllegalArgumentException if the instance, disk, host or port is missing or
+	 * invalid
+	 */
 	static Member member(JsonNode json) {
 		return Member.newBuilder()
-			.setName(json.path("instance").asText())
-			.setDisk(json.path("disk").asText())
-			.setHost(json.path("host").asText())
-			.setPort(json.path("port").asInt())
+			.setName(text(json, "instance"))
+			.setDisk(text(json, "disk"))
+			.setHost(text(json, "host"))
+			.setPort(port(json.path("port")))
 			.setZone(json.path("dataCentre").asText())
 			.build();
 	}
 
+	/**
+	 * Reads a keeper that may have been written by another program.
+	 * @param json the keeper
+	 * @return the member, or empty if it cannot be read
+	 */
+	static Optional<Member> findMember(JsonNode json) {
+		try {
+			return Optional.of(member(json));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static String text(JsonNode json, String field) {
+		JsonNode value = json.path(field);
+		if (!value.isTextual() || value.asText().isEmpty()) {
+			throw new IllegalArgumentException("keeper without a valid " + field + ": " + value);
+		}
+		return value.asText();
+	}
+
+	private static int port(JsonNode json) {
+		if (!json.isIntegralNumber() || !json.canConvertToInt() || (json.asInt() <= 0) || (json.asInt() > MAX_PORT)) {
+			throw new IllegalArgumentException("keeper without a valid port: " + json);
+		}
+		return json.asInt();
+	}
+
 	private static List<Member> members(JsonNode list) {
 		List<Member> members = new ArrayList<>();
 		list.forEach((item) -> members.add(member(item)));
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -269,7 +269,7 @@
 			return;
 		}
 		List<Member> all = new ArrayList<>();
-		this.keepers.objects().values().forEach((o) -> all.add(GroupDocument.member(o.spec())));
+		this.keepers.objects().values().forEach((o) -> GroupDocument.findMember(o.spec()).ifPresent(all::add));
 		all.sort(Comparator.comparing(Member::getName));
 		boolean first = !all.isEmpty() && all.get(0).getDisk().equals(this.self.getDisk());
 		if (!delayElapsed || !first) {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -51,6 +51,8 @@
 	 */
 	static final Duration DEPARTURE_REPORT_PERIOD = Duration.ofSeconds(3);
 
+	private static final int MAX_LOGGED_ENTRY_BYTES = 2048;
+
 	private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
 	private final EventLoop loop;
@@ -128,19 +130,22 @@
 			Set<String> listed = new HashSet<>();
 			news.getUpstreamList().forEach((u) -> listed.add(u.getName()));
 			this.registered.keySet().retainAll(listed);
+			this.unreadable.retainAll(listed);
 		}
 		news.getGoneList().forEach(this.registered::remove);
+		news.getGoneList().forEach(this.unreadable::remove);
 		news.getUpstreamList().forEach((u) -> parseEntry(u.getName(), u.getDocument()));
 		removeMissing();
 	}
 
 	private void parseEntry(String id, ByteString document) {
 		Optional<UpstreamRegistration> entry = Optional.empty();
+		Exception cause = null;
 		try {
 			entry = this.protocol.upstream(id, Jsons.parse(document.toByteArray()));
 		}
-		catch (IOException ex) {
-			EventLog.log(Event.UPSTREAM_UNREADABLE, ex, "upstream", id);
+		catch (IOException | RuntimeException ex) {
+			cause = ex;
 		}
 		if (entry.isPresent()) {
 			this.registered.put(id, entry.get());
@@ -150,11 +155,15 @@
 		else {
 			this.registered.remove(id);
 			if (this.unreadable.add(id)) {
-				EventLog.log(Event.UPSTREAM_UNREADABLE, "upstream", id, "entry", document.toStringUtf8());
+				EventLog.log(Event.UPSTREAM_UNREADABLE, cause, "upstream", id, "entry", excerpt(document));
 			}
 		}
 	}
 
+	private static String excerpt(ByteString document) {
+		return document.substring(0, Math.min(document.size(), MAX_LOGGED_ENTRY_BYTES)).toStringUtf8();
+	}
+
 	private void removeMissing() {
 		for (Upstream u : List.copyOf(this.upstreams.values())) {
 			if (!this.registered.containsKey(u.id())) {
--- a/mangorack/src/test/java/org/mangorack/relay/UpstreamTableTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamTableTests.java
@@ -10,6 +10,8 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Departure;
@@ -26,6 +28,8 @@
  */
 class UpstreamTableTests {
 
+	private static final String UNDECODABLE = "undecodable";
+
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private long now = 1;
@@ -78,6 +82,22 @@
 		assertThat(isInUse()).isTrue();
 	}
 
+	@Test
+	void anEntryThatCannotBeDecodedLeavesTheOthersInUse() {
+		remove();
+		this.table.apply(news().addUpstream(object().setName(UNDECODABLE)).addUpstream(object()).build());
+		assertThat(isInUse()).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "{", "{\"x\":1,\"x\":2}", "\u0000" })
+	void anUpstreamWhoseEntryBecomesUnreadableIsNotUsedUntilItIsReadable(String document) {
+		this.table.apply(news().addUpstream(object().setDocument(ByteString.copyFromUtf8(document))).build());
+		assertThat(isInUse()).isFalse();
+		this.table.apply(news().addUpstream(object()).build());
+		assertThat(isInUse()).isTrue();
+	}
+
 	@Test
 	void anUpstreamThatDoesNotRegisterAgainIsRemovedBeforeItMayStop() {
 		outage();
@@ -187,6 +207,9 @@
 		return (FleetProtocol) Proxy.newProxyInstance(FleetProtocol.class.getClassLoader(),
 				new Class<?>[] { FleetProtocol.class }, (proxy, method, arguments) -> {
 					if (method.getName().equals("upstream")) {
+						if (arguments[0].equals(UNDECODABLE)) {
+							throw new IllegalStateException("thrown by the protocol");
+						}
 						return Optional.of(entry);
 					}
 					throw new UnsupportedOperationException(method.getName());
