Measure how late the event loop runs and how long confirmations take

The logs could not tell a keeper that is late from an entry that is late itself, nor a stream that was cut for its upstream from one that was whole and waited for the confirmation of its turn. mangorack_loop_delay_seconds and event 2321 (above 500 ms) are kept by entries and keepers; mangorack_turns_confirmed_seconds and the field confirmationMillis of event 2103 tell the wait for the keepers.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -22,6 +23,7 @@
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
+import org.mangorack.observe.LoopDelay;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.KindCache;
@@ -122,6 +124,8 @@
 				groups, keepers, this.retirements, this.service, this.loops.next(), this.clock);
 		this.membership.start();
 		startMetrics(turns);
+		EventLoop loop = this.loops.next();
+		loop.execute(new LoopDelay(loop, this.clock, this.metrics)::start);
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "keeper", "disk", disk,
 				"address", this.settings.listen(), "turns", turns.turnCount(), "programs", turns.programCount(),
 				"epoch", view.epoch());
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -215,7 +215,10 @@
 	SETTINGS_REFUSED(2302, Level.ERROR, "settings refused"),
 
 	/** Log records were suppressed since the last report, to limit the log volume. */
-	RECORDS_LEFT_OUT(2311, Level.INFO, "records left out");
+	RECORDS_LEFT_OUT(2311, Level.INFO, "records left out"),
+
+	/** The event loop ran a task much later than it was due. */
+	LOOP_LATE(2321, Level.WARN, "event loop late");
 
 	private final int number;
 
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -39,6 +39,7 @@
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
+import org.mangorack.observe.LoopDelay;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.ContactTracker;
@@ -135,6 +136,8 @@
 
 	private final PlatformProbe probe;
 
+	private final LoopDelay loopDelay;
+
 	private final ScheduledExecutorService controlExecutor = Executors
 		.newSingleThreadScheduledExecutor(DaemonThreads.named("control"));
 
@@ -165,6 +168,7 @@
 		this.keepersConnectedAt = this.clock.nanoTime();
 		this.protocol = protocol;
 		this.metrics = metrics;
+		this.loopDelay = new LoopDelay(this.loop, this.clock, metrics);
 		this.configuration = new ConfigurationHolder(protocol, this.clock, metrics);
 		this.fetcher = new ConfigurationFetcher(this.configuration, this.clock, this.loop,
 				this::onConfigurationApplied);
@@ -197,6 +201,7 @@
 				PROBE_CHECK_INTERVAL.toMillis(), PROBE_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 		this.keepers.setConnectionListener(this::onKeeperConnected);
 		this.loop.execute(this::sendAndScheduleHeartbeat);
+		this.loop.execute(this.loopDelay::start);
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "entry", "callers",
 				this.settings.callers(), "tolerance", this.settings.tolerance());
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -120,6 +120,9 @@
 
 	private ResponseStream stream;
 
+	// Zero until the upstream has ended the stream and its turn is being stored.
+	private long streamEndedAt;
+
 	private Verdict lastVerdict = Verdict.NOT_RUN;
 
 	RelayCall(RelayServer server, CallerConnection caller, CallHead head, byte[] body) {
@@ -553,7 +556,8 @@
 		settleCharge();
 		this.server.log()
 			.log(Event.RELAY_BROKEN, "request", this.head.requestId(), "route", routeName(), "workspace",
-					workspaceName(), "cause", cause, "events", events(), "afterMillis", elapsed().toMillis());
+					workspaceName(), "cause", cause, "events", events(), "afterMillis", elapsed().toMillis(),
+					"confirmationMillis", confirmationWait().toMillis());
 		this.server.record(workspaceName(), routeName(), "broken", elapsed());
 		this.caller.abort();
 	}
@@ -599,10 +603,13 @@
 			this.caller.endStream();
 			return;
 		}
+		this.streamEndedAt = this.server.now();
 		this.server.keepers().settle(programAttempt(), tokens(), isBudgeted(), turn(), (kept) -> {
 			if (this.ended) {
+				this.server.recordConfirmation("ended", confirmationWait());
 				return;
 			}
+			this.server.recordConfirmation(kept ? "kept" : "unconfirmed", confirmationWait());
 			if (kept) {
 				served(status, upstream);
 				this.caller.endStream();
@@ -663,6 +670,10 @@
 		return Duration.ofNanos(this.server.now() - this.arrivedAt);
 	}
 
+	private Duration confirmationWait() {
+		return (this.streamEndedAt != 0) ? Duration.ofNanos(this.server.now() - this.streamEndedAt) : Duration.ZERO;
+	}
+
 	private String routeName() {
 		return (this.route != null) ? this.route.name() : "none";
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -267,6 +267,16 @@
 		this.metrics.recordCall(workspace.isEmpty() ? "none" : workspace, route, outcome, time);
 	}
 
+	/**
+	 * Records how long the end of a stream waited for the confirmation of its turn.
+	 * @param outcome {@code kept}, {@code unconfirmed}, or {@code ended} if the call
+	 * ended before
+	 * @param time the time since the upstream ended the stream
+	 */
+	void recordConfirmation(String outcome, Duration time) {
+		this.metrics.timer("mangorack.turns.confirmed", "outcome", outcome).record(time);
+	}
+
 	void connectionOpened(CallerConnection connection) {
 		this.connections.add(connection);
 	}
