Bound what waits for the log of a keeper by bytes, and never end its writer

Cause: all that waited was written as one batch, copied into one array and once more into a direct buffer of the same size; nothing bounded what waited; and anything but an IOException ended the thread. Found beside it: a callback that failed kept the others of its batch from being called, and an entry above 64 MB was confirmed though a restart takes it for a torn one.

Change: 16 MB wait at most, what does not fit is refused at once and counted; a batch has 4 MB at most; a single larger entry still passes, up to the 64 MB that a restart reads. Whatever a write ends with fails its entries, as a full disk does, and the thread goes on; only close() ends it. mangorack_keeper_log_pending_bytes tells what waits.

Tests (RecordLogFaultTests), each failed before: #theWriterOutlivesAnError (both errors): TimeoutException after 20 s, Exception in thread "log-writer" #waitingEntriesAndBatchesAreBoundedByBytes: Expected size: 1 but was: 0 in: [] #aCallbackThatFailsDoesNotKeepTheOthersFromBeingCalled: java.lang.IllegalStateException: test #anEntryThatARestartWouldNotReadIsRejected: Expecting value to be false but was true

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -185,6 +185,7 @@
 		this.metrics.gauge("mangorack.keeper.turns.bytes", turns::turnBytes);
 		this.metrics.gauge("mangorack.keeper.log.bytes", turns::logBytes);
 		this.metrics.gauge("mangorack.keeper.log.failing.seconds", () -> this.log.failingTime().toMillis() / 1000.0);
+		this.metrics.gauge("mangorack.keeper.log.pending.bytes", this.log::pendingBytes);
 		this.metrics.gauge("mangorack.keeper.log.rejected", this.log::rejectedEntries);
 		this.metrics.gauge("mangorack.keeper.log.torn.segments", this.log::tornSegments);
 		this.metrics.gauge("mangorack.keeper.log.unread.bytes", this.log::unreadBytes);
--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
@@ -41,6 +43,17 @@
 	 */
 	static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
+	/**
+	 * The size of the entries that wait to be written or are being written, in bytes,
+	 * above which further ones are rejected. A single entry may be larger.
+	 */
+	static final int MAX_PENDING_BYTES = 16 * 1024 * 1024;
+
+	/**
+	 * The size of a batch in bytes. A batch of a single entry may be larger.
+	 */
+	static final int MAX_BATCH_BYTES = SEGMENT_BYTES;
+
 	private static final String SUFFIX = ".log";
 
 	// The length and the checksum that precede each entry.
@@ -67,6 +80,8 @@
 
 	private final SegmentWriter segments;
 
+	private long pendingBytes;
+
 	private boolean closed;
 
 	private volatile long unreadBytes;
@@ -113,7 +128,7 @@
 		}
 		long next = this.olderSegments.isEmpty() ? 1 : (this.olderSegments.lastKey() + 1);
 		this.segments = new SegmentWriter(files, this::file, next,
-				(segment, bytes) -> callbackExecutor.accept(() -> addOlderSegment(segment, bytes)));
+				(segment, bytes) -> execute(() -> addOlderSegment(segment, bytes)));
 		this.writer = new Thread(this::runWriter, "log-writer");
 		this.writer.setDaemon(true);
 	}
@@ -182,15 +197,25 @@
 
 	/**
 	 * Returns why an entry would be rejected if it was appended now.
+	 * @param bytes the size of the encoded entry in bytes
 	 * @return the reason, or {@code null} if the entry would be written
 	 */
-	IOException rejection() {
+	IOException rejection(int bytes) {
+		if (bytes > MAX_ENTRY_BYTES) {
+			return new IOException("entry of " + bytes + " bytes exceeds the limit of " + MAX_ENTRY_BYTES
+					+ " bytes of the log in " + this.folder);
+		}
 		Outage current = this.outage;
-		if ((current == null) || (this.clock.nanoTime() - current.retryAt() >= 0)) {
-			return null;
+		if ((current != null) && (this.clock.nanoTime() - current.retryAt() < 0)) {
+			return new IOException("log in " + this.folder + " is not written since its disk failed "
+					+ failingTime().toMillis() + " ms ago", current.cause());
 		}
-		return new IOException("log in " + this.folder + " is not written since its disk failed "
-				+ failingTime().toMillis() + " ms ago", current.cause());
+		long pending = pendingBytes();
+		if ((pending > 0) && (pending + bytes > MAX_PENDING_BYTES)) {
+			return new IOException(
+					"log in " + this.folder + " has " + pending + " bytes to write, no room for " + bytes + " more");
+		}
+		return null;
 	}
 
 	/**
@@ -200,40 +225,39 @@
 	 * Always called by the executor of callbacks
 	 */
 	void append(LogEntry entry, Consumer<IOException> done) {
-		IOException rejection = rejection();
+		IOException rejection = rejection(entry.getSerializedSize());
 		if (rejection != null) {
 			this.rejected.incrementAndGet();
 			this.callbackExecutor.accept(() -> done.accept(rejection));
 			return;
 		}
+		PendingEntry pending = new PendingEntry(entry.toByteArray(), done);
 		synchronized (this.queue) {
-			this.queue.add(new PendingEntry(entry.toByteArray(), done));
+			this.queue.add(pending);
+			this.pendingBytes += pending.size();
 			this.queue.notifyAll();
 		}
 	}
 
 	/**
-	 * Writes the entries that are waiting and reports the outcome. After a failure the
-	 * entries that arrived in the meantime fail as well. Called by the writer thread.
+	 * Writes some of the entries that are waiting and reports the outcome. After a
+	 * failure all entries that are waiting fail. Called by the writer thread.
 	 */
 	void writeNextBatch() {
-		List<PendingEntry> batch = takeBatch();
+		List<PendingEntry> batch = takeBatch(MAX_BATCH_BYTES);
 		if (batch.isEmpty()) {
 			return;
 		}
 		long segment = segment();
-		IOException failure = null;
-		try {
-			this.segments.write(batch.stream().map(PendingEntry::bytes).toList());
-			writeSucceeded();
-		}
-		catch (IOException ex) {
-			writeFailed(segment, ex);
-			failure = ex;
-			batch.addAll(takeBatch());
+		Throwable failure = write(batch);
+		if (failure != null) {
+			startOutage(failure);
+			batch.addAll(takeBatch(Long.MAX_VALUE));
 		}
-		IOException outcome = failure;
-		this.callbackExecutor.accept(() -> batch.forEach((p) -> p.done().accept(outcome)));
+		release(batch);
+		IOException outcome = (failure != null) ? this.outage.cause() : null;
+		execute(() -> batch.forEach((p) -> report(p, outcome)));
+		logOutcome(segment, failure);
 	}
 
 	/**
@@ -274,6 +298,16 @@
 
 	// ---- Metrics
 
+	/**
+	 * Returns the size of the entries that wait to be written or are being written.
+	 * @return the size in bytes
+	 */
+	long pendingBytes() {
+		synchronized (this.queue) {
+			return this.pendingBytes;
+		}
+	}
+
 	/**
 	 * Returns how many segments {@link #replay(BiConsumer)} read only in part.
 	 * @return the number of segments
@@ -334,19 +368,59 @@
 				"unreadBytes", bytes.remaining());
 	}
 
-	private void writeFailed(long segment, IOException failure) {
+	// Errors are caught as well: entries would wait forever if the writer thread ended.
+	private Throwable write(List<PendingEntry> batch) {
+		try {
+			this.segments.write(batch.stream().map(PendingEntry::bytes).toList());
+			return null;
+		}
+		catch (IOException | RuntimeException | Error ex) {
+			// An interrupt would close every channel that is used later.
+			Thread.interrupted();
+			return ex;
+		}
+	}
+
+	private void startOutage(Throwable failure) {
+		IOException cause = (failure instanceof IOException ex) ? ex
+				: new IOException("log in " + this.folder + " could not be written", failure);
 		long now = this.clock.nanoTime();
 		long since = (this.outage != null) ? this.outage.since() : now;
-		this.outage = new Outage(failure, since, now + RETRY_DELAY.toNanos());
-		EventLog.log(Event.LOG_FAILED, failure, "operation", "write", "segment", segment, "failingMillis",
-				failingTime().toMillis(), "roomBytes", roomBytes());
+		this.outage = new Outage(cause, since, now + RETRY_DELAY.toNanos());
 	}
 
-	private void writeSucceeded() {
-		if (this.outage != null) {
-			EventLog.log(Event.LOG_RECOVERED, "segment", segment(), "failingMillis", failingTime().toMillis(),
-					"rejected", this.rejected.get());
+	private void logOutcome(long segment, Throwable failure) {
+		if (failure != null) {
+			EventLog.log(Event.LOG_FAILED, failure, "operation", "write", "segment", segment, "failingMillis",
+					failingTime().toMillis(), "roomBytes", roomBytes());
+		}
+		else if (this.outage != null) {
+			Duration failing = failingTime();
 			this.outage = null;
+			EventLog.log(Event.LOG_RECOVERED, "segment", segment(), "failingMillis", failing.toMillis(), "rejected",
+					this.rejected.get());
+		}
+	}
+
+	private static void report(PendingEntry entry, IOException outcome) {
+		try {
+			entry.done().accept(outcome);
+		}
+		catch (RuntimeException ex) {
+			EventLog.log(Event.INTERNAL_ERROR, ex, "task", "log callback");
+		}
+	}
+
+	// Runs a task by the executor of callbacks, again if there is no memory for it now.
+	private void execute(Runnable task) {
+		while (true) {
+			try {
+				this.callbackExecutor.accept(task);
+				return;
+			}
+			catch (OutOfMemoryError ex) {
+				LockSupport.parkNanos(RETRY_DELAY.toNanos());
+			}
 		}
 	}
 
@@ -388,7 +462,24 @@
 
 	private void runWriter() {
 		while (awaitEntries()) {
-			writeNextBatch();
+			try {
+				writeNextBatch();
+			}
+			catch (RejectedExecutionException ex) {
+				// The event loop has ended, and with it all that waits for outcomes.
+			}
+			catch (RuntimeException | Error ex) {
+				logQuietly(ex);
+			}
+		}
+	}
+
+	private static void logQuietly(Throwable cause) {
+		try {
+			EventLog.log(Event.INTERNAL_ERROR, cause, "task", "log writer");
+		}
+		catch (RuntimeException | Error ex) {
+			// No memory to log that there is no memory.
 		}
 	}
 
@@ -400,21 +491,31 @@
 					this.queue.wait();
 				}
 				catch (InterruptedException ex) {
-					this.closed = true;
+					// Only close() ends the thread.
 				}
 			}
 			return !this.queue.isEmpty();
 		}
 	}
 
-	private List<PendingEntry> takeBatch() {
+	private List<PendingEntry> takeBatch(long maxBytes) {
 		synchronized (this.queue) {
-			List<PendingEntry> batch = new ArrayList<>(this.queue);
-			this.queue.clear();
+			List<PendingEntry> batch = new ArrayList<>();
+			long bytes = 0;
+			while (!this.queue.isEmpty() && (batch.isEmpty() || (bytes + this.queue.peek().size() <= maxBytes))) {
+				bytes += this.queue.peek().size();
+				batch.add(this.queue.poll());
+			}
 			return batch;
 		}
 	}
 
+	private void release(List<PendingEntry> batch) {
+		synchronized (this.queue) {
+			batch.forEach((p) -> this.pendingBytes -= p.size());
+		}
+	}
+
 	/**
 	 * The time in which writes fail.
 	 *
@@ -432,6 +533,11 @@
 	 * @param done receives {@code null} once the entry is synced to disk, or the failure
 	 */
 	private record PendingEntry(byte[] bytes, Consumer<IOException> done) {
+
+		int size() {
+			return HEADER_BYTES + this.bytes.length;
+		}
+
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/SegmentWriter.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SegmentWriter.java
@@ -143,7 +143,9 @@
 			EventLog.log(Event.LOG_FAILED, ex, "operation", "cut back", "segment", this.segment, "bytes",
 					this.syncedBytes);
 		}
-		endSegment(!deleted);
+		finally {
+			endSegment(!deleted);
+		}
 	}
 
 	private void completeSegment() {
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -191,7 +191,7 @@
 	 * @return whether the charges count. If not, the failure was reported
 	 */
 	boolean charge(ProgramCharges charges, Consumer<IOException> done) {
-		IOException rejection = this.log.rejection();
+		IOException rejection = this.log.rejection(charges.getSerializedSize());
 		if (rejection != null) {
 			done.accept(rejection);
 			return false;
@@ -212,7 +212,7 @@
 	void storeTurn(Turn turn, Consumer<IOException> done) {
 		StoredTurn known = this.turns.get(turn.getId());
 		boolean synced = (known != null) && known.isSynced();
-		IOException rejection = synced ? null : this.log.rejection();
+		IOException rejection = synced ? null : this.log.rejection(turn.getSerializedSize());
 		if (synced || (rejection != null)) {
 			done.accept(rejection);
 			return;
--- a/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
@@ -8,6 +8,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import net.jqwik.api.Arbitraries;
@@ -33,6 +35,8 @@
 
 	private static final Path FOLDER = Path.of("log");
 
+	private static final long LIMIT_SECONDS = 20;
+
 	private static final int MAX_TORN_BYTES = 130;
 
 	// Guards against 404 after a restart for turns that were confirmed after a write that
@@ -142,6 +146,83 @@
 		history.restart();
 	}
 
+	// Guards against a keeper that confirms nothing any more while its process lives.
+	@ParameterizedTest
+	@ValueSource(classes = { OutOfMemoryError.class, IllegalStateException.class })
+	void theWriterOutlivesAnError(Class<? extends Throwable> type) throws Exception {
+		FaultyDisk disk = new FaultyDisk(0);
+		ManualClock clock = new ManualClock();
+		try (RecordLog log = new RecordLog(FOLDER, Runnable::run, disk, clock)) {
+			log.start();
+			assertThat(append(log, entry("a", 40))).isNull();
+			disk.failNextWrite(type.getConstructor().newInstance());
+			assertThat(append(log, entry("b", 40))).hasRootCauseInstanceOf(type);
+			clock.advance(RecordLog.RETRY_DELAY);
+			assertThat(append(log, entry("c", 40))).isNull();
+		}
+		List<String> replayed = new ArrayList<>();
+		new RecordLog(FOLDER, Runnable::run, disk, clock).replay((segment, e) -> replayed.add(e.getTurn().getId()));
+		assertThat(replayed).containsExactly("a", "c");
+	}
+
+	// Guards against a callback that takes the replies of other callers with it.
+	@Test
+	void aCallbackThatFailsDoesNotKeepTheOthersFromBeingCalled() throws Exception {
+		List<IOException> outcomes = new ArrayList<>();
+		RecordLog log = new RecordLog(FOLDER, Runnable::run, new FaultyDisk(0), new ManualClock());
+		log.append(entry("a", 40), (failure) -> {
+			throw new IllegalStateException("test");
+		});
+		log.append(entry("b", 40), outcomes::add);
+		log.writeNextBatch();
+		assertThat(outcomes).hasSize(1).containsOnlyNulls();
+	}
+
+	// Guards against a keeper that runs out of memory because its disk is slow.
+	@Test
+	void waitingEntriesAndBatchesAreBoundedByBytes() throws Exception {
+		FaultyDisk disk = new FaultyDisk(0);
+		RecordLog log = new RecordLog(FOLDER, Runnable::run, disk, new ManualClock());
+		List<IOException> rejected = new ArrayList<>();
+		int written = 0;
+		int size = 2 * 1024 * 1024;
+		while (rejected.isEmpty() && (written <= RecordLog.MAX_PENDING_BYTES / size)) {
+			written++;
+			log.append(entry("t" + written, size), rejected::add);
+		}
+		assertThat(rejected).singleElement().isInstanceOf(IOException.class);
+		assertThat(log.rejectedEntries()).isEqualTo(1);
+		for (long before = -1; before < disk.used();) {
+			before = disk.used();
+			log.writeNextBatch();
+			assertThat(disk.used() - before).isLessThanOrEqualTo(RecordLog.MAX_BATCH_BYTES);
+		}
+		rejected.clear();
+		log.append(entry("large", RecordLog.MAX_PENDING_BYTES + size), rejected::add);
+		log.writeNextBatch();
+		assertThat(rejected).hasSize(1).containsOnlyNulls();
+	}
+
+	// Guards against 404 after a restart for a turn that is larger than a restart reads.
+	@Test
+	void anEntryThatARestartWouldNotReadIsRejected() throws Exception {
+		History history = new History(1);
+		assertThat(history.append(1, 64 * 1024 * 1024)).isFalse();
+		assertThat(history.append(1, 40)).isTrue();
+		history.restart();
+	}
+
+	private static LogEntry entry(String id, int bytes) {
+		Turn.Builder turn = Turn.newBuilder().setId(id).setInput(ByteString.copyFrom(new byte[bytes]));
+		return LogEntry.newBuilder().setTurn(turn).build();
+	}
+
+	private static IOException append(RecordLog log, LogEntry entry) throws Exception {
+		CompletableFuture<IOException> done = new CompletableFuture<>();
+		log.append(entry, done::complete);
+		return done.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+	}
+
 	@Property(seed = "2106", tries = 500)
 	void confirmedEntriesAreReplayed(@ForAll("actions") List<Action> actions, @ForAll long seed) throws IOException {
 		playAll(actions, seed);
