Complete a retirement only when no disk of the keeper is a member

Cause: a keeper that is to be retired asked only whether its present disk is a member. After a loss it is not, while the lost disk still is one, which counts as a copy of turns that nobody copied anywhere. The empty disk did not join either, so the group kept a dead member.

Now a retirement is completed when no member bears the name of the keeper, with any disk, no change is in progress and the group that says so is not older than the keeper's own view. A keeper whose lost disk is a member waits for another one to take its place; without one it joins, with all that the lost disk held, and leaves as any other member. Both are changes that copy before they end, so what it held has its full number of copies. Dropping the lost disk alone would leave one copy less.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -225,16 +225,11 @@
 		if (view.isChanging()) {
 			continueChange(object, view);
 		}
-		else if (!view.isMember(disk)) {
-			if (retiring) {
-				this.retirements.report(this.self.getName(), true);
-			}
-			else {
-				join(object, view);
-			}
-		}
 		else if (retiring) {
-			leave(object, view);
+			retire(object, view);
+		}
+		else if (!view.isMember(disk)) {
+			join(object, view);
 		}
 	}
 
@@ -375,14 +370,40 @@
 
 	// ---- Leaving
 
-	private void leave(StoredObject object, GroupView view) throws StoreException, InterruptedException {
+	// A member leaves once it has waited for a successor. A keeper whose disk was lost
+	// joins first, as a group that merely dropped the lost disk would keep one copy less
+	// of what it held.
+	private void retire(StoredObject object, GroupView view) throws StoreException, InterruptedException {
+		boolean lost = findFormerDisk(view).isPresent();
+		if (!lost && !view.isMember(this.self.getDisk())) {
+			reportRetired(view);
+			return;
+		}
 		if (!this.reportedInProgress) {
 			this.retirements.report(this.self.getName(), false);
 			this.reportedInProgress = true;
 			this.retiringSince = this.clock.nanoTime();
 		}
-		boolean canShrink = view.members().size() > (2 * this.tolerance) + 1;
-		if (canShrink && (this.clock.elapsed(this.retiringSince).compareTo(SUCCESSOR_TIMEOUT) > 0)) {
+		if (this.clock.elapsed(this.retiringSince).compareTo(SUCCESSOR_TIMEOUT) <= 0) {
+			return;
+		}
+		if (lost) {
+			join(object, view);
+		}
+		else {
+			leave(object, view);
+		}
+	}
+
+	// The object may be older than a change that has been made by this keeper.
+	private void reportRetired(GroupView view) throws StoreException {
+		if (view.epoch() >= this.service.view().epoch()) {
+			this.retirements.report(this.self.getName(), true);
+		}
+	}
+
+	private void leave(StoredObject object, GroupView view) throws StoreException, InterruptedException {
+		if (view.members().size() > (2 * this.tolerance) + 1) {
 			List<Member> next = view.members()
 				.stream()
 				.filter((m) -> !m.getDisk().equals(this.self.getDisk()))
--- a/mangorack/src/main/java/org/mangorack/keeper/RetirementBoard.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RetirementBoard.java
@@ -20,7 +20,8 @@
 	 * Reports the progress of a retirement. Its completion may be reported repeatedly and
 	 * is written only once.
 	 * @param instance the instance name of the keeper
-	 * @param done whether the group no longer depends on the disk of the keeper
+	 * @param done whether the group no longer depends on any disk of the keeper: none is
+	 * a member, and what it held has its full number of copies elsewhere
 	 * @throws StoreException if the report cannot be written
 	 */
 	void report(String instance, boolean done) throws StoreException;
--- a/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
@@ -136,6 +136,38 @@
 		assertThat(outcomes()).containsOnly("found");
 	}
 
+	// Guards against a machine that is taken away while its lost disk is still a member.
+	@ParameterizedTest
+	@CsvSource({ "1, false", "1, true", "2, false", "2, true" })
+	void aRetirementIsCompletedOnlyWhenTheLostDiskIsNoMember(int tolerance, boolean spare) throws Exception {
+		this.group = new TestGroup(this.folder, tolerance);
+		List<String> away = names(1, 1 + tolerance);
+		for (String name : away) {
+			this.group.kill(name);
+		}
+		storeTurns();
+		for (String name : away) {
+			this.group.start(name);
+		}
+		if (spare) {
+			this.group.add("spare");
+		}
+		this.group.loseDisk("k0");
+		this.group.retirements().request("k0");
+		for (int i = 0; (i < MAX_ROUNDS) && !this.group.retirements().isCompleted("k0"); i++) {
+			this.group.step(this.group.running().toArray(String[]::new));
+			this.group.advance(GroupMembership.SUCCESSOR_TIMEOUT.dividedBy(2));
+		}
+		assertThat(this.group.retirements().isCompleted("k0")).isTrue();
+		assertThat(this.group.view().all()).extracting(Member::getName).doesNotContain("k0");
+		this.group.kill("k0");
+		for (String name : names(2, 2 + tolerance)) {
+			this.group.kill(name);
+		}
+		this.group.awaitConnected();
+		assertThat(outcomes()).containsOnly("found");
+	}
+
 	// Guards against 404 for confirmed turns over starts, lost disks and changes of the
 	// group that are interrupted, in random order.
 	@ParameterizedTest
