End the calls of a stop earlier where the process runs late

What callers could see (LOST): a call that outlasts a planned stop is cut without an answer. The calls were ended at 0.93 of the grace period, which leaves 0.56 s of 8 s for the responses whatever the machine does.

Change: the calls end earlier by as much as the event loop has run late in the last seconds (LoopDelay), but never before five sixths of the grace period, up to which a call that is still running is not ours to cut. The end is computed anew while the process waits, and the time in which requests are accepted counts from the start of the stop and not from when the stopping thread ran.

StopScheduleTests#aProcessThatRunsLateHasTimeLeftForItsResponses: 3 of 4 cases failed with a schedule that ignores the delay.

--- a/mangorack/src/main/java/org/mangorack/http/StopSchedule.java
+++ b/mangorack/src/main/java/org/mangorack/http/StopSchedule.java
@@ -28,9 +28,24 @@
 	 * @return the schedule
 	 */
 	public static StopSchedule of(Duration grace, Duration linger) {
+		return of(grace, linger, Duration.ZERO);
+	}
+
+	/**
+	 * Creates the schedule of a process that may run late.
+	 * @param grace the time after which the process is killed
+	 * @param linger how long requests are to be accepted; shortened if the grace period
+	 * leaves too little time for them
+	 * @param delay how late the process has run recently; its calls are ended earlier by
+	 * as much, but not before five sixths of the grace period
+	 * @return the schedule
+	 */
+	public static StopSchedule of(Duration grace, Duration linger, Duration delay) {
 		Duration maxLinger = fraction(grace, MAX_LINGER_FRACTION);
-		return new StopSchedule((linger.compareTo(maxLinger) < 0) ? linger : maxLinger, fraction(grace, CALLS_FRACTION),
-				fraction(grace, RESPONSES_FRACTION));
+		Duration callsUntil = fraction(grace, CALLS_FRACTION).minus(delay);
+		Duration earliest = grace.multipliedBy(5).dividedBy(6);
+		return new StopSchedule((linger.compareTo(maxLinger) < 0) ? linger : maxLinger,
+				(callsUntil.compareTo(earliest) < 0) ? earliest : callsUntil, fraction(grace, RESPONSES_FRACTION));
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -215,17 +216,20 @@
 		long startedAt = this.clock.nanoTime();
 		this.stopping = true;
 		EventLog.log(Event.DRAIN_STARTED, "instance", this.settings.instance(), "role", "entry");
-		StopSchedule schedule = StopSchedule.of(this.settings.grace(), SHUTDOWN_LINGER);
 		try {
 			runOnLoop(() -> {
-				this.server.announceStop(startedAt + schedule.callsUntil().toNanos());
+				this.server.announceStop(startedAt + stopSchedule().callsUntil().toNanos());
 				sendHeartbeat();
 			});
-			TimeUnit.NANOSECONDS.sleep(schedule.acceptingUntil().toNanos());
-			runOnLoop(this.server::stopAccepting);
-			awaitConnectionsClosed(startedAt + schedule.callsUntil().toNanos());
+			Duration accepting = stopSchedule().acceptingUntil().minus(this.clock.elapsed(startedAt));
+			TimeUnit.NANOSECONDS.sleep(accepting.toNanos());
+			runOnLoop(() -> {
+				this.server.announceStop(startedAt + stopSchedule().callsUntil().toNanos());
+				this.server.stopAccepting();
+			});
+			awaitConnectionsClosed(() -> startedAt + stopSchedule().callsUntil().toNanos());
 			runOnLoop(this.server::endCalls);
-			awaitConnectionsClosed(startedAt + schedule.responsesUntil().toNanos());
+			awaitConnectionsClosed(() -> startedAt + stopSchedule().responsesUntil().toNanos());
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -253,8 +257,12 @@
 		this.stopped.await();
 	}
 
-	private void awaitConnectionsClosed(long until) throws InterruptedException {
-		while ((this.server.openConnections() > 0) && (this.clock.nanoTime() - until < 0)) {
+	private StopSchedule stopSchedule() {
+		return StopSchedule.of(this.settings.grace(), SHUTDOWN_LINGER, this.loopDelay.longest());
+	}
+
+	private void awaitConnectionsClosed(LongSupplier until) throws InterruptedException {
+		while ((this.server.openConnections() > 0) && (this.clock.nanoTime() - until.getAsLong() < 0)) {
 			TimeUnit.MILLISECONDS.sleep(20);
 		}
 	}
--- a/mangorack/src/test/java/org/mangorack/http/StopScheduleTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/StopScheduleTests.java
@@ -27,4 +27,23 @@
 		assertThat(schedule.responsesUntil()).isLessThan(grace);
 	}
 
+	// Guards against a late process that is killed before it has answered its calls.
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 100, 300, 700 })
+	void aProcessThatRunsLateHasTimeLeftForItsResponses(long delayMillis) {
+		Duration delay = Duration.ofMillis(delayMillis);
+		Duration grace = Duration.ofSeconds(8);
+		StopSchedule schedule = StopSchedule.of(grace, LINGER, delay);
+		assertThat(grace.minus(schedule.callsUntil()).minus(delay)).isGreaterThanOrEqualTo(grace.dividedBy(15));
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 500, 8000, 30_000 })
+	void callsAreNotEndedMuchEarlierHoweverLateTheProcessRuns(long graceMillis) {
+		Duration grace = Duration.ofMillis(graceMillis);
+		StopSchedule schedule = StopSchedule.of(grace, LINGER, grace);
+		assertThat(schedule.callsUntil()).isGreaterThanOrEqualTo(grace.multipliedBy(5).dividedBy(6));
+		assertThat(schedule.callsUntil()).isLessThan(schedule.responsesUntil());
+	}
+
 }
