Let a process be stopped during its start

A SIGTERM that arrived before an entry listened ended in a NullPointerException on the event loop (1998, "serverChannel" is null), and the start went on and took connections that were cut when the process ended. A keeper ended in one in its shutdown hook, before it closed its log and the records of the last moments were written.

The entry does not listen any more once it has stopped accepting, and a keeper closes what it has.

--- a/bench/src/test/java/org/mangorack/bench/fleet/PlannedStopTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/PlannedStopTests.java
@@ -1,6 +1,7 @@
 package org.mangorack.bench.fleet;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.file.Path;
@@ -14,6 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Tests that a planned stop of an entry leaves no request that was passed on without a
@@ -140,6 +142,15 @@
 		}
 	}
 
+	// Guards against taking connections that are cut when the process ends.
+	@Test
+	void anEntryThatIsStoppedDuringItsStartTakesNoConnections() throws Exception {
+		this.fleet.createEntry(0);
+		this.fleet.entry().stop();
+		this.fleet.entry().start();
+		assertThatThrownBy(this.fleet::connect).isInstanceOf(ConnectException.class);
+	}
+
 	// ---- Helpers
 
 	// Stops the entry and closes what the end of its process would close.
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -168,6 +168,16 @@
 	 * @throws IOException if a port is taken
 	 */
 	void startEntry(int tolerance) throws IOException {
+		createEntry(tolerance);
+		this.entry.start();
+	}
+
+	/**
+	 * Creates another entry, which is not started and receives all further calls.
+	 * @param tolerance how many disks may be lost
+	 * @throws IOException if there is no free port
+	 */
+	void createEntry(int tolerance) throws IOException {
 		this.callers = freeAddress(ENTRY_HOST);
 		this.directory = freeAddress(ENTRY_HOST);
 		this.readiness = freeAddress(ENTRY_HOST);
@@ -176,7 +186,6 @@
 				storeAddress(), this.keeperAddresses, tolerance, Duration.ofSeconds(4), CONFIGURATION_APPLY,
 				Duration.ofSeconds(8)), newStore(), new WireProtocol(), newMetrics(name));
 		this.resources.add(this.entry);
-		this.entry.start();
 	}
 
 	void startKeeper(String name, Path folder, int tolerance, boolean first) throws IOException, InterruptedException {
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -136,10 +136,16 @@
 	 */
 	public void stop() {
 		EventLog.log(Event.DRAIN_STARTED, "instance", this.settings.instance(), "role", "keeper");
-		this.membership.close();
-		this.service.close();
+		if (this.membership != null) {
+			this.membership.close();
+		}
+		if (this.service != null) {
+			this.service.close();
+		}
 		try {
-			this.log.close();
+			if (this.log != null) {
+				this.log.close();
+			}
 		}
 		catch (IOException ex) {
 			EventLog.log(Event.LOG_FAILED, ex, "operation", "close");
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -132,6 +132,12 @@
 			Thread.currentThread().interrupt();
 			throw new IOException("interrupted while binding " + address, ex);
 		}
+		// The stop may have begun before there was a port to close.
+		this.loop.submit(() -> {
+			if (!this.accepting) {
+				this.serverChannel.close();
+			}
+		}).syncUninterruptibly();
 		this.loop.scheduleWithFixedDelay(new GuardedTask("connections", this::checkConnections),
 				CONNECTION_CHECK_INTERVAL.toMillis(), CONNECTION_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -152,7 +158,9 @@
 	 */
 	void stopAccepting() {
 		this.accepting = false;
-		this.serverChannel.close();
+		if (this.serverChannel != null) {
+			this.serverChannel.close();
+		}
 		List.copyOf(this.connections).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
 	}
 
