Run entries and keepers as processes under seeded troubles

The run starts them by the command lines of deploy/system.toml, inflicts signals, kills, lost and full disks, retirements and changes of the configuration, and checks each request of its callers against what reached the upstreams.

--- a/bench/src/main/java/org/mangorack/bench/standin/FleetStoreStandIn.java
+++ b/bench/src/main/java/org/mangorack/bench/standin/FleetStoreStandIn.java
@@ -141,6 +141,17 @@
 		}
 	}
 
+	/**
+	 * Returns the specification of an object.
+	 * @param kind the kind of the object
+	 * @param name the name of the object
+	 * @return the specification, or a missing node if there is none
+	 */
+	public synchronized JsonNode specification(String kind, String name) {
+		ObjectNode object = kind(kind).get(name);
+		return (object != null) ? object.path("specification").deepCopy() : MAPPER.missingNode();
+	}
+
 	/**
 	 * Returns the status of an object.
 	 * @param kind the kind of the object
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
@@ -0,0 +1,277 @@
+package org.mangorack.bench.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.mangorack.bench.fleet.RequestLedger.Disturbance;
+
+/**
+ * What is done to a fleet of processes from outside, by signals and files.
+ */
+enum FleetTrouble {
+
+	/** Entries are stopped one after the other and started again. */
+	ROLLING_STOP(true, 4) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> entries = run.pick(run.fleet().entries(), 1 + (run.fleet().entries().size() / 4),
+					random);
+			for (FleetProcess entry : entries) {
+				entry.stop(FleetProcesses.GRACE);
+				run.pause(random, 1000);
+				entry.start();
+				run.pause(random, 1000);
+			}
+		}
+
+	},
+
+	/** Several entries are stopped at the same time and started again. */
+	STOP_TOGETHER(true, 2) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> entries = run.pick(run.fleet().entries(), 1 + (run.fleet().entries().size() / 6),
+					random);
+			run.inParallel(entries, (entry) -> entry.stop(FleetProcesses.GRACE));
+			run.inParallel(entries, FleetProcess::start);
+		}
+
+	},
+
+	/** A keeper is stopped and started again. */
+	STOP_KEEPER(false, 1) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			FleetProcess keeper = run.pick(run.fleet().keepers(), 1, random).get(0);
+			keeper.stop(FleetProcesses.GRACE);
+			run.pause(random, 3000);
+			keeper.start();
+		}
+
+	},
+
+	/** Half of the processes are told that their settings have changed. */
+	RELOAD(true, 2) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> all = run.fleet().processes();
+			for (FleetProcess process : run.pick(all, all.size() / 2, random)) {
+				run.fleet().writeSettings(process);
+				process.signal("HUP");
+			}
+		}
+
+	},
+
+	/** The operator writes a few versions of the configuration. */
+	CONFIGURATION(true, 2) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			for (int i = 0; i < 3; i++) {
+				run.fleet().configure();
+				run.pause(random, 1000);
+			}
+		}
+
+	},
+
+	/** Some entries crash and are started again. */
+	KILL_ENTRIES(false, 1) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> entries = run.pick(run.fleet().entries(), 1 + (run.fleet().entries().size() / 4),
+					random);
+			run.during(describe(entries), names(entries), () -> {
+				run.inParallel(entries, FleetProcess::kill);
+				run.pause(random, 2000);
+				run.inParallel(entries, FleetProcess::start);
+			});
+		}
+
+		@Override
+		boolean isRecordedAsWhole() {
+			return false;
+		}
+
+	},
+
+	/** One keeper or two crash, and are started again some seconds later. */
+	KILL_KEEPERS(false, 4) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> keepers = run.pick(run.fleet().keepers(), 1 + random.nextInt(2), random);
+			run.inParallel(keepers, FleetProcess::kill);
+			run.pause(random, 8000);
+			run.inParallel(keepers, FleetProcess::start);
+		}
+
+	},
+
+	/** One process or two stand still for some seconds. */
+	FREEZE(false, 3) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> frozen = run.pick(run.fleet().processes(), 1 + random.nextInt(2), random);
+			for (FleetProcess process : frozen) {
+				process.setDisturbed(true);
+				process.signal("STOP");
+			}
+			run.pause(random, 5000);
+			for (FleetProcess process : frozen) {
+				process.signal("CONT");
+				process.setDisturbed(false);
+			}
+		}
+
+	},
+
+	/** All processes are killed at once and are back soon, some of them seconds later. */
+	KILL_ALL(false, 2) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			run.restartAll(List.of(), random);
+		}
+
+	},
+
+	/** As many disks as are tolerated are lost. */
+	LOSE_DISKS(false, 4) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			run.loseDisks((lost) -> {
+				run.inParallel(lost, FleetProcess::loseDisk);
+				run.pause(random, 2000);
+				run.inParallel(lost, FleetProcess::start);
+			}, random);
+		}
+
+	},
+
+	/**
+	 * As many disks as are tolerated are lost while all other processes are killed.
+	 */
+	LOSE_DISKS_KILL_ALL(false, 3) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			run.loseDisks((lost) -> run.restartAll(lost, random), random);
+		}
+
+	},
+
+	/**
+	 * A keeper is to be emptied. Once nothing depends on it, it is removed with its disk
+	 * and another machine is added.
+	 */
+	RETIRE(true, 2) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			run.retire(random);
+		}
+
+	},
+
+	/** The disk of a keeper is full for some seconds. */
+	FULL_DISK(false, 3) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			FleetProcess keeper = run.pick(run.fleet().keepers(), 1, random).get(0);
+			keeper.setDisturbed(true);
+			keeper.limitFileSize(Long.toString(keeper.largestFile() + random.nextInt(20_000)));
+			run.pause(random, 3000);
+			keeper.limitFileSize("unlimited");
+			keeper.setDisturbed(false);
+			if (random.nextInt(3) > 0) {
+				run.pause(random, 5000);
+				keeper.kill();
+				keeper.start();
+			}
+		}
+
+	};
+
+	private final boolean planned;
+
+	private final int weight;
+
+	FleetTrouble(boolean planned, int weight) {
+		this.planned = planned;
+		this.weight = weight;
+	}
+
+	/**
+	 * Draws a kind.
+	 * @param random the source of randomness
+	 * @param onlyPlanned whether only planned work is drawn
+	 * @return the kind
+	 */
+	static FleetTrouble draw(Random random, boolean onlyPlanned) {
+		List<FleetTrouble> urn = new ArrayList<>();
+		for (FleetTrouble trouble : values()) {
+			for (int i = 0; (i < trouble.weight) && (trouble.planned || !onlyPlanned); i++) {
+				urn.add(trouble);
+			}
+		}
+		return urn.get(random.nextInt(urn.size()));
+	}
+
+	/**
+	 * Inflicts this trouble and ends it.
+	 * @param run the run
+	 * @param random the source of randomness
+	 * @throws Exception if a process cannot be started or signalled
+	 */
+	abstract void inflict(FleetTroubles run, Random random) throws Exception;
+
+	/**
+	 * Inflicts this trouble and records its begin and end.
+	 * @param run the run
+	 * @param random the source of randomness
+	 * @throws Exception if a process cannot be started or signalled
+	 */
+	final void inflictRecorded(FleetTroubles run, Random random) throws Exception {
+		if (!isRecordedAsWhole()) {
+			inflict(run, random);
+			return;
+		}
+		Disturbance disturbance = run.fleet().ledger().begin(name(), this.planned, Set.of());
+		try {
+			inflict(run, random);
+		}
+		finally {
+			run.fleet().ledger().end(disturbance);
+		}
+	}
+
+	/**
+	 * Tells whether all instances suffer as long as this trouble lasts.
+	 * @return {@code false} if it records by itself who suffers
+	 */
+	boolean isRecordedAsWhole() {
+		return true;
+	}
+
+	String describe(List<FleetProcess> processes) {
+		return name() + " " + processes;
+	}
+
+	static Set<String> names(List<FleetProcess> processes) {
+		return processes.stream().map(FleetProcess::name).collect(Collectors.toSet());
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -0,0 +1,312 @@
+package org.mangorack.bench.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.mangorack.bench.fleet.FleetProcess.Role;
+import org.mangorack.bench.fleet.RequestLedger.Disturbance;
+import org.mangorack.platform.ObjectKind;
+
+/**
+ * Inflicts a seeded series of troubles on a fleet, several at a time, within what it has
+ * to tolerate: never are more disks lost at a time than the tolerance. A lost disk counts
+ * until all keepers have run undisturbed for {@link FleetProcesses#CATCH_UP}.
+ */
+final class FleetTroubles implements Runnable {
+
+	private static final int MAX_AT_ONCE = 3;
+
+	private static final int MAX_OFFSET_MS = 1500;
+
+	private static final int MAX_PAUSE_MS = 5000;
+
+	private static final int MAX_LATE_START_MS = 4000;
+
+	private static final Duration RETIREMENT_TIMEOUT = Duration.ofSeconds(60);
+
+	private static final Duration DISKS_TIMEOUT = Duration.ofSeconds(60);
+
+	private final FleetProcesses fleet;
+
+	private final FleetRunSettings settings;
+
+	private final Random random;
+
+	private final Object diskLoss = new Object();
+
+	private final Set<FleetProcess> lost = new HashSet<>();
+
+	private final AtomicReference<FleetProcess> retiring = new AtomicReference<>();
+
+	private final AtomicReference<FleetProcess> lastLost = new AtomicReference<>();
+
+	private volatile boolean ended;
+
+	FleetTroubles(FleetProcesses fleet, FleetRunSettings settings, long seed) {
+		this.fleet = fleet;
+		this.settings = settings;
+		this.random = new Random(seed);
+	}
+
+	FleetProcesses fleet() {
+		return this.fleet;
+	}
+
+	@Override
+	public void run() {
+		long startedAt = System.nanoTime();
+		while (System.nanoTime() - startedAt < this.settings.troubles().toNanos()) {
+			boolean onlyPlanned = this.random.nextInt(3) == 0;
+			int count = 1 + this.random.nextInt(MAX_AT_ONCE);
+			if (onlyPlanned) {
+				sleep(RequestLedger.CONTACT.toMillis());
+			}
+			List<Thread> threads = new ArrayList<>();
+			for (int i = 0; i < count; i++) {
+				threads.add(start(FleetTrouble.draw(this.random, onlyPlanned), this.random.nextLong()));
+				pause(this.random, MAX_OFFSET_MS);
+			}
+			threads.forEach(FleetTroubles::join);
+			pause(this.random, MAX_PAUSE_MS);
+		}
+		if (this.random.nextInt(4) > 0) {
+			join(start(this.random.nextBoolean() ? FleetTrouble.KILL_ALL : FleetTrouble.LOSE_DISKS_KILL_ALL,
+					this.random.nextLong()));
+		}
+		this.ended = true;
+	}
+
+	private Thread start(FleetTrouble trouble, long seed) {
+		Thread thread = new Thread(() -> {
+			try {
+				trouble.inflictRecorded(this, new Random(seed));
+			}
+			catch (Exception ex) {
+				this.fleet.ledger().note("could not inflict " + trouble + ": " + ex);
+			}
+		}, "trouble-" + trouble);
+		thread.setDaemon(true);
+		thread.start();
+		return thread;
+	}
+
+	// ---- Steps of troubles
+
+	/**
+	 * Picks some processes at random.
+	 * @param from the processes to pick from
+	 * @param count how many to pick
+	 * @param source the source of randomness
+	 * @return the processes
+	 */
+	List<FleetProcess> pick(List<FleetProcess> from, int count, Random source) {
+		List<FleetProcess> picked = new ArrayList<>(from);
+		picked.removeIf(FleetProcess::isRemoved);
+		Collections.shuffle(picked, source);
+		picked = picked.subList(0, Math.min(count, picked.size()));
+		if (count < from.size() / 2) {
+			this.fleet.ledger().note("picked " + picked);
+		}
+		return picked;
+	}
+
+	/**
+	 * Pauses for a random time.
+	 * @param source the source of randomness
+	 * @param mostMillis the longest pause in milliseconds
+	 */
+	void pause(Random source, int mostMillis) {
+		sleep(source.nextInt(mostMillis));
+	}
+
+	private static void sleep(long millis) {
+		ScriptedUpstream.sleep(millis);
+	}
+
+	/**
+	 * Runs a step for each process, all at the same time.
+	 * @param processes the processes
+	 * @param step the step
+	 */
+	void inParallel(List<FleetProcess> processes, Step step) {
+		List<Thread> threads = new ArrayList<>();
+		for (FleetProcess process : processes) {
+			Thread thread = new Thread(() -> {
+				try {
+					step.run(process);
+				}
+				catch (Exception ex) {
+					this.fleet.ledger().note("step failed for " + process + ": " + ex);
+				}
+			}, "step-" + process);
+			thread.setDaemon(true);
+			thread.start();
+			threads.add(thread);
+		}
+		threads.forEach(FleetTroubles::join);
+	}
+
+	/**
+	 * Records an unplanned disturbance of some entries while an action runs.
+	 * @param kind what happens
+	 * @param entries the names of the entries
+	 * @param action the action
+	 */
+	void during(String kind, Set<String> entries, Runnable action) {
+		Disturbance disturbance = this.fleet.ledger().begin(kind, false, entries);
+		action.run();
+		this.fleet.ledger().end(disturbance);
+	}
+
+	/**
+	 * Kills all processes and starts them again, those that lost their disks first.
+	 * @param losing the keepers that lose their disks
+	 * @param source the source of randomness
+	 */
+	void restartAll(List<FleetProcess> losing, Random source) {
+		List<FleetProcess> all = List.copyOf(this.fleet.processes());
+		inParallel(all, FleetProcess::kill);
+		inParallel(losing, FleetProcess::loseDisk);
+		pause(source, 1000);
+		boolean late = source.nextBoolean();
+		long seed = source.nextLong();
+		inParallel(all, (process) -> {
+			Random own = new Random(seed + process.number());
+			if (late && (process.role() == Role.KEEPER) && !losing.contains(process)) {
+				pause(own, MAX_LATE_START_MS);
+			}
+			process.start();
+		});
+	}
+
+	/**
+	 * Loses disks of members, as soon as no other disk counts as lost.
+	 * @param loss what happens to the keepers that are picked
+	 * @param source the source of randomness
+	 * @throws Exception if the loss fails
+	 */
+	void loseDisks(Loss loss, Random source) throws Exception {
+		synchronized (this.diskLoss) {
+			long startedAt = System.nanoTime();
+			while (!areDisksWhole()) {
+				if (System.nanoTime() - startedAt > DISKS_TIMEOUT.toNanos()) {
+					this.fleet.ledger().note("no disk is lost, as earlier ones are not caught up");
+					return;
+				}
+				sleep(100);
+			}
+			int count = 1 + source.nextInt(this.settings.tolerance());
+			List<FleetProcess> picked = pick(this.fleet.members(), count, source);
+			this.lost.addAll(picked);
+			if (!picked.isEmpty()) {
+				this.lastLost.set(picked.get(0));
+			}
+			this.fleet.ledger().note("disks lost: " + picked);
+			loss.run(picked);
+			watchCatchUp(System.nanoTime());
+		}
+	}
+
+	// A loss is over once all keepers ran undisturbed for long enough.
+	private boolean areDisksWhole() {
+		if (this.lost.isEmpty()) {
+			return true;
+		}
+		if (this.fleet.keepers().stream().allMatch((k) -> k.isUndisturbedFor(FleetProcesses.CATCH_UP))) {
+			this.lost.clear();
+		}
+		return this.lost.isEmpty();
+	}
+
+	private void watchCatchUp(long lostAt) {
+		int members = Math.min(this.settings.keepers(), (2 * this.settings.tolerance()) + 2);
+		FleetProcesses.startDaemon("catch-up", () -> {
+			while (!this.ended && (this.fleet.members().size() < members)) {
+				sleep(100);
+			}
+			this.fleet.ledger()
+				.note("group has " + this.fleet.members().size() + " disks again "
+						+ TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostAt) + " ms after the loss");
+		});
+	}
+
+	/**
+	 * Retires a keeper, often one that has lost its disk before, and replaces it. One
+	 * keeper is retired at a time.
+	 * @param source the source of randomness
+	 * @throws Exception if the machine cannot be removed
+	 */
+	void retire(Random source) throws Exception {
+		FleetProcess lostBefore = this.lastLost.get();
+		FleetProcess keeper = ((lostBefore != null) && !lostBefore.isRemoved() && source.nextBoolean()) ? lostBefore
+				: pick(this.fleet.keepers(), 1, source).get(0);
+		if (!this.retiring.compareAndSet(null, keeper)) {
+			return;
+		}
+		String kind = ObjectKind.RETIREMENT.plural();
+		this.fleet.store().put(kind, keeper.name(), new ObjectMapper().createObjectNode().put("duration_s", 30));
+		this.fleet.ledger().note("retirement of " + keeper);
+		FleetProcesses.startDaemon("retirement", () -> {
+			long startedAt = System.nanoTime();
+			while (!this.ended && (System.nanoTime() - startedAt < RETIREMENT_TIMEOUT.toNanos())) {
+				if (this.fleet.store().status(kind, keeper.name()).path("state").asText().equals("completed")) {
+					replace(keeper);
+					break;
+				}
+				sleep(100);
+			}
+			this.fleet.store().remove(kind, keeper.name());
+			this.retiring.set(null);
+		});
+	}
+
+	private void replace(FleetProcess keeper) {
+		try {
+			this.fleet.ledger().note("retirement of " + keeper + " completed");
+			keeper.remove();
+			this.fleet.add(Role.KEEPER, keeper.number() + 100).start();
+		}
+		catch (Exception ex) {
+			this.fleet.ledger().note("could not replace " + keeper + ": " + ex);
+		}
+	}
+
+	private static void join(Thread thread) {
+		try {
+			thread.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * A step for one process.
+	 */
+	@FunctionalInterface
+	interface Step {
+
+		void run(FleetProcess process) throws Exception;
+
+	}
+
+	/**
+	 * The loss of the disks of some keepers.
+	 */
+	@FunctionalInterface
+	interface Loss {
+
+		void run(List<FleetProcess> keepers) throws Exception;
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -0,0 +1,105 @@
+package org.mangorack.bench.fleet;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.mangorack.bench.fleet.ProgramCaller.Turn;
+import org.mangorack.bench.fleet.ProgramCaller.Turns;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that nothing that was accepted is lost in seeded runs of entries and keepers as
+ * processes, while they are stopped, killed, frozen and reconfigured and lose as many
+ * disks as they have to tolerate. The system property {@code mangorack.fleet.seeds} asks
+ * for other runs: a seed, or the first and last one with a dash in between. These take
+ * their size from {@code mangorack.fleet.keepers}, {@code entries}, {@code tolerance},
+ * {@code callers}, {@code upstreams} (of each of two pools) and {@code seconds} (of
+ * troubles), their code from {@code mangorack.fleet.root} (the root of a built
+ * repository), and keep their logs below {@code mangorack.fleet.folder}.
+ */
+class RandomisedFleetRunTests {
+
+	private static final Duration RECOVERY = Duration.ofSeconds(15);
+
+	private static final int VERIFIERS = 16;
+
+	private static final int MAX_VERIFIED = 1500;
+
+	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
+	Path temporary;
+
+	static Stream<FleetRunSettings> runs() {
+		return FleetRunSettings.fromProperties(new FleetRunSettings(1, 5, 4, 1, 12, 2, Duration.ofSeconds(30)),
+				new FleetRunSettings(2, 6, 4, 2, 12, 2, Duration.ofSeconds(30)));
+	}
+
+	@ParameterizedTest
+	@MethodSource("runs")
+	void nothingThatWasAcceptedIsLost(FleetRunSettings settings) throws Exception {
+		RequestLedger ledger = new RequestLedger();
+		Path folder = Files.createDirectories(settings.folder(this.temporary));
+		try (FleetProcesses fleet = new FleetProcesses(settings, folder, ledger)) {
+			fleet.start();
+			ledger.note("started: " + settings);
+			Random random = new Random(settings.seed());
+			Turns turns = new Turns();
+			AtomicBoolean ended = new AtomicBoolean();
+			FleetTroubles troubles = new FleetTroubles(fleet, settings, random.nextLong());
+			List<Thread> callers = new ArrayList<>();
+			for (int i = 0; i < settings.callers(); i++) {
+				callers.add(start(new ProgramCaller(fleet, turns, random.nextLong(), ended)));
+			}
+			troubles.run();
+			ScriptedUpstream.sleep(RECOVERY.toMillis());
+			int before = turns.size();
+			ended.set(true);
+			join(callers);
+			verify(fleet, turns);
+			ledger.note(settings + ": " + before + " turns, " + ledger.counts());
+			ledger.explain(fleet.processes());
+		}
+		assertThat(ledger.violations()).as(settings.toString()).isEmpty();
+	}
+
+	private static void verify(FleetProcesses fleet, Turns turns) throws InterruptedException {
+		Queue<Turn> sample = turns.sample(MAX_VERIFIED);
+		fleet.ledger().note("continuing " + sample.size() + " of " + turns.size() + " turns");
+		List<Thread> verifiers = new ArrayList<>();
+		for (int i = 0; i < VERIFIERS; i++) {
+			ProgramCaller caller = new ProgramCaller(fleet, turns, i, new AtomicBoolean());
+			verifiers.add(start(() -> {
+				for (Turn turn = sample.poll(); turn != null; turn = sample.poll()) {
+					caller.verify(turn);
+				}
+			}));
+		}
+		join(verifiers);
+	}
+
+	private static Thread start(Runnable task) {
+		Thread thread = new Thread(task, "caller");
+		thread.setDaemon(true);
+		thread.start();
+		return thread;
+	}
+
+	private static void join(List<Thread> threads) throws InterruptedException {
+		for (Thread thread : threads) {
+			thread.join();
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -0,0 +1,492 @@
+package org.mangorack.bench.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.zip.CRC32;
+
+import org.mangorack.bench.fleet.CallerConnection.Answer;
+import org.mangorack.operator.Main;
+
+/**
+ * Records every request of the callers with its arrivals at upstreams and its answer, and
+ * checks them against what is promised to callers, while the run goes on.
+ */
+final class RequestLedger {
+
+	/** For how long after a disturbance machines may still suffer from it. */
+	static final Duration CONTACT = Duration.ofSeconds(5);
+
+	/**
+	 * How long after its last byte a request that was not passed on may meet a close.
+	 */
+	static final Duration CLOSE_SLACK = Duration.ofMillis(200);
+
+	private static final double TIME_USED_SHARE = 0.9;
+
+	private static final int MAX_EXPLAINED = 10;
+
+	private static final Pattern CODE = Pattern.compile("\"code\":\"([a-z_]+)\"");
+
+	private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+
+	private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
+
+	private final Queue<Violation> violations = new ConcurrentLinkedQueue<>();
+
+	private final Map<String, AtomicInteger> counts = new ConcurrentHashMap<>();
+
+	private final long startedAt = System.nanoTime();
+
+	// ---- Disturbances
+
+	/**
+	 * Records the begin of a disturbance.
+	 * @param kind what happens
+	 * @param planned whether it is planned work, around which no answer may be lost
+	 * @param entries the names of the entries that suffer from it; empty for all
+	 * @return the disturbance, whose end is to be recorded
+	 */
+	Disturbance begin(String kind, boolean planned, Set<String> entries) {
+		Disturbance disturbance = new Disturbance(kind, planned, entries, System.nanoTime());
+		this.disturbances.add(disturbance);
+		note("begin " + kind);
+		return disturbance;
+	}
+
+	/**
+	 * Records the end of a disturbance.
+	 * @param disturbance the disturbance
+	 */
+	void end(Disturbance disturbance) {
+		disturbance.endedAt = System.nanoTime();
+		note("end " + disturbance.kind);
+	}
+
+	void reportExit(FleetProcess process, int status) {
+		violate(Rule.EXIT, process.name(), process.name(), "ended by itself with status " + status);
+	}
+
+	/**
+	 * Prints a line with the time since the start of the run.
+	 * @param text the text
+	 */
+	void note(String text) {
+		System.out.printf("%8.3f %s%n", seconds(System.nanoTime()), text);
+	}
+
+	private double seconds(long at) {
+		return (at - this.startedAt) / 1e9;
+	}
+
+	// ---- Requests
+
+	/**
+	 * Records that a request is sent.
+	 * @param id its id
+	 * @param kind what it is
+	 * @param entry the entry that it is sent to
+	 * @param previous the turn that it continues, or {@code null}
+	 */
+	void sending(String id, Kind kind, FleetProcess entry, String previous) {
+		this.entries.put(id, new Entry(id, kind, entry.name(), previous, System.nanoTime()));
+	}
+
+	/**
+	 * Records that a request has arrived at an upstream, which runs it.
+	 * @param id its id
+	 */
+	void arrived(String id) {
+		Entry entry = this.entries.get(id);
+		if (entry == null) {
+			violate(Rule.UNASKED, id, "-", "ran, but was never sent");
+			return;
+		}
+		int runs = entry.runs.incrementAndGet();
+		if ((runs > 1) && !entry.kind.isRepeatable()) {
+			violate(Rule.TWICE, id, entry.instance, "ran " + runs + " times");
+		}
+		if (entry.refused) {
+			violate(Rule.REFUSED, id, entry.instance, "ran after its refusal");
+		}
+	}
+
+	boolean hasArrived(String id) {
+		return this.entries.get(id).runs.get() > 0;
+	}
+
+	/**
+	 * Records and checks the answer of a request.
+	 * @param id the id of the request
+	 * @param answer the answer
+	 * @param digest the digest of the body that the upstream should have got
+	 */
+	void answered(String id, Answer answer, String digest) {
+		Entry entry = this.entries.get(id);
+		long now = System.nanoTime();
+		if (!answer.isWhole()) {
+			checkUnanswered(entry, answer, now);
+			return;
+		}
+		count(entry.kind, answer.status() + code(answer));
+		if (answer.status() == 200) {
+			checkServed(entry, answer, digest);
+		}
+		else if (isPromise(answer.status())) {
+			entry.refused = true;
+			if (entry.runs.get() > 0) {
+				violate(Rule.REFUSED, id, entry.instance, answer.status() + code(answer) + " after it had run");
+			}
+		}
+		else if (((answer.status() == 404) || (answer.status() == 410)) && (entry.previous != null)) {
+			violate(Rule.LOST_TURN, id, entry.instance,
+					answer.status() + code(answer) + " to continue " + entry.previous + describe(entry.previous));
+		}
+		else if (answer.status() / 100 == 4) {
+			violate(Rule.DENIED, id, entry.instance, answer.status() + code(answer));
+		}
+	}
+
+	private void checkServed(Entry entry, Answer answer, String digest) {
+		entry.servedAt = System.nanoTime();
+		String body = answer.body();
+		List<String> pieces = body.startsWith("id:") ? events(body) : List.of(body);
+		for (int i = 0; i < pieces.size(); i++) {
+			String[] words = pieces.get(i).split("[ /]");
+			if ((words.length != 4) || !words[0].equals(entry.id)) {
+				violate(Rule.MIXED, entry.id, entry.instance, "got \"" + pieces.get(i) + "\"");
+				return;
+			}
+			if ((Integer.parseInt(words[1]) != i + 1) || (Integer.parseInt(words[2]) != pieces.size())) {
+				// A run of a repeated safe request is whole by itself.
+				violate(Rule.ORDER, entry.id, entry.instance, "events " + pieces);
+				return;
+			}
+			if (!words[3].equals(digest)) {
+				violate(Rule.UNASKED, entry.id, entry.instance, "ran with another body than " + digest);
+				return;
+			}
+		}
+		if (pieces.isEmpty()) {
+			violate(Rule.ORDER, entry.id, entry.instance, "no events");
+		}
+	}
+
+	private void checkUnanswered(Entry entry, Answer answer, long now) {
+		double used = (now - entry.sentAt) / (double) entry.kind.time().toNanos();
+		String what = "status " + answer.status() + ", " + answer.failure() + ", after "
+				+ Duration.ofNanos(now - entry.sentAt).toMillis() + " ms, ran " + entry.runs.get() + " times";
+		if (!answer.isSent()) {
+			count(entry.kind, "not sent");
+		}
+		else if ((answer.status() == 0) && (entry.runs.get() == 0) && (now - entry.sentAt < CLOSE_SLACK.toNanos())) {
+			count(entry.kind, "crossed a close");
+		}
+		else if (isDisturbed(entry.instance, entry.sentAt - CONTACT.toNanos(), now)) {
+			count(entry.kind, "cut while disturbed");
+		}
+		else if (used > TIME_USED_SHARE) {
+			count(entry.kind, "cut at its deadline");
+			note("late: " + entry.kind + " " + entry.id + " at " + entry.instance + ": " + what);
+		}
+		else {
+			count(entry.kind, "cut");
+			violate(Rule.LOST_ANSWER, entry.id, entry.instance, what + ", around " + planned(entry.sentAt, now));
+		}
+	}
+
+	/**
+	 * Records that a turn which was answered whole was not served in several tries.
+	 * @param previous the turn
+	 * @param last the last answer
+	 * @param entry the entry that gave it
+	 */
+	void unreachable(String previous, Answer last, FleetProcess entry) {
+		violate(Rule.LOST_REACH, previous, entry.name(),
+				"not continued in any try, last " + last.status() + code(last) + describe(previous));
+	}
+
+	private boolean isDisturbed(String instance, long from, long to) {
+		return this.disturbances.stream().anyMatch((d) -> !d.planned && d.affects(instance) && d.overlaps(from, to));
+	}
+
+	private List<String> planned(long from, long to) {
+		return this.disturbances.stream()
+			.filter((d) -> d.planned && d.overlaps(from - CONTACT.toNanos(), to))
+			.map((d) -> d.kind)
+			.toList();
+	}
+
+	private String describe(String turn) {
+		Entry entry = this.entries.get(turn);
+		return String.format(", which was served by %s at %.3f", entry.instance, seconds(entry.servedAt));
+	}
+
+	/**
+	 * Returns the data of the events of a stream.
+	 * @param body the body of the answer
+	 * @return the data, one element an event
+	 */
+	static List<String> events(String body) {
+		List<String> events = new ArrayList<>();
+		for (String line : body.split("\n")) {
+			if (line.startsWith("data: ")) {
+				events.add(line.substring(6));
+			}
+		}
+		return events;
+	}
+
+	private static boolean isPromise(int status) {
+		return (status == 402) || (status == 408) || (status == 421) || (status == 429) || (status == 503);
+	}
+
+	private static String code(Answer answer) {
+		Matcher code = CODE.matcher(answer.body());
+		return code.find() ? " " + code.group(1) : "";
+	}
+
+	/**
+	 * Returns a short digest of a text.
+	 * @param text the text
+	 * @return the digest in hexadecimal
+	 */
+	static String digest(String text) {
+		CRC32 crc = new CRC32();
+		crc.update(text.getBytes(StandardCharsets.ISO_8859_1));
+		return Long.toHexString(crc.getValue());
+	}
+
+	// ---- Results
+
+	private void count(Kind kind, String outcome) {
+		this.counts.computeIfAbsent(kind + " " + outcome, (k) -> new AtomicInteger()).incrementAndGet();
+	}
+
+	void violate(Rule rule, String id, String instance, String text) {
+		Violation violation = new Violation(rule, id, instance, text);
+		this.violations.add(violation);
+		note("VIOLATION " + violation + " (" + Instant.now() + ")");
+	}
+
+	/**
+	 * Returns the broken promises.
+	 * @return the violations, in the order of time
+	 */
+	List<Violation> violations() {
+		return List.copyOf(this.violations);
+	}
+
+	/**
+	 * Returns how many requests had which outcome.
+	 * @return the counts by kind and outcome
+	 */
+	Map<String, Integer> counts() {
+		Map<String, Integer> result = new TreeMap<>();
+		this.counts.forEach((name, count) -> result.put(name, count.get()));
+		return result;
+	}
+
+	/**
+	 * Prints what the logs of the processes say about the first violations of each rule.
+	 * @param processes the processes
+	 */
+	void explain(List<FleetProcess> processes) {
+		Map<Rule, List<Violation>> byRule = new LinkedHashMap<>();
+		this.violations.forEach((v) -> byRule.computeIfAbsent(v.rule(), (r) -> new ArrayList<>()).add(v));
+		byRule.forEach((rule, list) -> {
+			note(rule + ": " + list.size());
+			if (rule != Rule.EXIT) {
+				list.stream().limit(MAX_EXPLAINED).forEach((v) -> explain(v, processes));
+			}
+		});
+	}
+
+	private void explain(Violation violation, List<FleetProcess> processes) {
+		List<String> arguments = new ArrayList<>(List.of("explain", violation.id()));
+		processes.stream().filter((p) -> p.log().toFile().isFile()).forEach((p) -> arguments.add(p.log().toString()));
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		Main.run(arguments.toArray(String[]::new), new PrintStream(out), new PrintStream(out));
+		note("explain " + violation + "\n" + out.toString(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * A promise to callers.
+	 */
+	enum Rule {
+
+		/** A turn that was answered whole within the retention is called missing. */
+		LOST_TURN,
+
+		/** A turn that was answered whole reaches no upstream in several tries. */
+		LOST_REACH,
+
+		/** A request ends without an answer although nothing unplanned happened. */
+		LOST_ANSWER,
+
+		/** A request that may not be repeated runs more than once. */
+		TWICE,
+
+		/** A request that was refused as not run has run, or runs later. */
+		REFUSED,
+
+		/** An answer belongs to another request. */
+		MIXED,
+
+		/** Events are missing, come twice or out of order. */
+		ORDER,
+
+		/** A request runs that was not sent, or with another body. */
+		UNASKED,
+
+		/** A request that is allowed is refused with 4xx. */
+		DENIED,
+
+		/** Hardly anything is served although all machines are back. */
+		RECOVER,
+
+		/** A process ends by itself. */
+		EXIT
+
+	}
+
+	/**
+	 * A kind of request.
+	 */
+	enum Kind {
+
+		TURN("POST", "/turns/t", 3017, false), SAFE("GET", "/safe/s", 1504, true),
+		UNSAFE("POST", "/unsafe/u", 6007, false);
+
+		private final String method;
+
+		private final String path;
+
+		private final int timeMillis;
+
+		private final boolean repeatable;
+
+		Kind(String method, String path, int timeMillis, boolean repeatable) {
+			this.method = method;
+			this.path = path;
+			this.timeMillis = timeMillis;
+			this.repeatable = repeatable;
+		}
+
+		String method() {
+			return this.method;
+		}
+
+		String path() {
+			return this.path;
+		}
+
+		/**
+		 * Returns how long callers wait for the answer.
+		 * @return the time
+		 */
+		Duration time() {
+			return Duration.ofMillis(this.timeMillis);
+		}
+
+		boolean isRepeatable() {
+			return this.repeatable;
+		}
+
+	}
+
+	/**
+	 * A broken promise.
+	 *
+	 * @param rule the promise
+	 * @param id the id of the request, or the name of the process that ended
+	 * @param instance the instance that received the request
+	 * @param text what was seen
+	 */
+	record Violation(Rule rule, String id, String instance, String text) {
+
+		@Override
+		public String toString() {
+			return this.rule + " " + this.id + " at " + this.instance + ": " + this.text;
+		}
+
+	}
+
+	/**
+	 * Something that was done to the fleet.
+	 */
+	static final class Disturbance {
+
+		private final String kind;
+
+		private final boolean planned;
+
+		private final Set<String> entries;
+
+		private final long beganAt;
+
+		private volatile long endedAt;
+
+		private Disturbance(String kind, boolean planned, Set<String> entries, long beganAt) {
+			this.kind = kind;
+			this.planned = planned;
+			this.entries = entries;
+			this.beganAt = beganAt;
+		}
+
+		private boolean affects(String entry) {
+			return this.entries.isEmpty() || this.entries.contains(entry);
+		}
+
+		private boolean overlaps(long from, long to) {
+			return (this.beganAt - to < 0) && ((this.endedAt == 0) || (this.endedAt - from > 0));
+		}
+
+	}
+
+	/**
+	 * A request.
+	 */
+	private static final class Entry {
+
+		private final String id;
+
+		private final Kind kind;
+
+		private final String instance;
+
+		private final String previous;
+
+		private final long sentAt;
+
+		private final AtomicInteger runs = new AtomicInteger();
+
+		private volatile boolean refused;
+
+		private volatile long servedAt;
+
+		private Entry(String id, Kind kind, String instance, String previous, long sentAt) {
+			this.id = id;
+			this.kind = kind;
+			this.instance = instance;
+			this.previous = previous;
+			this.sentAt = sentAt;
+		}
+
+	}
+
+}
