Count a lost disk until the group is whole again

A disk that counts for the promised time alone makes a run on a starved machine lose more disks than it tolerates. Property mangorack.fleet.timed asks for the promised time.

--- a/bench/src/test/java/org/mangorack/bench/fleet/CallerConnection.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/CallerConnection.java
@@ -30,6 +30,8 @@
 
 	private boolean open;
 
+	private int requests;
+
 	CallerConnection(FleetProcess entry) {
 		this.entry = entry;
 	}
@@ -72,6 +74,7 @@
 	 */
 	Answer exchange(String request, int timeoutMillis) {
 		Answer answer = new Answer();
+		answer.number = ++this.requests;
 		try {
 			this.socket.setSoTimeout(timeoutMillis);
 			this.socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
@@ -160,6 +163,8 @@
 
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+		private int number;
+
 		private boolean sent;
 
 		private int status;
@@ -168,6 +173,14 @@
 
 		private String failure;
 
+		/**
+		 * Returns how many requests were sent on the connection, this one included.
+		 * @return the number
+		 */
+		int number() {
+			return this.number;
+		}
+
 		/**
 		 * Tells whether the whole request was written.
 		 * @return {@code true} if it was
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
@@ -47,6 +47,15 @@
 		return Integer.getInteger(PREFIX + name, defaultValue);
 	}
 
+	/**
+	 * Tells whether a lost disk counts only for the time that the deployment grants to
+	 * catch up, however long its keeper takes. Slow machines break promises then.
+	 * @return {@code true} if it does
+	 */
+	boolean isCatchUpTimed() {
+		return Boolean.getBoolean(PREFIX + "timed");
+	}
+
 	/**
 	 * Returns the folder with the jar and the deploy files that are run.
 	 * @return the folder
