--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -19,8 +18,9 @@
 /**
  * Inflicts a seeded series of troubles on a fleet, several at a time, within what it has
  * to tolerate: never are more disks lost at a time than the tolerance. A lost disk counts
- * until all keepers have run undisturbed for {@link FleetProcesses#CATCH_UP} and, unless
- * the settings say that this time has to do, the group is whole again.
+ * until its keeper has run undisturbed for {@link FleetProcesses#CATCH_UP} and the group
+ * is whole again. If the settings say that this time has to do, it counts until all
+ * keepers have run undisturbed for as long.
  */
 final class FleetTroubles implements Runnable {
 
@@ -44,7 +44,7 @@
 
 	private final Object diskLoss = new Object();
 
-	private final Set<FleetProcess> lost = new HashSet<>();
+	private volatile boolean disksLost;
 
 	private final AtomicReference<FleetProcess> retiring = new AtomicReference<>();
 
@@ -195,7 +195,7 @@
 	void loseDisks(Loss loss, Random source) throws Exception {
 		synchronized (this.diskLoss) {
 			long startedAt = System.nanoTime();
-			while (!areDisksWhole()) {
+			while (this.disksLost) {
 				if (System.nanoTime() - startedAt > DISKS_TIMEOUT.toNanos()) {
 					this.fleet.ledger().note("no disk is lost, as earlier ones are not caught up");
 					return;
@@ -204,37 +204,38 @@
 			}
 			int count = 1 + source.nextInt(this.settings.tolerance());
 			List<FleetProcess> picked = pick(this.fleet.members(), count, source);
-			this.lost.addAll(picked);
-			if (!picked.isEmpty()) {
-				this.lastLost.set(picked.get(0));
+			if (picked.isEmpty()) {
+				return;
 			}
+			this.disksLost = true;
+			this.lastLost.set(picked.get(0));
 			this.fleet.ledger().note("disks lost: " + picked);
 			loss.run(picked);
-			watchCatchUp(System.nanoTime());
+			awaitCatchUp(picked);
 		}
 	}
 
-	private boolean areDisksWhole() {
-		boolean undisturbed = this.fleet.keepers()
-			.stream()
-			.allMatch((k) -> k.isUndisturbedFor(FleetProcesses.CATCH_UP));
-		if (undisturbed && (this.settings.isCatchUpTimed() || this.fleet.isGroupWhole())) {
-			this.lost.clear();
-		}
-		return this.lost.isEmpty();
-	}
-
-	private void watchCatchUp(long lostAt) {
+	private void awaitCatchUp(List<FleetProcess> lost) {
+		long lostAt = System.nanoTime();
 		FleetProcesses.startDaemon("catch-up", () -> {
-			while (!this.fleet.isGroupWhole() && !this.fleet.isClosed()) {
+			while (!isCaughtUp(lost) && !this.fleet.isClosed()) {
 				sleep(100);
 			}
+			this.disksLost = false;
 			this.fleet.ledger()
-				.note("group has " + this.fleet.members().size() + " disks "
-						+ TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostAt) + " ms after the loss");
+				.note(lost + " no longer count as lost " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostAt)
+						+ " ms after they were back");
 		});
 	}
 
+	private boolean isCaughtUp(List<FleetProcess> lost) {
+		if (this.settings.isCatchUpTimed()) {
+			return this.fleet.keepers().stream().allMatch((k) -> k.isUndisturbedFor(FleetProcesses.CATCH_UP));
+		}
+		return lost.stream().allMatch((k) -> k.isRemoved() || k.isUndisturbedFor(FleetProcesses.CATCH_UP))
+				&& this.fleet.isGroupWhole();
+	}
+
 	/**
 	 * Retires a keeper, often one that has lost its disk before, and replaces it. One
 	 * keeper is retired at a time.
