Count what the store refuses for its log as rejected

What an operator saw: mangorack_keeper_log_rejected stayed at 0 while a keeper refused turns and charges, since the store asks the log first and only what reached the log was counted.

Test: TurnStoreFaultTests#contentThatTheLogRejectsIsNotHeld, failed before with "expected: 11L but was: 0L".

--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -196,26 +196,17 @@
 	}
 
 	/**
-	 * Returns why an entry would be rejected if it was appended now.
+	 * Returns why an entry would be rejected if it was appended now, and counts it as
+	 * rejected if there is a reason.
 	 * @param bytes the size of the encoded entry in bytes
 	 * @return the reason, or {@code null} if the entry would be written
 	 */
 	IOException rejection(int bytes) {
-		if (bytes > MAX_ENTRY_BYTES) {
-			return new IOException("entry of " + bytes + " bytes exceeds the limit of " + MAX_ENTRY_BYTES
-					+ " bytes of the log in " + this.folder);
-		}
-		Outage current = this.outage;
-		if ((current != null) && (this.clock.nanoTime() - current.retryAt() < 0)) {
-			return new IOException("log in " + this.folder + " is not written since its disk failed "
-					+ failingTime().toMillis() + " ms ago", current.cause());
-		}
-		long pending = pendingBytes();
-		if ((pending > 0) && (pending + bytes > MAX_PENDING_BYTES)) {
-			return new IOException(
-					"log in " + this.folder + " has " + pending + " bytes to write, no room for " + bytes + " more");
+		IOException reason = reasonToReject(bytes);
+		if (reason != null) {
+			this.rejected.incrementAndGet();
 		}
-		return null;
+		return reason;
 	}
 
 	/**
@@ -227,7 +218,6 @@
 	void append(LogEntry entry, Consumer<IOException> done) {
 		IOException rejection = rejection(entry.getSerializedSize());
 		if (rejection != null) {
-			this.rejected.incrementAndGet();
 			this.callbackExecutor.accept(() -> done.accept(rejection));
 			return;
 		}
@@ -356,6 +346,24 @@
 
 	// ---- Helpers
 
+	private IOException reasonToReject(int bytes) {
+		if (bytes > MAX_ENTRY_BYTES) {
+			return new IOException("entry of " + bytes + " bytes exceeds the limit of " + MAX_ENTRY_BYTES
+					+ " bytes of the log in " + this.folder);
+		}
+		Outage current = this.outage;
+		if ((current != null) && (this.clock.nanoTime() - current.retryAt() < 0)) {
+			return new IOException("log in " + this.folder + " is not written since its disk failed "
+					+ failingTime().toMillis() + " ms ago", current.cause());
+		}
+		long pending = pendingBytes();
+		if ((pending > 0) && (pending + bytes > MAX_PENDING_BYTES)) {
+			return new IOException(
+					"log in " + this.folder + " has " + pending + " bytes to write, no room for " + bytes + " more");
+		}
+		return null;
+	}
+
 	private void addOlderSegment(long number, long bytes) {
 		this.olderSegments.put(number, bytes);
 		this.olderBytes += bytes;
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
@@ -66,6 +66,7 @@
 				charged::complete))
 			.isFalse();
 		assertThat(charged).isCompletedWithValueMatching((failure) -> failure != null);
+		assertThat(this.log.rejectedEntries()).isEqualTo(11);
 		assertThat(this.store.turnCount()).isEqualTo(turns);
 		assertThat(this.store.programCount()).isZero();
 		assertThat(this.store.chain("first").getTurnList()).hasSize(1);
