--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
@@ -109,10 +109,7 @@
 
 		@Override
 		void inflict(FleetTroubles run, Random random) throws Exception {
-			List<FleetProcess> keepers = run.pick(run.fleet().keepers(), 1 + random.nextInt(2), random);
-			run.inParallel(keepers, FleetProcess::kill);
-			run.pause(random, 8000);
-			run.inParallel(keepers, FleetProcess::start);
+			run.killFor(run.pick(run.fleet().keepers(), 1 + random.nextInt(2), random), 8000, random);
 		}
 
 	},
@@ -151,7 +148,7 @@
 
 		@Override
 		void inflict(FleetTroubles run, Random random) throws Exception {
-			run.loseDisks((lost) -> {
+			run.loseDisks(List.of(), (lost) -> {
 				run.inParallel(lost, FleetProcess::loseDisk);
 				run.pause(random, 2000);
 				run.inParallel(lost, FleetProcess::start);
@@ -167,7 +164,7 @@
 
 		@Override
 		void inflict(FleetTroubles run, Random random) throws Exception {
-			run.loseDisks((lost) -> run.restartAll(lost, random), random);
+			run.loseDisks(List.of(), (lost) -> run.restartAll(lost, random), random);
 		}
 
 	},
@@ -185,24 +182,66 @@
 
 	},
 
-	/** The disk of a keeper is full for some seconds. */
+	/**
+	 * A member is down while turns are made. Once it is back, disks are lost while other
+	 * members are down.
+	 */
+	LOSE_DISKS_AFTER_KILL(false, 4) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> members = run.pick(run.fleet().members(), 2, random);
+			run.killFor(members.subList(0, 1), 8000, random);
+			run.awaitBack();
+			run.loseDisks(members, (lost) -> {
+				run.inParallel(lost, FleetProcess::loseDisk);
+				run.inParallel(members.subList(1, members.size()), FleetProcess::kill);
+				run.pause(random, 1000);
+				run.inParallel(lost, FleetProcess::start);
+				run.pause(random, 4000);
+				run.inParallel(members, FleetProcess::start);
+			}, random);
+		}
+
+	},
+
+	/** The disk of a keeper is full for some seconds, and often it crashes later. */
 	FULL_DISK(false, 5) {
 
 		@Override
 		void inflict(FleetTroubles run, Random random) throws Exception {
-			FleetProcess keeper = run.pick(run.fleet().keepers(), 1, random).get(0);
-			keeper.setDisturbed(true);
-			keeper.limitFileSize(Long.toString(keeper.largestFile() + random.nextInt(20_000)));
-			run.pause(random, 3000);
-			keeper.limitFileSize("unlimited");
-			keeper.setDisturbed(false);
+			List<FleetProcess> keepers = run.pick(run.fleet().members(), 1, random);
+			run.fillDisk(keepers.get(0), random);
 			if (random.nextInt(3) > 0) {
 				run.pause(random, 5000);
-				keeper.kill();
-				keeper.start();
+				run.killFor(keepers, 1000, random);
 			}
 		}
 
+	},
+
+	/**
+	 * The disk of a member is full for some seconds. Later another is down while turns
+	 * are made, the first one crashes, and disks of others are lost.
+	 */
+	LOSE_DISKS_AFTER_FULL_DISK(false, 4) {
+
+		@Override
+		void inflict(FleetTroubles run, Random random) throws Exception {
+			List<FleetProcess> members = run.pick(run.fleet().members(), 2, random);
+			run.fillDisk(members.get(0), random);
+			run.awaitBack();
+			run.killFor(members.subList(1, members.size()), 4000, random);
+			run.awaitBack();
+			run.killFor(members.subList(0, 1), 1000, random);
+			run.awaitBack();
+			run.loseDisks(members, (lost) -> {
+				run.inParallel(lost, FleetProcess::loseDisk);
+				run.pause(random, 2000);
+				run.inParallel(lost, FleetProcess::start);
+			}, random);
+		}
+
 	};
 
 	private final boolean planned;
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -30,6 +30,10 @@
 
 	private static final int MAX_PAUSE_MS = 5000;
 
+	private static final int MAX_ROOM = 20_000;
+
+	private static final int MAX_FULL_MS = 3000;
+
 	private static final int MAX_LATE_START_MS = 4000;
 
 	private static final Duration RETIREMENT_TIMEOUT = Duration.ofSeconds(60);
@@ -126,6 +130,39 @@
 		sleep(source.nextInt(mostMillis));
 	}
 
+	/**
+	 * Waits for as long as a keeper that is back counts as lost.
+	 */
+	void awaitBack() {
+		sleep(FleetProcesses.CATCH_UP.toMillis());
+	}
+
+	/**
+	 * Kills some keepers and starts them again.
+	 * @param keepers the keepers
+	 * @param mostMillis the longest time in milliseconds for which they are down
+	 * @param source the source of randomness
+	 */
+	void killFor(List<FleetProcess> keepers, int mostMillis, Random source) {
+		inParallel(keepers, FleetProcess::kill);
+		pause(source, mostMillis);
+		inParallel(keepers, FleetProcess::start);
+	}
+
+	/**
+	 * Fills the disk of a keeper for some seconds.
+	 * @param keeper the keeper
+	 * @param source the source of randomness
+	 * @throws Exception if the size of its files cannot be limited
+	 */
+	void fillDisk(FleetProcess keeper, Random source) throws Exception {
+		keeper.setDisturbed(true);
+		keeper.limitFileSize(Long.toString(keeper.largestFile() + source.nextInt(MAX_ROOM)));
+		pause(source, MAX_FULL_MS);
+		keeper.limitFileSize("unlimited");
+		keeper.setDisturbed(false);
+	}
+
 	private static void sleep(long millis) {
 		ScriptedUpstream.sleep(millis);
 	}
@@ -188,11 +225,12 @@
 
 	/**
 	 * Loses disks of members, as soon as no other disk counts as lost.
+	 * @param spared the keepers whose disks are not lost
 	 * @param loss what happens to the keepers that are picked
 	 * @param source the source of randomness
 	 * @throws Exception if the loss fails
 	 */
-	void loseDisks(Loss loss, Random source) throws Exception {
+	void loseDisks(List<FleetProcess> spared, Loss loss, Random source) throws Exception {
 		synchronized (this.diskLoss) {
 			long startedAt = System.nanoTime();
 			while (this.disksLost) {
@@ -203,7 +241,9 @@
 				sleep(100);
 			}
 			int count = 1 + source.nextInt(this.settings.tolerance());
-			List<FleetProcess> picked = pick(this.fleet.members(), count, source);
+			List<FleetProcess> members = new ArrayList<>(this.fleet.members());
+			members.removeAll(spared);
+			List<FleetProcess> picked = pick(members, count, source);
 			if (picked.isEmpty()) {
 				return;
 			}
