Let a join go on with the members that it has read

After the loss of disks the group ran short of members for as long as one member or another was away: a joining disk asked the members one after the other, each with its own time-out, and had to read enough of them within one pass. A member that answered in one pass and was away in the next had to be read again, and the charges of all programs were written anew for each member in each pass.

Now what was read counts for as long as the change lasts. A member that has adopted the view accepts no request of an older one, also after a restart, so nothing can be added to it that its listing lacks and that the members of the new view did not get as well. Members are asked to adopt a view, and listed, at the same time, so one that is away costs one time-out and not one for each step of the others; the same holds for the probes of silent members. A charge is written once a change.

What remains: a change is still aborted after 12 s without its end, also while its copy goes on, and two lost disks still join one after the other. What was copied is kept and not copied again.

--- a/mangorack/src/main/java/org/mangorack/keeper/CatchUp.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/CatchUp.java
@@ -1,8 +1,11 @@
 package org.mangorack.keeper;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
+import org.mangorack.keeper.proto.ProgramCharges;
+
 /**
  * The progress of a disk that copies the data of members during one change of the group.
  * Not thread-safe.
@@ -15,6 +18,8 @@
 
 	private final Set<String> read = new HashSet<>();
 
+	private final CopiedCharges copiedCharges = new CopiedCharges();
+
 	private int turns;
 
 	private int charges;
@@ -65,16 +70,27 @@
 		this.read.add(disk);
 	}
 
-	void clearRead() {
-		this.read.clear();
-	}
-
 	void addTurns(int count) {
 		this.turns += count;
 	}
 
-	void addCharges(int count) {
-		this.charges += count;
+	/**
+	 * Finds the charges that were not copied during this change, or are to be retained
+	 * for longer.
+	 * @param listed the charges that a member lists
+	 * @return those that have to be written, by program
+	 */
+	List<ProgramCharges> findNewCharges(List<ProgramCharges> listed) {
+		return this.copiedCharges.findNew(listed);
+	}
+
+	/**
+	 * Records charges as copied and synced.
+	 * @param copied the charges, by program
+	 */
+	void addCharges(List<ProgramCharges> copied) {
+		copied.forEach(this.copiedCharges::add);
+		this.charges += copied.stream().mapToInt(ProgramCharges::getChargeCount).sum();
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -346,10 +346,10 @@
 	// if so few members respond that this keeper itself may be partitioned from the
 	// group.
 	private boolean probeAll(GroupView view) throws InterruptedException {
-		Set<String> answering = new HashSet<>();
+		Set<String> answering = new HashSet<>(sendView(view, view.all()).keySet());
+		answering.add(this.self.getDisk());
 		for (Member m : view.all()) {
-			if (m.getDisk().equals(this.self.getDisk()) || sendView(view, m).isPresent()) {
-				answering.add(m.getDisk());
+			if (answering.contains(m.getDisk())) {
 				this.unresponsiveSince.remove(m.getDisk());
 			}
 			else {
@@ -462,28 +462,33 @@
 	}
 
 	// Copies the data that this disk lacks. Members first stop accepting requests of
-	// older views, so a write that is missing from the copies was never completed.
+	// older views, so a write that is missing from the copies was never completed. For
+	// the same reason a member that was read once need not be read again in this change.
 	private boolean copyFromMembers(GroupView view) throws InterruptedException {
-		this.catchUp.clearRead();
+		List<Member> unread = view.members()
+			.stream()
+			.filter((m) -> !this.catchUp.read().contains(m.getDisk()))
+			.toList();
+		Set<String> adopted = findAdopted(unread, view);
+		List<Member> readable = unread.stream().filter((m) -> adopted.contains(m.getDisk())).toList();
+		Map<String, Reply> replies = this.peers.callAll(readable, GroupMembership::inventoryRequest, COPY_TIMEOUT);
 		Set<String> held = new HashSet<>(runOnEventLoop(() -> this.service.turns().turnIds()));
-		for (Member m : view.members()) {
-			if (hasAdopted(m, view) && copyFrom(m, held)) {
+		for (Member m : readable) {
+			Reply reply = replies.get(m.getDisk());
+			if ((reply != null) && reply.hasListing() && copyFrom(m, reply.getListing(), held)) {
 				this.catchUp.addRead(m.getDisk());
 			}
 		}
 		return view.isReadQuorum(this.catchUp.read());
 	}
 
-	private boolean copyFrom(Member member, Set<String> held) throws InterruptedException {
-		Optional<Listing> listing = inventory(member);
-		if (listing.isEmpty()) {
-			return false;
-		}
-		if (!storeCharges(listing.get().getProgramList())) {
+	private boolean copyFrom(Member member, Listing listing, Set<String> held) throws InterruptedException {
+		List<ProgramCharges> lacking = this.catchUp.findNewCharges(listing.getProgramList());
+		if (!storeCharges(lacking)) {
 			return false;
 		}
-		this.catchUp.addCharges(listing.get().getProgramList().stream().mapToInt(ProgramCharges::getChargeCount).sum());
-		List<String> missing = listing.get().getTurnList().stream().filter((t) -> !held.contains(t)).toList();
+		this.catchUp.addCharges(lacking);
+		List<String> missing = listing.getTurnList().stream().filter((t) -> !held.contains(t)).toList();
 		for (int i = 0; i < missing.size(); i += COPY_BATCH_TURNS) {
 			List<String> batch = missing.subList(i, Math.min(missing.size(), i + COPY_BATCH_TURNS));
 			Request.Builder request = Request.newBuilder().setCopy(Copy.newBuilder().addAllTurn(batch));
@@ -503,12 +508,8 @@
 
 	private boolean copyToNextMembers(GroupView view) throws InterruptedException {
 		Set<String> upToDate = new HashSet<>();
-		Set<String> adopted = new HashSet<>();
-		for (Member m : view.members()) {
-			if (m.getDisk().equals(this.self.getDisk()) || hasAdopted(m, view)) {
-				adopted.add(m.getDisk());
-			}
-		}
+		Set<String> adopted = findAdopted(view.members(), view);
+		adopted.add(this.self.getDisk());
 		if (!view.isReadQuorum(adopted)) {
 			return false;
 		}
@@ -551,17 +552,33 @@
 	}
 
 	private Optional<Listing> inventory(Member member) throws InterruptedException {
-		Request.Builder request = Request.newBuilder().setInventory(Inventory.getDefaultInstance());
-		return this.peers.call(member, request, COPY_TIMEOUT).filter(Reply::hasListing).map(Reply::getListing);
+		return this.peers.call(member, inventoryRequest(), COPY_TIMEOUT)
+			.filter(Reply::hasListing)
+			.map(Reply::getListing);
+	}
+
+	private static Request.Builder inventoryRequest() {
+		return Request.newBuilder().setInventory(Inventory.getDefaultInstance());
 	}
 
-	private boolean hasAdopted(Member member, GroupView view) throws InterruptedException {
-		return sendView(view, member).filter((r) -> r.getView().getEpoch() >= view.epoch()).isPresent();
+	// Finds the members that accept no request of a view before this one any more.
+	private Set<String> findAdopted(List<Member> members, GroupView view) throws InterruptedException {
+		Set<String> adopted = new HashSet<>();
+		sendView(view, members).forEach((disk, reply) -> {
+			if (reply.getView().getEpoch() >= view.epoch()) {
+				adopted.add(disk);
+			}
+		});
+		return adopted;
 	}
 
-	private Optional<Reply> sendView(GroupView view, Member member) throws InterruptedException {
-		Request.Builder request = Request.newBuilder().setAdopt(Adopt.newBuilder().setView(view.toProto()));
-		return this.peers.call(member, request, CALL_TIMEOUT).filter((r) -> r.getStatus() == Status.OK);
+	// Returns the replies of the other keepers that handled the view, by disk.
+	private Map<String, Reply> sendView(GroupView view, List<Member> members) throws InterruptedException {
+		List<Member> others = members.stream().filter((m) -> !m.getDisk().equals(this.self.getDisk())).toList();
+		Map<String, Reply> replies = this.peers.callAll(others,
+				() -> Request.newBuilder().setAdopt(Adopt.newBuilder().setView(view.toProto())), CALL_TIMEOUT);
+		replies.values().removeIf((reply) -> reply.getStatus() != Status.OK);
+		return replies;
 	}
 
 	private void write(StoredObject object, GroupView view) throws StoreException, InterruptedException {
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperPeers.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperPeers.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 
@@ -51,12 +53,32 @@
 	Optional<Reply> call(Member member, Request.Builder request, Duration timeout) throws InterruptedException {
 		CompletableFuture<Reply> result = new CompletableFuture<>();
 		this.loop.execute(() -> send(member, request, result));
-		try {
-			return Optional.of(result.get(timeout.toMillis(), TimeUnit.MILLISECONDS));
+		return await(result, timeout);
+	}
+
+	/**
+	 * Sends requests to several keepers at the same time and waits for their replies.
+	 * @param members the keepers to call
+	 * @param request creates a request, which is changed when it is sent
+	 * @param timeout how long to wait for all of them together
+	 * @return the final replies, by disk, of the keepers that replied in time
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	Map<String, Reply> callAll(Collection<Member> members, Supplier<Request.Builder> request, Duration timeout)
+			throws InterruptedException {
+		Map<String, CompletableFuture<Reply>> results = new HashMap<>();
+		for (Member member : members) {
+			CompletableFuture<Reply> result = new CompletableFuture<>();
+			results.put(member.getDisk(), result);
+			this.loop.execute(() -> send(member, request.get(), result));
 		}
-		catch (TimeoutException | ExecutionException ex) {
-			return Optional.empty();
+		long deadline = this.clock.nanoTime() + timeout.toNanos();
+		Map<String, Reply> replies = new HashMap<>();
+		for (Map.Entry<String, CompletableFuture<Reply>> result : results.entrySet()) {
+			await(result.getValue(), Duration.ofNanos(Math.max(0, deadline - this.clock.nanoTime())))
+				.ifPresent((reply) -> replies.put(result.getKey(), reply));
 		}
+		return replies;
 	}
 
 	@Override
@@ -68,6 +90,16 @@
 		});
 	}
 
+	private static Optional<Reply> await(CompletableFuture<Reply> result, Duration timeout)
+			throws InterruptedException {
+		try {
+			return Optional.of(result.get(timeout.toMillis(), TimeUnit.MILLISECONDS));
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			return Optional.empty();
+		}
+	}
+
 	private void send(Member member, Request.Builder request, CompletableFuture<Reply> result) {
 		KeeperLink known = this.links.get(member.getDisk());
 		if (known != null) {
