Let streams go on while a stop ends the other calls

A call without an answer gains one by being ended, a stream that has begun only loses its end.

PlannedStopTests#aStreamGoesOnWhileOtherCallsAreEnded, in which the stream ends once another call got its 502, failed before: "Expecting value to be true but was false", the stream was cut.

--- a/bench/src/test/java/org/mangorack/bench/fleet/PlannedStopTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/PlannedStopTests.java
@@ -26,6 +26,9 @@
 	// Longer than the grace period of the entry, which is 8 s.
 	private static final Duration LONG = Duration.ofSeconds(20);
 
+	// Leaves some time between the end of other calls and that of streams.
+	private static final Duration LONG_GRACE = Duration.ofSeconds(18);
+
 	// After the entry has stopped accepting connections, and well before it ends.
 	private static final long LATE_MILLIS = 4200;
 
@@ -142,10 +145,44 @@
 		}
 	}
 
+	// Guards against cutting a stream earlier than needed, which cannot be answered
+	// instead.
+	@Test
+	void aStreamGoesOnWhileOtherCallsAreEnded() throws Exception {
+		CountDownLatch streamEnd = new CountDownLatch(1);
+		this.upstream.setScript((request, out, socket) -> {
+			if (request.header("Request-Id").equals("plain")) {
+				ScriptedUpstream.sleep(LONG.multipliedBy(2).toMillis());
+				return false;
+			}
+			out.write(ScriptedUpstream
+				.bytes(ScriptedUpstream.streamHead(request) + ScriptedUpstream.chunk("id: 1\ndata: e1\n\n")));
+			out.flush();
+			await(streamEnd);
+			out.write(ScriptedUpstream.bytes("0\r\n\r\n"));
+			return true;
+		});
+		this.fleet.configureTimeout(3, LONG.multipliedBy(2));
+		this.fleet.createEntry(0, LONG_GRACE);
+		this.fleet.entry().start();
+		this.fleet.awaitServing();
+		try (Socket stream = this.fleet.connect(); Socket plain = this.fleet.connect()) {
+			send(stream, request("/dialog/1", "stream", "x").replace(LONG.toMillis() + "", LONG.toMillis() * 2 + ""));
+			awaitReceived("stream");
+			send(plain, request("/write/1", "plain", "x").replace(LONG.toMillis() + "", LONG.toMillis() * 2 + ""));
+			awaitReceived("plain");
+			Thread stop = stopEntry();
+			assertThat(TestFleetNodes.readResponse(plain)).startsWith("HTTP/1.1 502");
+			streamEnd.countDown();
+			assertThat(TestFleetNodes.isComplete(TestFleetNodes.readResponse(stream))).isTrue();
+			stop.join();
+		}
+	}
+
 	// Guards against taking connections that are cut when the process ends.
 	@Test
 	void anEntryThatIsStoppedDuringItsStartTakesNoConnections() throws Exception {
-		this.fleet.createEntry(0);
+		this.fleet.createEntry(0, LONG_GRACE);
 		this.fleet.entry().stop();
 		this.fleet.entry().start();
 		assertThatThrownBy(this.fleet::connect).isInstanceOf(ConnectException.class);
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -168,23 +168,25 @@
 	 * @throws IOException if a port is taken
 	 */
 	void startEntry(int tolerance) throws IOException {
-		createEntry(tolerance);
+		createEntry(tolerance, Duration.ofSeconds(8));
 		this.entry.start();
 	}
 
 	/**
 	 * Creates another entry, which is not started and receives all further calls.
 	 * @param tolerance how many disks may be lost
+	 * @param grace the grace period of its planned stops
 	 * @throws IOException if there is no free port
 	 */
-	void createEntry(int tolerance) throws IOException {
+	void createEntry(int tolerance, Duration grace) throws IOException {
 		this.callers = freeAddress(ENTRY_HOST);
 		this.directory = freeAddress(ENTRY_HOST);
 		this.readiness = freeAddress(ENTRY_HOST);
 		String name = "entry-" + ++this.entries;
-		this.entry = new EntryNode(new EntrySettings(name, "dc", this.callers, this.readiness, this.directory, null,
-				storeAddress(), this.keeperAddresses, tolerance, Duration.ofSeconds(4), CONFIGURATION_APPLY,
-				Duration.ofSeconds(8)), newStore(), new WireProtocol(), newMetrics(name));
+		this.entry = new EntryNode(
+				new EntrySettings(name, "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
+						this.keeperAddresses, tolerance, Duration.ofSeconds(4), CONFIGURATION_APPLY, grace),
+				newStore(), new WireProtocol(), newMetrics(name));
 		this.resources.add(this.entry);
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -78,6 +78,10 @@
 		return (this.state == State.IDLE) && this.queued.isEmpty();
 	}
 
+	boolean isStreaming() {
+		return (this.state == State.BUSY) && (this.call != null) && this.call.isStreamBegun();
+	}
+
 	/**
 	 * Starts the head timeout at the first byte of a request and restarts the idle
 	 * timeout while a body is received. Further bytes of a head do not extend its
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -230,6 +230,7 @@
 			awaitConnectionsClosed(() -> startedAt + stopSchedule().callsUntil().toNanos());
 			runOnLoop(this.server::endCalls);
 			awaitConnectionsClosed(() -> startedAt + stopSchedule().responsesUntil().toNanos());
+			runOnLoop(this.server::endStreams);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -165,9 +165,20 @@
 	}
 
 	/**
-	 * Ends all requests with a response.
+	 * Ends all requests with a response, except for streams that have begun, which cannot
+	 * have another one.
 	 */
 	void endCalls() {
+		List.copyOf(this.connections)
+			.stream()
+			.filter((connection) -> !connection.isStreaming())
+			.forEach(CallerConnection::endForStop);
+	}
+
+	/**
+	 * Ends all requests, and breaks off streams that have begun.
+	 */
+	void endStreams() {
 		List.copyOf(this.connections).forEach(CallerConnection::endForStop);
 	}
 
