--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
@@ -2,6 +2,9 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
@@ -56,6 +59,20 @@
 		return Boolean.getBoolean(PREFIX + "timed");
 	}
 
+	/**
+	 * Returns the kinds of trouble that may be inflicted.
+	 * @return the kinds, in their order
+	 */
+	static Set<FleetTrouble> kinds() {
+		String given = System.getProperty(PREFIX + "kinds");
+		if (given == null) {
+			return EnumSet.allOf(FleetTrouble.class);
+		}
+		return Stream.of(given.split(","))
+			.map(FleetTrouble::valueOf)
+			.collect(Collectors.toCollection(() -> EnumSet.noneOf(FleetTrouble.class)));
+	}
+
 	/**
 	 * Returns the folder with the jar and the deploy files that are run.
 	 * @return the folder
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
@@ -1,6 +1,7 @@
 package org.mangorack.bench.fleet;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -254,17 +255,18 @@
 	}
 
 	/**
-	 * Draws a kind.
+	 * Draws a kind, of those that the settings allow.
 	 * @param random the source of randomness
-	 * @param onlyPlanned whether only planned work is drawn
+	 * @param onlyPlanned whether only planned work is drawn, if any is allowed
 	 * @return the kind
 	 */
 	static FleetTrouble draw(Random random, boolean onlyPlanned) {
 		List<FleetTrouble> urn = new ArrayList<>();
-		for (FleetTrouble trouble : values()) {
-			for (int i = 0; (i < trouble.weight) && (trouble.planned || !onlyPlanned); i++) {
-				urn.add(trouble);
-			}
+		for (FleetTrouble trouble : FleetRunSettings.kinds()) {
+			urn.addAll(Collections.nCopies(trouble.weight, trouble));
+		}
+		if (onlyPlanned && urn.stream().anyMatch((trouble) -> trouble.planned)) {
+			urn.removeIf((trouble) -> !trouble.planned);
 		}
 		return urn.get(random.nextInt(urn.size()));
 	}
--- a/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -27,10 +27,10 @@
  * for other runs: a seed, or the first and last one with a dash in between. These take
  * their size from {@code mangorack.fleet.keepers}, {@code entries}, {@code tolerance},
  * {@code callers}, {@code upstreams} (of each of two pools) and {@code seconds} (of
- * troubles); with {@code timed} a lost disk counts for the promised time only, whether or
- * not the group is whole again. They take their code from {@code mangorack.fleet.root}
- * (the root of a built repository), and keep their logs below
- * {@code mangorack.fleet.folder}.
+ * troubles); {@code kinds} names the troubles, separated by commas; with {@code timed} a
+ * lost disk counts for the promised time only, whether or not the group is whole again.
+ * They take their code from {@code mangorack.fleet.root} (the root of a built
+ * repository), and keep their logs below {@code mangorack.fleet.folder}.
  */
 class RandomisedFleetRunTests {
 
