Count a turn as copied only once it is synced on the joining disk

What callers could see: 404 no_turn after a restart of a disk that had joined. A copy whose write took longer than its time-out let the pass over the members fail; the next pass took the turn for held, as its write was still waiting, and counted the member as read. If that write then failed (a full disk), the disk had joined without the turn, and a restart had nothing of it.

The joining disk now compares with what is synced there; what it lists for others still includes turns that are being written, since a copy of the content in memory is as good. TurnStoreFaultTests#aTurnThatIsBeingWrittenIsListedForOthersButNotAsSynced is new with the method; the order of events in GroupMembership was not played.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -472,7 +472,7 @@
 		Set<String> adopted = findAdopted(unread, view);
 		List<Member> readable = unread.stream().filter((m) -> adopted.contains(m.getDisk())).toList();
 		Map<String, Reply> replies = this.peers.callAll(readable, GroupMembership::inventoryRequest, COPY_TIMEOUT);
-		Set<String> held = new HashSet<>(runOnEventLoop(() -> this.service.turns().turnIds()));
+		Set<String> held = new HashSet<>(runOnEventLoop(() -> this.service.turns().syncedTurnIds()));
 		for (Member m : readable) {
 			Reply reply = replies.get(m.getDisk());
 			if ((reply != null) && reply.hasListing() && copyFrom(m, reply.getListing(), held)) {
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.mangorack.keeper.proto.Turn;
 
@@ -49,6 +50,18 @@
 		return this.turns.values().stream().filter((t) -> !t.isLost()).map(StoredTurn::id).toList();
 	}
 
+	/**
+	 * Returns the turns whose copy is synced to disk.
+	 * @return the ids of the turns
+	 */
+	Set<String> syncedIds() {
+		return this.turns.values()
+			.stream()
+			.filter(StoredTurn::isSynced)
+			.map(StoredTurn::id)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Returns the size of the content of all turns that are held.
 	 * @return the size in bytes
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -134,6 +135,14 @@
 		return this.turns.ids();
 	}
 
+	/**
+	 * Returns the turns whose copy a restart would find.
+	 * @return the ids of the turns that are synced to disk
+	 */
+	Set<String> syncedTurnIds() {
+		return this.turns.syncedIds();
+	}
+
 	List<ProgramCharges> ledgers() {
 		List<ProgramCharges> all = new ArrayList<>();
 		this.programs.forEach((name, p) -> all.add(p.toProto(name)));
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
@@ -49,6 +49,18 @@
 		assertThat(this.store.turnIds()).containsExactlyInAnyOrder("first", "second");
 	}
 
+	// Guards against a disk that joins while a copy is still being written, whose write
+	// then fails.
+	@Test
+	void aTurnThatIsBeingWrittenIsListedForOthersButNotAsSynced() {
+		this.store.storeTurn(turn("second"), (failure) -> {
+		});
+		assertThat(this.store.turnIds()).containsExactlyInAnyOrder("first", "second");
+		assertThat(this.store.syncedTurnIds()).containsExactly("first");
+		this.log.writeNextBatch();
+		assertThat(this.store.syncedTurnIds()).containsExactlyInAnyOrder("first", "second");
+	}
+
 	// Guards against a keeper without room on its disk that runs out of memory.
 	@Test
 	void contentThatTheLogRejectsIsNotHeld() {
