--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
@@ -18,9 +18,10 @@
  * @param callers the number of concurrent callers
  * @param upstreams the number of upstreams of each of the two pools
  * @param troubles for how long troubles are inflicted
+ * @param kinds the kinds of trouble, in their order
  */
 record FleetRunSettings(long seed, int keepers, int entries, int tolerance, int callers, int upstreams,
-		Duration troubles) {
+		Duration troubles, Set<FleetTrouble> kinds) {
 
 	private static final String PREFIX = "mangorack.fleet.";
 
@@ -43,7 +44,7 @@
 		return new FleetRunSettings(withSeed, integer("keepers", this.keepers), integer("entries", this.entries),
 				integer("tolerance", this.tolerance), integer("callers", this.callers),
 				integer("upstreams", this.upstreams),
-				Duration.ofSeconds(integer("seconds", (int) this.troubles.toSeconds())));
+				Duration.ofSeconds(integer("seconds", (int) this.troubles.toSeconds())), kinds(this.kinds));
 	}
 
 	private static int integer(String name, int defaultValue) {
@@ -59,14 +60,10 @@
 		return Boolean.getBoolean(PREFIX + "timed");
 	}
 
-	/**
-	 * Returns the kinds of trouble that may be inflicted.
-	 * @return the kinds, in their order
-	 */
-	static Set<FleetTrouble> kinds() {
+	private static Set<FleetTrouble> kinds(Set<FleetTrouble> defaults) {
 		String given = System.getProperty(PREFIX + "kinds");
 		if (given == null) {
-			return EnumSet.allOf(FleetTrouble.class);
+			return defaults;
 		}
 		return Stream.of(given.split(","))
 			.map(FleetTrouble::valueOf)
@@ -102,7 +99,7 @@
 	@Override
 	public String toString() {
 		return "seed " + this.seed + ", " + this.keepers + " keepers, " + this.entries + " entries, tolerance "
-				+ this.tolerance;
+				+ this.tolerance + ((this.kinds.size() < FleetTrouble.values().length) ? ", " + this.kinds : "");
 	}
 
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
@@ -255,14 +255,15 @@
 	}
 
 	/**
-	 * Draws a kind, of those that the settings allow.
+	 * Draws a kind.
+	 * @param kinds the kinds that may be drawn
 	 * @param random the source of randomness
 	 * @param onlyPlanned whether only planned work is drawn, if any is allowed
 	 * @return the kind
 	 */
-	static FleetTrouble draw(Random random, boolean onlyPlanned) {
+	static FleetTrouble draw(Set<FleetTrouble> kinds, Random random, boolean onlyPlanned) {
 		List<FleetTrouble> urn = new ArrayList<>();
-		for (FleetTrouble trouble : FleetRunSettings.kinds()) {
+		for (FleetTrouble trouble : kinds) {
 			urn.addAll(Collections.nCopies(trouble.weight, trouble));
 		}
 		if (onlyPlanned && urn.stream().anyMatch((trouble) -> trouble.planned)) {
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -75,7 +75,8 @@
 			}
 			List<Thread> threads = new ArrayList<>();
 			for (int i = 0; i < count; i++) {
-				threads.add(start(FleetTrouble.draw(this.random, onlyPlanned), this.random.nextLong()));
+				threads.add(start(FleetTrouble.draw(this.settings.kinds(), this.random, onlyPlanned),
+						this.random.nextLong()));
 				pause(this.random, MAX_OFFSET_MS);
 			}
 			threads.forEach(FleetTroubles::join);
--- a/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -4,9 +4,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 
@@ -44,8 +46,13 @@
 	Path temporary;
 
 	static Stream<FleetRunSettings> runs() {
-		return FleetRunSettings.fromProperties(new FleetRunSettings(1, 5, 4, 1, 12, 2, Duration.ofSeconds(30)),
-				new FleetRunSettings(2, 6, 4, 2, 12, 2, Duration.ofSeconds(30)));
+		Set<FleetTrouble> all = EnumSet.allOf(FleetTrouble.class);
+		Set<FleetTrouble> fullDisks = EnumSet.of(FleetTrouble.FULL_DISK, FleetTrouble.LOSE_DISKS_AFTER_FULL_DISK);
+		Set<FleetTrouble> lostDisks = EnumSet.of(FleetTrouble.KILL_KEEPERS, FleetTrouble.LOSE_DISKS_AFTER_KILL);
+		return FleetRunSettings.fromProperties(new FleetRunSettings(1, 5, 4, 1, 12, 2, Duration.ofSeconds(30), all),
+				new FleetRunSettings(2, 6, 4, 2, 12, 2, Duration.ofSeconds(30), all),
+				new FleetRunSettings(1, 4, 4, 1, 12, 2, Duration.ofSeconds(45), fullDisks),
+				new FleetRunSettings(2, 4, 4, 1, 12, 2, Duration.ofSeconds(45), lostDisks));
 	}
 
 	@ParameterizedTest
