Count a turn as missing only by members of one view

A caller could get 404 for a turn that was answered whole. A read collected the members that lack a turn over changes of the group, but judged them by the newest view. When a retiring member leaves, it copies its turns to a member that lacked them before; the earlier reply of that member, with the later one of a member that was not copied to, made a read quorum of the smaller group. The proof of "no wrong 404" demands one view.

The read now starts over with the members of a newer view.

--- a/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
@@ -24,8 +24,12 @@
 
 	private final List<Turn> chain = new ArrayList<>();
 
+	// The members that lack the next turn, all under the view of this epoch. A change may
+	// copy the turn to a member that lacked it before.
 	private final Set<String> confirmedAbsent = new HashSet<>();
 
+	private long epoch;
+
 	private final String firstDisk;
 
 	private String nextTurn;
@@ -36,6 +40,7 @@
 		super(client, KeeperClient.CALL_TIMEOUT);
 		this.nextTurn = turn;
 		this.listener = listener;
+		this.epoch = client.view().epoch();
 		this.firstDisk = client.preferredMembers(program)
 			.stream()
 			.filter((m) -> client.link(m).isPresent())
@@ -70,6 +75,10 @@
 			this.listener.found(this.chain);
 			return;
 		}
+		if (view().epoch() != this.epoch) {
+			askAgain();
+			return;
+		}
 		if (part.getComplete() && part.getMissing().equals(this.nextTurn)) {
 			this.confirmedAbsent.add(member.getDisk());
 		}
@@ -88,9 +97,19 @@
 		}
 	}
 
+	private void askAgain() {
+		this.epoch = view().epoch();
+		this.confirmedAbsent.clear();
+		this.widened = true;
+		repeat();
+	}
+
 	@Override
 	void waited(Duration time) {
-		if (!this.widened && (time.compareTo(KeeperClient.HEDGE_DELAY) > 0)) {
+		if ((view().epoch() != this.epoch) && !this.confirmedAbsent.isEmpty()) {
+			askAgain();
+		}
+		else if (!this.widened && (time.compareTo(KeeperClient.HEDGE_DELAY) > 0)) {
 			this.widened = true;
 			sendMissing();
 		}
