--- a/mangorack/src/test/java/org/mangorack/keeper/CurrentEvidenceTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/CurrentEvidenceTests.java
@@ -84,6 +84,24 @@
 		assertThat(fetch(storing, "t1").get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("found");
 	}
 
+	// Guards against a member that counts as complete while its copies are not on disk.
+	@Test
+	void aDiskJoinsOnlyWithTurnsThatAreSynced() throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		KeeperClient storing = newClient(this.group.view(), Set.of());
+		awaitConnected(storing, 4);
+		assertThat(store(storing, "t1")).isTrue();
+		this.group.loseDisk("k0");
+		TestKeeper joining = this.group.keeper("k0");
+		joining.delaySyncs(Duration.ofSeconds(15));
+		for (int i = 0; i < 4; i++) {
+			this.group.step("k0");
+			boolean member = this.group.view().isMember(joining.member().getDisk());
+			String missing = joining.loop().submit(() -> joining.service().turns().newestMissing("t1")).get();
+			assertThat(member && !missing.isEmpty()).as("member without a synced copy after step %d", i).isFalse();
+		}
+	}
+
 	// ---- Helpers
 
 	private KeeperClient newClient(GroupView view, Set<String> cut) throws Exception {
