Wait before a keeper is asked again that cannot write a view

A keeper whose disk is full cannot adopt a view. Entries answered its "unknown view" with the view, took any reply for success and sent their calls again at once: each call went round until it timed out, with a failed write on the event loop of the keeper and a log entry with a stack trace each time. The keeper, which shares its processor with this, was late for all else.

After a failure the calls are sent again after the time in which the log of the keeper rejects entries anyway.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -71,6 +71,12 @@
 	 */
 	static final int REREAD_MARGIN_TURNS = 8;
 
+	/**
+	 * How long to wait before a keeper that could not write a view, for example because
+	 * its disk is full, is sent requests of that view again.
+	 */
+	static final Duration VIEW_RETRY_DELAY = RecordLog.RETRY_DELAY;
+
 	private final EventLoop loop;
 
 	private final MonotonicClock clock;
@@ -379,6 +385,11 @@
 		link.send(request, new ReplyListener() {
 			@Override
 			public void replied(Reply reply) {
+				if (reply.getStatus() == Status.FAILED) {
+					KeeperClient.this.loop.schedule(KeeperClient.this::sendMissing, VIEW_RETRY_DELAY.toMillis(),
+							TimeUnit.MILLISECONDS);
+					return;
+				}
 				if (reply.getStatus() == Status.WRONG_DISK) {
 					markReplaced(link.member());
 				}
--- a/mangorack/src/test/java/org/mangorack/keeper/CurrentEvidenceTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/CurrentEvidenceTests.java
@@ -3,10 +3,13 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
@@ -17,9 +20,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.ContactTracker;
+import org.mangorack.platform.KindCache;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -102,6 +109,53 @@
 		}
 	}
 
+	// Guards against calls that are sent again and again to a keeper whose disk is full.
+	@Test
+	void aKeeperThatCannotWriteAViewIsNotAskedAgainAtOnce() throws Exception {
+		AtomicInteger tries = new AtomicInteger();
+		List<TestKeeper> keepers = new ArrayList<>();
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < 4; i++) {
+			keepers.add(new TestKeeper("k" + i, "d" + i, this.folder.resolve("d" + i), new FixedConfiguration(null))
+				.start());
+			members.add(keepers.get(i).member());
+		}
+		keepers.get(0).kill();
+		try (RecordLog log = new RecordLog(this.folder.resolve("x"), this.loop::execute)) {
+			log.start();
+			ViewFile file = new ViewFile(this.folder.resolve("y"), 1, new FullDisk(tries));
+			KeeperService full = new KeeperService(this.loops, new TurnStore(log, MonotonicClock.SYSTEM, () -> 1), file,
+					"d0", new GroupView(1, members, List.of(), 1), new FixedConfiguration(null),
+					new UpstreamList(() -> new KindCache.Snapshot(Map.of(), 0),
+							() -> new ContactTracker.Contact(true, Duration.ZERO, false)),
+					MonotonicClock.SYSTEM, new Metrics());
+			full.start(new HttpAddress("127.0.0.3", 0));
+			members.set(0, members.get(0).toBuilder().setHost("127.0.0.3").setPort(full.port()).build());
+			GroupView view = new GroupView(2, members, List.of(), 1);
+			for (int i = 1; i < 4; i++) {
+				keepers.get(i).adopt(view);
+			}
+			// Three keepers answer a call only if all of them are asked: one is down.
+			keepers.get(1).kill();
+			KeeperClient client = newClient(view, Set.of());
+			awaitConnected(client, 3);
+			List<CompletableFuture<String>> outcomes = new ArrayList<>();
+			for (int i = 0; i < 5; i++) {
+				outcomes.add(fetch(client, "none" + i));
+			}
+			for (CompletableFuture<String> outcome : outcomes) {
+				assertThat(outcome.get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("undetermined");
+			}
+			full.close();
+		}
+		finally {
+			for (TestKeeper keeper : keepers.subList(2, 4)) {
+				keeper.close();
+			}
+		}
+		assertThat(tries.get()).as("views that could not be written").isLessThan(100);
+	}
+
 	// ---- Helpers
 
 	private KeeperClient newClient(GroupView view, Set<String> cut) throws Exception {
@@ -163,4 +217,64 @@
 		this.loop.submit(task).get(LIMIT_SECONDS, TimeUnit.SECONDS);
 	}
 
+	/**
+	 * A disk on which no file can be created.
+	 *
+	 * @param tries counts the tries
+	 */
+	private record FullDisk(AtomicInteger tries) implements DiskFiles {
+
+		@Override
+		public void createFolder(Path path) {
+		}
+
+		@Override
+		public List<String> list(Path path) {
+			return List.of();
+		}
+
+		@Override
+		public long size(Path file) {
+			return 0;
+		}
+
+		@Override
+		public boolean exists(Path file) {
+			return false;
+		}
+
+		@Override
+		public byte[] read(Path file) throws IOException {
+			throw new IOException("no file");
+		}
+
+		@Override
+		public OpenFile create(Path file) throws IOException {
+			this.tries.incrementAndGet();
+			throw new IOException("disk full");
+		}
+
+		@Override
+		public void sync(Path file) {
+		}
+
+		@Override
+		public void rename(Path from, Path to) {
+		}
+
+		@Override
+		public void delete(Path file) {
+		}
+
+		@Override
+		public void syncFolder(Path path) {
+		}
+
+		@Override
+		public long roomBytes(Path path) {
+			return 0;
+		}
+
+	}
+
 }
