Let a member leave only after its turns are synced elsewhere

What callers could see: 404 no_turn after a retirement. A leaving member copies to the others what their inventories lack, and an inventory lists turns that are still being written. If those writes fail, or power is lost, the member has left and its copy with it.

An inventory names those of its turns that are still being written; a leaving member sends them again, which waits for their sync. Joining disks read the whole list as before: a turn that is acknowledged after the listing has to be in it. Keepers of the former version ignore the new field. The comment on Request.disk is now in the generated classes too.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -528,6 +528,7 @@
 			return false;
 		}
 		Set<String> remoteTurns = new HashSet<>(listing.get().getTurnList());
+		listing.get().getUnsyncedTurnList().forEach(remoteTurns::remove);
 		List<String> missing = runOnEventLoop(() -> this.service.turns().turnIds()).stream()
 			.filter((t) -> !remoteTurns.contains(t))
 			.toList();
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -227,8 +227,10 @@
 			case BEAT -> out.accept(beat(request));
 			case DRAW -> draw(request.getDraw(), out);
 			case ADOPT -> adoptFrom(request, out);
-			case INVENTORY -> out.accept(durableReply()
-				.setListing(Listing.newBuilder().addAllTurn(this.turns.turnIds()).addAllProgram(this.turns.ledgers())));
+			case INVENTORY -> out.accept(durableReply().setListing(Listing.newBuilder()
+				.addAllTurn(this.turns.turnIds())
+				.addAllUnsyncedTurn(this.turns.unsyncedTurnIds())
+				.addAllProgram(this.turns.ledgers())));
 			case COPY -> out.accept(durableReply()
 				.setBatch(Batch.newBuilder().addAllTurn(this.turns.turns(request.getCopy().getTurnList()))));
 			case STORE -> store(request.getStore(), out);
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -143,6 +143,15 @@
 		return this.turns.syncedIds();
 	}
 
+	/**
+	 * Returns the listed turns that a restart may not find.
+	 * @return the ids of the turns that are being written to disk
+	 */
+	List<String> unsyncedTurnIds() {
+		Set<String> synced = syncedTurnIds();
+		return turnIds().stream().filter((t) -> !synced.contains(t)).toList();
+	}
+
 	List<ProgramCharges> ledgers() {
 		List<ProgramCharges> all = new ArrayList<>();
 		this.programs.forEach((name, p) -> all.add(p.toProto(name)));
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -295,22 +295,22 @@
       "(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007grant" +
       "ed\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004v" +
       "iew\030\001 \001(\0132\026.mangorack.keeper.View\"\013\n\tInv" +
-      "entory\"J\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007progr" +
+      "entory\"a\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007progr" +
       "am\030\002 \003(\0132 .mangorack.keeper.ProgramCharg" +
-      "es\"a\n\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(\n" +
-      "\006charge\030\002 \003(\0132\030.mangorack.keeper.Charge\022" +
-      "\024\n\014retention_ms\030\003 \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001 " +
-      "\003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack.k" +
-      "eeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mang" +
-      "orack.keeper.Turn\0221\n\007program\030\002 \003(\0132 .man" +
-      "gorack.keeper.ProgramCharges\"\202\001\n\010LogEntr" +
-      "y\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.man" +
-      "gorack.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 ." +
-      "mangorack.keeper.ProgramChargesH\000B\006\n\004bod" +
-      "y*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014U" +
-      "NKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020" +
-      "\004B+\n\032org.mangorack.keeper.protoB\013KeeperP" +
-      "rotoP\001b\006proto3"
+      "es\022\025\n\runsynced_turn\030\003 \003(\t\"a\n\016ProgramChar" +
+      "ges\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030.m" +
+      "angorack.keeper.Charge\022\024\n\014retention_ms\030\003" +
+      " \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n\004t" +
+      "urn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`\n\005Sto" +
+      "re\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn" +
+      "\0221\n\007program\030\002 \003(\0132 .mangorack.keeper.Pro" +
+      "gramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030\001 " +
+      "\001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keeper.Tur" +
+      "nH\000\0223\n\007charges\030\003 \001(\0132 .mangorack.keeper." +
+      "ProgramChargesH\000B\006\n\004body*N\n\006Status\022\006\n\002OK" +
+      "\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006" +
+      "FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.mangorac" +
+      "k.keeper.protoB\013KeeperProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -483,7 +483,7 @@
     internal_static_mangorack_keeper_Listing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Listing_descriptor,
-        new java.lang.String[] { "Turn", "Program", });
+        new java.lang.String[] { "Turn", "Program", "UnsyncedTurn", });
     internal_static_mangorack_keeper_ProgramCharges_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_mangorack_keeper_ProgramCharges_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Listing.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Listing.java
@@ -31,6 +31,8 @@
     turn_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     program_ = java.util.Collections.emptyList();
+    unsyncedTurn_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -124,6 +126,59 @@
     return program_.get(index);
   }
 
+  public static final int UNSYNCED_TURN_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList unsyncedTurn_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @return A list containing the unsyncedTurn.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getUnsyncedTurnList() {
+    return unsyncedTurn_;
+  }
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @return The count of unsyncedTurn.
+   */
+  public int getUnsyncedTurnCount() {
+    return unsyncedTurn_.size();
+  }
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @param index The index of the element to return.
+   * @return The unsyncedTurn at the given index.
+   */
+  public java.lang.String getUnsyncedTurn(int index) {
+    return unsyncedTurn_.get(index);
+  }
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the unsyncedTurn at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getUnsyncedTurnBytes(int index) {
+    return unsyncedTurn_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -144,6 +199,9 @@
     for (int i = 0; i < program_.size(); i++) {
       output.writeMessage(2, program_.get(i));
     }
+    for (int i = 0; i < unsyncedTurn_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, unsyncedTurn_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -165,6 +223,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, program_.get(i));
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < unsyncedTurn_.size(); i++) {
+        dataSize += computeStringSizeNoTag(unsyncedTurn_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getUnsyncedTurnList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -184,6 +250,8 @@
         .equals(other.getTurnList())) return false;
     if (!getProgramList()
         .equals(other.getProgramList())) return false;
+    if (!getUnsyncedTurnList()
+        .equals(other.getUnsyncedTurnList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -203,6 +271,10 @@
       hash = (37 * hash) + PROGRAM_FIELD_NUMBER;
       hash = (53 * hash) + getProgramList().hashCode();
     }
+    if (getUnsyncedTurnCount() > 0) {
+      hash = (37 * hash) + UNSYNCED_TURN_FIELD_NUMBER;
+      hash = (53 * hash) + getUnsyncedTurnList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -343,6 +415,8 @@
         programBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      unsyncedTurn_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -393,6 +467,10 @@
         turn_.makeImmutable();
         result.turn_ = turn_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        unsyncedTurn_.makeImmutable();
+        result.unsyncedTurn_ = unsyncedTurn_;
+      }
     }
 
     @java.lang.Override
@@ -443,6 +521,16 @@
           }
         }
       }
+      if (!other.unsyncedTurn_.isEmpty()) {
+        if (unsyncedTurn_.isEmpty()) {
+          unsyncedTurn_ = other.unsyncedTurn_;
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureUnsyncedTurnIsMutable();
+          unsyncedTurn_.addAll(other.unsyncedTurn_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -488,6 +576,12 @@
               }
               break;
             } // case 18
+            case 26: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureUnsyncedTurnIsMutable();
+              unsyncedTurn_.add(s);
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -856,6 +950,153 @@
       return programBuilder_;
     }
 
+    private com.google.protobuf.LazyStringArrayList unsyncedTurn_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureUnsyncedTurnIsMutable() {
+      if (!unsyncedTurn_.isModifiable()) {
+        unsyncedTurn_ = new com.google.protobuf.LazyStringArrayList(unsyncedTurn_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @return A list containing the unsyncedTurn.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getUnsyncedTurnList() {
+      unsyncedTurn_.makeImmutable();
+      return unsyncedTurn_;
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @return The count of unsyncedTurn.
+     */
+    public int getUnsyncedTurnCount() {
+      return unsyncedTurn_.size();
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @param index The index of the element to return.
+     * @return The unsyncedTurn at the given index.
+     */
+    public java.lang.String getUnsyncedTurn(int index) {
+      return unsyncedTurn_.get(index);
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the unsyncedTurn at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getUnsyncedTurnBytes(int index) {
+      return unsyncedTurn_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The unsyncedTurn to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnsyncedTurn(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureUnsyncedTurnIsMutable();
+      unsyncedTurn_.set(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @param value The unsyncedTurn to add.
+     * @return This builder for chaining.
+     */
+    public Builder addUnsyncedTurn(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureUnsyncedTurnIsMutable();
+      unsyncedTurn_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @param values The unsyncedTurn to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllUnsyncedTurn(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureUnsyncedTurnIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, unsyncedTurn_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnsyncedTurn() {
+      unsyncedTurn_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000004);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of the turns that are still being written to the disk.
+     * </pre>
+     *
+     * <code>repeated string unsynced_turn = 3;</code>
+     * @param value The bytes of the unsyncedTurn to add.
+     * @return This builder for chaining.
+     */
+    public Builder addUnsyncedTurnBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureUnsyncedTurnIsMutable();
+      unsyncedTurn_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Listing)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/ListingOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/ListingOrBuilder.java
@@ -58,4 +58,45 @@
    */
   org.mangorack.keeper.proto.ProgramChargesOrBuilder getProgramOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @return A list containing the unsyncedTurn.
+   */
+  java.util.List<java.lang.String>
+      getUnsyncedTurnList();
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @return The count of unsyncedTurn.
+   */
+  int getUnsyncedTurnCount();
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @param index The index of the element to return.
+   * @return The unsyncedTurn at the given index.
+   */
+  java.lang.String getUnsyncedTurn(int index);
+  /**
+   * <pre>
+   * Those of the turns that are still being written to the disk.
+   * </pre>
+   *
+   * <code>repeated string unsynced_turn = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the unsyncedTurn at the given index.
+   */
+  com.google.protobuf.ByteString
+      getUnsyncedTurnBytes(int index);
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Request.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Request.java
@@ -135,7 +135,8 @@
   private volatile java.lang.Object disk_ = "";
   /**
    * <pre>
-   * The disk that the request is meant for; empty if any will do.
+   * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+   * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
    * </pre>
    *
    * <code>string disk = 12;</code>
@@ -156,7 +157,8 @@
   }
   /**
    * <pre>
-   * The disk that the request is meant for; empty if any will do.
+   * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+   * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
    * </pre>
    *
    * <code>string disk = 12;</code>
@@ -1339,7 +1341,8 @@
     private java.lang.Object disk_ = "";
     /**
      * <pre>
-     * The disk that the request is meant for; empty if any will do.
+     * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+     * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
      * </pre>
      *
      * <code>string disk = 12;</code>
@@ -1359,7 +1362,8 @@
     }
     /**
      * <pre>
-     * The disk that the request is meant for; empty if any will do.
+     * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+     * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
      * </pre>
      *
      * <code>string disk = 12;</code>
@@ -1380,7 +1384,8 @@
     }
     /**
      * <pre>
-     * The disk that the request is meant for; empty if any will do.
+     * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+     * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
      * </pre>
      *
      * <code>string disk = 12;</code>
@@ -1397,7 +1402,8 @@
     }
     /**
      * <pre>
-     * The disk that the request is meant for; empty if any will do.
+     * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+     * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
      * </pre>
      *
      * <code>string disk = 12;</code>
@@ -1411,7 +1417,8 @@
     }
     /**
      * <pre>
-     * The disk that the request is meant for; empty if any will do.
+     * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+     * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
      * </pre>
      *
      * <code>string disk = 12;</code>
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/RequestOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/RequestOrBuilder.java
@@ -28,7 +28,8 @@
 
   /**
    * <pre>
-   * The disk that the request is meant for; empty if any will do.
+   * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+   * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
    * </pre>
    *
    * <code>string disk = 12;</code>
@@ -37,7 +38,8 @@
   java.lang.String getDisk();
   /**
    * <pre>
-   * The disk that the request is meant for; empty if any will do.
+   * The disk that the request is meant for; empty if any will do, which only requests that do not depend on its content
+   * may say. Another disk replies WRONG_DISK; to a beat it replies so together with its pulse.
    * </pre>
    *
    * <code>string disk = 12;</code>
--- a/mangorack/src/test/java/org/mangorack/keeper/CurrentEvidenceTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/CurrentEvidenceTests.java
@@ -109,6 +109,36 @@
 		}
 	}
 
+	// Guards against a member that leaves before its turns are on the disks of others.
+	@Test
+	void aMemberLeavesOnlyAfterItsTurnsAreSyncedElsewhere() throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		this.group.kill("k2");
+		this.group.kill("k3");
+		this.group.awaitConnected();
+		KeeperClient storing = newClient(this.group.view(), Set.of());
+		awaitConnected(storing, 2);
+		assertThat(store(storing, "t1")).isTrue();
+		this.group.start("k2");
+		this.group.start("k3");
+		this.group.keeper("k2").delaySyncs(Duration.ofSeconds(15));
+		this.group.keeper("k3").delaySyncs(Duration.ofSeconds(15));
+		this.group.retirements().request("k0");
+		this.group.step("k0");
+		this.group.advance(GroupMembership.SUCCESSOR_TIMEOUT.plusMillis(1));
+		for (int i = 0; i < 4; i++) {
+			this.group.step("k0");
+			int copies = 0;
+			for (String name : List.of("k1", "k2", "k3")) {
+				TestKeeper keeper = this.group.keeper(name);
+				copies += keeper.loop().submit(() -> keeper.service().turns().newestMissing("t1")).get().isEmpty() ? 1
+						: 0;
+			}
+			boolean left = this.group.view().members().size() == 3;
+			assertThat(left && (copies < 2)).as("left with %d synced copies after step %d", copies, i).isFalse();
+		}
+	}
+
 	// Guards against calls that are sent again and again to a keeper whose disk is full.
 	@Test
 	void aKeeperThatCannotWriteAViewIsNotAskedAgainAtOnce() throws Exception {
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreFaultTests.java
@@ -57,6 +57,7 @@
 		});
 		assertThat(this.store.turnIds()).containsExactlyInAnyOrder("first", "second");
 		assertThat(this.store.syncedTurnIds()).containsExactly("first");
+		assertThat(this.store.unsyncedTurnIds()).containsExactly("second");
 		this.log.writeNextBatch();
 		assertThat(this.store.syncedTurnIds()).containsExactlyInAnyOrder("first", "second");
 	}
