--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -392,9 +392,6 @@
 		/** A request that is allowed is refused with 4xx. */
 		DENIED,
 
-		/** Hardly anything is served although all machines are back. */
-		RECOVER,
-
 		/** A process ends by itself. */
 		EXIT
 
