Let a caller that is still writing receive its refusal

What callers saw: the connection of a request whose body is too large was reset before its 413 arrived.

Cause: the body is refused by its declared length, and closing a socket with unread bytes resets the connection, which discards what the caller has not read yet.

After its last response a connection of the own interface now closes its output and discards what still comes, for 2 s at most. HttpFrontEndTests#aCallerThatWritesABodyThatIsTooLargeReceivesTheRefusal failed before ("Broken pipe").

--- a/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpFrontEnd.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.Socket;
 import java.net.SocketException;
 import java.time.Duration;
 import java.util.Map;
@@ -24,7 +25,6 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnectionFactory;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
@@ -91,12 +91,7 @@
 			.build();
 		this.server = new HttpServer(address.port(),
 				new ErrorResponseService(RequestRules.DEFAULT_MAX_HEAD_BYTES, chain),
-				InetAddress.getByName(address.host()), sockets, null,
-				DefaultBHttpServerConnectionFactory.builder()
-					.http1Config(Http1Config.custom().setMaxLineLength(RequestRules.DEFAULT_MAX_HEAD_BYTES).build())
-					.requestParserFactory((config) -> new RequestHeadParser(config, RequestRules.DEFAULT_MAX_HEAD_BYTES,
-							maxBodyBytes))
-					.build(),
+				InetAddress.getByName(address.host()), sockets, null, (socket) -> connection(socket, maxBodyBytes),
 				null, null, new ConnectionErrorListener());
 	}
 
@@ -174,6 +169,14 @@
 
 	// ---- Helpers
 
+	private static LingeringServerConnection connection(Socket socket, int maxBodyBytes) throws IOException {
+		LingeringServerConnection connection = new LingeringServerConnection(
+				Http1Config.custom().setMaxLineLength(RequestRules.DEFAULT_MAX_HEAD_BYTES).build(),
+				(config) -> new RequestHeadParser(config, RequestRules.DEFAULT_MAX_HEAD_BYTES, maxBodyBytes));
+		connection.bind(socket);
+		return connection;
+	}
+
 	private void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
 			throws IOException {
 		this.activeRequests.incrementAndGet();
--- a/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/HttpFrontEndTests.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -80,6 +81,26 @@
 				+ "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n", status);
 	}
 
+	// Guards against a refusal that is lost because the caller is still writing its body.
+	@Test
+	void aCallerThatWritesABodyThatIsTooLargeReceivesTheRefusal() throws Exception {
+		byte[] part = new byte[64 * 1024];
+		int parts = 32;
+		try (Socket socket = new Socket("127.0.0.1", this.server.port())) {
+			socket.setSoTimeout(20_000);
+			socket.getOutputStream()
+				.write(("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + (part.length * parts) + "\r\n\r\n")
+					.getBytes(StandardCharsets.ISO_8859_1));
+			for (int i = 0; i < parts; i++) {
+				socket.getOutputStream().write(part);
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+			String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			assertThat(answer).startsWith("HTTP/1.1 413 ").contains("\"verdict\":\"not_run\"");
+		}
+		assertThat(this.served).isEmpty();
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "\u0001\u0002\u0080\u00ff\u0000\r\n\r\n", "GET\r\n\r\n",
 			"GET /a HTTP/9.9\r\nHost: h\r\n\r\n", "GET /a HTTP/1.0\r\nHost: h\r\n\r\n", "GET /a HTTP/1.1\r\n\r\n",
