--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -172,6 +173,25 @@
 		assertThat(this.fleet.exchange(request)).startsWith("HTTP/1.1 400");
 	}
 
+	// Guards against a refusal that is lost because the caller is still writing its body.
+	@Test
+	void aCallerThatWritesABodyThatIsTooLargeReceivesTheRefusal() throws Exception {
+		byte[] part = new byte[64 * 1024];
+		int parts = 32;
+		try (Socket socket = this.fleet.connect()) {
+			socket.getOutputStream()
+				.write(("POST /write/1 HTTP/1.1\r\nHost: check.example\r\nRequest-Id: large\r\n"
+						+ "Authorization: Token key-a\r\nContent-Length: " + (part.length * parts) + "\r\n\r\n")
+					.getBytes(StandardCharsets.ISO_8859_1));
+			for (int i = 0; i < parts; i++) {
+				socket.getOutputStream().write(part);
+				ScriptedUpstream.sleep(5);
+			}
+			assertThat(TestFleetNodes.readResponse(socket)).startsWith("HTTP/1.1 413");
+			assertThat(socket.getInputStream().read()).isNegative();
+		}
+	}
+
 	@Test
 	void aLongHeadIsRefused() throws Exception {
 		assertThat(this.fleet
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -46,6 +47,12 @@
 	// Bound on queued HTTP messages, above which reading from the socket is suspended.
 	private static final int MAX_QUEUED_MESSAGES = 64;
 
+	/**
+	 * The longest time for which the rest of a refused request is discarded before the
+	 * connection is closed.
+	 */
+	static final Duration MAX_LINGER = Duration.ofSeconds(2);
+
 	private final RelayServer server;
 
 	private final CallerLimits limits;
@@ -66,6 +73,9 @@
 
 	private boolean keepAlive;
 
+	// Whether the current request was refused before it was read completely.
+	private boolean discarding;
+
 	CallerConnection(RelayServer server, CallerLimits limits) {
 		this.server = server;
 		this.limits = limits;
@@ -120,6 +130,11 @@
 							"nothing of the body came for " + this.limits.idleTimeout().toMillis() + " ms"));
 				}
 			}
+			case DISCARDING -> {
+				if (spent.compareTo(MAX_LINGER) > 0) {
+					close();
+				}
+			}
 			default -> {
 				// A call enforces its own deadline.
 			}
@@ -135,7 +150,7 @@
 	 */
 	void endForStop() {
 		switch (this.state) {
-			case IDLE -> close();
+			case IDLE, DISCARDING -> close();
 			case HEAD, BODY -> refuse(RelayCall.stopping("the request was not whole before the instance stopped"));
 			case BUSY -> {
 				if (this.call != null) {
@@ -214,6 +229,10 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		if (this.discarding) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
 		this.queued.add((HttpObject) message);
 		if (this.queued.size() > MAX_QUEUED_MESSAGES) {
 			this.channel.config().setAutoRead(false);
@@ -225,8 +244,7 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.server.connectionClosed(this);
 		this.state = State.CLOSED;
-		this.queued.forEach(ReferenceCountUtil::release);
-		this.queued.clear();
+		releaseQueued();
 		releaseBody();
 		RelayCall abandoned = this.call;
 		this.call = null;
@@ -325,10 +343,18 @@
 		this.keepAlive = false;
 		this.request = null;
 		releaseBody();
+		releaseQueued();
+		this.discarding = true;
+		this.channel.config().setAutoRead(true);
 		transitionTo(State.BUSY);
 		respond(refusal, null);
 	}
 
+	private void releaseQueued() {
+		this.queued.forEach(ReferenceCountUtil::release);
+		this.queued.clear();
+	}
+
 	private void releaseBody() {
 		if (this.body != null) {
 			this.body.release();
@@ -353,6 +379,10 @@
 		this.call = null;
 		boolean keep = this.keepAlive && this.server.isAccepting();
 		this.channel.writeAndFlush(last).addListener((ChannelFutureListener) (f) -> {
+			if (f.isSuccess() && this.discarding) {
+				discardRest();
+				return;
+			}
 			if (!f.isSuccess() || !keep) {
 				f.channel().close();
 				return;
@@ -364,6 +394,13 @@
 		});
 	}
 
+	// Closing a socket with unread bytes resets the connection, so that a caller that is
+	// still writing may lose the response.
+	private void discardRest() {
+		transitionTo(State.DISCARDING);
+		((DuplexChannel) this.channel).shutdownOutput();
+	}
+
 	/**
 	 * The state of a connection.
 	 */
@@ -381,6 +418,9 @@
 		/** Processing a request and sending its response. */
 		BUSY,
 
+		/** Discarding the rest of a refused request. */
+		DISCARDING,
+
 		/** The connection is closed. */
 		CLOSED
 
