Let disks that were lost together join together

What callers saw: after a fault of all with two lost disks the group was short of disks for 24 to 35 s on a busy machine (catch_up_s 6, recovery_s 15); turns were refused meanwhile with 503 keepers_away, and a third loss in that time could have taken the last copy of a turn.

Cause: one disk joined at a time, the others waited (409). A member called a change off 12 s after it had first seen it, also while its copy went on, and what the joining disk had read so far did not count for the next change.

Change: a disk that was lost takes part in a change that is under way. The platform's object holds since which epoch each joining disk has taken part and whether it has caught up; the last one completes the change. A keeper reports how much it has copied when a view is made known to it, and is left out only if that number stands still for 12 s or it does not respond; the others then read the members anew, as a write may have been confirmed by the disk that is left out in place of one of theirs.

Why it is safe: a write that was confirmed during the change is held by a write quorum of the members and of the next members of its epoch. If one next member is replaced by a joining disk, that disk reads a read quorum of the members after they have adopted the new epoch, so it holds the write, and the number of its holders among the next members does not fall.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupDocument.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupDocument.java
@@ -23,6 +23,10 @@
 
 	private static final int MAX_PORT = 65535;
 
+	private static final String MEMBERS = "members";
+
+	private static final String NEXT = "next";
+
 	private GroupDocument() {
 	}
 
@@ -39,14 +43,34 @@
 		if (!epoch.isIntegralNumber() || !epoch.canConvertToLong()) {
 			throw new IllegalArgumentException("group of keepers without a valid epoch: " + epoch);
 		}
-		return new GroupView(epoch.longValue(), members(spec.path("members")), members(spec.path("next")), tolerance);
+		return new GroupView(epoch.longValue(), members(spec.path(MEMBERS)), members(spec.path(NEXT)), tolerance);
+	}
+
+	/**
+	 * Reads the disks that a change of the group adds.
+	 * @param spec the spec of the object
+	 * @param view the view that {@link #read(JsonNode, int)} returned
+	 * @return the joining disks
+	 */
+	static Joiners readJoiners(JsonNode spec, GroupView view) {
+		return Joiners.read(spec.path(NEXT), view);
 	}
 
 	static ObjectNode write(GroupView view) {
+		return write(view, Joiners.none());
+	}
+
+	static ObjectNode write(GroupView view, Joiners joiners) {
 		ObjectNode spec = Jsons.object();
 		spec.put("epoch", view.epoch());
-		write(spec.putArray("members"), view.members());
-		write(spec.putArray("next"), view.next());
+		ArrayNode members = spec.putArray(MEMBERS);
+		view.members().forEach((m) -> members.add(write(m)));
+		ArrayNode next = spec.putArray(NEXT);
+		for (Member member : view.next()) {
+			ObjectNode json = write(member);
+			joiners.write(member, json);
+			next.add(json);
+		}
 		return spec;
 	}
 
@@ -112,8 +136,4 @@
 		return members;
 	}
 
-	private static void write(ArrayNode list, List<Member> members) {
-		members.forEach((m) -> list.add(write(m)));
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -66,8 +66,8 @@
 	static final Duration SUCCESSOR_TIMEOUT = Duration.ofMillis(1500);
 
 	/**
-	 * A membership change that makes no progress for this long is aborted by a member,
-	 * even if all keepers respond.
+	 * How long a keeper that copies data for a change may make no progress, although it
+	 * responds, before a member continues the change without it.
 	 */
 	static final Duration STALL_TIMEOUT = Duration.ofSeconds(12);
 
@@ -115,6 +115,10 @@
 
 	private CatchUp catchUp;
 
+	private final CopyProgress progress;
+
+	private long supervisedEpoch;
+
 	private boolean registered;
 
 	private long retiringSince;
@@ -139,6 +143,7 @@
 		this.clock = clock;
 		this.startedAt = clock.nanoTime();
 		this.catchUp = new CatchUp(0, this.startedAt);
+		this.progress = new CopyProgress(clock);
 		this.thread = new Thread(this::run, "group");
 		this.thread.setDaemon(true);
 	}
@@ -223,9 +228,10 @@
 		String disk = this.self.getDisk();
 		boolean retiring = this.retirements.requested().contains(this.self.getName());
 		if (view.isChanging()) {
-			continueChange(object, view);
+			continueChange(object, view, retiring);
+			return;
 		}
-		else if (retiring) {
+		if (retiring) {
 			retire(object, view);
 		}
 		else if (!view.isMember(disk)) {
@@ -310,18 +316,22 @@
 	// ---- Joining
 
 	private void join(StoredObject object, GroupView view) throws StoreException, InterruptedException {
-		List<Member> next = new ArrayList<>(view.members());
 		Optional<Member> replaced = findReplaceableMember(view);
-		if (replaced.isPresent()) {
-			next.remove(replaced.get());
-		}
-		else if (next.size() >= targetSize()) {
-			return;
+		if (replaced.isPresent() || (view.members().size() < targetSize())) {
+			join(object, view, replaced);
 		}
+	}
+
+	private void join(StoredObject object, GroupView view, Optional<Member> replaced)
+			throws StoreException, InterruptedException {
+		List<Member> next = new ArrayList<>(view.isChanging() ? view.next() : view.members());
+		replaced.ifPresent(next::remove);
 		next.add(this.self);
-		EventLog.log(Event.GROUP_CHANGE, "change", "join", "epoch", view.epoch() + 1, "instead",
+		long epoch = view.epoch() + 1;
+		EventLog.log(Event.GROUP_CHANGE, "change", "join", "epoch", epoch, "instead",
 				replaced.map(Member::getName).orElse("none"));
-		write(object, new GroupView(view.epoch() + 1, view.members(), next, this.tolerance));
+		write(object, new GroupView(epoch, view.members(), next, this.tolerance),
+				GroupDocument.readJoiners(object.spec(), view).with(this.self.getDisk(), epoch));
 	}
 
 	private Optional<Member> findReplaceableMember(GroupView view) throws InterruptedException {
@@ -346,7 +356,9 @@
 	// if so few members respond that this keeper itself may be partitioned from the
 	// group.
 	private boolean probeAll(GroupView view) throws InterruptedException {
-		Set<String> answering = new HashSet<>(sendView(view, view.all()).keySet());
+		Map<String, Reply> replies = sendView(view, view.all());
+		replies.forEach((disk, reply) -> this.progress.record(disk, reply.getCopied()));
+		Set<String> answering = new HashSet<>(replies.keySet());
 		answering.add(this.self.getDisk());
 		for (Member m : view.all()) {
 			if (answering.contains(m.getDisk())) {
@@ -409,56 +421,144 @@
 				.filter((m) -> !m.getDisk().equals(this.self.getDisk()))
 				.toList();
 			EventLog.log(Event.GROUP_CHANGE, "change", "leave", "epoch", view.epoch() + 1);
-			write(object, new GroupView(view.epoch() + 1, view.members(), next, this.tolerance));
+			write(object, new GroupView(view.epoch() + 1, view.members(), next, this.tolerance), Joiners.none());
 		}
 	}
 
 	// ---- Continuing a change
 
-	private void continueChange(StoredObject object, GroupView view) throws StoreException, InterruptedException {
-		if (this.catchUp.epoch() != view.epoch()) {
-			this.catchUp = new CatchUp(view.epoch(), this.clock.nanoTime());
+	private void continueChange(StoredObject object, GroupView view, boolean retiring)
+			throws StoreException, InterruptedException {
+		Joiners joiners = GroupDocument.readJoiners(object.spec(), view);
+		String disk = this.self.getDisk();
+		Optional<Member> lost = findLostDisk(view);
+		if (joiners.contains(disk)) {
+			continueJoin(object, view, joiners);
+		}
+		else if (view.isMember(disk) && !view.isNext(disk) && joiners(view).isEmpty()) {
+			continueLeave(object, view);
+		}
+		else if (view.isMember(disk)) {
+			superviseChange(object, view, joiners);
 		}
+		else if (lost.isPresent() && isReplaceable(lost.get(), joiners, retiring)) {
+			join(object, view, lost);
+		}
+	}
+
+	// Finds a former disk of this instance that the change would keep: a member, or one
+	// that was lost while it was joining.
+	private Optional<Member> findLostDisk(GroupView view) {
+		return view.next()
+			.stream()
+			.filter((m) -> m.getName().equals(this.self.getName()) && !m.getDisk().equals(this.self.getDisk()))
+			.findFirst();
+	}
+
+	// A retiring keeper leaves its place in a change to others.
+	private static boolean isReplaceable(Member lost, Joiners joiners, boolean retiring) {
+		return joiners.contains(lost.getDisk()) || (!retiring && !joiners.isEmpty());
+	}
+
+	// Several disks may join at the same time. The last one that catches up completes the
+	// change, as the next members are only certain to hold all data together.
+	private void continueJoin(StoredObject object, GroupView view, Joiners joiners)
+			throws StoreException, InterruptedException {
 		String disk = this.self.getDisk();
-		boolean joining = view.isNext(disk) && !view.isMember(disk);
-		boolean leaving = view.isMember(disk) && !view.isNext(disk) && joiners(view).isEmpty();
-		boolean stalled = this.clock.elapsed(this.catchUp.startedAt()).compareTo(STALL_TIMEOUT) > 0;
-		if ((joining && copyFromMembers(view)) || (leaving && copyToNextMembers(view))) {
-			EventLog.log(Event.DISK_CAUGHT_UP, "epoch", view.epoch(), "joining", joining, "read", this.catchUp.read(),
-					"turns", this.catchUp.turns(), "charges", this.catchUp.charges(), "afterMillis",
-					this.clock.elapsed(this.catchUp.startedAt()).toMillis());
-			write(object, new GroupView(view.epoch() + 1, view.next(), List.of(), this.tolerance));
+		Joiners caughtUp = joiners;
+		if (!joiners.isCaughtUp(disk)) {
+			if (!catchUp(joiners.sinceEpoch(disk), () -> copyFromMembers(view))) {
+				return;
+			}
+			caughtUp = joiners.withCaughtUp(disk);
+		}
+		if (caughtUp.areAllCaughtUp()) {
+			complete(object, view);
+		}
+		else if (!joiners.isCaughtUp(disk)) {
+			write(object, view, caughtUp);
+		}
+	}
+
+	private void continueLeave(StoredObject object, GroupView view) throws StoreException, InterruptedException {
+		if (catchUp(view.epoch(), () -> copyToNextMembers(view))) {
+			complete(object, view);
 		}
-		else if (!joining && (findLostJoiner(view) != null)) {
-			List<Member> next = new ArrayList<>(view.next());
-			next.remove(findLostJoiner(view));
-			next.add(this.self);
-			EventLog.log(Event.GROUP_CHANGE, "change", "join", "epoch", view.epoch() + 1, "instead",
-					this.self.getName());
-			write(object, new GroupView(view.epoch() + 1, view.members(), next, this.tolerance));
+	}
+
+	private boolean catchUp(long sinceEpoch, CopyStep copy) throws InterruptedException {
+		if (this.catchUp.epoch() != sinceEpoch) {
+			this.catchUp = new CatchUp(sinceEpoch, this.clock.nanoTime());
 		}
-		else if (!joining && !leaving && view.isMember(disk) && (stalled || areJoinersUnresponsive(view))) {
-			EventLog.log(Event.GROUP_CHANGE, "change", "call off", "epoch", view.epoch() + 1, "cause",
-					stalled ? "no progress" : "joining member unresponsive");
-			write(object, new GroupView(view.epoch() + 1, view.members(), List.of(), this.tolerance));
+		if (!copy.run()) {
+			return false;
 		}
+		EventLog.log(Event.DISK_CAUGHT_UP, "epoch", sinceEpoch, "joining",
+				!this.service.view().isMember(this.self.getDisk()), "read", this.catchUp.read(), "turns",
+				this.catchUp.turns(), "charges", this.catchUp.charges(), "afterMillis",
+				this.clock.elapsed(this.catchUp.startedAt()).toMillis());
+		return true;
 	}
 
-	private boolean areJoinersUnresponsive(GroupView view) throws InterruptedException {
-		List<Member> joiners = joiners(view);
-		return !joiners.isEmpty() && probeAll(view) && joiners.stream().allMatch(this::isUnresponsive);
+	private void complete(StoredObject object, GroupView view) throws StoreException, InterruptedException {
+		write(object, new GroupView(view.epoch() + 1, view.next(), List.of(), this.tolerance), Joiners.none());
+	}
+
+	// Continues a change without the keepers that fail to copy their data.
+	private void superviseChange(StoredObject object, GroupView view, Joiners joiners)
+			throws StoreException, InterruptedException {
+		if (joiners.areAllCaughtUp()) {
+			complete(object, view);
+			return;
+		}
+		if (this.supervisedEpoch != view.epoch()) {
+			this.supervisedEpoch = view.epoch();
+			this.progress.clear();
+			this.unresponsiveSince.clear();
+		}
+		List<Member> copying = new ArrayList<>(joiners(view));
+		if (copying.isEmpty()) {
+			copying.addAll(leavers(view));
+		}
+		if (!probeAll(view)) {
+			return;
+		}
+		List<Member> unresponsive = copying.stream().filter(this::isUnresponsive).toList();
+		List<Member> stalled = copying.stream()
+			.filter((m) -> !joiners.isCaughtUp(m.getDisk()))
+			.filter((m) -> this.progress.timeWithoutProgress(m.getDisk()).compareTo(STALL_TIMEOUT) > 0)
+			.toList();
+		if (!unresponsive.isEmpty() || !stalled.isEmpty()) {
+			abandon(object, view, joiners, unresponsive.isEmpty() ? stalled : unresponsive,
+					unresponsive.isEmpty() ? "no progress" : "unresponsive");
+		}
+	}
+
+	// Disks that go on joining read the members anew. Until now a write may have been
+	// confirmed by the disk that is left out in place of one of them.
+	private void abandon(StoredObject object, GroupView view, Joiners joiners, List<Member> failed, String cause)
+			throws StoreException, InterruptedException {
+		long epoch = view.epoch() + 1;
+		List<Member> next = new ArrayList<>();
+		if (joiners(view).size() > failed.size()) {
+			next.addAll(view.next());
+			next.removeAll(failed);
+			leavers(view).stream()
+				.sorted(Comparator.comparing((m) -> next.stream().anyMatch((n) -> n.getName().equals(m.getName()))))
+				.limit(failed.size())
+				.forEach(next::add);
+		}
+		EventLog.log(Event.GROUP_CHANGE, "change", "call off", "epoch", epoch, "without",
+				failed.stream().map(Member::getName).toList(), "cause", cause);
+		write(object, new GroupView(epoch, view.members(), next, this.tolerance), joiners.restartedAt(epoch));
 	}
 
 	private static List<Member> joiners(GroupView view) {
 		return view.next().stream().filter((m) -> !view.isMember(m.getDisk())).toList();
 	}
 
-	// Finds the previous disk of this instance if it was lost while it was joining.
-	private Member findLostJoiner(GroupView view) {
-		List<Member> joiners = joiners(view);
-		boolean lost = (joiners.size() == 1) && joiners.get(0).getName().equals(this.self.getName())
-				&& !joiners.get(0).getDisk().equals(this.self.getDisk());
-		return lost ? joiners.get(0) : null;
+	private static List<Member> leavers(GroupView view) {
+		return view.members().stream().filter((m) -> !view.isNext(m.getDisk())).toList();
 	}
 
 	// Copies the data that this disk lacks. Members first stop accepting requests of
@@ -488,6 +588,7 @@
 			return false;
 		}
 		this.catchUp.addCharges(lacking);
+		this.service.recordCopied(1 + lacking.size());
 		List<String> missing = listing.getTurnList().stream().filter((t) -> !held.contains(t)).toList();
 		for (int i = 0; i < missing.size(); i += COPY_BATCH_TURNS) {
 			List<String> batch = missing.subList(i, Math.min(missing.size(), i + COPY_BATCH_TURNS));
@@ -501,6 +602,7 @@
 				return false;
 			}
 			this.catchUp.addTurns(turns.size());
+			this.service.recordCopied(turns.size());
 			turns.forEach((t) -> held.add(t.getId()));
 		}
 		return true;
@@ -542,6 +644,7 @@
 			if (!sendStore(member, Store.newBuilder().addAllTurn(turns))) {
 				return false;
 			}
+			this.service.recordCopied(turns.size());
 		}
 		return true;
 	}
@@ -582,8 +685,10 @@
 		return replies;
 	}
 
-	private void write(StoredObject object, GroupView view) throws StoreException, InterruptedException {
-		this.store.update(ObjectKind.KEEPER_GROUP, GroupDocument.NAME, object.version(), GroupDocument.write(view));
+	private void write(StoredObject object, GroupView view, Joiners joiners)
+			throws StoreException, InterruptedException {
+		this.store.update(ObjectKind.KEEPER_GROUP, GroupDocument.NAME, object.version(),
+				GroupDocument.write(view, joiners));
 		adopt(view);
 	}
 
@@ -653,4 +758,19 @@
 		}
 	}
 
+	/**
+	 * A step of a copy.
+	 */
+	@FunctionalInterface
+	private interface CopyStep {
+
+		/**
+		 * Copies some data.
+		 * @return whether all data is copied
+		 * @throws InterruptedException if the thread is interrupted
+		 */
+		boolean run() throws InterruptedException;
+
+	}
+
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -94,6 +95,9 @@
 
 	private long configurationRequestedAt;
 
+	// What was copied during changes of the group, in turns and programs.
+	private final AtomicLong copied = new AtomicLong();
+
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
 	private Channel serverChannel;
@@ -205,6 +209,15 @@
 		}
 	}
 
+	/**
+	 * Records progress of a copy during a change of the group, which other keepers see.
+	 * May be called by any thread.
+	 * @param count the number of turns and programs that were copied
+	 */
+	void recordCopied(int count) {
+		this.copied.addAndGet(count);
+	}
+
 	// ---- Helpers
 
 	private void handle(Request request, Consumer<Reply.Builder> out) {
@@ -397,7 +410,7 @@
 	private void adoptFrom(Request request, Consumer<Reply.Builder> out) {
 		try {
 			adopt(GroupView.of(request.getAdopt().getView(), this.view.tolerance()));
-			out.accept(durableReply().setView(this.view.toProto()));
+			out.accept(durableReply().setView(this.view.toProto()).setCopied(this.copied.get()));
 		}
 		catch (IOException ex) {
 			EventLog.log(Event.LOG_FAILED, ex, "operation", "write view", "epoch",
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Reply.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Reply.java
@@ -215,6 +215,22 @@
     }
   }
 
+  public static final int COPIED_FIELD_NUMBER = 13;
+  private long copied_ = 0L;
+  /**
+   * <pre>
+   * In a reply to ADOPT: how much of other disks this keeper has copied since its start, in turns and programs. It grows as
+   * long as a change of the group makes progress.
+   * </pre>
+   *
+   * <code>uint64 copied = 13;</code>
+   * @return The copied.
+   */
+  @java.lang.Override
+  public long getCopied() {
+    return copied_;
+  }
+
   public static final int CHARGES_FIELD_NUMBER = 5;
   /**
    * <code>.mangorack.keeper.Charges charges = 5;</code>
@@ -482,6 +498,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(missingPredecessor_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 12, missingPredecessor_);
     }
+    if (copied_ != 0L) {
+      output.writeUInt64(13, copied_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -538,6 +557,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(missingPredecessor_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(12, missingPredecessor_);
     }
+    if (copied_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(13, copied_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -565,6 +588,8 @@
     }
     if (!getMissingPredecessor()
         .equals(other.getMissingPredecessor())) return false;
+    if (getCopied()
+        != other.getCopied()) return false;
     if (!getBodyCase().equals(other.getBodyCase())) return false;
     switch (bodyCase_) {
       case 5:
@@ -623,6 +648,9 @@
     }
     hash = (37 * hash) + MISSING_PREDECESSOR_FIELD_NUMBER;
     hash = (53 * hash) + getMissingPredecessor().hashCode();
+    hash = (37 * hash) + COPIED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCopied());
     switch (bodyCase_) {
       case 5:
         hash = (37 * hash) + CHARGES_FIELD_NUMBER;
@@ -801,6 +829,7 @@
         viewBuilder_ = null;
       }
       missingPredecessor_ = "";
+      copied_ = 0L;
       if (chargesBuilder_ != null) {
         chargesBuilder_.clear();
       }
@@ -877,6 +906,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.missingPredecessor_ = missingPredecessor_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.copied_ = copied_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -942,6 +974,9 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getCopied() != 0L) {
+        setCopied(other.getCopied());
+      }
       switch (other.getBodyCase()) {
         case CHARGES: {
           mergeCharges(other.getCharges());
@@ -1077,6 +1112,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 98
+            case 104: {
+              copied_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1449,6 +1489,53 @@
       return this;
     }
 
+    private long copied_ ;
+    /**
+     * <pre>
+     * In a reply to ADOPT: how much of other disks this keeper has copied since its start, in turns and programs. It grows as
+     * long as a change of the group makes progress.
+     * </pre>
+     *
+     * <code>uint64 copied = 13;</code>
+     * @return The copied.
+     */
+    @java.lang.Override
+    public long getCopied() {
+      return copied_;
+    }
+    /**
+     * <pre>
+     * In a reply to ADOPT: how much of other disks this keeper has copied since its start, in turns and programs. It grows as
+     * long as a change of the group makes progress.
+     * </pre>
+     *
+     * <code>uint64 copied = 13;</code>
+     * @param value The copied to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCopied(long value) {
+
+      copied_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In a reply to ADOPT: how much of other disks this keeper has copied since its start, in turns and programs. It grows as
+     * long as a change of the group makes progress.
+     * </pre>
+     *
+     * <code>uint64 copied = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCopied() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      copied_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.mangorack.keeper.proto.Charges, org.mangorack.keeper.proto.Charges.Builder, org.mangorack.keeper.proto.ChargesOrBuilder> chargesBuilder_;
     /**
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/ReplyOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/ReplyOrBuilder.java
@@ -72,6 +72,17 @@
   com.google.protobuf.ByteString
       getMissingPredecessorBytes();
 
+  /**
+   * <pre>
+   * In a reply to ADOPT: how much of other disks this keeper has copied since its start, in turns and programs. It grows as
+   * long as a change of the group makes progress.
+   * </pre>
+   *
+   * <code>uint64 copied = 13;</code>
+   * @return The copied.
+   */
+  long getCopied();
+
   /**
    * <code>.mangorack.keeper.Charges charges = 5;</code>
    * @return Whether the charges field is set.
--- a/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
@@ -152,6 +152,67 @@
 		assertThat(outcomes()).containsOnly("found");
 	}
 
+	// Guards against a group that is short of a disk while another one joins.
+	@Test
+	void disksThatWereLostTogetherJoinInOneChange() throws Exception {
+		this.group = new TestGroup(this.folder, 2);
+		storeTurns();
+		this.group.loseDisk("k0");
+		this.group.loseDisk("k1");
+		this.group.step("k0", "k1");
+		assertThat(this.group.view().next()).extracting(Member::getDisk)
+			.contains(this.group.keeper("k0").member().getDisk(), this.group.keeper("k1").member().getDisk());
+		assertThat(this.group.stepUntil(() -> List.of("k0", "k1"), this.group::isComplete))
+			.as("group %s", this.group.view())
+			.isTrue();
+		this.group.kill("k2");
+		this.group.kill("k3");
+		this.group.awaitConnected();
+		assertThat(outcomes()).containsOnly("found");
+	}
+
+	// Guards against a copy that is thrown away because it takes long.
+	@Test
+	void aChangeIsNotCalledOffAsLongAsItsCopyGoesOn() throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		storeTurns();
+		this.group.loseDisk("k0");
+		this.group.step("k0");
+		for (int i = 0; i < 4; i++) {
+			this.group.keeper("k0").service().recordCopied(1);
+			this.group.step("k1", "k2", "k3");
+			this.group.advance(GroupMembership.STALL_TIMEOUT.dividedBy(2));
+		}
+		assertThat(this.group.view().next()).extracting(Member::getDisk)
+			.contains(this.group.keeper("k0").member().getDisk());
+		this.group.advance(GroupMembership.STALL_TIMEOUT);
+		this.group.step("k1");
+		assertThat(this.group.view().isChanging()).isFalse();
+	}
+
+	// Guards against a join that is thrown away because another disk fails to join.
+	@Test
+	void aDiskGoesOnJoiningWithoutAnotherOneThatFails() throws Exception {
+		this.group = new TestGroup(this.folder, 2);
+		storeTurns();
+		String former = this.group.keeper("k1").member().getDisk();
+		this.group.loseDisk("k0");
+		this.group.loseDisk("k1");
+		this.group.step("k0", "k1", "k0");
+		this.group.kill("k1");
+		this.group.step("k2");
+		this.group.advance(GroupMembership.UNRESPONSIVE_TIMEOUT.plusMillis(1));
+		this.group.step("k2");
+		assertThat(this.group.view().next()).extracting(Member::getDisk)
+			.contains(this.group.keeper("k0").member().getDisk(), former);
+		assertThat(this.group.stepUntil(() -> List.of("k0"), () -> !this.group.view().isChanging())).isTrue();
+		assertThat(this.group.presentMembers()).contains("k0").doesNotContain("k1");
+		this.group.start("k1");
+		assertThat(this.group.stepUntilComplete()).as("group %s", this.group.view()).isTrue();
+		this.group.awaitConnected();
+		assertThat(outcomes()).containsOnly("found");
+	}
+
 	// Guards against a join that writes the charges of all programs for each member.
 	@Test
 	void aJoiningDiskStoresEachChargeOnce() throws Exception {
