Count replies of disks that were joining only towards the next members

What callers could see: two turns of a program are granted more tokens than its budget together. A reservation collected replies over changes of the view. A disk that replied while it was joining, before it had copied the charges, counted as a member once the change was complete, so the replies could be a majority of which none knew an earlier reservation. With one joining disk in a change this took two changes within one call; with several one is enough.

A disk that has become a member meanwhile is asked again.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupCall.java
@@ -33,6 +33,9 @@
 	// ignored.
 	private final Map<String, Listener> latestRequests = new HashMap<>();
 
+	// By disk: whether it belonged to a member when the latest request was sent.
+	private final Map<String, Boolean> sentToMember = new HashMap<>();
+
 	private boolean ended;
 
 	GroupCall(KeeperClient client, Duration timeout) {
@@ -86,11 +89,22 @@
 				this.outstanding.add(m.getDisk());
 				Listener listener = new Listener(m, link.get());
 				this.latestRequests.put(m.getDisk(), listener);
+				this.sentToMember.put(m.getDisk(), view().isMember(m.getDisk()));
 				link.get().send(request(m).setEpoch(view().epoch()), listener);
 			}
 		}
 	}
 
+	/**
+	 * Returns whether the latest request to a disk was sent to a current member. A disk
+	 * that was still joining may have replied without data that members hold.
+	 * @param disk the disk
+	 * @return {@code true} if it belonged to a current member of the view at that time
+	 */
+	final boolean wasSentToMember(String disk) {
+		return this.sentToMember.getOrDefault(disk, false);
+	}
+
 	final void check(long now) {
 		if (now - this.startedAt > this.timeoutNanos) {
 			end();
--- a/mangorack/src/main/java/org/mangorack/keeper/ReserveCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/ReserveCall.java
@@ -1,5 +1,6 @@
 package org.mangorack.keeper;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -29,6 +30,9 @@
 
 	private final Set<String> synced = new HashSet<>();
 
+	// Disks that replied while they were joining, so that their replies may lack charges.
+	private final Set<String> repliedWhileJoining = new HashSet<>();
+
 	private boolean reread;
 
 	private boolean granted;
@@ -58,6 +62,10 @@
 		if (reply.getDurable()) {
 			this.synced.add(member.getDisk());
 		}
+		if (!wasSentToMember(member.getDisk())) {
+			this.repliedWhileJoining.add(member.getDisk());
+		}
+		askNewMembersAgain();
 		if (!this.granted && view().isMajority(this.acknowledged)) {
 			decide();
 		}
@@ -67,6 +75,22 @@
 		}
 	}
 
+	@Override
+	void waited(Duration time) {
+		askNewMembersAgain();
+	}
+
+	// Until a disk has become a member, its replies only count towards the next members.
+	private void askNewMembersAgain() {
+		Set<String> joined = new HashSet<>(this.repliedWhileJoining);
+		joined.removeIf((disk) -> !view().isMember(disk));
+		if (!this.granted && !joined.isEmpty()) {
+			this.repliedWhileJoining.removeAll(joined);
+			this.acknowledged.removeAll(joined);
+			repeat(joined::contains);
+		}
+	}
+
 	private void decide() {
 		long used = this.ledger.tokensExcluding(this.charge.getAttempt());
 		long tokens = this.charge.getTokens();
