Call a turn missing during a change only by a read quorum of both sets

What callers could see: 404 for a turn that was answered whole, if a member that is still alive has been replaced, the entry and most keepers have not heard of the end of the change yet, and the turn was confirmed since by the next members: the former members, the replaced one among them, were a read quorum.

While a group changes, the disks that lack a turn now have to be a read quorum of the next members too. Disks that are joining do not count.

--- a/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/FetchCall.java
@@ -82,7 +82,7 @@
 		if (part.getComplete() && part.getMissing().equals(this.nextTurn)) {
 			this.confirmedAbsent.add(member.getDisk());
 		}
-		if (view().isReadQuorum(this.confirmedAbsent)) {
+		if (view().isAbsenceQuorum(this.confirmedAbsent)) {
 			end();
 			this.listener.absent(Set.copyOf(this.confirmedAbsent), view());
 			return;
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupView.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupView.java
@@ -110,6 +110,19 @@
 				&& (count(this.members, disks) >= this.members.size() - copies(this.members) + 1);
 	}
 
+	/**
+	 * Returns whether data that none of these disks holds was never confirmed. While the
+	 * group changes, the next members may already have replaced the current ones and
+	 * confirmed data without the members that leave.
+	 * @param disks the disks of current members that lack the data
+	 * @return {@code true} if the remaining disks of either set are too few for a write
+	 * quorum
+	 */
+	public boolean isAbsenceQuorum(Set<String> disks) {
+		return isReadQuorum(disks)
+				&& (!isChanging() || (count(this.next, disks) >= this.next.size() - copies(this.next) + 1));
+	}
+
 	private int copies(List<Member> set) {
 		return Math.min(this.tolerance + 1, set.size());
 	}
