Let no joining disk hold up or undo the join of another one

- A disk that had caught up waited without a bound for one that was late, and counted for nothing if a further disk was lost.
It now waits for 1.5 s and goes on without the others, in a change that no other disk may extend.
Only what is stored counts.
- A keeper of the former code completes a change by itself once it has caught up.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -71,6 +71,11 @@
 	 */
 	static final Duration STALL_TIMEOUT = Duration.ofSeconds(12);
 
+	/**
+	 * How long a disk that has caught up waits for others that join in the same change.
+	 */
+	static final Duration MAX_WAIT_FOR_OTHERS = Duration.ofMillis(1500);
+
 	private static final Duration STEP_INTERVAL = Duration.ofMillis(250);
 
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
@@ -115,6 +120,8 @@
 
 	private CatchUp catchUp;
 
+	private long caughtUpAt;
+
 	private final CopyProgress progress;
 
 	private long supervisedEpoch;
@@ -457,7 +464,7 @@
 
 	// A retiring keeper leaves its place in a change to others.
 	private static boolean isReplaceable(Member lost, Joiners joiners, boolean retiring) {
-		return joiners.contains(lost.getDisk()) || (!retiring && !joiners.isEmpty());
+		return joiners.contains(lost.getDisk()) || (!retiring && joiners.isOpen());
 	}
 
 	// Several disks may join at the same time. The last one that catches up completes the
@@ -476,8 +483,13 @@
 			complete(object, view);
 		}
 		else if (!joiners.isCaughtUp(disk)) {
+			this.caughtUpAt = this.clock.nanoTime();
 			write(object, view, caughtUp);
 		}
+		else if (this.clock.elapsed(this.caughtUpAt).compareTo(MAX_WAIT_FOR_OTHERS) > 0) {
+			abandon(object, view, joiners,
+					joiners(view).stream().filter((m) -> !joiners.isCaughtUp(m.getDisk())).toList(), "late");
+		}
 	}
 
 	private void continueLeave(StoredObject object, GroupView view) throws StoreException, InterruptedException {
@@ -543,16 +555,34 @@
 		if (joiners(view).size() > failed.size()) {
 			next.addAll(view.next());
 			next.removeAll(failed);
-			leavers(view).stream()
-				.sorted(Comparator.comparing((m) -> next.stream().anyMatch((n) -> n.getName().equals(m.getName()))))
-				.limit(failed.size())
-				.forEach(next::add);
+			next.addAll(findReplaced(view, failed));
 		}
 		EventLog.log(Event.GROUP_CHANGE, "change", "call off", "epoch", epoch, "without",
 				failed.stream().map(Member::getName).toList(), "cause", cause);
 		write(object, new GroupView(epoch, view.members(), next, this.tolerance), joiners.restartedAt(epoch));
 	}
 
+	// Finds the members in whose place disks join: their former disks, or else those
+	// whose instances have no other disk in the change.
+	private static List<Member> findReplaced(GroupView view, List<Member> joining) {
+		List<Member> former = new ArrayList<>();
+		List<Member> others = new ArrayList<>();
+		for (Member leaver : leavers(view)) {
+			if (isOneOf(joining, leaver.getName())) {
+				former.add(leaver);
+			}
+			else if (!isOneOf(view.next(), leaver.getName())) {
+				others.add(leaver);
+			}
+		}
+		former.addAll(others.subList(0, Math.min(others.size(), joining.size() - former.size())));
+		return former;
+	}
+
+	private static boolean isOneOf(List<Member> members, String name) {
+		return members.stream().anyMatch((m) -> m.getName().equals(name));
+	}
+
 	private static List<Member> joiners(GroupView view) {
 		return view.next().stream().filter((m) -> !view.isMember(m.getDisk())).toList();
 	}
@@ -588,7 +618,7 @@
 			return false;
 		}
 		this.catchUp.addCharges(lacking);
-		this.service.recordCopied(1 + lacking.size());
+		this.service.recordCopied(lacking.size());
 		List<String> missing = listing.getTurnList().stream().filter((t) -> !held.contains(t)).toList();
 		for (int i = 0; i < missing.size(); i += COPY_BATCH_TURNS) {
 			List<String> batch = missing.subList(i, Math.min(missing.size(), i + COPY_BATCH_TURNS));
--- a/mangorack/src/main/java/org/mangorack/keeper/Joiners.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/Joiners.java
@@ -19,12 +19,17 @@
 
 	private static final String CAUGHT_UP = "caughtUp";
 
-	private static final Joiners NONE = new Joiners(Map.of());
+	private static final String OPEN = "open";
+
+	private static final Joiners NONE = new Joiners(Map.of(), true);
 
 	private final Map<String, Joiner> byDisk;
 
-	private Joiners(Map<String, Joiner> byDisk) {
+	private final boolean open;
+
+	private Joiners(Map<String, Joiner> byDisk, boolean open) {
 		this.byDisk = byDisk;
+		this.open = open;
 	}
 
 	static Joiners none() {
@@ -32,22 +37,25 @@
 	}
 
 	/**
-	 * Reads the joining disks of a change.
+	 * Reads the joining disks of a change. If nothing is known of one of them, no other
+	 * disk may join with it: a keeper that does not tell since when its disk takes part
+	 * completes the change by itself.
 	 * @param next the next members as {@link #write(Member, ObjectNode)} has amended them
 	 * @param view the view of the change
-	 * @return the joining disks; those of which nothing is known have taken part since
-	 * the epoch of the view
+	 * @return the joining disks
 	 */
 	static Joiners read(JsonNode next, GroupView view) {
 		Map<String, Joiner> byDisk = new HashMap<>();
+		boolean open = true;
 		for (JsonNode item : next) {
 			String disk = GroupDocument.member(item).getDisk();
 			if (!view.isMember(disk)) {
+				open &= item.path(OPEN).asBoolean(false);
 				byDisk.put(disk,
 						new Joiner(item.path(SINCE_EPOCH).asLong(view.epoch()), item.path(CAUGHT_UP).asBoolean(false)));
 			}
 		}
-		return new Joiners(byDisk);
+		return new Joiners(byDisk, open);
 	}
 
 	/**
@@ -60,13 +68,18 @@
 		if (joiner != null) {
 			json.put(SINCE_EPOCH, joiner.sinceEpoch());
 			json.put(CAUGHT_UP, joiner.caughtUp());
+			json.put(OPEN, this.open);
 		}
 	}
 
 	// ---- Accessors
 
-	boolean isEmpty() {
-		return this.byDisk.isEmpty();
+	/**
+	 * Returns whether other disks may join in the same change.
+	 * @return {@code true} if disks join and all of them wait for others
+	 */
+	boolean isOpen() {
+		return this.open && !this.byDisk.isEmpty();
 	}
 
 	boolean contains(String disk) {
@@ -111,20 +124,20 @@
 	}
 
 	/**
-	 * Lets all disks begin anew.
+	 * Lets all disks begin anew, without any other one.
 	 * @param epoch the epoch since which they take part
 	 * @return the joining disks, none of which is caught up
 	 */
 	Joiners restartedAt(long epoch) {
 		Map<String, Joiner> restarted = new HashMap<>();
 		this.byDisk.keySet().forEach((disk) -> restarted.put(disk, new Joiner(epoch, false)));
-		return new Joiners(restarted);
+		return new Joiners(restarted, false);
 	}
 
 	private Joiners withJoiner(String disk, Joiner joiner) {
 		Map<String, Joiner> changed = new HashMap<>(this.byDisk);
 		changed.put(disk, joiner);
-		return new Joiners(changed);
+		return new Joiners(changed, this.open);
 	}
 
 	/**
