Ask each seed once until it replies

Cause: an entry that does not know the group opened a connection to each seed every 400 ms and closed it after 800 ms, whether or not the keeper had replied. A keeper whose loop was late by more than that accepted, read and answered connections that were closed by then, and was later still for it.

Change: a query keeps its connection until the keeper replies, for up to 2 s of silence (PROBE_TIMEOUT), and a seed with a query is not asked again.

Not run as a fleet.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -90,6 +90,8 @@
 
 	private final Set<GroupCall> calls = new HashSet<>();
 
+	private final Map<HttpAddress, SeedQuery> seedQueries = new HashMap<>();
+
 	private GroupView view;
 
 	private Consumer<GroupView> onView = (v) -> {
@@ -285,23 +287,15 @@
 	/**
 	 * Discovers the group through keepers at configured addresses, so that an entry can
 	 * start without the platform. The view in a reply is adopted only if it is newer than
-	 * the current one.
+	 * the current one. Is to be called repeatedly until the group is known; a keeper that
+	 * has not replied yet is not asked again.
 	 * @param seeds the addresses of keepers, some of which may be wrong
 	 * @param beat the heartbeat to send
 	 * @param listener receives the reply of each keeper
 	 */
 	public void querySeeds(List<HttpAddress> seeds, Beat beat, HeartbeatReplyListener listener) {
 		for (HttpAddress seed : seeds) {
-			Member member = Member.newBuilder()
-				.setName(seed.toString())
-				.setHost(seed.host())
-				.setPort(seed.port())
-				.build();
-			KeeperLink[] link = new KeeperLink[1];
-			link[0] = new KeeperLink(this.loop, member, this.clock,
-					() -> link[0].send(Request.newBuilder().setBeat(beat), new SeedReplyListener(link[0], listener)));
-			link[0].connect();
-			this.loop.schedule(link[0]::close, KeeperLink.INACTIVITY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+			this.seedQueries.computeIfAbsent(seed, SeedQuery::new).start(beat, listener);
 		}
 	}
 
@@ -358,12 +352,17 @@
 
 	private void check() {
 		this.links.values().forEach(KeeperLink::checkInactivity);
+		List.copyOf(this.seedQueries.values()).forEach(SeedQuery::check);
 		long now = this.clock.nanoTime();
 		for (GroupCall call : List.copyOf(this.calls)) {
 			call.check(now);
 		}
 	}
 
+	private boolean isGroupKnown() {
+		return this.view.epoch() > 0;
+	}
+
 	private void memberConnected(Member member) {
 		this.replacedDisks.remove(member.getDisk());
 		sendMissing();
@@ -491,20 +490,52 @@
 	}
 
 	/**
-	 * Handles the reply of a seed and closes the link, after the configuration has been
-	 * fetched if the listener requested it.
+	 * A query to a seed. Keeps its connection until the keeper replies, as a keeper that
+	 * is late would be later still if it had to serve further connections. Ends with the
+	 * reply, after the configuration has been fetched if the listener requested it.
 	 */
-	private final class SeedReplyListener implements ReplyListener {
+	private final class SeedQuery implements ReplyListener {
+
+		private final HttpAddress seed;
 
 		private final KeeperLink link;
 
-		private final HeartbeatReplyListener listener;
+		private Beat beat;
+
+		private HeartbeatReplyListener listener;
 
 		private boolean fetching;
 
-		private SeedReplyListener(KeeperLink link, HeartbeatReplyListener listener) {
-			this.link = link;
-			this.listener = listener;
+		private SeedQuery(HttpAddress seed) {
+			this.seed = seed;
+			Member member = Member.newBuilder()
+				.setName(seed.toString())
+				.setHost(seed.host())
+				.setPort(seed.port())
+				.build();
+			this.link = new KeeperLink(KeeperClient.this.loop, member, KeeperClient.this.clock, this::send);
+		}
+
+		private void start(Beat latestBeat, HeartbeatReplyListener latestListener) {
+			this.beat = latestBeat;
+			this.listener = latestListener;
+			this.link.connect();
+		}
+
+		private void send() {
+			this.link.send(Request.newBuilder().setBeat(this.beat), this);
+		}
+
+		private void check() {
+			this.link.closeIfSilent(KeeperLink.PROBE_TIMEOUT);
+			if (isGroupKnown() && !this.link.isConnected()) {
+				end();
+			}
+		}
+
+		private void end() {
+			KeeperClient.this.seedQueries.remove(this.seed, this);
+			this.link.close();
 		}
 
 		@Override
@@ -513,21 +544,21 @@
 			this.listener.pulseReceived(this.link.member(), reply.getPulse(), new LinkConfigurationSource(this.link) {
 				@Override
 				public void fetch(long known, Consumer<Optional<ConfigurationDocument>> done) {
-					SeedReplyListener.this.fetching = true;
+					SeedQuery.this.fetching = true;
 					super.fetch(known, (document) -> {
 						done.accept(document);
-						SeedReplyListener.this.link.close();
+						end();
 					});
 				}
 			});
 			if (!this.fetching) {
-				this.link.close();
+				end();
 			}
 		}
 
 		@Override
 		public void connectionLost() {
-			this.link.close();
+			end();
 		}
 
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -207,6 +207,21 @@
 		this.lastCheck = now;
 	}
 
+	/**
+	 * Closes the connection if requests are pending and nothing was received for too
+	 * long, and then connects anew. Is to be called every {@link #CHECK_INTERVAL} instead
+	 * of {@link #checkInactivity()} for a link whose only request is sent again once it
+	 * is connected.
+	 * @param limit the longest silence
+	 */
+	void closeIfSilent(Duration limit) {
+		long now = this.clock.nanoTime();
+		if ((this.current != null) && (this.current.silence(now) > limit.toNanos())) {
+			this.current.channel.close();
+		}
+		this.lastCheck = now;
+	}
+
 	// ---- Helpers
 
 	private void scheduleConnect() {
