Do not use a connection that was only accepted after a silent one

Cause: when a connection had been silent for 6 s, the link closed it and went over to the next one at once, although that one had not been answered either: the kernel had accepted it. The link counted as connected, so heartbeats and the pending requests of calls were sent on it, and it was silent again.

Change: after a link has closed a silent connection, the next one is used once its probe was answered. A connection that the keeper closes is still replaced at once.

Tests: KeeperLinkTests#aSilentConnectionThatIsClosedIsNotReplacedByOneThatIsOnlyAccepted failed before. Not run as a fleet.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperLink.java
@@ -84,6 +84,9 @@
 	// A connection that is being established or has not been answered yet, or null.
 	private Connection candidate;
 
+	// Whether the keeper has yet to answer before requests are sent. Remains after a
+	// silent
+	// connection was closed, as the next one may be as silent.
 	private boolean silent;
 
 	private boolean connectedBefore;
@@ -201,6 +204,7 @@
 				scheduleConnect();
 			}
 			else if (silence > MAX_SILENCE.toNanos()) {
+				this.current.abandoned = true;
 				this.current.channel.close();
 			}
 		}
@@ -234,7 +238,7 @@
 		if (this.closed || (connection != this.candidate)) {
 			connection.channel.close();
 		}
-		else if (this.current == null) {
+		else if ((this.current == null) && !this.silent) {
 			use(connection);
 		}
 		else {
@@ -295,9 +299,9 @@
 		}
 		Connection lost = this.current;
 		this.current = null;
-		this.silent = false;
+		this.silent = lost.abandoned;
 		lost.reportLost();
-		if ((this.candidate != null) && this.candidate.channel.isActive()) {
+		if (!this.silent && (this.candidate != null) && this.candidate.channel.isActive()) {
 			use(this.candidate);
 		}
 		else if (this.candidate == null) {
@@ -365,6 +369,9 @@
 
 		private long silence;
 
+		// Whether this instance closes it, because the keeper was silent for too long.
+		private boolean abandoned;
+
 		private void send(Request.Builder request, ReplyListener listener) {
 			KeeperLink link = KeeperLink.this;
 			long id = ++link.lastRequestId;
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperLinkTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperLinkTests.java
@@ -184,6 +184,27 @@
 		}
 	}
 
+	// Guards against calls that are sent to a keeper that has not replied for seconds.
+	@Test
+	void aSilentConnectionThatIsClosedIsNotReplacedByOneThatIsOnlyAccepted() throws Exception {
+		Duration rest = KeeperLink.PROBE_TIMEOUT.dividedBy(2);
+		passTime(KeeperLink.INACTIVITY_TIMEOUT);
+		try (Socket unserved = accept()) {
+			Request.parseDelimitedFrom(unserved.getInputStream());
+			passTime(KeeperLink.MAX_SILENCE.minus(KeeperLink.INACTIVITY_TIMEOUT).minus(rest));
+			assertThat(unserved.getInputStream().read()).isEqualTo(-1);
+		}
+		try (Socket next = accept()) {
+			long probe = Request.parseDelimitedFrom(next.getInputStream()).getId();
+			passTime(rest);
+			assertThat(awaitOutcome()).isEqualTo("broke");
+			assertThat(isConnected()).isFalse();
+			next.getOutputStream().write(replyTo(probe));
+			assertThat(awaitOutcome()).isEqualTo("up");
+			assertThat(isConnected()).isTrue();
+		}
+	}
+
 	@Test
 	void aLargeRequestThatIsReadSlowlyIsNotInactivity() throws Exception {
 		byte[] reply = replyTo(2);
