Do not repeat heartbeats without news to a keeper that is late

Cause: an entry sent a heartbeat every 200 to 400 ms whether or not the keeper had replied to the former ones. A keeper that has just opened its port, or is late for another reason, has to serve each of them from each entry before it replies to any.

Change: a keeper that has not replied to two heartbeats gets another one only if it has news: usage, load, departures, readiness, configuration, or a request for lists that the former one did not have. With two, a round trip of up to twice the interval does not lower the rate.

Not run as a fleet.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -77,6 +79,12 @@
 	 */
 	static final Duration VIEW_RETRY_DELAY = RecordLog.RETRY_DELAY;
 
+	/**
+	 * How many heartbeats without news a keeper is sent before it replies to the first.
+	 * More than one, so that a long round trip does not extend the heartbeat interval.
+	 */
+	static final int MAX_REPEATED_HEARTBEATS = 2;
+
 	private final EventLoop loop;
 
 	private final MonotonicClock clock;
@@ -88,6 +96,9 @@
 	// Members whose address belongs to a keeper with another disk since it was connected.
 	private final Set<String> replacedDisks = new HashSet<>();
 
+	// The heartbeats that a keeper has not replied to, oldest first.
+	private final Map<KeeperLink, Deque<Beat>> unansweredHeartbeats = new HashMap<>();
+
 	private final Set<GroupCall> calls = new HashSet<>();
 
 	private final Map<HttpAddress, SeedQuery> seedQueries = new HashMap<>();
@@ -158,6 +169,7 @@
 			boolean unwanted = !wanted.contains(link.member().getDisk());
 			if (unwanted) {
 				link.close();
+				this.unansweredHeartbeats.remove(link);
 			}
 			return unwanted;
 		});
@@ -252,7 +264,8 @@
 	}
 
 	/**
-	 * Sends a heartbeat to every connected member.
+	 * Sends a heartbeat to every connected member, except for those that have not replied
+	 * to earlier ones and would learn nothing new from it.
 	 * @param beat creates the heartbeat for a member, given its disk
 	 * @param listener receives the reply of each member, unless another keeper replies at
 	 * its address
@@ -262,12 +275,16 @@
 			if (!link.isConnected()) {
 				continue;
 			}
-			Request.Builder request = Request.newBuilder()
-				.setEpoch(this.view.epoch())
-				.setBeat(beat.apply(link.member().getDisk()));
-			link.send(request, new ReplyListener() {
+			Beat next = beat.apply(link.member().getDisk());
+			Deque<Beat> unanswered = this.unansweredHeartbeats.computeIfAbsent(link, (l) -> new ArrayDeque<>());
+			if ((unanswered.size() >= MAX_REPEATED_HEARTBEATS) && !hasNews(next, unanswered.getLast())) {
+				continue;
+			}
+			unanswered.add(next);
+			link.send(Request.newBuilder().setEpoch(this.view.epoch()).setBeat(next), new ReplyListener() {
 				@Override
 				public void replied(Reply reply) {
+					unanswered.poll();
 					adoptView(reply);
 					if (reply.getStatus() == Status.WRONG_DISK) {
 						markReplaced(link.member());
@@ -278,12 +295,20 @@
 
 				@Override
 				public void connectionLost() {
-					// The link logs the loss of its connection.
+					unanswered.poll();
 				}
 			});
 		}
 	}
 
+	private static boolean hasNews(Beat beat, Beat previous) {
+		return (beat.getUsageCount() > 0) || (beat.getLoadCount() > 0)
+				|| !beat.getDepartureList().equals(previous.getDepartureList())
+				|| (beat.getAccepting() != previous.getAccepting())
+				|| (beat.getConfiguration() != previous.getConfiguration())
+				|| (beat.getWithLists() && !previous.getWithLists());
+	}
+
 	/**
 	 * Discovers the group through keepers at configured addresses, so that an entry can
 	 * start without the platform. The view in a reply is adopted only if it is newer than
