Log which keepers are connected when a request is refused for lack of them

Change: 2102 with the codes keepers_away (at once, or after a reservation that too few keepers confirmed), rate_unknown, turn_uncertain and reservation_lost has the fields connected, members and epoch. The refusal that callers get is unchanged.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -216,6 +216,18 @@
 			.isMajority(connectedMembers().stream().map(Member::getDisk).collect(Collectors.toUnmodifiableSet()));
 	}
 
+	/**
+	 * Describes the connections for a log record of a request that too few keepers
+	 * answered.
+	 * @return alternating names and values: the names of the connected members in
+	 * alphabetical order, how many members the group has, including those that are
+	 * joining it, and the epoch
+	 */
+	public Object[] connectionFields() {
+		List<String> connected = connectedMembers().stream().map(Member::getName).sorted().toList();
+		return new Object[] { "connected", connected, "members", this.view.all().size(), "epoch", this.view.epoch() };
+	}
+
 	// ---- Public API
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -2,12 +2,14 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
@@ -17,6 +19,7 @@
 import org.mangorack.keeper.ChainListener;
 import org.mangorack.keeper.ChainedTurn;
 import org.mangorack.keeper.GroupView;
+import org.mangorack.keeper.KeeperClient;
 import org.mangorack.keeper.ProgramAttempt;
 import org.mangorack.keeper.ReservationListener;
 import org.mangorack.keeper.proto.Turn;
@@ -67,6 +70,10 @@
 
 	private static final String STOPPING = "instance_stopping";
 
+	// The codes of refusals because too few keepers answered.
+	private static final Set<String> KEEPER_CODES = Set.of("keepers_away", "rate_unknown", "turn_uncertain",
+			"reservation_lost");
+
 	private final RelayServer server;
 
 	private final CallerConnection caller;
@@ -536,17 +543,31 @@
 		if (refusal.verdict() == Verdict.NOT_RUN) {
 			refundRate();
 		}
-		this.server.log()
-			.log(Event.RELAY_REFUSED, "request", this.head.requestId(), "status", refusal.status(), "code",
-					refusal.code(), "detail", refusal.detail(), "verdict", refusal.verdict().wireName(), "route",
-					routeName(), "workspace", workspaceName(), "program", this.head.program(), "attempts",
-					this.attempts, "afterMillis", elapsed().toMillis(), "configuration",
-					this.server.configuration().version(), "configurationAgeMillis",
-					this.server.configuration().age().toMillis());
+		Object[] fields = { "request", this.head.requestId(), "status", refusal.status(), "code", refusal.code(),
+				"detail", refusal.detail(), "verdict", refusal.verdict().wireName(), "route", routeName(), "workspace",
+				workspaceName(), "program", this.head.program(), "attempts", this.attempts, "afterMillis",
+				elapsed().toMillis(), "configuration", this.server.configuration().version(), "configurationAgeMillis",
+				this.server.configuration().age().toMillis() };
+		this.server.log().log(Event.RELAY_REFUSED, withKeepers(fields, refusal.code(), this.server.keepers()));
 		this.server.record(workspaceName(), routeName(), refusal.code(), elapsed());
 		this.caller.respond(refusal, this.head.requestId());
 	}
 
+	/**
+	 * Adds to the fields of a refusal which keepers are connected, if too few of them
+	 * answered.
+	 * @param fields alternating names and values
+	 * @param code the code of the refusal
+	 * @param keepers the client for the keepers
+	 * @return the fields of the record
+	 */
+	static Object[] withKeepers(Object[] fields, String code, KeeperClient keepers) {
+		if (!KEEPER_CODES.contains(code)) {
+			return fields;
+		}
+		return Stream.of(fields, keepers.connectionFields()).flatMap(Arrays::stream).toArray();
+	}
+
 	/**
 	 * Closes the caller's connection in the middle of a response.
 	 * @param cause why
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -346,6 +346,17 @@
 		assertThat(nextOutcome(reserve("p", "a1", 400, 500))).startsWith("unavailable");
 	}
 
+	@Test
+	void theMembersThatAreConnectedAreNamed() throws Exception {
+		awaitServing(4);
+		this.keepers.get(0).kill();
+		this.keepers.get(3).kill();
+		awaitServing(2);
+		CompletableFuture<Object[]> fields = new CompletableFuture<>();
+		onLoop(() -> fields.complete(this.client.connectionFields()));
+		assertThat(fields.get()).containsExactly("connected", List.of("k1", "k2"), "members", 4, "epoch", 1L);
+	}
+
 	@Test
 	void aKeeperWithANewDiskDoesNotCountAsTheFormerOne() throws Exception {
 		store("t1", "", "p");
