--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperClient.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -77,6 +79,12 @@
 	 */
 	static final Duration VIEW_RETRY_DELAY = RecordLog.RETRY_DELAY;
 
+	/**
+	 * How many heartbeats without news a keeper is sent before it replies to the first.
+	 * More than one, so that a long round trip does not extend the heartbeat interval.
+	 */
+	static final int MAX_REPEATED_HEARTBEATS = 2;
+
 	private final EventLoop loop;
 
 	private final MonotonicClock clock;
@@ -88,8 +96,13 @@
 	// Members whose address belongs to a keeper with another disk since it was connected.
 	private final Set<String> replacedDisks = new HashSet<>();
 
+	// The heartbeats that a keeper has not replied to, oldest first.
+	private final Map<KeeperLink, Deque<Beat>> unansweredHeartbeats = new HashMap<>();
+
 	private final Set<GroupCall> calls = new HashSet<>();
 
+	private final Map<HttpAddress, SeedQuery> seedQueries = new HashMap<>();
+
 	private GroupView view;
 
 	private Consumer<GroupView> onView = (v) -> {
@@ -156,6 +169,7 @@
 			boolean unwanted = !wanted.contains(link.member().getDisk());
 			if (unwanted) {
 				link.close();
+				this.unansweredHeartbeats.remove(link);
 			}
 			return unwanted;
 		});
@@ -202,6 +216,18 @@
 			.isMajority(connectedMembers().stream().map(Member::getDisk).collect(Collectors.toUnmodifiableSet()));
 	}
 
+	/**
+	 * Describes the connections for a log record of a request that too few keepers
+	 * answered.
+	 * @return alternating names and values: the names of the connected members in
+	 * alphabetical order, how many members the group has, including those that are
+	 * joining it, and the epoch
+	 */
+	public Object[] connectionFields() {
+		List<String> connected = connectedMembers().stream().map(Member::getName).sorted().toList();
+		return new Object[] { "connected", connected, "members", this.view.all().size(), "epoch", this.view.epoch() };
+	}
+
 	// ---- Public API
 
 	/**
@@ -250,7 +276,8 @@
 	}
 
 	/**
-	 * Sends a heartbeat to every connected member.
+	 * Sends a heartbeat to every connected member, except for those that have not replied
+	 * to earlier ones and would learn nothing new from it.
 	 * @param beat creates the heartbeat for a member, given its disk
 	 * @param listener receives the reply of each member, unless another keeper replies at
 	 * its address
@@ -260,12 +287,16 @@
 			if (!link.isConnected()) {
 				continue;
 			}
-			Request.Builder request = Request.newBuilder()
-				.setEpoch(this.view.epoch())
-				.setBeat(beat.apply(link.member().getDisk()));
-			link.send(request, new ReplyListener() {
+			Beat next = beat.apply(link.member().getDisk());
+			Deque<Beat> unanswered = this.unansweredHeartbeats.computeIfAbsent(link, (l) -> new ArrayDeque<>());
+			if ((unanswered.size() >= MAX_REPEATED_HEARTBEATS) && !hasNews(next, unanswered.getLast())) {
+				continue;
+			}
+			unanswered.add(next);
+			link.send(Request.newBuilder().setEpoch(this.view.epoch()).setBeat(next), new ReplyListener() {
 				@Override
 				public void replied(Reply reply) {
+					unanswered.poll();
 					adoptView(reply);
 					if (reply.getStatus() == Status.WRONG_DISK) {
 						markReplaced(link.member());
@@ -276,32 +307,32 @@
 
 				@Override
 				public void connectionLost() {
-					// The link logs the loss of its connection.
+					unanswered.poll();
 				}
 			});
 		}
 	}
 
+	private static boolean hasNews(Beat beat, Beat previous) {
+		return (beat.getUsageCount() > 0) || (beat.getLoadCount() > 0)
+				|| !beat.getDepartureList().equals(previous.getDepartureList())
+				|| (beat.getAccepting() != previous.getAccepting())
+				|| (beat.getConfiguration() != previous.getConfiguration())
+				|| (beat.getWithLists() && !previous.getWithLists());
+	}
+
 	/**
 	 * Discovers the group through keepers at configured addresses, so that an entry can
 	 * start without the platform. The view in a reply is adopted only if it is newer than
-	 * the current one.
+	 * the current one. Is to be called repeatedly until the group is known; a keeper that
+	 * has not replied yet is not asked again.
 	 * @param seeds the addresses of keepers, some of which may be wrong
 	 * @param beat the heartbeat to send
 	 * @param listener receives the reply of each keeper
 	 */
 	public void querySeeds(List<HttpAddress> seeds, Beat beat, HeartbeatReplyListener listener) {
 		for (HttpAddress seed : seeds) {
-			Member member = Member.newBuilder()
-				.setName(seed.toString())
-				.setHost(seed.host())
-				.setPort(seed.port())
-				.build();
-			KeeperLink[] link = new KeeperLink[1];
-			link[0] = new KeeperLink(this.loop, member, this.clock,
-					() -> link[0].send(Request.newBuilder().setBeat(beat), new SeedReplyListener(link[0], listener)));
-			link[0].connect();
-			this.loop.schedule(link[0]::close, KeeperLink.INACTIVITY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+			this.seedQueries.computeIfAbsent(seed, SeedQuery::new).start(beat, listener);
 		}
 	}
 
@@ -358,12 +389,17 @@
 
 	private void check() {
 		this.links.values().forEach(KeeperLink::checkInactivity);
+		List.copyOf(this.seedQueries.values()).forEach(SeedQuery::check);
 		long now = this.clock.nanoTime();
 		for (GroupCall call : List.copyOf(this.calls)) {
 			call.check(now);
 		}
 	}
 
+	private boolean isGroupKnown() {
+		return this.view.epoch() > 0;
+	}
+
 	private void memberConnected(Member member) {
 		this.replacedDisks.remove(member.getDisk());
 		sendMissing();
@@ -491,20 +527,52 @@
 	}
 
 	/**
-	 * Handles the reply of a seed and closes the link, after the configuration has been
-	 * fetched if the listener requested it.
+	 * A query to a seed. Keeps its connection until the keeper replies, as a keeper that
+	 * is late would be later still if it had to serve further connections. Ends with the
+	 * reply, after the configuration has been fetched if the listener requested it.
 	 */
-	private final class SeedReplyListener implements ReplyListener {
+	private final class SeedQuery implements ReplyListener {
+
+		private final HttpAddress seed;
 
 		private final KeeperLink link;
 
-		private final HeartbeatReplyListener listener;
+		private Beat beat;
+
+		private HeartbeatReplyListener listener;
 
 		private boolean fetching;
 
-		private SeedReplyListener(KeeperLink link, HeartbeatReplyListener listener) {
-			this.link = link;
-			this.listener = listener;
+		private SeedQuery(HttpAddress seed) {
+			this.seed = seed;
+			Member member = Member.newBuilder()
+				.setName(seed.toString())
+				.setHost(seed.host())
+				.setPort(seed.port())
+				.build();
+			this.link = new KeeperLink(KeeperClient.this.loop, member, KeeperClient.this.clock, this::send);
+		}
+
+		private void start(Beat latestBeat, HeartbeatReplyListener latestListener) {
+			this.beat = latestBeat;
+			this.listener = latestListener;
+			this.link.connect();
+		}
+
+		private void send() {
+			this.link.send(Request.newBuilder().setBeat(this.beat), this);
+		}
+
+		private void check() {
+			this.link.closeIfSilent(KeeperLink.PROBE_TIMEOUT);
+			if (isGroupKnown() && !this.link.isConnected()) {
+				end();
+			}
+		}
+
+		private void end() {
+			KeeperClient.this.seedQueries.remove(this.seed, this);
+			this.link.close();
 		}
 
 		@Override
@@ -513,21 +581,21 @@
 			this.listener.pulseReceived(this.link.member(), reply.getPulse(), new LinkConfigurationSource(this.link) {
 				@Override
 				public void fetch(long known, Consumer<Optional<ConfigurationDocument>> done) {
-					SeedReplyListener.this.fetching = true;
+					SeedQuery.this.fetching = true;
 					super.fetch(known, (document) -> {
 						done.accept(document);
-						SeedReplyListener.this.link.close();
+						end();
 					});
 				}
 			});
 			if (!this.fetching) {
-				this.link.close();
+				end();
 			}
 		}
 
 		@Override
 		public void connectionLost() {
-			this.link.close();
+			end();
 		}
 
 	}
