Count requests that are passed on and closed while their entry is in touch

The ledger excused a close for as long as any trouble was recorded, which was longer than it lasted: a loss of disks was recorded while it waited for earlier ones, and a frozen entry excused all others. It also excused closes after 0.9 of a request's time.

Each process now records when it is disturbed. A close is excused by its deadline only after the whole time. More than three requests that were passed on by an entry in touch and closed without an answer break the new rule CLOSED; LOST_ANSWER still breaks on the first in calm.

--- a/bench/src/test/java/org/mangorack/bench/fleet/CallerConnection.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/CallerConnection.java
@@ -173,6 +173,25 @@
 
 		private String failure;
 
+		/**
+		 * Creates an answer that was received without a connection.
+		 * @param number how many requests were sent on the connection, this one included
+		 * @param status the status; 0 if none came
+		 * @param body the body
+		 * @param failure why the answer is not whole, or {@code null} if it is
+		 * @return the answer
+		 */
+		static Answer of(int number, int status, String body, String failure) {
+			Answer answer = new Answer();
+			answer.number = number;
+			answer.sent = true;
+			answer.status = status;
+			answer.body.writeBytes(body.getBytes(StandardCharsets.ISO_8859_1));
+			answer.whole = (failure == null);
+			answer.failure = failure;
+			return answer;
+		}
+
 		/**
 		 * Returns how many requests were sent on the connection, this one included.
 		 * @return the number
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetProcess.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetProcess.java
@@ -18,6 +18,7 @@
 import java.util.stream.Stream;
 
 import org.mangorack.bench.FreePorts;
+import org.mangorack.bench.fleet.RequestLedger.Disturbance;
 import org.mangorack.http.HttpAddress;
 
 /**
@@ -55,6 +56,8 @@
 
 	private volatile long undisturbedSince;
 
+	private Disturbance recorded;
+
 	FleetProcess(FleetProcesses fleet, Role role, int number, String host) throws IOException {
 		this.fleet = fleet;
 		this.role = role;
@@ -121,10 +124,29 @@
 	 * @param value whether the process is disturbed
 	 */
 	synchronized void setDisturbed(boolean value) {
+		if (value) {
+			recordBegin("disturbance of");
+		}
+		else if (isRunning()) {
+			recordEnd();
+		}
 		this.disturbed = value;
 		this.undisturbedSince = System.nanoTime();
 	}
 
+	private void recordBegin(String kind) {
+		if (this.recorded == null) {
+			this.recorded = this.fleet.ledger().begin(kind, name(), this.role == Role.KEEPER);
+		}
+	}
+
+	private void recordEnd() {
+		if (this.recorded != null) {
+			this.fleet.ledger().end(this.recorded);
+			this.recorded = null;
+		}
+	}
+
 	// ---- Lifecycle
 
 	/**
@@ -147,6 +169,7 @@
 		this.startedBefore = true;
 		this.disturbed = false;
 		this.undisturbedSince = System.nanoTime();
+		recordEnd();
 		FleetProcesses.startDaemon("log-" + name(), () -> copyLog(started));
 		started.onExit().thenAccept(this::reportExit);
 	}
@@ -182,6 +205,13 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	synchronized void kill() throws InterruptedException {
+		if (!this.removed) {
+			recordBegin("kill of");
+		}
+		end();
+	}
+
+	private void end() throws InterruptedException {
 		if (this.process != null) {
 			this.ending = this.process;
 			this.process.destroyForcibly();
@@ -208,6 +238,10 @@
 	 */
 	synchronized void loseDisk() throws IOException, InterruptedException {
 		kill();
+		emptyDisk();
+	}
+
+	private void emptyDisk() throws IOException {
 		try (Stream<Path> files = Files.walk(data())) {
 			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
 				Files.delete(file);
@@ -219,12 +253,14 @@
 	}
 
 	/**
-	 * Removes the machine together with its disk, for good.
+	 * Removes the machine together with its disk, for good. That is planned work.
 	 * @throws IOException if the disk cannot be emptied
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	synchronized void remove() throws IOException, InterruptedException {
-		loseDisk();
+		end();
+		emptyDisk();
+		recordEnd();
 		this.removed = true;
 	}
 
@@ -238,6 +274,9 @@
 		synchronized (this) {
 			stopping = this.process;
 			this.ending = stopping;
+			if (this.role == Role.KEEPER) {
+				recordBegin("stop of");
+			}
 			signal("TERM");
 		}
 		if ((stopping != null) && !stopping.waitFor(atMost.toMillis(), TimeUnit.MILLISECONDS)) {
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTrouble.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.mangorack.bench.fleet.RequestLedger.Disturbance;
 
@@ -91,16 +90,9 @@
 		void inflict(FleetTroubles run, Random random) throws Exception {
 			List<FleetProcess> entries = run.pick(run.fleet().entries(), 1 + (run.fleet().entries().size() / 4),
 					random);
-			run.during(describe(entries), names(entries), () -> {
-				run.inParallel(entries, FleetProcess::kill);
-				run.pause(random, 2000);
-				run.inParallel(entries, FleetProcess::start);
-			});
-		}
-
-		@Override
-		boolean isRecordedAsWhole() {
-			return false;
+			run.inParallel(entries, FleetProcess::kill);
+			run.pause(random, 2000);
+			run.inParallel(entries, FleetProcess::start);
 		}
 
 	},
@@ -281,17 +273,19 @@
 	abstract void inflict(FleetTroubles run, Random random) throws Exception;
 
 	/**
-	 * Inflicts this trouble and records its begin and end.
+	 * Inflicts this trouble. Planned work is recorded as a whole; for other troubles each
+	 * process records when it is disturbed, as troubles wait for each other.
 	 * @param run the run
 	 * @param random the source of randomness
 	 * @throws Exception if a process cannot be started or signalled
 	 */
 	final void inflictRecorded(FleetTroubles run, Random random) throws Exception {
-		if (!isRecordedAsWhole()) {
+		if (!this.planned) {
+			run.fleet().ledger().note("trouble " + name());
 			inflict(run, random);
 			return;
 		}
-		Disturbance disturbance = run.fleet().ledger().begin(name(), this.planned, Set.of());
+		Disturbance disturbance = run.fleet().ledger().beginPlanned(name());
 		try {
 			inflict(run, random);
 		}
@@ -300,20 +294,4 @@
 		}
 	}
 
-	/**
-	 * Tells whether all instances suffer as long as this trouble lasts.
-	 * @return {@code false} if it records by itself who suffers
-	 */
-	boolean isRecordedAsWhole() {
-		return true;
-	}
-
-	String describe(List<FleetProcess> processes) {
-		return name() + " " + processes;
-	}
-
-	static Set<String> names(List<FleetProcess> processes) {
-		return processes.stream().map(FleetProcess::name).collect(Collectors.toSet());
-	}
-
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -5,14 +5,12 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import org.mangorack.bench.fleet.FleetProcess.Role;
-import org.mangorack.bench.fleet.RequestLedger.Disturbance;
 import org.mangorack.platform.ObjectKind;
 
 /**
@@ -191,18 +189,6 @@
 		threads.forEach(FleetTroubles::join);
 	}
 
-	/**
-	 * Records an unplanned disturbance of some entries while an action runs.
-	 * @param kind what happens
-	 * @param entries the names of the entries
-	 * @param action the action
-	 */
-	void during(String kind, Set<String> entries, Runnable action) {
-		Disturbance disturbance = this.fleet.ledger().begin(kind, false, entries);
-		action.run();
-		this.fleet.ledger().end(disturbance);
-	}
-
 	/**
 	 * Kills all processes and starts them again, those that lost their disks first.
 	 * @param losing the keepers that lose their disks
--- a/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
@@ -126,7 +126,7 @@
 				+ ((previous != null) ? "Previous-Turn: " + previous + "\r\n" : "");
 		String request = TestFleetNodes.request(kind.method(), kind.path(), id, headers, input)
 			.replaceFirst("Time-Remaining: 4000", "Time-Remaining: " + kind.time().toMillis());
-		this.ledger.sending(id, kind, this.connection.entry(), previous);
+		this.ledger.sending(id, kind, this.connection.entry().name(), previous);
 		Answer answer = this.connection.exchange(request, (int) kind.time().toMillis() + READ_SLACK_MS);
 		this.ledger.answered(id, answer, RequestLedger.digest(prompt));
 		return answer;
--- a/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -78,6 +78,7 @@
 			join(callers);
 			verify(fleet, turns);
 			ledger.note(settings + ": " + before + " turns, " + ledger.counts());
+			ledger.note("passed on, but closed without an answer in touch: " + ledger.closed());
 			ledger.explain(fleet.processes());
 		}
 		assertThat(ledger.violations()).as(settings.toString()).isEmpty();
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -10,13 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
@@ -38,7 +38,11 @@
 	 */
 	static final Duration CLOSE_SLACK = Duration.ofMillis(200);
 
-	private static final double TIME_USED_SHARE = 0.9;
+	/**
+	 * How many requests that were passed on may end in a close without an answer while
+	 * their entry is in touch.
+	 */
+	static final int MAX_CLOSED = 3;
 
 	private static final int DELAY_INTERVAL_MS = 10;
 
@@ -58,9 +62,25 @@
 
 	private final AtomicLong delay = new AtomicLong();
 
-	private final long startedAt = System.nanoTime();
+	private final Map<String, AtomicInteger> closed = new ConcurrentHashMap<>();
+
+	private final AtomicInteger closedCount = new AtomicInteger();
+
+	private final LongSupplier clock;
+
+	private final long startedAt;
 
 	RequestLedger() {
+		this(System::nanoTime);
+	}
+
+	/**
+	 * Creates a ledger with a clock of its own.
+	 * @param clock the time in nanoseconds
+	 */
+	RequestLedger(LongSupplier clock) {
+		this.clock = clock;
+		this.startedAt = clock.getAsLong();
 		FleetProcesses.startDaemon("delay", this::measureDelay);
 	}
 
@@ -77,16 +97,29 @@
 	// ---- Disturbances
 
 	/**
-	 * Records the begin of a disturbance.
+	 * Records the begin of planned work, around which no answer may be lost.
+	 * @param kind what is done
+	 * @return the work, whose end is to be recorded
+	 */
+	Disturbance beginPlanned(String kind) {
+		return begin(new Disturbance(kind, Scope.PLANNED, "", this.clock.getAsLong()));
+	}
+
+	/**
+	 * Records the begin of something unplanned at one machine.
 	 * @param kind what happens
-	 * @param planned whether it is planned work, around which no answer may be lost
-	 * @param entries the names of the entries that suffer from it; empty for all
+	 * @param instance the instance that runs on the machine
+	 * @param storing whether the machine stores turns, so that all entries depend on it
 	 * @return the disturbance, whose end is to be recorded
 	 */
-	Disturbance begin(String kind, boolean planned, Set<String> entries) {
-		Disturbance disturbance = new Disturbance(kind, planned, entries, System.nanoTime());
+	Disturbance begin(String kind, String instance, boolean storing) {
+		return begin(new Disturbance(kind + " " + instance, storing ? Scope.STORING : Scope.ENTRY, instance,
+				this.clock.getAsLong()));
+	}
+
+	private Disturbance begin(Disturbance disturbance) {
 		this.disturbances.add(disturbance);
-		note("begin " + kind);
+		note("begin " + disturbance.kind);
 		return disturbance;
 	}
 
@@ -95,7 +128,7 @@
 	 * @param disturbance the disturbance
 	 */
 	void end(Disturbance disturbance) {
-		disturbance.endedAt = System.nanoTime();
+		disturbance.end(this.clock.getAsLong());
 		note("end " + disturbance.kind);
 	}
 
@@ -120,7 +153,7 @@
 	 * @param text the text
 	 */
 	void note(String text) {
-		System.out.printf("%8.3f %s%n", seconds(System.nanoTime()), text);
+		System.out.printf("%8.3f %s%n", seconds(this.clock.getAsLong()), text);
 	}
 
 	private double seconds(long at) {
@@ -133,11 +166,11 @@
 	 * Records that a request is sent.
 	 * @param id its id
 	 * @param kind what it is
-	 * @param entry the entry that it is sent to
+	 * @param instance the entry that it is sent to
 	 * @param previous the turn that it continues, or {@code null}
 	 */
-	void sending(String id, Kind kind, FleetProcess entry, String previous) {
-		this.entries.put(id, new Entry(id, kind, entry.name(), previous, System.nanoTime()));
+	void sending(String id, Kind kind, String instance, String previous) {
+		this.entries.put(id, new Entry(id, kind, instance, previous, this.clock.getAsLong()));
 	}
 
 	/**
@@ -150,6 +183,7 @@
 			violate(Rule.UNASKED, id, "-", "ran, but was never sent");
 			return;
 		}
+		entry.arrivedAt = this.clock.getAsLong();
 		int runs = entry.runs.incrementAndGet();
 		if ((runs > 1) && !entry.kind.isRepeatable()) {
 			violate(Rule.TWICE, id, entry.instance, "ran " + runs + " times");
@@ -171,7 +205,7 @@
 	 */
 	void answered(String id, Answer answer, String digest) {
 		Entry entry = this.entries.get(id);
-		long now = System.nanoTime();
+		long now = this.clock.getAsLong();
 		if (!answer.isWhole()) {
 			checkUnanswered(entry, answer, now);
 			return;
@@ -196,7 +230,7 @@
 	}
 
 	private void checkServed(Entry entry, Answer answer, String digest) {
-		entry.servedAt = System.nanoTime();
+		entry.servedAt = this.clock.getAsLong();
 		String body = answer.body();
 		List<String> pieces = body.startsWith("id:") ? events(body) : List.of(body);
 		for (int i = 0; i < pieces.size(); i++) {
@@ -221,7 +255,10 @@
 	}
 
 	private void checkUnanswered(Entry entry, Answer answer, long now) {
-		double used = (now - entry.sentAt) / (double) entry.kind.time().toNanos();
+		boolean inTime = now - entry.sentAt < entry.kind.time().toNanos();
+		if (inTime && (entry.runs.get() > 0) && isInTouch(entry.instance, entry.arrivedAt, now)) {
+			closedInTouch(entry, answer, now);
+		}
 		String what = "status " + answer.status() + ", " + answer.failure() + ", after "
 				+ Duration.ofNanos(now - entry.sentAt).toMillis() + " ms, ran " + entry.runs.get() + " times, request "
 				+ answer.number() + " of its connection";
@@ -235,7 +272,7 @@
 		else if (isDisturbed(entry.instance, entry.sentAt - CONTACT.toNanos(), now)) {
 			count(entry.kind, "cut while disturbed");
 		}
-		else if (used > TIME_USED_SHARE) {
+		else if (!inTime) {
 			count(entry.kind, "cut at its deadline");
 			note("late: " + entry.kind + " " + entry.id + " at " + entry.instance + ": " + what);
 		}
@@ -245,6 +282,30 @@
 		}
 	}
 
+	// The requests are counted whatever else is reported about them.
+	private void closedInTouch(Entry entry, Answer answer, long now) {
+		String cause = ((answer.status() == 0) ? "no answer" : "answer cut short") + ", " + answer.failure();
+		String group = entry.instance + ", request " + answer.number() + " of its connection, " + cause;
+		this.closed.computeIfAbsent(group, (k) -> new AtomicInteger()).incrementAndGet();
+		String text = "passed on, but closed after " + Duration.ofNanos(now - entry.sentAt).toMillis() + " of "
+				+ entry.kind.time().toMillis() + " ms in touch: " + group;
+		if (this.closedCount.incrementAndGet() > MAX_CLOSED) {
+			violate(Rule.CLOSED, entry.id, entry.instance, text);
+		}
+		else {
+			note(text + " (" + entry.kind + " " + entry.id + ")");
+		}
+	}
+
+	/**
+	 * Returns how many requests were passed on and closed without an answer while their
+	 * entry was in touch.
+	 * @return the counts by entry, number of the request on its connection, and cause
+	 */
+	Map<String, Integer> closed() {
+		return copy(this.closed);
+	}
+
 	/**
 	 * Records that a turn which was answered whole was not served in several tries.
 	 * @param previous the turn
@@ -257,12 +318,21 @@
 	}
 
 	private boolean isDisturbed(String instance, long from, long to) {
-		return this.disturbances.stream().anyMatch((d) -> !d.planned && d.affects(instance) && d.overlaps(from, to));
+		return this.disturbances.stream().anyMatch((d) -> d.affects(instance) && d.overlaps(from, to));
+	}
+
+	// Entries lose touch when a machine that stores goes or comes back, not while it is
+	// away.
+	private boolean isInTouch(String instance, long from, long to) {
+		long since = from - CONTACT.toNanos();
+		return this.disturbances.stream()
+			.noneMatch((d) -> d.affects(instance)
+					&& ((d.scope == Scope.STORING) ? d.changesWithin(since, to) : d.overlaps(since, to)));
 	}
 
 	private List<String> planned(long from, long to) {
 		return this.disturbances.stream()
-			.filter((d) -> d.planned && d.overlaps(from - CONTACT.toNanos(), to))
+			.filter((d) -> (d.scope == Scope.PLANNED) && d.overlaps(from - CONTACT.toNanos(), to))
 			.map((d) -> d.kind)
 			.toList();
 	}
@@ -332,8 +402,12 @@
 	 * @return the counts by kind and outcome
 	 */
 	Map<String, Integer> counts() {
+		return copy(this.counts);
+	}
+
+	private static Map<String, Integer> copy(Map<String, AtomicInteger> counts) {
 		Map<String, Integer> result = new TreeMap<>();
-		this.counts.forEach((name, count) -> result.put(name, count.get()));
+		counts.forEach((name, count) -> result.put(name, count.get()));
 		return result;
 	}
 
@@ -374,6 +448,12 @@
 		/** A request ends without an answer although nothing unplanned happened. */
 		LOST_ANSWER,
 
+		/**
+		 * More than {@link RequestLedger#MAX_CLOSED} requests were passed on by an entry
+		 * in touch, and ended in a close without an answer before their time was over.
+		 */
+		CLOSED,
+
 		/** A request that may not be repeated runs more than once. */
 		TWICE,
 
@@ -459,6 +539,22 @@
 
 	}
 
+	/**
+	 * Who suffers from a disturbance.
+	 */
+	private enum Scope {
+
+		/** Nobody, as it is planned work. */
+		PLANNED,
+
+		/** The callers of one entry. */
+		ENTRY,
+
+		/** All callers, as the machine stores turns. */
+		STORING
+
+	}
+
 	/**
 	 * Something that was done to the fleet.
 	 */
@@ -466,27 +562,42 @@
 
 		private final String kind;
 
-		private final boolean planned;
+		private final Scope scope;
 
-		private final Set<String> entries;
+		private final String instance;
 
 		private final long beganAt;
 
 		private volatile long endedAt;
 
-		private Disturbance(String kind, boolean planned, Set<String> entries, long beganAt) {
+		private volatile boolean ended;
+
+		private Disturbance(String kind, Scope scope, String instance, long beganAt) {
 			this.kind = kind;
-			this.planned = planned;
-			this.entries = entries;
+			this.scope = scope;
+			this.instance = instance;
 			this.beganAt = beganAt;
 		}
 
+		private void end(long at) {
+			this.endedAt = at;
+			this.ended = true;
+		}
+
 		private boolean affects(String entry) {
-			return this.entries.isEmpty() || this.entries.contains(entry);
+			return (this.scope == Scope.STORING) || ((this.scope == Scope.ENTRY) && this.instance.equals(entry));
 		}
 
 		private boolean overlaps(long from, long to) {
-			return (this.beganAt - to < 0) && ((this.endedAt == 0) || (this.endedAt - from > 0));
+			return (this.beganAt - to < 0) && (!this.ended || (this.endedAt - from > 0));
+		}
+
+		private boolean changesWithin(long from, long to) {
+			return isWithin(this.beganAt, from, to) || (this.ended && isWithin(this.endedAt, from, to));
+		}
+
+		private static boolean isWithin(long at, long from, long to) {
+			return (at - from > 0) && (at - to < 0);
 		}
 
 	}
@@ -508,6 +619,8 @@
 
 		private final AtomicInteger runs = new AtomicInteger();
 
+		private volatile long arrivedAt;
+
 		private volatile boolean refused;
 
 		private volatile long servedAt;
