Continue turns in the last seconds of the recovery from the final fault

The fleet run waited 15 s after the last trouble and only then continued turns, so a group that is whole a moment later passed, and a refusal with 4xx was left to other rules. It now continues turns in the last 4 s of the 15 s, which begin when the last machine is told to start, and breaks on each that reaches no upstream (LATE_REACH). The summary tells the time to serve after each fault of all and the outcomes of these 4 s.

--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import org.mangorack.bench.fleet.FleetProcess.Role;
+import org.mangorack.bench.fleet.RequestLedger.FaultOfAll;
 import org.mangorack.platform.ObjectKind;
 
 /**
@@ -197,6 +198,7 @@
 	void restartAll(List<FleetProcess> losing, Random source) {
 		List<FleetProcess> all = List.copyOf(this.fleet.processes());
 		inParallel(all, FleetProcess::kill);
+		FaultOfAll fault = this.fleet.ledger().allDown();
 		inParallel(losing, FleetProcess::loseDisk);
 		pause(source, 1000);
 		boolean late = source.nextBoolean();
@@ -208,6 +210,7 @@
 			}
 			process.start();
 		});
+		fault.back();
 	}
 
 	/**
--- a/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
@@ -1,5 +1,6 @@
 package org.mangorack.bench.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
@@ -23,6 +24,10 @@
 
 	private static final int LAST_TRIES = 5;
 
+	private static final int RECOVERY_TRIES = 5;
+
+	private static final int RECOVERY_TRY_INTERVAL_MS = 800;
+
 	private static final int READ_SLACK_MS = 500;
 
 	private static final int REFUSED_PAUSE_MS = 200;
@@ -119,6 +124,32 @@
 		}
 	}
 
+	/**
+	 * Tries to continue a turn again and again until a request reaches an upstream, and
+	 * reports it if none does.
+	 * @param turn the turn
+	 * @param until when the last try may begin, by {@link System#nanoTime()}
+	 */
+	void verifyUntil(Turn turn, long until) {
+		String program = this.turns.newId();
+		String input = "input of " + program + "\n";
+		String prompt = turn.chain() + input;
+		List<String> tries = new ArrayList<>();
+		while ((tries.size() < RECOVERY_TRIES) && (System.nanoTime() - until < 0)) {
+			long triedAt = System.nanoTime();
+			disconnect();
+			String id = this.turns.newId();
+			tries.add(id);
+			this.last = send(Kind.TURN, id, program, turn.id(), input, prompt);
+			if (this.ledger.hasArrived(id)) {
+				break;
+			}
+			long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
+			ScriptedUpstream.sleep(Math.max(0, RECOVERY_TRY_INTERVAL_MS - elapsed));
+		}
+		this.ledger.triedInRecovery(turn.id(), tries, this.last);
+	}
+
 	private Answer send(Kind kind, String id, String program, String previous, String input, String prompt) {
 		connect();
 		String headers = "Program: " + program + "\r\nSession: " + program
--- a/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -9,6 +9,7 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 
@@ -38,6 +39,12 @@
 
 	private static final Duration RECOVERY = Duration.ofSeconds(15);
 
+	private static final Duration LAST_OF_RECOVERY = Duration.ofSeconds(4);
+
+	private static final int RECOVERY_TURNS_PER_UPSTREAM = 24;
+
+	private static final int MAX_RECOVERY_TURNS = 100;
+
 	private static final int VERIFIERS = 16;
 
 	private static final int MAX_VERIFIED = 1500;
@@ -72,18 +79,52 @@
 				callers.add(start(new ProgramCaller(fleet, turns, random.nextLong(), ended)));
 			}
 			troubles.run();
-			ScriptedUpstream.sleep(RECOVERY.toMillis());
+			verifyRecovery(fleet, settings, turns);
 			int before = turns.size();
 			ended.set(true);
 			join(callers);
 			verify(fleet, turns);
 			ledger.note(settings + ": " + before + " turns, " + ledger.counts());
+			ledger.note("s until a turn was served after each fault of all: " + ledger.timesToServe()
+				.stream()
+				.map((time) -> (time != null) ? String.valueOf(time.toMillis() / 1e3) : "never")
+				.toList());
+			ledger.note("outcomes in the last " + LAST_OF_RECOVERY.toSeconds() + " s of the recovery: "
+					+ ledger.recoveryCounts());
 			ledger.note("passed on, but closed without an answer in touch: " + ledger.closed());
 			ledger.explain(fleet.processes());
 		}
 		assertThat(ledger.violations()).as(settings.toString()).isEmpty();
 	}
 
+	// Continues turns while the callers go on.
+	private static void verifyRecovery(FleetProcesses fleet, FleetRunSettings settings, Turns turns)
+			throws InterruptedException {
+		long backAt = fleet.ledger().lastBackAt();
+		sleepUntil(backAt + RECOVERY.minus(LAST_OF_RECOVERY).toNanos());
+		// Planned work may have gone on for longer than the recovery.
+		long beginAt = System.nanoTime();
+		long endAt = beginAt + LAST_OF_RECOVERY.toNanos();
+		Queue<Turn> sample = turns
+			.sample(Math.min(MAX_RECOVERY_TURNS, RECOVERY_TURNS_PER_UPSTREAM * settings.upstreams()));
+		fleet.ledger()
+			.note(String.format("continuing %d turns from %.3f s to %.3f s after the last machine was back",
+					sample.size(), (beginAt - backAt) / 1e9, (endAt - backAt) / 1e9));
+		fleet.ledger().setRecovering(true);
+		List<Thread> verifiers = new ArrayList<>();
+		for (Turn turn : sample) {
+			ProgramCaller caller = new ProgramCaller(fleet, turns, verifiers.size(), new AtomicBoolean());
+			verifiers.add(start(() -> caller.verifyUntil(turn, endAt)));
+		}
+		sleepUntil(endAt);
+		fleet.ledger().setRecovering(false);
+		join(verifiers);
+	}
+
+	private static void sleepUntil(long at) {
+		ScriptedUpstream.sleep(Math.max(0, TimeUnit.NANOSECONDS.toMillis(at - System.nanoTime())));
+	}
+
 	private static void verify(FleetProcesses fleet, Turns turns) throws InterruptedException {
 		Queue<Turn> sample = turns.sample(MAX_VERIFIED);
 		fleet.ledger().note("continuing " + sample.size() + " of " + turns.size() + " turns");
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -62,6 +62,12 @@
 
 	private final AtomicLong delay = new AtomicLong();
 
+	private final Map<String, AtomicInteger> recoveryCounts = new ConcurrentHashMap<>();
+
+	private volatile boolean recovering;
+
+	private final Queue<FaultOfAll> faultsOfAll = new ConcurrentLinkedQueue<>();
+
 	private final Map<String, AtomicInteger> closed = new ConcurrentHashMap<>();
 
 	private final AtomicInteger closedCount = new AtomicInteger();
@@ -132,6 +138,56 @@
 		note("end " + disturbance.kind);
 	}
 
+	/**
+	 * Returns when the last machine that was disturbed was back.
+	 * @return the time of the clock in nanoseconds; the start of the run if none was
+	 * disturbed
+	 */
+	long lastBackAt() {
+		return this.disturbances.stream()
+			.filter((d) -> (d.scope != Scope.PLANNED) && d.ended)
+			.mapToLong((d) -> d.endedAt)
+			.reduce(this.startedAt, (a, b) -> (a - b > 0) ? a : b);
+	}
+
+	/**
+	 * Records that all processes are down.
+	 * @return the fault, of which {@link FaultOfAll#back()} is to be told
+	 */
+	FaultOfAll allDown() {
+		FaultOfAll fault = new FaultOfAll();
+		this.faultsOfAll.add(fault);
+		return fault;
+	}
+
+	/**
+	 * Returns how long after each fault of all no turn was served.
+	 * @return the times, from when the last process was told to start; negative if one
+	 * was served before, and {@code null} if none was served any more
+	 */
+	List<Duration> timesToServe() {
+		List<Duration> times = new ArrayList<>();
+		this.faultsOfAll.forEach((f) -> times.add(f.timeToServe()));
+		return times;
+	}
+
+	/**
+	 * Records the begin or end of the last seconds of the recovery after the final
+	 * fault, whose outcomes are counted apart.
+	 * @param value whether they have begun
+	 */
+	void setRecovering(boolean value) {
+		this.recovering = value;
+	}
+
+	/**
+	 * Returns how many requests had which outcome in the last seconds of the recovery.
+	 * @return the counts by kind and outcome
+	 */
+	Map<String, Integer> recoveryCounts() {
+		return copy(this.recoveryCounts);
+	}
+
 	/**
 	 * Records that a process ended by itself.
 	 * @param process the process
@@ -231,6 +287,9 @@
 
 	private void checkServed(Entry entry, Answer answer, String digest) {
 		entry.servedAt = this.clock.getAsLong();
+		if (entry.kind == Kind.TURN) {
+			this.faultsOfAll.forEach((f) -> f.served(entry));
+		}
 		String body = answer.body();
 		List<String> pieces = body.startsWith("id:") ? events(body) : List.of(body);
 		for (int i = 0; i < pieces.size(); i++) {
@@ -317,6 +376,21 @@
 				"not continued in any try, last " + last.status() + code(last) + describe(previous));
 	}
 
+	/**
+	 * Checks the tries to continue a turn after the final fault.
+	 * @param previous the turn, which was answered whole
+	 * @param tries the ids of the requests that tried to continue it in the last seconds
+	 * of the recovery
+	 * @param last the last answer
+	 */
+	void triedInRecovery(String previous, List<String> tries, Answer last) {
+		if (!tries.isEmpty() && tries.stream().noneMatch(this::hasArrived)) {
+			violate(Rule.LATE_REACH, previous, this.entries.get(tries.get(tries.size() - 1)).instance,
+					"no upstream reached in " + tries.size() + " tries of the last seconds of the recovery, last "
+							+ last.status() + code(last) + describe(previous));
+		}
+	}
+
 	private boolean isDisturbed(String instance, long from, long to) {
 		return this.disturbances.stream().anyMatch((d) -> d.affects(instance) && d.overlaps(from, to));
 	}
@@ -381,6 +455,9 @@
 
 	private void count(Kind kind, String outcome) {
 		this.counts.computeIfAbsent(kind + " " + outcome, (k) -> new AtomicInteger()).incrementAndGet();
+		if (this.recovering) {
+			this.recoveryCounts.computeIfAbsent(kind + " " + outcome, (k) -> new AtomicInteger()).incrementAndGet();
+		}
 	}
 
 	void violate(Rule rule, String id, String instance, String text) {
@@ -445,6 +522,12 @@
 		/** A turn that was answered whole reaches no upstream in several tries. */
 		LOST_REACH,
 
+		/**
+		 * A turn that was answered whole reaches no upstream in any try of the last
+		 * seconds in which the fleet may recover from the final fault.
+		 */
+		LATE_REACH,
+
 		/** A request ends without an answer although nothing unplanned happened. */
 		LOST_ANSWER,
 
@@ -539,6 +622,37 @@
 
 	}
 
+	/**
+	 * A fault that ended all processes.
+	 */
+	final class FaultOfAll {
+
+		private final long downAt = RequestLedger.this.clock.getAsLong();
+
+		private volatile Long backAt;
+
+		private volatile Long servedAt;
+
+		/**
+		 * Records that the last process was told to start.
+		 */
+		void back() {
+			this.backAt = RequestLedger.this.clock.getAsLong();
+		}
+
+		private synchronized void served(Entry entry) {
+			if ((this.servedAt == null) && (entry.sentAt - this.downAt >= 0)) {
+				this.servedAt = entry.servedAt;
+			}
+		}
+
+		private Duration timeToServe() {
+			return ((this.backAt != null) && (this.servedAt != null)) ? Duration.ofNanos(this.servedAt - this.backAt)
+					: null;
+		}
+
+	}
+
 	/**
 	 * Who suffers from a disturbance.
 	 */
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
@@ -1,16 +1,22 @@
 package org.mangorack.bench.fleet;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import org.mangorack.bench.fleet.CallerConnection.Answer;
 import org.mangorack.bench.fleet.RequestLedger.Disturbance;
+import org.mangorack.bench.fleet.RequestLedger.FaultOfAll;
 import org.mangorack.bench.fleet.RequestLedger.Kind;
 import org.mangorack.bench.fleet.RequestLedger.Rule;
 import org.mangorack.bench.fleet.RequestLedger.Violation;
@@ -42,7 +48,82 @@
 	}
 
 	static Stream<Arguments> histories() {
-		return Stream.concat(closes(), Stream.of(history("served", (h) -> h.serve(ENTRY))));
+		return Stream
+			.of(closes(), triesInRecovery(), Stream.of(history("served", (h) -> h.serve(ENTRY))))
+			.flatMap(Function.identity());
+	}
+
+	private static Stream<Arguments> triesInRecovery() {
+		return Stream.of(history("a turn reaches an upstream in its last try", (h) -> {
+			String turn = h.serve(ENTRY);
+			List<String> tries = h.refuse(turn, 503, 4);
+			tries.add(h.serve(OTHER_ENTRY));
+			h.tried(turn, tries);
+		}), history("a turn reaches an upstream without an answer", (h) -> {
+			String turn = h.serve(ENTRY);
+			h.begin(ENTRY, false);
+			List<String> tries = h.refuse(turn, 503, 4);
+			tries.add(h.send(ENTRY, true));
+			h.answer(0, "", "closed");
+			h.tried(turn, tries);
+		}), history("a turn reaches no upstream", (h) -> {
+			String turn = h.serve(ENTRY);
+			h.tried(turn, h.refuse(turn, 503, 5));
+		}, Rule.LATE_REACH), history("the only try of a turn reaches no upstream", (h) -> {
+			String turn = h.serve(ENTRY);
+			h.tried(turn, h.refuse(turn, 429, 1));
+		}, Rule.LATE_REACH), history("a turn is called missing", (h) -> {
+			String turn = h.serve(ENTRY);
+			h.tried(turn, h.refuse(turn, 404, 2));
+		}, Rule.LOST_TURN, Rule.LOST_TURN, Rule.LATE_REACH), history("a turn reaches no upstream while disturbed", (h) -> {
+			String turn = h.serve(ENTRY);
+			h.begin(KEEPER, true);
+			h.tried(turn, h.refuse(turn, 503, 5));
+		}, Rule.LATE_REACH));
+	}
+
+	@Test
+	void theRecoveryBeginsWithTheLastMachineThatIsBack() {
+		History history = new History();
+		Disturbance first = history.begin(KEEPER, true);
+		Disturbance last = history.begin(ENTRY, false);
+		Disturbance planned = history.ledger.beginPlanned("work");
+		history.end(last);
+		history.pass(1000);
+		long backAt = history.now;
+		history.end(first);
+		history.pass(1000);
+		history.end(planned);
+		assertThat(history.ledger.lastBackAt()).isEqualTo(backAt);
+	}
+
+	@Test
+	void theTimeToServeBeginsWithTheLastStartOfAFaultOfAll() {
+		History history = new History();
+		String before = history.send(ENTRY, true);
+		history.pass(1);
+		FaultOfAll fault = history.ledger.allDown();
+		history.answer(200, "id: 1\ndata: " + before + " 1/1 d\n\n", null);
+		history.pass(500);
+		fault.back();
+		history.pass(700);
+		history.serve(ENTRY);
+		history.pass(100);
+		history.serve(ENTRY);
+		history.ledger.allDown().back();
+		assertThat(history.ledger.timesToServe()).containsExactly(Duration.ofMillis(700), null);
+	}
+
+	@Test
+	void outcomesOfTheRecoveryAreCountedApart() {
+		History history = new History();
+		history.serve(ENTRY);
+		history.ledger.setRecovering(true);
+		String turn = history.serve(ENTRY);
+		history.refuse(turn, 503, 2);
+		history.ledger.setRecovering(false);
+		history.serve(ENTRY);
+		assertThat(history.ledger.recoveryCounts()).isEqualTo(Map.of("TURN 200", 1, "TURN 503 keepers_away", 2));
 	}
 
 	// The entry may also have to answer each request, so the disturbances of most
@@ -153,8 +234,12 @@
 		}
 
 		String send(String entry, boolean passedOn) {
+			return send(entry, null, passedOn);
+		}
+
+		private String send(String entry, String previous, boolean passedOn) {
 			String id = "r" + ++this.requests;
-			this.ledger.sending(id, Kind.TURN, entry, null);
+			this.ledger.sending(id, Kind.TURN, entry, previous);
 			if (passedOn) {
 				this.ledger.arrived(id);
 			}
@@ -180,6 +265,19 @@
 			}
 		}
 
+		List<String> refuse(String previous, int status, int count) {
+			List<String> ids = new ArrayList<>();
+			for (int i = 0; i < count; i++) {
+				ids.add(send(ENTRY, previous, false));
+				answer(status, "{\"error\":\"keepers_away\"}", null);
+			}
+			return ids;
+		}
+
+		void tried(String previous, List<String> tries) {
+			this.ledger.triedInRecovery(previous, tries, Answer.of(1, 503, "", null));
+		}
+
 		String serve(String entry) {
 			String id = send(entry, true);
 			answer(200, "id: 1\ndata: " + id + " 1/1 d\n\n", null);
