Judge turns that reach no upstream in calm during the run

A caller of the fleet run dropped a turn after three tries, and only the continuations at the end were judged. Callers now try five times, also after refusals that promise that nothing ran, and a turn that reaches no upstream in five tries with nothing unplanned for 5 s breaks CALM_REACH. At the end a turn that is refused with 402, 408, 421 or 429 in each try now breaks LOST_REACH; before, any 4xx excused it.

--- a/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
@@ -20,11 +20,7 @@
  */
 final class ProgramCaller implements Runnable {
 
-	private static final int MAX_TRIES = 3;
-
-	private static final int LAST_TRIES = 5;
-
-	private static final int RECOVERY_TRIES = 5;
+	private static final int MAX_TRIES = 5;
 
 	private static final int RECOVERY_TRY_INTERVAL_MS = 800;
 
@@ -50,6 +46,8 @@
 
 	private Answer last;
 
+	private final List<String> tries = new ArrayList<>();
+
 	ProgramCaller(FleetProcesses fleet, Turns turns, long seed, AtomicBoolean ended) {
 		this.fleet = fleet;
 		this.ledger = fleet.ledger();
@@ -75,8 +73,11 @@
 		Turn turn = (this.random.nextInt(3) == 0) ? this.turns.any(this.random) : null;
 		int length = (this.random.nextInt(6) == 0) ? 11 : 1 + this.random.nextInt(4);
 		for (int i = 0; (i < length) && !this.ended.get(); i++) {
-			turn = runTurn(program, turn, MAX_TRIES);
+			turn = runTurn(program, turn);
 			if (turn == null) {
+				if (this.tries.size() == MAX_TRIES) {
+					this.ledger.triedInVain(this.tries, this.last);
+				}
 				return;
 			}
 			pause(20);
@@ -96,16 +97,18 @@
 		pause(20);
 	}
 
-	private Turn runTurn(String program, Turn previous, int tries) {
+	private Turn runTurn(String program, Turn previous) {
 		String input = "input of " + program + " " + "x".repeat(this.random.nextInt(MAX_INPUT)) + "\n";
 		String prompt = ((previous != null) ? previous.chain() : "") + input;
-		for (int i = 0; (i < tries) && ((i == 0) || !this.ended.get() || (tries == LAST_TRIES)); i++) {
+		this.tries.clear();
+		for (int i = 0; (i < MAX_TRIES) && ((i == 0) || !this.ended.get()); i++) {
 			String id = this.turns.newId();
+			this.tries.add(id);
 			this.last = send(Kind.TURN, id, program, (previous != null) ? previous.id() : null, input, prompt);
 			if (this.last.isServed()) {
 				return this.turns.add(id, prompt + String.join("\n", RequestLedger.events(this.last.body())) + "\n");
 			}
-			if (this.last.status() / 100 == 4) {
+			if (RequestLedger.isDenial(this.last.status())) {
 				return null;
 			}
 			pause(REFUSED_PAUSE_MS);
@@ -119,7 +122,7 @@
 	 */
 	void verify(Turn turn) {
 		disconnect();
-		if ((runTurn(this.turns.newId(), turn, LAST_TRIES) == null) && (this.last.status() / 100 != 4)) {
+		if ((runTurn(this.turns.newId(), turn) == null) && !RequestLedger.isDenial(this.last.status())) {
 			this.ledger.unreachable(turn.id(), this.last, this.connection.entry());
 		}
 	}
@@ -134,12 +137,12 @@
 		String program = this.turns.newId();
 		String input = "input of " + program + "\n";
 		String prompt = turn.chain() + input;
-		List<String> tries = new ArrayList<>();
-		while ((tries.size() < RECOVERY_TRIES) && (System.nanoTime() - until < 0)) {
+		this.tries.clear();
+		while ((this.tries.size() < MAX_TRIES) && (System.nanoTime() - until < 0)) {
 			long triedAt = System.nanoTime();
 			disconnect();
 			String id = this.turns.newId();
-			tries.add(id);
+			this.tries.add(id);
 			this.last = send(Kind.TURN, id, program, turn.id(), input, prompt);
 			if (this.ledger.hasArrived(id)) {
 				break;
@@ -147,7 +150,7 @@
 			long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
 			ScriptedUpstream.sleep(Math.max(0, RECOVERY_TRY_INTERVAL_MS - elapsed));
 		}
-		this.ledger.triedInRecovery(turn.id(), tries, this.last);
+		this.ledger.triedInRecovery(turn.id(), this.tries, this.last);
 	}
 
 	private Answer send(Kind kind, String id, String program, String previous, String input, String prompt) {
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -391,6 +391,28 @@
 		}
 	}
 
+	/**
+	 * Checks the tries of a turn that was not served.
+	 * @param tries the ids of the requests, the first one first
+	 * @param last the last answer
+	 */
+	void triedInVain(List<String> tries, Answer last) {
+		if (tries.stream().anyMatch(this::hasArrived)) {
+			return;
+		}
+		Entry first = this.entries.get(tries.get(0));
+		long now = this.clock.getAsLong();
+		if (this.disturbances.stream()
+			.anyMatch((d) -> (d.scope != Scope.PLANNED) && d.overlaps(first.sentAt - CONTACT.toNanos(), now))) {
+			count(first.kind, "tried in vain while disturbed");
+			return;
+		}
+		violate(Rule.CALM_REACH, first.id, first.instance,
+				String.format("no upstream reached in %d tries in calm, last %d%s, %.3f s after the last machine was back%s",
+						tries.size(), last.status(), code(last), (first.sentAt - lastBackAt()) / 1e9,
+						(first.previous != null) ? ", to continue " + first.previous + describe(first.previous) : ""));
+	}
+
 	private boolean isDisturbed(String instance, long from, long to) {
 		return this.disturbances.stream().anyMatch((d) -> d.affects(instance) && d.overlaps(from, to));
 	}
@@ -431,6 +453,15 @@
 		return events;
 	}
 
+	/**
+	 * Tells whether a request was refused for itself, so that no other try is of use.
+	 * @param status the status of the answer
+	 * @return {@code true} if it was
+	 */
+	static boolean isDenial(int status) {
+		return (status / 100 == 4) && !isPromise(status);
+	}
+
 	private static boolean isPromise(int status) {
 		return (status == 402) || (status == 408) || (status == 421) || (status == 429) || (status == 503);
 	}
@@ -522,6 +553,9 @@
 		/** A turn that was answered whole reaches no upstream in several tries. */
 		LOST_REACH,
 
+		/** A turn reaches no upstream in several tries although nothing unplanned happened. */
+		CALM_REACH,
+
 		/**
 		 * A turn that was answered whole reaches no upstream in any try of the last
 		 * seconds in which the fleet may recover from the final fault.
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
@@ -49,7 +49,7 @@
 
 	static Stream<Arguments> histories() {
 		return Stream
-			.of(closes(), triesInRecovery(), Stream.of(history("served", (h) -> h.serve(ENTRY))))
+			.of(closes(), triesInRecovery(), triesInVain(), Stream.of(history("served", (h) -> h.serve(ENTRY))))
 			.flatMap(Function.identity());
 	}
 
@@ -82,6 +82,36 @@
 		}, Rule.LATE_REACH));
 	}
 
+	private static Stream<Arguments> triesInVain() {
+		return Stream.of(history("a new turn reaches no upstream in calm", (h) -> h.triedInVain(h.refuse(null, 503, 5)),
+				Rule.CALM_REACH), history("a continued turn reaches no upstream in calm", (h) -> {
+					String turn = h.serve(ENTRY);
+					h.triedInVain(h.refuse(turn, 503, 5));
+				}, Rule.CALM_REACH), history("a turn reaches no upstream in planned work", (h) -> {
+					h.ledger.beginPlanned("work");
+					h.triedInVain(h.refuse(null, 503, 5));
+				}, Rule.CALM_REACH), history("a turn reaches no upstream, long after a keeper came back", (h) -> {
+					h.end(h.begin(KEEPER, true));
+					h.pass(CONTACT_MS);
+					h.triedInVain(h.refuse(null, 503, 5));
+				}, Rule.CALM_REACH), history("a turn reaches no upstream, soon after a keeper came back", (h) -> {
+					h.end(h.begin(KEEPER, true));
+					h.pass(CONTACT_MS / 2);
+					h.triedInVain(h.refuse(null, 503, 5));
+				}), history("a turn reaches no upstream, and an entry is lost meanwhile", (h) -> {
+					List<String> tries = h.refuse(null, 503, 4);
+					h.begin(OTHER_ENTRY, false);
+					tries.addAll(h.refuse(null, 503, 1));
+					h.triedInVain(tries);
+				}), history("a turn reaches an upstream in one try", (h) -> {
+					List<String> tries = h.refuse(null, 503, 4);
+					tries.add(h.send(ENTRY, true));
+					h.pass(TURN_MS);
+					h.answer(0, "", "closed");
+					h.triedInVain(tries);
+				}));
+	}
+
 	@Test
 	void theRecoveryBeginsWithTheLastMachineThatIsBack() {
 		History history = new History();
@@ -278,6 +308,10 @@
 			this.ledger.triedInRecovery(previous, tries, Answer.of(1, 503, "", null));
 		}
 
+		void triedInVain(List<String> tries) {
+			this.ledger.triedInVain(tries, Answer.of(1, 503, "", null));
+		}
+
 		String serve(String entry) {
 			String id = send(entry, true);
 			answer(200, "id: 1\ndata: " + id + " 1/1 d\n\n", null);
