Let a lost disk count for the promised time by default in the fleet run

A lost disk counted as lost until the group was whole, however long that took, so the bound followed the product. The promised time is now the default; -Dmangorack.fleet.timed=false relaxes it for machines that are too slow. How long the group took to be whole after each loss is noted, and the summary tells the median and the longest time.

--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetProcess.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetProcess.java
@@ -119,6 +119,14 @@
 		return isRunning() && !this.disturbed && (System.nanoTime() - this.undisturbedSince >= time.toNanos());
 	}
 
+	/**
+	 * Returns when the process was started or its last disturbance ended.
+	 * @return the time by {@link System#nanoTime()}
+	 */
+	long backAt() {
+		return this.undisturbedSince;
+	}
+
 	/**
 	 * Marks the begin or end of a disturbance that leaves the process running.
 	 * @param value whether the process is disturbed
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
@@ -53,11 +53,12 @@
 
 	/**
 	 * Tells whether a lost disk counts only for the time that the deployment grants to
-	 * catch up, however long its keeper takes. Slow machines break promises then.
-	 * @return {@code true} if it does
+	 * catch up, however long its keeper takes. Machines that are too slow for their
+	 * processes break promises then, so that this can be relaxed.
+	 * @return {@code false} if a lost disk counts until the group is whole again
 	 */
 	boolean isCatchUpTimed() {
-		return Boolean.getBoolean(PREFIX + "timed");
+		return Boolean.parseBoolean(System.getProperty(PREFIX + "timed", "true"));
 	}
 
 	private static Set<FleetTrouble> kinds(Set<FleetTrouble> defaults) {
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -12,14 +12,15 @@
 
 import org.mangorack.bench.fleet.FleetProcess.Role;
 import org.mangorack.bench.fleet.RequestLedger.FaultOfAll;
+import org.mangorack.bench.fleet.RequestLedger.Repair;
 import org.mangorack.platform.ObjectKind;
 
 /**
  * Inflicts a seeded series of troubles on a fleet, several at a time, within what it has
  * to tolerate: never are more disks lost at a time than the tolerance. A lost disk counts
- * until its keeper has run undisturbed for {@link FleetProcesses#CATCH_UP} and the group
- * is whole again. If the settings say that this time has to do, it counts until all
- * keepers have run undisturbed for as long.
+ * until all keepers have run undisturbed for {@link FleetProcesses#CATCH_UP}, whether or
+ * not the group is whole again by then. If the settings relax this, it counts until its
+ * keeper has run undisturbed for as long and the group is whole.
  */
 final class FleetTroubles implements Runnable {
 
@@ -241,19 +242,33 @@
 			this.lastLost.set(picked.get(0));
 			this.fleet.ledger().note("disks lost: " + picked);
 			loss.run(picked);
-			awaitCatchUp(picked);
+			long backAt = picked.stream().mapToLong(FleetProcess::backAt).max().getAsLong();
+			awaitCatchUp(picked, backAt);
+			awaitRepair(picked, backAt);
 		}
 	}
 
-	private void awaitCatchUp(List<FleetProcess> lost) {
-		long lostAt = System.nanoTime();
+	private void awaitRepair(List<FleetProcess> lost, long backAt) {
+		Repair repair = this.fleet.ledger().beginRepair(lost.toString());
+		FleetProcesses.startDaemon("repair", () -> {
+			while (!this.fleet.isClosed()) {
+				if (this.fleet.isGroupWhole()) {
+					repair.end(Duration.ofNanos(System.nanoTime() - backAt));
+					return;
+				}
+				sleep(100);
+			}
+		});
+	}
+
+	private void awaitCatchUp(List<FleetProcess> lost, long backAt) {
 		FleetProcesses.startDaemon("catch-up", () -> {
 			while (!isCaughtUp(lost) && !this.fleet.isClosed()) {
 				sleep(100);
 			}
 			this.disksLost = false;
 			this.fleet.ledger()
-				.note(lost + " no longer count as lost " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostAt)
+				.note(lost + " no longer count as lost " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - backAt)
 						+ " ms after they were back");
 		});
 	}
--- a/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -30,9 +30,10 @@
  * for other runs: a seed, or the first and last one with a dash in between. These take
  * their size from {@code mangorack.fleet.keepers}, {@code entries}, {@code tolerance},
  * {@code callers}, {@code upstreams} (of each of two pools) and {@code seconds} (of
- * troubles); {@code kinds} names the troubles, separated by commas; with {@code timed} a
- * lost disk counts for the promised time only, whether or not the group is whole again.
- * They take their code from {@code mangorack.fleet.root} (the root of a built
+ * troubles); {@code kinds} names the troubles, separated by commas. A lost disk counts
+ * for the promised time only, whether or not the group is whole again; with {@code timed}
+ * set to {@code false} it counts until the group is whole, for machines that are too
+ * slow. They take their code from {@code mangorack.fleet.root} (the root of a built
  * repository), and keep their logs below {@code mangorack.fleet.folder}.
  */
 class RandomisedFleetRunTests {
@@ -89,6 +90,7 @@
 				.stream()
 				.map((time) -> (time != null) ? String.valueOf(time.toMillis() / 1e3) : "never")
 				.toList());
+			ledger.note(ledger.describeRepairs());
 			ledger.note("outcomes in the last " + LAST_OF_RECOVERY.toSeconds() + " s of the recovery: "
 					+ ledger.recoveryCounts());
 			ledger.note("passed on, but closed without an answer in touch: " + ledger.closed());
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Queue;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -68,6 +69,8 @@
 
 	private final Queue<FaultOfAll> faultsOfAll = new ConcurrentLinkedQueue<>();
 
+	private final Queue<Repair> repairs = new ConcurrentLinkedQueue<>();
+
 	private final Map<String, AtomicInteger> closed = new ConcurrentHashMap<>();
 
 	private final AtomicInteger closedCount = new AtomicInteger();
@@ -172,8 +175,34 @@
 	}
 
 	/**
-	 * Records the begin or end of the last seconds of the recovery after the final
-	 * fault, whose outcomes are counted apart.
+	 * Records that disks were lost, whose keepers are back.
+	 * @param disks the disks
+	 * @return the repair, whose end is to be recorded
+	 */
+	Repair beginRepair(String disks) {
+		Repair repair = new Repair(disks);
+		this.repairs.add(repair);
+		return repair;
+	}
+
+	/**
+	 * Describes how long the group took to be whole after losses of disks.
+	 * @return the median and the longest time, and how many losses were not repaired
+	 */
+	String describeRepairs() {
+		List<Duration> times = this.repairs.stream().map((r) -> r.time).filter(Objects::nonNull).sorted().toList();
+		int open = this.repairs.size() - times.size();
+		if (times.isEmpty()) {
+			return "no loss of disks repaired, " + open + " not repaired";
+		}
+		Duration middle = times.get((times.size() - 1) / 2).plus(times.get(times.size() / 2)).dividedBy(2);
+		return String.format("%d losses of disks repaired in %.1f s (median) and %.1f s (max), %d not repaired",
+				times.size(), middle.toMillis() / 1e3, times.get(times.size() - 1).toMillis() / 1e3, open);
+	}
+
+	/**
+	 * Records the begin or end of the last seconds of the recovery after the final fault,
+	 * whose outcomes are counted apart.
 	 * @param value whether they have begun
 	 */
 	void setRecovering(boolean value) {
@@ -408,7 +437,8 @@
 			return;
 		}
 		violate(Rule.CALM_REACH, first.id, first.instance,
-				String.format("no upstream reached in %d tries in calm, last %d%s, %.3f s after the last machine was back%s",
+				String.format(
+						"no upstream reached in %d tries in calm, last %d%s, %.3f s after the last machine was back%s",
 						tries.size(), last.status(), code(last), (first.sentAt - lastBackAt()) / 1e9,
 						(first.previous != null) ? ", to continue " + first.previous + describe(first.previous) : ""));
 	}
@@ -553,7 +583,10 @@
 		/** A turn that was answered whole reaches no upstream in several tries. */
 		LOST_REACH,
 
-		/** A turn reaches no upstream in several tries although nothing unplanned happened. */
+		/**
+		 * A turn reaches no upstream in several tries although nothing unplanned
+		 * happened.
+		 */
 		CALM_REACH,
 
 		/**
@@ -687,6 +720,30 @@
 
 	}
 
+	/**
+	 * The repair of the group after a loss of disks.
+	 */
+	final class Repair {
+
+		private final String disks;
+
+		private volatile Duration time;
+
+		private Repair(String disks) {
+			this.disks = disks;
+		}
+
+		/**
+		 * Records that the group is whole.
+		 * @param taken how long after the keepers were back
+		 */
+		void end(Duration taken) {
+			this.time = taken;
+			note("whole " + taken.toMillis() + " ms after " + this.disks + " were back without their disks");
+		}
+
+	}
+
 	/**
 	 * Who suffers from a disturbance.
 	 */
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
@@ -75,11 +75,12 @@
 		}, Rule.LATE_REACH), history("a turn is called missing", (h) -> {
 			String turn = h.serve(ENTRY);
 			h.tried(turn, h.refuse(turn, 404, 2));
-		}, Rule.LOST_TURN, Rule.LOST_TURN, Rule.LATE_REACH), history("a turn reaches no upstream while disturbed", (h) -> {
-			String turn = h.serve(ENTRY);
-			h.begin(KEEPER, true);
-			h.tried(turn, h.refuse(turn, 503, 5));
-		}, Rule.LATE_REACH));
+		}, Rule.LOST_TURN, Rule.LOST_TURN, Rule.LATE_REACH),
+				history("a turn reaches no upstream while disturbed", (h) -> {
+					String turn = h.serve(ENTRY);
+					h.begin(KEEPER, true);
+					h.tried(turn, h.refuse(turn, 503, 5));
+				}, Rule.LATE_REACH));
 	}
 
 	private static Stream<Arguments> triesInVain() {
@@ -144,6 +145,26 @@
 		assertThat(history.ledger.timesToServe()).containsExactly(Duration.ofMillis(700), null);
 	}
 
+	@ParameterizedTest
+	@MethodSource("repairs")
+	void describesHowLongRepairsTook(List<Integer> seconds, int open, String description) {
+		RequestLedger ledger = new History().ledger;
+		seconds.forEach((s) -> ledger.beginRepair("disks").end(Duration.ofSeconds(s)));
+		for (int i = 0; i < open; i++) {
+			ledger.beginRepair("disks");
+		}
+		assertThat(ledger.describeRepairs()).isEqualTo(description);
+	}
+
+	static Stream<Arguments> repairs() {
+		return Stream.of(Arguments.of(List.of(), 0, "no loss of disks repaired, 0 not repaired"),
+				Arguments.of(List.of(), 2, "no loss of disks repaired, 2 not repaired"),
+				Arguments.of(List.of(9, 2, 4), 1,
+						"3 losses of disks repaired in 4.0 s (median) and 9.0 s (max), 1 not repaired"),
+				Arguments.of(List.of(9, 2, 4, 5), 0,
+						"4 losses of disks repaired in 4.5 s (median) and 9.0 s (max), 0 not repaired"));
+	}
+
 	@Test
 	void outcomesOfTheRecoveryAreCountedApart() {
 		History history = new History();
