--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -414,9 +414,10 @@
 	 */
 	void triedInRecovery(String previous, List<String> tries, Answer last) {
 		if (!tries.isEmpty() && tries.stream().noneMatch(this::hasArrived)) {
-			violate(Rule.LATE_REACH, previous, this.entries.get(tries.get(tries.size() - 1)).instance,
+			String lastTry = tries.get(tries.size() - 1);
+			violate(Rule.LATE_REACH, lastTry, this.entries.get(lastTry).instance,
 					"no upstream reached in " + tries.size() + " tries of the last seconds of the recovery, last "
-							+ last.status() + code(last) + describe(previous));
+							+ last.status() + code(last) + ", to continue " + previous + describe(previous));
 		}
 	}
 
