--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -5,22 +5,22 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import org.mangorack.bench.fleet.FleetProcess.Role;
-import org.mangorack.bench.fleet.RequestLedger.Disturbance;
+import org.mangorack.bench.fleet.RequestLedger.FaultOfAll;
+import org.mangorack.bench.fleet.RequestLedger.Repair;
 import org.mangorack.platform.ObjectKind;
 
 /**
  * Inflicts a seeded series of troubles on a fleet, several at a time, within what it has
  * to tolerate: never are more disks lost at a time than the tolerance. A lost disk counts
- * until its keeper has run undisturbed for {@link FleetProcesses#CATCH_UP} and the group
- * is whole again. If the settings say that this time has to do, it counts until all
- * keepers have run undisturbed for as long.
+ * until its keeper has run undisturbed for {@link FleetProcesses#CATCH_UP}, whatever
+ * happens to other keepers and whether or not the group is whole again by then. If the
+ * settings relax this, it counts until the group is whole, too.
  */
 final class FleetTroubles implements Runnable {
 
@@ -191,18 +191,6 @@
 		threads.forEach(FleetTroubles::join);
 	}
 
-	/**
-	 * Records an unplanned disturbance of some entries while an action runs.
-	 * @param kind what happens
-	 * @param entries the names of the entries
-	 * @param action the action
-	 */
-	void during(String kind, Set<String> entries, Runnable action) {
-		Disturbance disturbance = this.fleet.ledger().begin(kind, false, entries);
-		action.run();
-		this.fleet.ledger().end(disturbance);
-	}
-
 	/**
 	 * Kills all processes and starts them again, those that lost their disks first.
 	 * @param losing the keepers that lose their disks
@@ -211,6 +199,7 @@
 	void restartAll(List<FleetProcess> losing, Random source) {
 		List<FleetProcess> all = List.copyOf(this.fleet.processes());
 		inParallel(all, FleetProcess::kill);
+		FaultOfAll fault = this.fleet.ledger().allDown();
 		inParallel(losing, FleetProcess::loseDisk);
 		pause(source, 1000);
 		boolean late = source.nextBoolean();
@@ -222,6 +211,7 @@
 			}
 			process.start();
 		});
+		fault.back();
 	}
 
 	/**
@@ -252,29 +242,40 @@
 			this.lastLost.set(picked.get(0));
 			this.fleet.ledger().note("disks lost: " + picked);
 			loss.run(picked);
-			awaitCatchUp(picked);
+			long backAt = picked.stream().mapToLong(FleetProcess::backAt).max().getAsLong();
+			awaitCatchUp(picked, backAt);
+			awaitRepair(picked, backAt);
 		}
 	}
 
-	private void awaitCatchUp(List<FleetProcess> lost) {
-		long lostAt = System.nanoTime();
+	private void awaitRepair(List<FleetProcess> lost, long backAt) {
+		Repair repair = this.fleet.ledger().beginRepair(lost.toString());
+		FleetProcesses.startDaemon("repair", () -> {
+			while (!this.fleet.isClosed()) {
+				if (this.fleet.isGroupWhole()) {
+					repair.end(Duration.ofNanos(System.nanoTime() - backAt));
+					return;
+				}
+				sleep(100);
+			}
+		});
+	}
+
+	private void awaitCatchUp(List<FleetProcess> lost, long backAt) {
 		FleetProcesses.startDaemon("catch-up", () -> {
 			while (!isCaughtUp(lost) && !this.fleet.isClosed()) {
 				sleep(100);
 			}
 			this.disksLost = false;
 			this.fleet.ledger()
-				.note(lost + " no longer count as lost " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostAt)
+				.note(lost + " no longer count as lost " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - backAt)
 						+ " ms after they were back");
 		});
 	}
 
 	private boolean isCaughtUp(List<FleetProcess> lost) {
-		if (this.settings.isCatchUpTimed()) {
-			return this.fleet.keepers().stream().allMatch((k) -> k.isUndisturbedFor(FleetProcesses.CATCH_UP));
-		}
 		return lost.stream().allMatch((k) -> k.isRemoved() || k.isUndisturbedFor(FleetProcesses.CATCH_UP))
-				&& this.fleet.isGroupWhole();
+				&& (this.settings.isCatchUpTimed() || this.fleet.isGroupWhole());
 	}
 
 	/**
--- a/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
@@ -1,5 +1,6 @@
 package org.mangorack.bench.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
@@ -19,9 +20,9 @@
  */
 final class ProgramCaller implements Runnable {
 
-	private static final int MAX_TRIES = 3;
+	private static final int MAX_TRIES = 5;
 
-	private static final int LAST_TRIES = 5;
+	private static final int RECOVERY_TRY_INTERVAL_MS = 800;
 
 	private static final int READ_SLACK_MS = 500;
 
@@ -45,6 +46,8 @@
 
 	private Answer last;
 
+	private final List<String> tries = new ArrayList<>();
+
 	ProgramCaller(FleetProcesses fleet, Turns turns, long seed, AtomicBoolean ended) {
 		this.fleet = fleet;
 		this.ledger = fleet.ledger();
@@ -70,8 +73,11 @@
 		Turn turn = (this.random.nextInt(3) == 0) ? this.turns.any(this.random) : null;
 		int length = (this.random.nextInt(6) == 0) ? 11 : 1 + this.random.nextInt(4);
 		for (int i = 0; (i < length) && !this.ended.get(); i++) {
-			turn = runTurn(program, turn, MAX_TRIES);
+			turn = runTurn(program, turn);
 			if (turn == null) {
+				if (this.tries.size() == MAX_TRIES) {
+					this.ledger.triedInVain(this.tries, this.last);
+				}
 				return;
 			}
 			pause(20);
@@ -91,16 +97,18 @@
 		pause(20);
 	}
 
-	private Turn runTurn(String program, Turn previous, int tries) {
+	private Turn runTurn(String program, Turn previous) {
 		String input = "input of " + program + " " + "x".repeat(this.random.nextInt(MAX_INPUT)) + "\n";
 		String prompt = ((previous != null) ? previous.chain() : "") + input;
-		for (int i = 0; (i < tries) && ((i == 0) || !this.ended.get() || (tries == LAST_TRIES)); i++) {
+		this.tries.clear();
+		for (int i = 0; (i < MAX_TRIES) && ((i == 0) || !this.ended.get()); i++) {
 			String id = this.turns.newId();
+			this.tries.add(id);
 			this.last = send(Kind.TURN, id, program, (previous != null) ? previous.id() : null, input, prompt);
 			if (this.last.isServed()) {
 				return this.turns.add(id, prompt + String.join("\n", RequestLedger.events(this.last.body())) + "\n");
 			}
-			if (this.last.status() / 100 == 4) {
+			if (RequestLedger.isDenial(this.last.status())) {
 				return null;
 			}
 			pause(REFUSED_PAUSE_MS);
@@ -114,11 +122,37 @@
 	 */
 	void verify(Turn turn) {
 		disconnect();
-		if ((runTurn(this.turns.newId(), turn, LAST_TRIES) == null) && (this.last.status() / 100 != 4)) {
+		if ((runTurn(this.turns.newId(), turn) == null) && !RequestLedger.isDenial(this.last.status())) {
 			this.ledger.unreachable(turn.id(), this.last, this.connection.entry());
 		}
 	}
 
+	/**
+	 * Tries to continue a turn again and again until a request reaches an upstream, and
+	 * reports it if none does.
+	 * @param turn the turn
+	 * @param until when the last try may begin, by {@link System#nanoTime()}
+	 */
+	void verifyUntil(Turn turn, long until) {
+		String program = this.turns.newId();
+		String input = "input of " + program + "\n";
+		String prompt = turn.chain() + input;
+		this.tries.clear();
+		while ((this.tries.size() < MAX_TRIES) && (System.nanoTime() - until < 0)) {
+			long triedAt = System.nanoTime();
+			disconnect();
+			String id = this.turns.newId();
+			this.tries.add(id);
+			this.last = send(Kind.TURN, id, program, turn.id(), input, prompt);
+			if (this.ledger.hasArrived(id)) {
+				break;
+			}
+			long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
+			ScriptedUpstream.sleep(Math.max(0, RECOVERY_TRY_INTERVAL_MS - elapsed));
+		}
+		this.ledger.triedInRecovery(turn.id(), this.tries, this.last);
+	}
+
 	private Answer send(Kind kind, String id, String program, String previous, String input, String prompt) {
 		connect();
 		String headers = "Program: " + program + "\r\nSession: " + program
@@ -126,7 +160,7 @@
 				+ ((previous != null) ? "Previous-Turn: " + previous + "\r\n" : "");
 		String request = TestFleetNodes.request(kind.method(), kind.path(), id, headers, input)
 			.replaceFirst("Time-Remaining: 4000", "Time-Remaining: " + kind.time().toMillis());
-		this.ledger.sending(id, kind, this.connection.entry(), previous);
+		this.ledger.sending(id, kind, this.connection.entry().name(), previous);
 		Answer answer = this.connection.exchange(request, (int) kind.time().toMillis() + READ_SLACK_MS);
 		this.ledger.answered(id, answer, RequestLedger.digest(prompt));
 		return answer;
--- a/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -9,6 +9,7 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 
@@ -29,15 +30,22 @@
  * for other runs: a seed, or the first and last one with a dash in between. These take
  * their size from {@code mangorack.fleet.keepers}, {@code entries}, {@code tolerance},
  * {@code callers}, {@code upstreams} (of each of two pools) and {@code seconds} (of
- * troubles); {@code kinds} names the troubles, separated by commas; with {@code timed} a
- * lost disk counts for the promised time only, whether or not the group is whole again.
- * They take their code from {@code mangorack.fleet.root} (the root of a built
+ * troubles); {@code kinds} names the troubles, separated by commas. A lost disk counts
+ * for the promised time only, whether or not the group is whole again; with {@code timed}
+ * set to {@code false} it counts until the group is whole, for machines that are too
+ * slow. They take their code from {@code mangorack.fleet.root} (the root of a built
  * repository), and keep their logs below {@code mangorack.fleet.folder}.
  */
 class RandomisedFleetRunTests {
 
 	private static final Duration RECOVERY = Duration.ofSeconds(15);
 
+	private static final Duration LAST_OF_RECOVERY = Duration.ofSeconds(4);
+
+	private static final int RECOVERY_TURNS_PER_UPSTREAM = 24;
+
+	private static final int MAX_RECOVERY_TURNS = 100;
+
 	private static final int VERIFIERS = 16;
 
 	private static final int MAX_VERIFIED = 1500;
@@ -72,17 +80,53 @@
 				callers.add(start(new ProgramCaller(fleet, turns, random.nextLong(), ended)));
 			}
 			troubles.run();
-			ScriptedUpstream.sleep(RECOVERY.toMillis());
+			verifyRecovery(fleet, settings, turns);
 			int before = turns.size();
 			ended.set(true);
 			join(callers);
 			verify(fleet, turns);
 			ledger.note(settings + ": " + before + " turns, " + ledger.counts());
+			ledger.note("s until a turn was served after each fault of all: " + ledger.timesToServe()
+				.stream()
+				.map((time) -> (time != null) ? String.valueOf(time.toMillis() / 1e3) : "never")
+				.toList());
+			ledger.note(ledger.describeRepairs());
+			ledger.note("outcomes in the last " + LAST_OF_RECOVERY.toSeconds() + " s of the recovery: "
+					+ ledger.recoveryCounts());
+			ledger.note("passed on, but closed without an answer in touch: " + ledger.closed());
 			ledger.explain(fleet.processes());
 		}
 		assertThat(ledger.violations()).as(settings.toString()).isEmpty();
 	}
 
+	// Continues turns while the callers go on.
+	private static void verifyRecovery(FleetProcesses fleet, FleetRunSettings settings, Turns turns)
+			throws InterruptedException {
+		long backAt = fleet.ledger().lastBackAt();
+		sleepUntil(backAt + RECOVERY.minus(LAST_OF_RECOVERY).toNanos());
+		// Planned work may have gone on for longer than the recovery.
+		long beginAt = System.nanoTime();
+		long endAt = beginAt + LAST_OF_RECOVERY.toNanos();
+		Queue<Turn> sample = turns
+			.sample(Math.min(MAX_RECOVERY_TURNS, RECOVERY_TURNS_PER_UPSTREAM * settings.upstreams()));
+		fleet.ledger()
+			.note(String.format("continuing %d turns from %.3f s to %.3f s after the last machine was back",
+					sample.size(), (beginAt - backAt) / 1e9, (endAt - backAt) / 1e9));
+		fleet.ledger().setRecovering(true);
+		List<Thread> verifiers = new ArrayList<>();
+		for (Turn turn : sample) {
+			ProgramCaller caller = new ProgramCaller(fleet, turns, verifiers.size(), new AtomicBoolean());
+			verifiers.add(start(() -> caller.verifyUntil(turn, endAt)));
+		}
+		sleepUntil(endAt);
+		fleet.ledger().setRecovering(false);
+		join(verifiers);
+	}
+
+	private static void sleepUntil(long at) {
+		ScriptedUpstream.sleep(Math.max(0, TimeUnit.NANOSECONDS.toMillis(at - System.nanoTime())));
+	}
+
 	private static void verify(FleetProcesses fleet, Turns turns) throws InterruptedException {
 		Queue<Turn> sample = turns.sample(MAX_VERIFIED);
 		fleet.ledger().note("continuing " + sample.size() + " of " + turns.size() + " turns");
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -9,14 +9,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Queue;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
@@ -38,7 +39,11 @@
 	 */
 	static final Duration CLOSE_SLACK = Duration.ofMillis(200);
 
-	private static final double TIME_USED_SHARE = 0.9;
+	/**
+	 * How many requests that were passed on may end in a close without an answer while
+	 * their entry is in touch.
+	 */
+	static final int MAX_CLOSED = 3;
 
 	private static final int DELAY_INTERVAL_MS = 10;
 
@@ -58,9 +63,33 @@
 
 	private final AtomicLong delay = new AtomicLong();
 
-	private final long startedAt = System.nanoTime();
+	private final Map<String, AtomicInteger> recoveryCounts = new ConcurrentHashMap<>();
+
+	private volatile boolean recovering;
+
+	private final Queue<FaultOfAll> faultsOfAll = new ConcurrentLinkedQueue<>();
+
+	private final Queue<Repair> repairs = new ConcurrentLinkedQueue<>();
+
+	private final Map<String, AtomicInteger> closed = new ConcurrentHashMap<>();
+
+	private final AtomicInteger closedCount = new AtomicInteger();
+
+	private final LongSupplier clock;
+
+	private final long startedAt;
 
 	RequestLedger() {
+		this(System::nanoTime);
+	}
+
+	/**
+	 * Creates a ledger with a clock of its own.
+	 * @param clock the time in nanoseconds
+	 */
+	RequestLedger(LongSupplier clock) {
+		this.clock = clock;
+		this.startedAt = clock.getAsLong();
 		FleetProcesses.startDaemon("delay", this::measureDelay);
 	}
 
@@ -77,16 +106,29 @@
 	// ---- Disturbances
 
 	/**
-	 * Records the begin of a disturbance.
+	 * Records the begin of planned work, around which no answer may be lost.
+	 * @param kind what is done
+	 * @return the work, whose end is to be recorded
+	 */
+	Disturbance beginPlanned(String kind) {
+		return begin(new Disturbance(kind, Scope.PLANNED, "", this.clock.getAsLong()));
+	}
+
+	/**
+	 * Records the begin of something unplanned at one machine.
 	 * @param kind what happens
-	 * @param planned whether it is planned work, around which no answer may be lost
-	 * @param entries the names of the entries that suffer from it; empty for all
+	 * @param instance the instance that runs on the machine
+	 * @param storing whether the machine stores turns, so that all entries depend on it
 	 * @return the disturbance, whose end is to be recorded
 	 */
-	Disturbance begin(String kind, boolean planned, Set<String> entries) {
-		Disturbance disturbance = new Disturbance(kind, planned, entries, System.nanoTime());
+	Disturbance begin(String kind, String instance, boolean storing) {
+		return begin(new Disturbance(kind + " " + instance, storing ? Scope.STORING : Scope.ENTRY, instance,
+				this.clock.getAsLong()));
+	}
+
+	private Disturbance begin(Disturbance disturbance) {
 		this.disturbances.add(disturbance);
-		note("begin " + kind);
+		note("begin " + disturbance.kind);
 		return disturbance;
 	}
 
@@ -95,10 +137,86 @@
 	 * @param disturbance the disturbance
 	 */
 	void end(Disturbance disturbance) {
-		disturbance.endedAt = System.nanoTime();
+		disturbance.end(this.clock.getAsLong());
 		note("end " + disturbance.kind);
 	}
 
+	/**
+	 * Returns when the last machine that was disturbed was back.
+	 * @return the time of the clock in nanoseconds; the start of the run if none was
+	 * disturbed
+	 */
+	long lastBackAt() {
+		return this.disturbances.stream()
+			.filter((d) -> (d.scope != Scope.PLANNED) && d.ended)
+			.mapToLong((d) -> d.endedAt)
+			.reduce(this.startedAt, (a, b) -> (a - b > 0) ? a : b);
+	}
+
+	/**
+	 * Records that all processes are down.
+	 * @return the fault, of which {@link FaultOfAll#back()} is to be told
+	 */
+	FaultOfAll allDown() {
+		FaultOfAll fault = new FaultOfAll();
+		this.faultsOfAll.add(fault);
+		return fault;
+	}
+
+	/**
+	 * Returns how long after each fault of all no turn was served.
+	 * @return the times, from when the last process was told to start; negative if one
+	 * was served before, and {@code null} if none was served any more
+	 */
+	List<Duration> timesToServe() {
+		List<Duration> times = new ArrayList<>();
+		this.faultsOfAll.forEach((f) -> times.add(f.timeToServe()));
+		return times;
+	}
+
+	/**
+	 * Records that disks were lost, whose keepers are back.
+	 * @param disks the disks
+	 * @return the repair, whose end is to be recorded
+	 */
+	Repair beginRepair(String disks) {
+		Repair repair = new Repair(disks);
+		this.repairs.add(repair);
+		return repair;
+	}
+
+	/**
+	 * Describes how long the group took to be whole after losses of disks.
+	 * @return the median and the longest time, and how many losses were not repaired
+	 */
+	String describeRepairs() {
+		List<Duration> times = this.repairs.stream().map((r) -> r.time).filter(Objects::nonNull).sorted().toList();
+		int open = this.repairs.size() - times.size();
+		if (times.isEmpty()) {
+			return "no loss of disks repaired, " + open + " not repaired";
+		}
+		Duration middle = times.get((times.size() - 1) / 2).plus(times.get(times.size() / 2)).dividedBy(2);
+		return String.format("%d losses of disks repaired in %.1f s (median) and %.1f s (max), %d not repaired",
+				times.size(), middle.toMillis() / 1e3, times.get(times.size() - 1).toMillis() / 1e3, open);
+	}
+
+	/**
+	 * Records the begin or end of the last seconds of the recovery after the final fault,
+	 * whose outcomes are counted apart.
+	 * @param value whether they have begun
+	 */
+	void setRecovering(boolean value) {
+		this.recovering = value;
+	}
+
+	/**
+	 * Returns how many requests had which outcome in the last seconds of the recovery.
+	 * @return the counts by kind and outcome
+	 */
+	Map<String, Integer> recoveryCounts() {
+		return copy(this.recoveryCounts);
+	}
+
 	/**
 	 * Records that a process ended by itself.
 	 * @param process the process
@@ -120,7 +238,7 @@
 	 * @param text the text
 	 */
 	void note(String text) {
-		System.out.printf("%8.3f %s%n", seconds(System.nanoTime()), text);
+		System.out.printf("%8.3f %s%n", seconds(this.clock.getAsLong()), text);
 	}
 
 	private double seconds(long at) {
@@ -133,11 +251,11 @@
 	 * Records that a request is sent.
 	 * @param id its id
 	 * @param kind what it is
-	 * @param entry the entry that it is sent to
+	 * @param instance the entry that it is sent to
 	 * @param previous the turn that it continues, or {@code null}
 	 */
-	void sending(String id, Kind kind, FleetProcess entry, String previous) {
-		this.entries.put(id, new Entry(id, kind, entry.name(), previous, System.nanoTime()));
+	void sending(String id, Kind kind, String instance, String previous) {
+		this.entries.put(id, new Entry(id, kind, instance, previous, this.clock.getAsLong()));
 	}
 
 	/**
@@ -150,6 +268,7 @@
 			violate(Rule.UNASKED, id, "-", "ran, but was never sent");
 			return;
 		}
+		entry.arrivedAt = this.clock.getAsLong();
 		int runs = entry.runs.incrementAndGet();
 		if ((runs > 1) && !entry.kind.isRepeatable()) {
 			violate(Rule.TWICE, id, entry.instance, "ran " + runs + " times");
@@ -171,7 +290,7 @@
 	 */
 	void answered(String id, Answer answer, String digest) {
 		Entry entry = this.entries.get(id);
-		long now = System.nanoTime();
+		long now = this.clock.getAsLong();
 		if (!answer.isWhole()) {
 			checkUnanswered(entry, answer, now);
 			return;
@@ -196,7 +315,10 @@
 	}
 
 	private void checkServed(Entry entry, Answer answer, String digest) {
-		entry.servedAt = System.nanoTime();
+		entry.servedAt = this.clock.getAsLong();
+		if (entry.kind == Kind.TURN) {
+			this.faultsOfAll.forEach((f) -> f.served(entry));
+		}
 		String body = answer.body();
 		List<String> pieces = body.startsWith("id:") ? events(body) : List.of(body);
 		for (int i = 0; i < pieces.size(); i++) {
@@ -221,7 +343,10 @@
 	}
 
 	private void checkUnanswered(Entry entry, Answer answer, long now) {
-		double used = (now - entry.sentAt) / (double) entry.kind.time().toNanos();
+		boolean inTime = now - entry.sentAt < entry.kind.time().toNanos();
+		if (inTime && (entry.runs.get() > 0) && isInTouch(entry.instance, entry.arrivedAt, now)) {
+			closedInTouch(entry, answer, now);
+		}
 		String what = "status " + answer.status() + ", " + answer.failure() + ", after "
 				+ Duration.ofNanos(now - entry.sentAt).toMillis() + " ms, ran " + entry.runs.get() + " times, request "
 				+ answer.number() + " of its connection";
@@ -235,7 +360,7 @@
 		else if (isDisturbed(entry.instance, entry.sentAt - CONTACT.toNanos(), now)) {
 			count(entry.kind, "cut while disturbed");
 		}
-		else if (used > TIME_USED_SHARE) {
+		else if (!inTime) {
 			count(entry.kind, "cut at its deadline");
 			note("late: " + entry.kind + " " + entry.id + " at " + entry.instance + ": " + what);
 		}
@@ -245,6 +370,30 @@
 		}
 	}
 
+	// The requests are counted whatever else is reported about them.
+	private void closedInTouch(Entry entry, Answer answer, long now) {
+		String cause = ((answer.status() == 0) ? "no answer" : "answer cut short") + ", " + answer.failure();
+		String group = entry.instance + ", request " + answer.number() + " of its connection, " + cause;
+		this.closed.computeIfAbsent(group, (k) -> new AtomicInteger()).incrementAndGet();
+		String text = "passed on, but closed after " + Duration.ofNanos(now - entry.sentAt).toMillis() + " of "
+				+ entry.kind.time().toMillis() + " ms in touch: " + group;
+		if (this.closedCount.incrementAndGet() > MAX_CLOSED) {
+			violate(Rule.CLOSED, entry.id, entry.instance, text);
+		}
+		else {
+			note(text + " (" + entry.kind + " " + entry.id + ")");
+		}
+	}
+
+	/**
+	 * Returns how many requests were passed on and closed without an answer while their
+	 * entry was in touch.
+	 * @return the counts by entry, number of the request on its connection, and cause
+	 */
+	Map<String, Integer> closed() {
+		return copy(this.closed);
+	}
+
 	/**
 	 * Records that a turn which was answered whole was not served in several tries.
 	 * @param previous the turn
@@ -256,13 +405,61 @@
 				"not continued in any try, last " + last.status() + code(last) + describe(previous));
 	}
 
+	/**
+	 * Checks the tries to continue a turn after the final fault.
+	 * @param previous the turn, which was answered whole
+	 * @param tries the ids of the requests that tried to continue it in the last seconds
+	 * of the recovery
+	 * @param last the last answer
+	 */
+	void triedInRecovery(String previous, List<String> tries, Answer last) {
+		if (!tries.isEmpty() && tries.stream().noneMatch(this::hasArrived)) {
+			String lastTry = tries.get(tries.size() - 1);
+			violate(Rule.LATE_REACH, lastTry, this.entries.get(lastTry).instance,
+					"no upstream reached in " + tries.size() + " tries of the last seconds of the recovery, last "
+							+ last.status() + code(last) + ", to continue " + previous + describe(previous));
+		}
+	}
+
+	/**
+	 * Checks the tries of a turn that was not served.
+	 * @param tries the ids of the requests, the first one first
+	 * @param last the last answer
+	 */
+	void triedInVain(List<String> tries, Answer last) {
+		if (tries.stream().anyMatch(this::hasArrived)) {
+			return;
+		}
+		Entry first = this.entries.get(tries.get(0));
+		long now = this.clock.getAsLong();
+		if (this.disturbances.stream()
+			.anyMatch((d) -> (d.scope != Scope.PLANNED) && d.overlaps(first.sentAt - CONTACT.toNanos(), now))) {
+			count(first.kind, "tried in vain while disturbed");
+			return;
+		}
+		violate(Rule.CALM_REACH, first.id, first.instance,
+				String.format(
+						"no upstream reached in %d tries in calm, last %d%s, %.3f s after the last machine was back%s",
+						tries.size(), last.status(), code(last), (first.sentAt - lastBackAt()) / 1e9,
+						(first.previous != null) ? ", to continue " + first.previous + describe(first.previous) : ""));
+	}
+
 	private boolean isDisturbed(String instance, long from, long to) {
-		return this.disturbances.stream().anyMatch((d) -> !d.planned && d.affects(instance) && d.overlaps(from, to));
+		return this.disturbances.stream().anyMatch((d) -> d.affects(instance) && d.overlaps(from, to));
+	}
+
+	// Entries lose touch when a machine that stores goes or comes back, not while it is
+	// away.
+	private boolean isInTouch(String instance, long from, long to) {
+		long since = from - CONTACT.toNanos();
+		return this.disturbances.stream()
+			.noneMatch((d) -> d.affects(instance)
+					&& ((d.scope == Scope.STORING) ? d.changesWithin(since, to) : d.overlaps(since, to)));
 	}
 
 	private List<String> planned(long from, long to) {
 		return this.disturbances.stream()
-			.filter((d) -> d.planned && d.overlaps(from - CONTACT.toNanos(), to))
+			.filter((d) -> (d.scope == Scope.PLANNED) && d.overlaps(from - CONTACT.toNanos(), to))
 			.map((d) -> d.kind)
 			.toList();
 	}
@@ -287,6 +484,15 @@
 		return events;
 	}
 
+	/**
+	 * Tells whether a request was refused for itself, so that no other try is of use.
+	 * @param status the status of the answer
+	 * @return {@code true} if it was
+	 */
+	static boolean isDenial(int status) {
+		return (status / 100 == 4) && !isPromise(status);
+	}
+
 	private static boolean isPromise(int status) {
 		return (status == 402) || (status == 408) || (status == 421) || (status == 429) || (status == 503);
 	}
@@ -311,6 +517,9 @@
 
 	private void count(Kind kind, String outcome) {
 		this.counts.computeIfAbsent(kind + " " + outcome, (k) -> new AtomicInteger()).incrementAndGet();
+		if (this.recovering) {
+			this.recoveryCounts.computeIfAbsent(kind + " " + outcome, (k) -> new AtomicInteger()).incrementAndGet();
+		}
 	}
 
 	void violate(Rule rule, String id, String instance, String text) {
@@ -332,8 +541,12 @@
 	 * @return the counts by kind and outcome
 	 */
 	Map<String, Integer> counts() {
+		return copy(this.counts);
+	}
+
+	private static Map<String, Integer> copy(Map<String, AtomicInteger> counts) {
 		Map<String, Integer> result = new TreeMap<>();
-		this.counts.forEach((name, count) -> result.put(name, count.get()));
+		counts.forEach((name, count) -> result.put(name, count.get()));
 		return result;
 	}
 
@@ -371,9 +584,27 @@
 		/** A turn that was answered whole reaches no upstream in several tries. */
 		LOST_REACH,
 
+		/**
+		 * A turn reaches no upstream in several tries although nothing unplanned
+		 * happened.
+		 */
+		CALM_REACH,
+
+		/**
+		 * A turn that was answered whole reaches no upstream in any try of the last
+		 * seconds in which the fleet may recover from the final fault.
+		 */
+		LATE_REACH,
+
 		/** A request ends without an answer although nothing unplanned happened. */
 		LOST_ANSWER,
 
+		/**
+		 * More than {@link RequestLedger#MAX_CLOSED} requests were passed on by an entry
+		 * in touch, and ended in a close without an answer before their time was over.
+		 */
+		CLOSED,
+
 		/** A request that may not be repeated runs more than once. */
 		TWICE,
 
@@ -459,6 +690,77 @@
 
 	}
 
+	/**
+	 * A fault that ended all processes.
+	 */
+	final class FaultOfAll {
+
+		private final long downAt = RequestLedger.this.clock.getAsLong();
+
+		private volatile Long backAt;
+
+		private volatile Long servedAt;
+
+		/**
+		 * Records that the last process was told to start.
+		 */
+		void back() {
+			this.backAt = RequestLedger.this.clock.getAsLong();
+		}
+
+		private synchronized void served(Entry entry) {
+			if ((this.servedAt == null) && (entry.sentAt - this.downAt >= 0)) {
+				this.servedAt = entry.servedAt;
+			}
+		}
+
+		private Duration timeToServe() {
+			return ((this.backAt != null) && (this.servedAt != null)) ? Duration.ofNanos(this.servedAt - this.backAt)
+					: null;
+		}
+
+	}
+
+	/**
+	 * The repair of the group after a loss of disks.
+	 */
+	final class Repair {
+
+		private final String disks;
+
+		private volatile Duration time;
+
+		private Repair(String disks) {
+			this.disks = disks;
+		}
+
+		/**
+		 * Records that the group is whole.
+		 * @param taken how long after the keepers were back
+		 */
+		void end(Duration taken) {
+			this.time = taken;
+			note("whole " + taken.toMillis() + " ms after " + this.disks + " were back without their disks");
+		}
+
+	}
+
+	/**
+	 * Who suffers from a disturbance.
+	 */
+	private enum Scope {
+
+		/** Nobody, as it is planned work. */
+		PLANNED,
+
+		/** The callers of one entry. */
+		ENTRY,
+
+		/** All callers, as the machine stores turns. */
+		STORING
+
+	}
+
 	/**
 	 * Something that was done to the fleet.
 	 */
@@ -466,27 +768,42 @@
 
 		private final String kind;
 
-		private final boolean planned;
+		private final Scope scope;
 
-		private final Set<String> entries;
+		private final String instance;
 
 		private final long beganAt;
 
 		private volatile long endedAt;
 
-		private Disturbance(String kind, boolean planned, Set<String> entries, long beganAt) {
+		private volatile boolean ended;
+
+		private Disturbance(String kind, Scope scope, String instance, long beganAt) {
 			this.kind = kind;
-			this.planned = planned;
-			this.entries = entries;
+			this.scope = scope;
+			this.instance = instance;
 			this.beganAt = beganAt;
 		}
 
+		private void end(long at) {
+			this.endedAt = at;
+			this.ended = true;
+		}
+
 		private boolean affects(String entry) {
-			return this.entries.isEmpty() || this.entries.contains(entry);
+			return (this.scope == Scope.STORING) || ((this.scope == Scope.ENTRY) && this.instance.equals(entry));
 		}
 
 		private boolean overlaps(long from, long to) {
-			return (this.beganAt - to < 0) && ((this.endedAt == 0) || (this.endedAt - from > 0));
+			return (this.beganAt - to < 0) && (!this.ended || (this.endedAt - from > 0));
+		}
+
+		private boolean changesWithin(long from, long to) {
+			return isWithin(this.beganAt, from, to) || (this.ended && isWithin(this.endedAt, from, to));
+		}
+
+		private static boolean isWithin(long at, long from, long to) {
+			return (at - from > 0) && (at - to < 0);
 		}
 
 	}
@@ -508,6 +825,8 @@
 
 		private final AtomicInteger runs = new AtomicInteger();
 
+		private volatile long arrivedAt;
+
 		private volatile boolean refused;
 
 		private volatile long servedAt;
