Let the time of a lost disk begin anew when another keeper is disturbed

The promised time in which a lost disk still counts starts again once the stores are undisturbed, so the fleet run waits until all keepers have run undisturbed for it, as it did with `timed` before. A trial judged by the time of the lost disk's machine alone, which asks for more than is promised.

--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetTroubles.java
@@ -18,9 +18,9 @@
 /**
  * Inflicts a seeded series of troubles on a fleet, several at a time, within what it has
  * to tolerate: never are more disks lost at a time than the tolerance. A lost disk counts
- * until its keeper has run undisturbed for {@link FleetProcesses#CATCH_UP}, whatever
- * happens to other keepers and whether or not the group is whole again by then. If the
- * settings relax this, it counts until the group is whole, too.
+ * until all keepers have run undisturbed for {@link FleetProcesses#CATCH_UP}, whether or
+ * not the group is whole again by then. If the settings relax this, it counts until the
+ * group is whole, too.
  */
 final class FleetTroubles implements Runnable {
 
@@ -274,7 +274,9 @@
 	}
 
 	private boolean isCaughtUp(List<FleetProcess> lost) {
-		return lost.stream().allMatch((k) -> k.isRemoved() || k.isUndisturbedFor(FleetProcesses.CATCH_UP))
+		List<FleetProcess> keepers = new ArrayList<>(this.fleet.keepers());
+		keepers.addAll(lost);
+		return keepers.stream().allMatch((k) -> k.isRemoved() || k.isUndisturbedFor(FleetProcesses.CATCH_UP))
 				&& (this.settings.isCatchUpTimed() || this.fleet.isGroupWhole());
 	}
 
