--- a/mangorack/src/test/java/org/mangorack/keeper/DiskJoinTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/DiskJoinTests.java
@@ -19,7 +19,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import org.mangorack.keeper.proto.LogEntry;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.Turn;
 import org.mangorack.observe.MonotonicClock;
@@ -242,6 +245,23 @@
 		assertThat(outcomes()).containsOnly("found");
 	}
 
+	// Guards against charges that are written again because another disk failed.
+	@Test
+	void aDiskThatGoesOnJoiningStoresEachChargeOnce() throws Exception {
+		this.group = new TestGroup(this.folder, 2);
+		storeTurns();
+		this.group.loseDisk("k0");
+		this.group.loseDisk("k1");
+		this.group.step("k0", "k1", "k0");
+		this.group.kill("k1");
+		this.group.step("k2");
+		this.group.advance(GroupMembership.UNRESPONSIVE_TIMEOUT.plusMillis(1));
+		this.group.step("k2");
+		assertThat(this.group.stepUntil(() -> List.of("k0"), () -> !this.group.view().isChanging())).isTrue();
+		this.group.membership("k0").close();
+		assertThat(this.group.keeper("k0").killAndCount(LogEntry::hasCharges)).isEqualTo(PROGRAMS);
+	}
+
 	// Guards against 404 during a rolling start of new code. A keeper of 094caea that
 	// joins
 	// does not know of other joining disks: it completes the change once it has read a
@@ -278,6 +298,39 @@
 		assertThat(outcomes()).doesNotContain("absent");
 	}
 
+	// Guards against a member that never leaves because replies that take longer than the
+	// inactivity timeout of its links, but less than the copy timeout, are thrown away.
+	@ParameterizedTest
+	@ValueSource(ints = { 400, 1500 })
+	void aMemberLeavesThoughSyncsOfOthersTakeLong(int millis) throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		storeTurns();
+		for (String name : List.of("k1", "k2", "k3")) {
+			this.group.keeper(name).delaySyncs(Duration.ofMillis(millis));
+		}
+		this.group.retirements().request("k0");
+		this.group.step("k0");
+		this.group.advance(GroupMembership.SUCCESSOR_TIMEOUT.plusMillis(1));
+		assertThat(this.group.stepUntil(() -> List.of("k0"), () -> this.group.view().members().size() == 3))
+			.as("group %s", this.group.view())
+			.isTrue();
+	}
+
+	// Guards against charges that are written again because their sync was late.
+	@Test
+	void aJoiningDiskWithLateSyncsStoresEachChargeOnce() throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		storeTurns();
+		this.group.loseDisk("k0");
+		this.group.keeper("k0").delaySyncs(DiskCopier.TIMEOUT.plusSeconds(2));
+		this.group.step("k0", "k0");
+		this.group.keeper("k0").delaySyncs(Duration.ZERO);
+		TimeUnit.SECONDS.sleep(6);
+		assertThat(this.group.stepUntilComplete()).isTrue();
+		this.group.membership("k0").close();
+		assertThat(this.group.keeper("k0").killAndCount(LogEntry::hasCharges)).isEqualTo(PROGRAMS);
+	}
+
 	// Guards against 404 from members that have not heard of the end of a change, one of
 	// which has left: a read quorum of the former members need not meet a write quorum of
 	// the new ones.
