Event 1001 of a keeper says what it read of its log

What operators saw: after a fault of all on a busy machine keepers with data were up 10 s later than the others, and no event said how much of that was the log.

Test: KeeperNodeTests#theStartOfAKeeperTellsWhatItReadOfItsLog failed before.

--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -92,7 +92,7 @@
 		String disk = readOrCreateDiskId(folder);
 		this.log = new RecordLog(folder.resolve("log"), this.loops.next()::execute);
 		TurnStore turns = new TurnStore(this.log, this.clock, System::currentTimeMillis);
-		turns.load();
+		RecordLog.Replay replay = turns.load();
 		this.log.start();
 		ViewFile viewFile = new ViewFile(folder.resolve("view"), this.settings.tolerance());
 		GroupView view = viewFile.read().orElse(GroupView.unknown(this.settings.tolerance()));
@@ -128,7 +128,8 @@
 		loop.execute(new LoopDelay(loop, this.clock, this.metrics)::start);
 		EventLog.log(Event.INSTANCE_STARTED, "instance", this.settings.instance(), "role", "keeper", "disk", disk,
 				"address", this.settings.listen(), "turns", turns.turnCount(), "programs", turns.programCount(),
-				"epoch", view.epoch());
+				"epoch", view.epoch(), "logSegments", replay.segments(), "logBytes", replay.bytes(), "logMillis",
+				replay.time().toMillis());
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -141,9 +141,11 @@
 	 * of a turn may look like an entry. What is read is on disk, also if the earlier
 	 * start was killed before a sync.
 	 * @param reader receives each entry with the number of its segment
+	 * @return what was read
 	 * @throws IOException if a segment cannot be read, or the last one not be synced
 	 */
-	void replay(BiConsumer<Long, LogEntry> reader) throws IOException {
+	Replay replay(BiConsumer<Long, LogEntry> reader) throws IOException {
+		long startedAt = this.clock.nanoTime();
 		if (!this.olderSegments.isEmpty()) {
 			this.files.sync(file(this.olderSegments.lastKey()));
 		}
@@ -160,6 +162,7 @@
 				reportTorn(number, bytes);
 			}
 		}
+		return new Replay(this.olderSegments.size(), this.olderBytes, this.clock.elapsed(startedAt));
 	}
 
 	/**
@@ -524,6 +527,16 @@
 		}
 	}
 
+	/**
+	 * What a start read of the log.
+	 *
+	 * @param segments the number of segments
+	 * @param bytes the size of the segments in bytes, including what is corrupt
+	 * @param time the time that reading took, including that of the reader of the entries
+	 */
+	record Replay(int segments, long bytes, Duration time) {
+	}
+
 	/**
 	 * The time in which writes fail.
 	 *
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -86,10 +86,11 @@
 	/**
 	 * Loads the content of the log into memory. The retention of all content starts anew,
 	 * because the time since it was written cannot be told from an error of the clock.
+	 * @return what was read of the log
 	 * @throws IOException if the log cannot be read
 	 */
-	void load() throws IOException {
-		this.log.replay((segment, entry) -> {
+	RecordLog.Replay load() throws IOException {
+		RecordLog.Replay replay = this.log.replay((segment, entry) -> {
 			if (entry.hasTurn()) {
 				StoredTurn turn = addIfAbsent(entry.getTurn(), segment);
 				this.turns.move(turn, segment);
@@ -103,6 +104,7 @@
 		long timeOfDay = this.wallClockMillis.getAsLong();
 		this.turns.expireIf((turn) -> isOutdated(timeOfDay, turn.getStoredMs(), turn.getRetentionMs()));
 		this.programs.values().removeIf((p) -> isOutdated(timeOfDay, p.storedMs, p.retention().toMillis()));
+		return replay;
 	}
 
 	// ---- Accessors
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperNodeTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperNodeTests.java
@@ -1,13 +1,32 @@
 package org.mangorack.keeper;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.Logger;
+import org.apache.logging.log4j.core.appender.AbstractAppender;
+import org.apache.logging.log4j.core.config.Property;
+import org.apache.logging.log4j.message.StringMapMessage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 import org.mangorack.http.HttpAddress;
+import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
+import org.mangorack.observe.MonotonicClock;
+import org.mangorack.platform.FakeStore;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
 
 /**
@@ -15,6 +34,10 @@
  */
 class KeeperNodeTests {
 
+	private static final HttpAddress ANY_PORT = HttpAddress.parse("127.0.0.1:0");
+
+	private static final Duration RETENTION = Duration.ofSeconds(600);
+
 	@TempDir
 	Path folder;
 
@@ -30,4 +53,90 @@
 		keeper.close();
 	}
 
+	// Guards against a late start whose cause cannot be told from the log.
+	@Test
+	void theStartOfAKeeperTellsWhatItReadOfItsLog() throws Exception {
+		fillLog(3);
+		StringMapMessage started;
+		try (EventCapture capture = new EventCapture()) {
+			KeeperNode keeper = new KeeperNode(
+					new KeeperSettings("keeper-1", "dc", ANY_PORT, null, ANY_PORT, this.folder, 0, false),
+					new FakeStore(), new FixedConfiguration(null), new TestGroup.Retirements(), new Metrics());
+			keeper.start();
+			keeper.close();
+			started = capture.first(Event.INSTANCE_STARTED);
+		}
+		assertThat(started.get("turns")).isEqualTo("3");
+		assertThat(started.get("logSegments")).isEqualTo("3");
+		assertThat(started.get("logBytes")).isEqualTo(Long.toString(logBytes()));
+		assertThat(Long.parseLong(started.get("logMillis"))).isNotNegative();
+	}
+
+	// ---- Helpers
+
+	// Writes a turn in each of some starts, which open a segment each.
+	private void fillLog(int starts) throws Exception {
+		Files.writeString(this.folder.resolve("disk-id"), UUID.randomUUID().toString());
+		for (int i = 0; i < starts; i++) {
+			try (RecordLog log = new RecordLog(this.folder.resolve("log"), Runnable::run)) {
+				TurnStore turns = new TurnStore(log, MonotonicClock.SYSTEM, System::currentTimeMillis);
+				log.start();
+				turns.storeTurn(Turn.newBuilder().setId("t" + i).setRetentionMs(RETENTION.toMillis()).build(),
+						(failure) -> {
+						});
+			}
+		}
+	}
+
+	// A start opens no segment before its first write.
+	private long logBytes() throws IOException {
+		long bytes = 0;
+		for (String name : DiskFiles.SYSTEM.list(this.folder.resolve("log"))) {
+			bytes += Files.size(this.folder.resolve("log").resolve(name));
+		}
+		return bytes;
+	}
+
+	/**
+	 * Captures events until it is closed.
+	 */
+	private static final class EventCapture extends AbstractAppender implements AutoCloseable {
+
+		private static final Logger LOGGER = (Logger) LogManager.getLogger("mangorack");
+
+		private final Level formerLevel = LOGGER.getLevel();
+
+		private final List<StringMapMessage> events = new CopyOnWriteArrayList<>();
+
+		EventCapture() {
+			super("capture", null, null, true, Property.EMPTY_ARRAY);
+			EventLog.open();
+			start();
+			LOGGER.addAppender(this);
+			LOGGER.setLevel(Level.INFO);
+		}
+
+		StringMapMessage first(Event event) {
+			return this.events.stream()
+				.filter((e) -> e.get("event").equals(Integer.toString(event.number())))
+				.findFirst()
+				.orElseThrow();
+		}
+
+		@Override
+		public void append(LogEvent event) {
+			if (event.getMessage() instanceof StringMapMessage message) {
+				this.events.add(message);
+			}
+		}
+
+		@Override
+		public void close() {
+			LOGGER.setLevel(this.formerLevel);
+			LOGGER.removeAppender(this);
+			stop();
+		}
+
+	}
+
 }
