Confirm no turn with fewer copies than are promised

What callers would see: turns answered whole at a first start in which keepers start seconds apart are continued no more (503, as the group can't be read) after the loss of as many disks as are tolerated. The tests show that such turns were confirmed; what follows from the loss is reasoned, not run.

Cause: the keeper that is first by name formed the group of those registered 2.5 s after its own start, however few, and a write quorum of a group smaller than tolerance + 1 was all of its members.

Change: a write quorum is tolerance + 1 synced copies in each set whatever the size of the group, and the group is not formed before that many disks are registered. A single keeper forms and serves a group that tolerates no loss. Read quorums are what they were.

FakeStore lists one kind at a time and has watches list again, as caches never saw a later object of it.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -56,7 +56,8 @@
 
 	/**
 	 * How long keepers wait for each other on the first start of the system before one of
-	 * them creates the group. All machines start within a fraction of a second.
+	 * them creates the group. It waits longer if fewer disks are registered than copies
+	 * are promised.
 	 */
 	static final Duration FORMATION_DELAY = Duration.ofMillis(2500);
 
@@ -260,7 +261,13 @@
 
 	// ---- Forming the group
 
-	private void form() throws StoreException, InterruptedException {
+	/**
+	 * Registers the disk of this keeper on the first start of the system, and creates the
+	 * group if this keeper is the first by name and enough disks are registered.
+	 * @throws StoreException if the disk cannot be registered or the group not be created
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void form() throws StoreException, InterruptedException {
 		boolean delayElapsed = this.clock.elapsed(this.startedAt).compareTo(FORMATION_DELAY) > 0;
 		if (!this.firstStart || !this.groups.awaitListed(Duration.ofMillis(1))) {
 			return;
@@ -277,6 +284,9 @@
 			return;
 		}
 		GroupView view = new GroupView(1, selectInitialMembers(all), List.of(), this.tolerance);
+		if (!view.canConfirmTurns()) {
+			return;
+		}
 		EventLog.log(Event.GROUP_CHANGE, "change", "form", "members", view.members().size());
 		this.store.create(ObjectKind.KEEPER_GROUP, GroupDocument.NAME, GroupDocument.write(view));
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/GroupView.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupView.java
@@ -92,26 +92,30 @@
 	 * are tolerated.
 	 * @param disks the disks that synced the data
 	 * @return {@code true} if at least one more disk of each set than the tolerated
-	 * number holds it, or all disks of a smaller set
+	 * number holds it, which no disks of a smaller set do
 	 */
 	public boolean isWriteQuorum(Set<String> disks) {
-		return (count(this.members, disks) >= copies(this.members))
-				&& (!isChanging() || (count(this.next, disks) >= copies(this.next)));
+		return (count(this.members, disks) > this.tolerance)
+				&& (!isChanging() || (count(this.next, disks) > this.tolerance));
+	}
+
+	/**
+	 * Returns whether the group has enough members for a write quorum.
+	 * @return {@code true} if each set has more members than disks may be lost
+	 */
+	public boolean canConfirmTurns() {
+		return (this.members.size() > this.tolerance) && (!isChanging() || (this.next.size() > this.tolerance));
 	}
 
 	/**
 	 * Returns whether a read from these disks finds all data that a write quorum holds.
 	 * Only current members count, as a joining disk may not hold older data yet.
 	 * @param disks the disks that were read from
-	 * @return {@code true} if the remaining members are too few for a write quorum
+	 * @return {@code true} if the remaining members are too few for a write quorum, and
+	 * at least one member was read from
 	 */
 	public boolean isReadQuorum(Set<String> disks) {
-		return !this.members.isEmpty()
-				&& (count(this.members, disks) >= this.members.size() - copies(this.members) + 1);
-	}
-
-	private int copies(List<Member> set) {
-		return Math.min(this.tolerance + 1, set.size());
+		return count(this.members, disks) >= Math.max(1, this.members.size() - this.tolerance);
 	}
 
 	private static int count(List<Member> set, Set<String> disks) {
--- a/mangorack/src/test/java/org/mangorack/keeper/GroupViewTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupViewTests.java
@@ -9,6 +9,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.mangorack.keeper.proto.Member;
 
@@ -44,6 +46,17 @@
 		}
 	}
 
+	// Guards against turns that are confirmed with fewer copies than are promised.
+	@ParameterizedTest
+	@CsvSource({ "0, 0, false", "1, 0, true", "1, 1, false", "2, 1, true", "1, 2, false", "2, 2, false", "3, 2, true" })
+	void allDisksOfAGroupAreAWriteQuorumOnlyIfTheyHoldThePromisedCopies(int size, int tolerance, boolean quorum) {
+		Set<String> all = Set.of("d0", "d1", "d2");
+		assertThat(view(size, tolerance).isWriteQuorum(all)).isEqualTo(quorum);
+		assertThat(new GroupView(2, members(0, size), members(0, 3), tolerance).isWriteQuorum(all)).isEqualTo(quorum);
+		assertThat(new GroupView(2, members(0, 3), members(0, Math.max(1, size)), tolerance).isWriteQuorum(all))
+			.isEqualTo(Math.max(1, size) > tolerance);
+	}
+
 	@Test
 	void aChangeRequiresQuorumsOfBothSets() {
 		GroupView view = new GroupView(2, members(0, 4), members(1, 5), 1);
--- a/mangorack/src/test/java/org/mangorack/keeper/TestGroup.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestGroup.java
@@ -70,11 +70,22 @@
 	private int disks;
 
 	TestGroup(Path folder, int tolerance) throws Exception {
+		this(folder, tolerance, (2 * tolerance) + 2);
+	}
+
+	/**
+	 * Starts a group that may have fewer members than it should.
+	 * @param folder receives the data of the keepers
+	 * @param tolerance how many disks may be lost at once
+	 * @param size the number of members, all of which run at first
+	 * @throws Exception if a keeper cannot be started
+	 */
+	TestGroup(Path folder, int tolerance, int size) throws Exception {
 		this.folder = folder;
 		this.tolerance = tolerance;
 		this.client = new KeeperClient(this.loop, MonotonicClock.SYSTEM, "dc", tolerance);
 		List<Member> members = new ArrayList<>();
-		for (int i = 0; i < (2 * tolerance) + 2; i++) {
+		for (int i = 0; i < size; i++) {
 			members.add(add("k" + i).member());
 		}
 		GroupView view = new GroupView(1, members, List.of(), tolerance);
--- a/mangorack/src/test/java/org/mangorack/platform/FakeStore.java
+++ b/mangorack/src/test/java/org/mangorack/platform/FakeStore.java
@@ -1,6 +1,7 @@
 package org.mangorack.platform;
 
 import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -96,12 +97,18 @@
 	@Override
 	public synchronized ObjectList list(ObjectKind kind) throws StoreException {
 		checkReachable();
-		return new ObjectList(Integer.toString(this.version), new ArrayList<>(this.objects.values()));
+		List<StoredObject> ofKind = new ArrayList<>();
+		this.objects.forEach((key, object) -> {
+			if (key.startsWith(kind + "/")) {
+				ofKind.add(object);
+			}
+		});
+		return new ObjectList(Integer.toString(this.version), ofKind);
 	}
 
 	@Override
 	public void watch(ObjectKind kind, String from, WatchListener listener) throws StoreException {
-		throw new StoreException(Reason.UNREACHABLE, "this store cannot be watched");
+		throw new StoreException(Reason.TOO_OLD, "this store can only be listed");
 	}
 
 	private StoredObject write(ObjectKind kind, String name, JsonNode spec) throws StoreException {
