--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
@@ -73,7 +73,9 @@
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel ch) {
-					ch.pipeline().addLast(new UpstreamDecoder(), new HttpRequestEncoder(), connection);
+					ch.pipeline()
+						.addLast(new UpstreamDecoder(connection::onBytesReceived), new HttpRequestEncoder(),
+								connection);
 				}
 			})
 			.connect(upstream.entry().address().host(), upstream.entry().address().port());
@@ -124,6 +126,15 @@
 		}
 	}
 
+	/**
+	 * Counts bytes of an upstream that belong to no request, or to another one.
+	 * @param kind {@code idle} without a pending request, {@code surplus} directly after
+	 * a response, {@code answer} for a response to another request
+	 */
+	void recordStray(String kind) {
+		this.metrics.count("mangorack.upstream.stray", 1, "kind", kind);
+	}
+
 	private UpstreamConnection pollIdle(Upstream upstream) {
 		while (!upstream.idle().isEmpty()) {
 			UpstreamConnection connection = upstream.idle().pop();
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -146,6 +146,18 @@
 
 	// ---- Channel events
 
+	/**
+	 * Records bytes that arrive while no request is pending.
+	 * @param count the number of bytes received
+	 */
+	void onBytesReceived(int count) {
+		if ((this.listener == null) && this.reusable) {
+			this.client.recordStray("idle");
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "cause", "bytes without a pending request",
+					"bytes", count);
+		}
+	}
+
 	// Set here, as the channel is used before channelActive is called.
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
@@ -203,6 +215,7 @@
 			return;
 		}
 		if (!this.requestId.equals(head.requestId())) {
+			this.client.recordStray("answer");
 			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "answered",
 					head.requestId());
 			this.reusable = false;
@@ -259,6 +272,7 @@
 		if (this.channelFailed) {
 			return;
 		}
+		recordSurplus(this.channel.pipeline().get(UpstreamDecoder.class).undecodedBytes());
 		ResponseListener done = this.listener;
 		this.listener = null;
 		this.requestId = null;
@@ -273,6 +287,14 @@
 		done.end();
 	}
 
+	private void recordSurplus(int bytes) {
+		if (bytes > 0) {
+			this.client.recordStray("surplus");
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
+					"bytes after the response", "bytes", bytes);
+		}
+	}
+
 	private void discardUnsolicited(String what) {
 		EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "cause", what);
 		this.upstream.idle().remove(this);
--- a/mangorack/src/test/java/org/mangorack/relay/HeadFuzzTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/HeadFuzzTests.java
@@ -46,7 +46,8 @@
 
 	@Property(seed = "2108", tries = 3000)
 	void aCorruptedResponseIsParsedOrRejected(@ForAll("answers") byte[] bytes) {
-		UpstreamDecoder decoder = new UpstreamDecoder();
+		UpstreamDecoder decoder = new UpstreamDecoder((count) -> {
+		});
 		decoder.expectResponseTo("GET");
 		EmbeddedChannel channel = new EmbeddedChannel(decoder);
 		channel.writeInbound(Unpooled.wrappedBuffer(bytes));
