Never join a torn copy of a response with the next response

Cause: an idle connection was judged by whole messages. A torn head waited in the decoder, the connection counted as clean, and the next response completed the head: status and first headers of one response, id, signature and body of the other. Class: state of one exchange that lives on in the parser of the next.

Change: nothing may come while no request is pending, nor be left undecoded behind a response; such a connection is closed. What comes after the request was written cannot be told apart by bytes: a head that contains a second status line is no response, and after stray bytes the connections to that upstream carry one request each for five seconds. What a rejected head contains goes to the log only, as it may belong to another caller.

--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -25,8 +25,11 @@
 
 	private long missingSince;
 
+	private long singleUseUntil;
+
 	Upstream(UpstreamRegistration entry, long now) {
 		super(now);
+		this.singleUseUntil = now;
 		this.entry = entry;
 	}
 
@@ -93,6 +96,19 @@
 		this.inUse = inUse;
 	}
 
+	/**
+	 * Returns whether each connection may carry one request only.
+	 * @param now the time on the monotonic clock
+	 * @return {@code true} if the upstream recently sent bytes that belong to no request
+	 */
+	boolean isSingleUse(long now) {
+		return now - this.singleUseUntil < 0;
+	}
+
+	void setSingleUseUntil(long until) {
+		this.singleUseUntil = until;
+	}
+
 	// ---- Outcomes
 
 	void failed(long now, String cause) {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
@@ -1,5 +1,6 @@
 package org.mangorack.relay;
 
+import java.time.Duration;
 import java.util.Iterator;
 import java.util.function.Consumer;
 
@@ -34,6 +35,12 @@
 	 */
 	static final int MAX_IDLE_CONNECTIONS = 6;
 
+	/**
+	 * For how long the connections to an upstream carry one request each after stray
+	 * bytes. Longer than a response is repeated late, several times.
+	 */
+	static final Duration SINGLE_USE_PERIOD = Duration.ofSeconds(5);
+
 	private final EventLoop loop;
 
 	private final FleetProtocol protocol;
@@ -88,7 +95,8 @@
 	 */
 	void release(UpstreamConnection connection) {
 		Upstream upstream = connection.upstream();
-		if (upstream.isInUse() && (upstream.idle().size() < MAX_IDLE_CONNECTIONS)) {
+		boolean reuse = upstream.isInUse() && !upstream.isSingleUse(now());
+		if (reuse && (upstream.idle().size() < MAX_IDLE_CONNECTIONS)) {
 			upstream.idle().push(connection);
 		}
 		else {
@@ -127,12 +135,19 @@
 	}
 
 	/**
-	 * Counts bytes of an upstream that belong to no request, or to another one.
+	 * Records that an upstream sent bytes that belong to no request, or to another one.
+	 * Its idle connections are closed, and for some time each of its connections carries
+	 * one request only: the rest of a response that was sent twice cannot be told from
+	 * the next response on the same connection.
+	 * @param upstream the upstream
 	 * @param kind {@code idle} without a pending request, {@code surplus} directly after
-	 * a response, {@code answer} for a response to another request
+	 * a response, {@code answer} for a response to another request, {@code malformed} for
+	 * bytes that are no response
 	 */
-	void recordStray(String kind) {
+	void strayReceived(Upstream upstream, String kind) {
 		this.metrics.count("mangorack.upstream.stray", 1, "kind", kind);
+		upstream.setSingleUseUntil(now() + SINGLE_USE_PERIOD.toNanos());
+		closeIdle(upstream, true);
 	}
 
 	private UpstreamConnection pollIdle(Upstream upstream) {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
+import org.mangorack.http.ResponseRules;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.relay.FleetProtocol.ResponseHead;
@@ -147,14 +149,17 @@
 	// ---- Channel events
 
 	/**
-	 * Records bytes that arrive while no request is pending.
+	 * Closes the connection if bytes arrive while no request is pending. They may be a
+	 * part of a head, which the next response would complete.
 	 * @param count the number of bytes received
 	 */
 	void onBytesReceived(int count) {
 		if ((this.listener == null) && this.reusable) {
-			this.client.recordStray("idle");
 			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "cause", "bytes without a pending request",
 					"bytes", count);
+			this.upstream.idle().remove(this);
+			close();
+			this.client.strayReceived(this.upstream, "idle");
 		}
 	}
 
@@ -196,13 +201,15 @@
 
 	private void readHead(HttpResponse response) {
 		if (this.listener == null) {
-			if (this.reusable) {
-				discardUnsolicited("response without a pending request");
-			}
 			return;
 		}
-		if (!response.decoderResult().isSuccess()) {
-			fail("bytes that are no answer: " + response.decoderResult().cause().getMessage());
+		Optional<String> problem = problem(response);
+		if (problem.isPresent()) {
+			// The bytes may belong to another caller, whose data this one must not see.
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
+					"bytes that are no response", "problem", problem.get());
+			this.client.strayReceived(this.upstream, "malformed");
+			fail("bytes that are no answer");
 			close();
 			return;
 		}
@@ -215,10 +222,10 @@
 			return;
 		}
 		if (!this.requestId.equals(head.requestId())) {
-			this.client.recordStray("answer");
 			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "answered",
 					head.requestId());
 			this.reusable = false;
+			this.client.strayReceived(this.upstream, "answer");
 			skipResponse();
 			return;
 		}
@@ -241,7 +248,9 @@
 			return;
 		}
 		if (!content.decoderResult().isSuccess()) {
-			fail("the body cannot be read: " + content.decoderResult().cause().getMessage());
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
+					"a body that cannot be read", "problem", content.decoderResult().cause().getMessage());
+			fail("the body cannot be read");
 			close();
 			return;
 		}
@@ -272,7 +281,7 @@
 		if (this.channelFailed) {
 			return;
 		}
-		recordSurplus(this.channel.pipeline().get(UpstreamDecoder.class).undecodedBytes());
+		checkSurplus(this.channel.pipeline().get(UpstreamDecoder.class).undecodedBytes());
 		ResponseListener done = this.listener;
 		this.listener = null;
 		this.requestId = null;
@@ -287,18 +296,21 @@
 		done.end();
 	}
 
-	private void recordSurplus(int bytes) {
+	private void checkSurplus(int bytes) {
 		if (bytes > 0) {
-			this.client.recordStray("surplus");
 			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
 					"bytes after the response", "bytes", bytes);
+			this.reusable = false;
+			this.client.strayReceived(this.upstream, "surplus");
 		}
 	}
 
-	private void discardUnsolicited(String what) {
-		EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "cause", what);
-		this.upstream.idle().remove(this);
-		close();
+	private static Optional<String> problem(HttpResponse response) {
+		if (!response.decoderResult().isSuccess()) {
+			return Optional.of(response.decoderResult().cause().getMessage());
+		}
+		return ResponseRules.check(response.protocolVersion().text(), response.status().reasonPhrase(),
+				response.headers());
 	}
 
 	private void fail(String cause) {
