Send no request again on a connection that carried its id

Cause: the id of a request is the only proof that a response belongs to it, and an attempt and its repetition bear the same one. A retry could meet the connection of the attempt before it, and so could a caller's own.

Change: a connection remembers the ids that it carried; another one is used for a request whose id is among them.

Evidence: UpstreamFaultTests#aRequestIsNeverSentAgainOnAConnectionThatCarriedItsId failed in 2 of 2 cases before; all of UpstreamFaultTests pass after.

--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -108,6 +111,34 @@
 		assertThat(this.upstream.received().stream().map((r) -> r.header("Request-Id"))).doesNotHaveDuplicates();
 	}
 
+	// Guards against taking the response to an earlier attempt for that to a later one.
+	@ParameterizedTest
+	@CsvSource({ "GET, /read/1, 500", "POST, /write/1, 503" })
+	void aRequestIsNeverSentAgainOnAConnectionThatCarriedItsId(String method, String path, int firstStatus)
+			throws Exception {
+		Map<Socket, Set<String>> carried = new ConcurrentHashMap<>();
+		Map<String, Integer> attempts = new ConcurrentHashMap<>();
+		Set<String> repeated = ConcurrentHashMap.newKeySet();
+		this.upstream.setScript((request, out, socket) -> {
+			String id = request.header("Request-Id");
+			if (!carried.computeIfAbsent(socket, (s) -> ConcurrentHashMap.newKeySet()).add(id)) {
+				repeated.add(id);
+			}
+			boolean first = attempts.merge(id, 1, Integer::sum) == 1;
+			String response = new String(ScriptedUpstream.plain(request, "for " + id), StandardCharsets.ISO_8859_1);
+			write(out, first ? response.replace("200 OK",
+					firstStatus + " Failed" + ((firstStatus == 503) ? "\r\nNot-Executed: 1" : "")) : response);
+			return true;
+		});
+		for (int i = 0; i < 10; i++) {
+			call(method, path, "r" + i);
+			ScriptedUpstream.sleep(100);
+			assertThat(call(method, path, "r" + i)).startsWith("HTTP/1.1 200").endsWith("for r" + i);
+		}
+		assertThat(attempts.values()).allMatch((count) -> count > 1);
+		assertThat(repeated).isEmpty();
+	}
+
 	// Guards against passing on a response that breaks off within its head as a complete
 	// one.
 	@ParameterizedTest
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -74,7 +74,7 @@
 	 */
 	void start() {
 		this.upstream.callStarted();
-		this.server.client().connect(this.upstream, (opened) -> {
+		this.server.client().connect(this.upstream, this.call.head().requestId(), (opened) -> {
 			if (this.finished) {
 				if (opened != null) {
 					opened.close();
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
@@ -61,12 +61,14 @@
 	}
 
 	/**
-	 * Reuses an idle connection or opens a new one.
+	 * Reuses an idle connection that has not carried the request before, or opens a new
+	 * one.
 	 * @param upstream the upstream
+	 * @param requestId the id of the request
 	 * @param done receives the connection, or {@code null} if none could be opened
 	 */
-	void connect(Upstream upstream, Consumer<UpstreamConnection> done) {
-		UpstreamConnection idle = pollIdle(upstream);
+	void connect(Upstream upstream, String requestId, Consumer<UpstreamConnection> done) {
+		UpstreamConnection idle = pollIdle(upstream, requestId);
 		if (idle != null) {
 			done.accept(idle);
 			return;
@@ -150,13 +152,15 @@
 		closeIdle(upstream, true);
 	}
 
-	private UpstreamConnection pollIdle(Upstream upstream) {
-		while (!upstream.idle().isEmpty()) {
-			UpstreamConnection connection = upstream.idle().pop();
-			if (connection.isUsable(now())) {
+	private UpstreamConnection pollIdle(Upstream upstream, String requestId) {
+		closeIdle(upstream, false);
+		Iterator<UpstreamConnection> iterator = upstream.idle().iterator();
+		while (iterator.hasNext()) {
+			UpstreamConnection connection = iterator.next();
+			if (!connection.hasCarried(requestId)) {
+				iterator.remove();
 				return connection;
 			}
-			connection.close();
 		}
 		return null;
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -1,6 +1,8 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -53,12 +55,18 @@
 	// request does not race with the upstream closing the connection.
 	private static final double IDLE_TIMEOUT_FRACTION = 0.6;
 
+	// How many requests before the last one a connection remembers. The response to an
+	// earlier one is not repeated any more.
+	private static final int MAX_CARRIED_IDS = 16;
+
 	private final UpstreamClient client;
 
 	private final Upstream upstream;
 
 	private final FleetProtocol protocol;
 
+	private final Deque<String> carriedIds = new ArrayDeque<>();
+
 	private Channel channel;
 
 	private String requestId;
@@ -99,6 +107,16 @@
 		return this.reusable && this.channel.isActive() && (now - this.usableUntil < 0);
 	}
 
+	/**
+	 * Returns whether the connection carried a request recently. A response to it that is
+	 * sent once more could not be told from the response to another attempt.
+	 * @param id the id of the request
+	 * @return {@code true} if a response with the id may still arrive
+	 */
+	boolean hasCarried(String id) {
+		return this.carriedIds.contains(id);
+	}
+
 	// ---- Public API
 
 	/**
@@ -110,6 +128,10 @@
 	 */
 	void send(CallHead head, HttpHeaders headers, ByteBuf body, ResponseListener responseListener) {
 		this.requestId = head.requestId();
+		this.carriedIds.add(this.requestId);
+		if (this.carriedIds.size() > MAX_CARRIED_IDS) {
+			this.carriedIds.remove();
+		}
 		this.listener = responseListener;
 		this.requestWritten = false;
 		this.headReceived = false;
