Fail an attempt whose request could not be written

What callers saw: a request on a kept connection that the upstream had reset got no answer before its deadline (504), or before the response time-out if it is idempotent, instead of another attempt or 502 at once.

Cause: a failed write closed the connection and dropped the listener without telling the attempt.

Evidence: UpstreamConnectionTests#aRequestThatCannotBeWrittenFailsAtOnce failed before (no outcome at all) and passes after.

--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -96,12 +96,14 @@
 		Duration left = this.call.recordAttempt();
 		this.sentAt = this.server.now();
 		CallHead head = this.call.head();
+		// The write may fail at once, and start another attempt with a time-out of its
+		// own.
+		this.call.startResponseTimeout(left, this::onResponseTimeout);
 		this.connection.send(head,
 				this.server.protocol()
 					.upstreamHeaders(head, this.upstream.entry(), this.call.forwardedWorkspace(), left,
 							this.call.lastEventId()),
 				Unpooled.wrappedBuffer(this.call.fullBody()), this);
-		this.call.startResponseTimeout(left, this::onResponseTimeout);
 	}
 
 	private void onResponseTimeout() {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -147,8 +147,9 @@
 		}
 		this.channel.writeAndFlush(request).addListener((f) -> {
 			this.requestWritten = f.isSuccess();
-			if (!f.isSuccess()) {
-				abort();
+			if (!f.isSuccess() && (this.listener == responseListener)) {
+				fail("the request could not be written: " + f.cause().getMessage());
+				close();
 			}
 		});
 	}
