Send no body in the response to a HEAD request

What callers saw: after a refusal of a HEAD request, or one on a streaming route, the body of the refusal or the last chunk arrived where the next response on the connection was due.

Cause: the encoder of responses did not know the method of the request.

--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
@@ -223,6 +223,34 @@
 		}
 	}
 
+	// Guards against a body behind the response to HEAD, which callers would take for the
+	// next response.
+	@ParameterizedTest
+	@CsvSource({ "/read/1, 200", "/turns/1, 200", "/nowhere/1, 404" })
+	void aResponseToHeadHasNoBody(String path, int status) throws Exception {
+		this.upstream.setScript((request, out, socket) -> {
+			String id = request.header("Request-Id");
+			if (request.start().startsWith("HEAD ")) {
+				out.write(ScriptedUpstream.bytes("HTTP/1.1 200 OK\r\nRequest-Id: " + id
+						+ "\r\nResponse-Signature: s\r\nContent-Length: 9\r\n\r\n"));
+			}
+			else {
+				out.write(ScriptedUpstream.plain(request, "for " + id));
+			}
+			return true;
+		});
+		try (Socket socket = this.fleet.connect()) {
+			String requests = TestFleetNodes.request("HEAD", path, "h1", "", "")
+					+ TestFleetNodes.request("GET", "/read/2", "r1", "Connection: close\r\n", "");
+			socket.getOutputStream().write(ScriptedUpstream.bytes(requests));
+			String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			String[] heads = received.split("\r\n\r\n", 3);
+			assertThat(heads[0]).startsWith("HTTP/1.1 " + status).contains("h1");
+			assertThat(heads[1]).as(received).startsWith("HTTP/1.1 200").contains("r1");
+			assertThat(heads[2]).isEqualTo("for r1");
+		}
+	}
+
 	@Test
 	void theUpstreamConnectionClosesWhenTheCallerDisconnects() throws Exception {
 		this.upstream.setScript((request, out, socket) -> true);
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -298,6 +298,7 @@
 		this.request = head;
 		this.keepAlive = HttpUtil.isKeepAlive(head);
 		this.body = Unpooled.compositeBuffer();
+		this.channel.pipeline().get(CallerEncoder.class).expectResponseTo(head.method().name());
 		transitionTo(State.BODY);
 		Optional<Refusal> problem = RequestRules.check(head.protocolVersion().text(), head.method().name(), head.uri(),
 				head.headers(), this.limits.maxBodyBytes());
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -17,7 +17,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 
 import org.mangorack.call.Refusal;
 import org.mangorack.http.HttpAddress;
@@ -122,7 +121,7 @@
 					CallerConnection connection = new CallerConnection(RelayServer.this, limits);
 					ch.pipeline()
 						.addLast(new CallerDecoder(limits.maxHeadBytes(), connection::onBytesReceived),
-								new HttpResponseEncoder(), connection);
+								new CallerEncoder(), connection);
 				}
 			});
 		try {
