Fail a request behind a response that cannot be decoded

What callers saw: no answer before the deadline (504) or the response time-out, instead of 502 or another attempt at once, when an upstream broke off within a chunk of a response to another request and then sent the one that was due.

Cause: the decoder discards all further bytes after an invalid chunk, but the result of decoding was not looked at in responses that are skipped.

Evidence: StrayResponseTests#anUnreadableBodyOfAnotherResponseFailsTheRequestAtOnce failed before ("Expecting actual: "" to start with: "incomplete"") and passes after. The other 50 cases of the class tear ten kinds of stray responses at each byte in front of the next response, in pieces of 1, 7 and all bytes; they passed before as well.

Why it works: the result is checked for each part of a body while a request is pending, whichever response it belongs to.

--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -261,6 +261,15 @@
 
 	private void readContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
+		// Nothing is decoded after such a body, not even if it belongs to another
+		// response.
+		if ((this.listener != null) && !content.decoderResult().isSuccess()) {
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
+					"a body that cannot be read", "problem", content.decoderResult().cause().getMessage());
+			fail("the body cannot be read");
+			close();
+			return;
+		}
 		if (this.skipping) {
 			this.skipping = !last;
 			this.skippedBytes += content.content().readableBytes();
@@ -270,13 +279,6 @@
 		if (this.listener == null) {
 			return;
 		}
-		if (!content.decoderResult().isSuccess()) {
-			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
-					"a body that cannot be read", "problem", content.decoderResult().cause().getMessage());
-			fail("the body cannot be read");
-			close();
-			return;
-		}
 		if (content.content().isReadable()) {
 			this.listener.data(content.content());
 		}
