Fail a request whose upstream switches protocols

What callers saw: no answer before the deadline (504) or the response time-out after a faulty upstream sent 101 with an Upgrade header.

Cause: 101 was skipped like any interim response, but the decoder takes all that follows it for bytes of the other protocol. The relay never requests a switch.

Evidence: StrayResponseTests#aSwitchOfProtocolsFailsTheRequestAtOnce failed before ("Expecting actual: "" to start with: "incomplete"") and passes after.

Why it works: 101 is rejected as bytes that are no response, which closes the connection and ends the attempt.

--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -334,6 +335,9 @@
 		if (!response.decoderResult().isSuccess()) {
 			return Optional.of(response.decoderResult().cause().getMessage());
 		}
+		if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			return Optional.of("it switches to another protocol, which was not requested");
+		}
 		return ResponseRules.check(response.protocolVersion().text(), response.status().reasonPhrase(),
 				response.headers());
 	}
--- a/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
@@ -59,6 +59,18 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	// Guards against a request that waits for its deadline because its connection is
+	// taken for one of another protocol.
+	@Test
+	void aSwitchOfProtocolsFailsTheRequestAtOnce() {
+		Outcome outcome = new Outcome();
+		open().send(request("GET", "r2"), new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, outcome);
+		receive("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n"
+				+ "HTTP/1.1 200 OK\r\nX-Id: r2\r\nContent-Length: 6\r\n\r\nfor r2");
+		assertThat(outcome.text()).startsWith("incomplete");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
 	@ParameterizedTest
 	@MethodSource("strays")
 	void aTornResponseIsNeverJoinedWithTheNextOne(String stray, String next, String method) {
