--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
@@ -251,6 +251,20 @@
 		}
 	}
 
+	// Guards against a refusal whose body is missing because an earlier request was HEAD.
+	@ParameterizedTest
+	@ValueSource(strings = { "GET /read/2 HTTP/1.1 x\r\n\r\n", "GET /read/2\r\n\r\n", "GET /read/2 HTTP/1.1\r\n" })
+	void aRefusalAfterAHeadRequestIsWhole(String malformed) throws Exception {
+		try (Socket socket = this.fleet.connect()) {
+			String requests = TestFleetNodes.request("HEAD", "/nowhere/1", "h1", "", "") + malformed;
+			socket.getOutputStream().write(ScriptedUpstream.bytes(requests));
+			String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			String refusal = received.split("\r\n\r\n", 2)[1];
+			assertThat(refusal).startsWith("HTTP/1.1 40");
+			assertThat(TestFleetNodes.isComplete(refusal)).as(received).isTrue();
+		}
+	}
+
 	@Test
 	void theUpstreamConnectionClosesWhenTheCallerDisconnects() throws Exception {
 		this.upstream.setScript((request, out, socket) -> true);
