Test that a stream that begins anew has the head of its own run

Fails on this code; Attempt is not changed here.

What callers see on a resumable route: 200 with the signature and headers of one run and the whole body of another, ended as complete, if an upstream breaks off within its first event.

Cause: Attempt#flushBuffered forwards the head with the first bytes of a body, before an event is complete. ResponseStream#mayRetry then allows another run, which starts from the beginning as no event was forwarded (RelayCall#lastEventId is null), and whose head is dropped.

Evidence: ResumedStreamTests#aStreamThatBeginsAnewHasTheHeadOfTheRunThatItCameFrom fails in 3 of 3 cases: after "i", "id: 1\nd" and "id: 1\ndata: e1\n" of run 1, the caller gets "Response-Signature: s1" and all three events of run 2, to the last chunk. #aStreamThatBreaksBeforeItsFirstEventBeginsAnew covers the case, but looks at the events only.

--- a/bench/src/test/java/org/mangorack/bench/fleet/ResumedStreamTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ResumedStreamTests.java
@@ -97,6 +97,16 @@
 		assertThat(attempts("r1")).extracting((r) -> r.header(LAST_EVENT)).containsOnlyNulls().hasSize(3);
 	}
 
+	// Guards against the head and signature of one run before the body of another.
+	@ParameterizedTest
+	@ValueSource(strings = { "i", "id: 1\nd", "id: 1\ndata: e1\n" })
+	void aStreamThatBeginsAnewHasTheHeadOfTheRunThatItCameFrom(String partialEvent) throws Exception {
+		this.scriptedResponses = List.of(chunk(partialEvent), chunk(ALL_EVENTS) + END);
+		String response = call("r1", "");
+		assertThat(events(response)).isEqualTo(ALL_EVENTS);
+		assertThat(response).contains("Signature: s2").doesNotContain("Signature: s1");
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "1", "3", "7", "x", "0" })
 	void aRunThatDoesNotGoOnThereIsNotJoined(String id) throws Exception {
