Test that a stream without an event is not joined with another run

Fails on this code; Attempt is not changed here.

What callers see on a resumable route: the head and a comment of one run, then the whole body of another run, ended as complete, if an upstream breaks off after a comment and before its first event.

Cause: ResponseStream#mayRetry counts events. Bytes without data, which are forwarded as well, do not keep another run from starting at the beginning.

Evidence: ResumedStreamTests#aStreamThatForwardedNoEventIsNotJoinedWithAnotherRun fails: "Response-Signature: s1", ": comment", then all events of run 2 and the last chunk.

--- a/bench/src/test/java/org/mangorack/bench/fleet/ResumedStreamTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ResumedStreamTests.java
@@ -107,6 +107,14 @@
 		assertThat(response).contains("Signature: s2").doesNotContain("Signature: s1");
 	}
 
+	// Guards against the head of one run before the whole body of another.
+	@Test
+	void aStreamThatForwardedNoEventIsNotJoinedWithAnotherRun() throws Exception {
+		this.scriptedResponses = List.of(chunk(": comment\n\n"), chunk(ALL_EVENTS) + END);
+		String response = call("r1", "");
+		assertThat(response.contains("Signature: s1") && TestFleetNodes.isComplete(response)).as(response).isFalse();
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "1", "3", "7", "x", "0" })
 	void aRunThatDoesNotGoOnThereIsNotJoined(String id) throws Exception {
