--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -261,6 +262,15 @@
 
 	private void readContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
+		// Nothing is decoded after such a body, not even if it belongs to another
+		// response.
+		if ((this.listener != null) && !content.decoderResult().isSuccess()) {
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
+					"a body that cannot be read", "problem", content.decoderResult().cause().getMessage());
+			fail("the body cannot be read");
+			close();
+			return;
+		}
 		if (this.skipping) {
 			this.skipping = !last;
 			this.skippedBytes += content.content().readableBytes();
@@ -270,13 +280,6 @@
 		if (this.listener == null) {
 			return;
 		}
-		if (!content.decoderResult().isSuccess()) {
-			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "request", this.requestId, "cause",
-					"a body that cannot be read", "problem", content.decoderResult().cause().getMessage());
-			fail("the body cannot be read");
-			close();
-			return;
-		}
 		if (content.content().isReadable()) {
 			this.listener.data(content.content());
 		}
@@ -332,6 +335,9 @@
 		if (!response.decoderResult().isSuccess()) {
 			return Optional.of(response.decoderResult().cause().getMessage());
 		}
+		if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			return Optional.of("it switches to another protocol, which was not requested");
+		}
 		return ResponseRules.check(response.protocolVersion().text(), response.status().reasonPhrase(),
 				response.headers());
 	}
