Never join responses on a pooled connection of the own interface

What callers could see: on the own interface, and of the store for the platform, the status and first headers of one response with the rest of the next, after a server had sent a response a second time and broken off within it. An error of such a response, and of any malformed one, quoted its bytes to the caller, who need not be the one that they belong to.

Cause: the same as on the relay's path. PooledHttpClient reused a connection without looking at bytes in its session buffer or in the socket, and the next response completed what they began.

Change: a connection with unread bytes is closed, when its response ends and when it is taken from the pool. Heads are checked with ResponseRules. After stray bytes or the response to another request, the connections to that address carry one request each for ResponseRules.SINGLE_USE_PERIOD. Malformed bytes go to the log (2112) only.

UpstreamClientTests: its repeated refusal now comes with the next response, as it would otherwise no longer meet the check of the id; that the connection which carried it is not used again is a test of its own.

Remains: a late copy that holds a whole head and arrives after the next request was written is told apart by its id only. The store's responses bear none.

--- a/mangorack/src/main/java/org/mangorack/http/HttpReply.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpReply.java
@@ -9,7 +9,8 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.util.Timeout;
 
 /**
@@ -26,7 +27,7 @@
 
 	private final HttpAddress address;
 
-	private final DefaultBHttpClientConnection connection;
+	private final ClientConnection connection;
 
 	private final boolean connectionReused;
 
@@ -36,8 +37,8 @@
 
 	private boolean closed;
 
-	HttpReply(ClassicHttpResponse response, PooledHttpClient client, HttpAddress address,
-			DefaultBHttpClientConnection connection, boolean connectionReused, boolean keepAlive) {
+	HttpReply(ClassicHttpResponse response, PooledHttpClient client, HttpAddress address, ClientConnection connection,
+			boolean connectionReused, boolean keepAlive) {
 		this.response = response;
 		this.client = client;
 		this.address = address;
@@ -129,12 +130,27 @@
 		this.client.discard(this.connection);
 	}
 
+	/**
+	 * Closes the connection of a response that belongs to another request. For some time,
+	 * each connection to the server then carries one request only.
+	 * @param answered the id of the other request, as the server sent it
+	 */
+	public void rejectAsStray(String answered) {
+		abort();
+		this.client.strayReceived(this.address, "answered", answered);
+	}
+
 	@Override
 	public void close() {
 		if (this.closed) {
 			return;
 		}
 		this.closed = true;
+		int surplus = this.endOfBodyReached ? this.connection.unreadBytes() : 0;
+		if (surplus > 0) {
+			this.keepAlive = false;
+			this.client.strayReceived(this.address, "cause", "bytes after the response", "bytes", surplus);
+		}
 		if (this.endOfBodyReached && this.keepAlive && this.connection.isOpen()) {
 			this.client.release(this.address, this.connection);
 			return;
@@ -155,16 +171,21 @@
 
 		@Override
 		public int read() throws IOException {
-			int b = this.in.read();
-			HttpReply.this.endOfBodyReached |= (b < 0);
-			return b;
+			byte[] single = new byte[1];
+			return (read(single, 0, 1) < 0) ? -1 : Byte.toUnsignedInt(single[0]);
 		}
 
 		@Override
 		public int read(byte[] bytes, int offset, int length) throws IOException {
-			int n = this.in.read(bytes, offset, length);
-			HttpReply.this.endOfBodyReached |= (n < 0);
-			return n;
+			try {
+				int n = this.in.read(bytes, offset, length);
+				HttpReply.this.endOfBodyReached |= (n < 0);
+				return n;
+			}
+			catch (MalformedChunkCodingException | MessageConstraintException ex) {
+				throw new IOException("the body of " + HttpReply.this.address + " cannot be read: "
+						+ HttpReply.this.client.describe(HttpReply.this.address, ex), ex);
+			}
 		}
 
 	}
--- a/mangorack/src/main/java/org/mangorack/http/ResponseHeadParser.java
+++ b/mangorack/src/main/java/org/mangorack/http/ResponseHeadParser.java
@@ -2,18 +2,27 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
- * Parses response heads and rejects those that break off.
+ * Parses response heads and rejects those that break off or violate the
+ * {@link ResponseRules}.
  */
 final class ResponseHeadParser extends DefaultHttpResponseParser {
 
+	private SessionInputBuffer buffer;
+
 	/**
 	 * Creates a parser.
 	 * @param config the limits of a head
@@ -22,17 +31,47 @@
 		super(config);
 	}
 
+	/**
+	 * Returns the number of bytes in the session buffer.
+	 * @return the bytes that were read from the connection and not yet parsed
+	 */
+	int bufferedBytes() {
+		return (this.buffer != null) ? this.buffer.length() : 0;
+	}
+
 	/**
 	 * Parses the next response head.
 	 * @param buffer the session buffer
 	 * @param in the stream that refills the buffer
 	 * @return the response head, or {@code null} if the connection was closed before it
-	 * @throws HttpException if the head cannot be parsed
+	 * @throws HttpException if the head cannot be parsed or violates a rule
 	 * @throws IOException if the connection fails or is closed within the head
 	 */
 	@Override
 	public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
-		return super.parse(buffer, new HeadInputStream(in, buffer.length() > 0));
+		this.buffer = buffer;
+		ClassicHttpResponse head;
+		try {
+			head = super.parse(buffer, new HeadInputStream(in, buffer.length() > 0));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new ProtocolException("invalid status line: " + ex.getMessage(), ex);
+		}
+		if (head != null) {
+			check(head);
+		}
+		return head;
+	}
+
+	private static void check(ClassicHttpResponse head) throws ProtocolException {
+		List<Map.Entry<String, String>> headers = new ArrayList<>();
+		for (Header header : head.getHeaders()) {
+			headers.add(Map.entry(header.getName(), (header.getValue() != null) ? header.getValue() : ""));
+		}
+		Optional<String> problem = ResponseRules.check(head.getVersion().format(), head.getReasonPhrase(), headers);
+		if (problem.isPresent()) {
+			throw new ProtocolException(problem.get());
+		}
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/http/ResponseRules.java
+++ b/mangorack/src/main/java/org/mangorack/http/ResponseRules.java
@@ -1,5 +1,6 @@
 package org.mangorack.http;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,12 @@
  */
 public final class ResponseRules {
 
+	/**
+	 * For how long the connections to a server carry one request each after stray bytes.
+	 * Longer than a response is repeated late, several times.
+	 */
+	public static final Duration SINGLE_USE_PERIOD = Duration.ofSeconds(5);
+
 	private static final List<String> PROTOCOLS = List.of("HTTP/1.1", "HTTP/1.0");
 
 	private static final String PROTOCOL_PREFIX = "HTTP/1.";
--- a/mangorack/src/main/java/org/mangorack/upstream/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/upstream/UpstreamClient.java
@@ -123,7 +123,7 @@
 			reply.preventReuse();
 		}
 		else if (!echoed.equals(id)) {
-			reply.abort();
+			reply.rejectAsStray(echoed);
 			throw new HttpCallException("upstream \"" + upstream.id() + "\" answered another request",
 					Verdict.MAY_HAVE_RUN, null);
 		}
--- a/mangorack/src/test/java/org/mangorack/upstream/UpstreamClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/upstream/UpstreamClientTests.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
 
 import org.junit.jupiter.api.AfterEach;
@@ -65,12 +66,25 @@
 	@ParameterizedTest
 	@EnumSource
 	void anEarlierRefusalThatIsRepeatedIsNotTakenForTheResponse(RepeatedId repeatedId) throws Exception {
-		serve((id) -> response(REFUSAL, id) + response(REFUSAL, repeatedId.of(id)));
+		AtomicReference<String> earlier = new AtomicReference<>("");
+		serve((id) -> {
+			String former = earlier.getAndSet(id);
+			return (former.isEmpty() ? "" : response(REFUSAL, repeatedId.of(former))) + response(REFUSAL, id);
+		});
 		assertThat(send()).isEqualTo(429);
 		assertThatExceptionOfType(HttpCallException.class).isThrownBy(this::send)
+			.withMessageContaining("answered another request")
 			.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
 	}
 
+	@ParameterizedTest
+	@EnumSource
+	void aConnectionWithARepeatedRefusalCarriesNoOtherRequest(RepeatedId repeatedId) throws Exception {
+		serve((id) -> response(REFUSAL, id) + response(REFUSAL, repeatedId.of(id)), (id) -> response("200 OK", id));
+		assertThat(send()).isEqualTo(429);
+		assertThat(send()).isEqualTo(200);
+	}
+
 	// Guards against the same for an upstream that never echoes ids, whose responses
 	// cannot be told apart.
 	@Test
