Limit the head and the trailers of a response on the own interface

Cause: Http1Config.DEFAULT limits neither the length of a line nor the number of headers, and interim responses were read without end.

Change: the lines of a head, together with those of its interim responses, and the lines of the trailers may have ClientConnection.MAX_HEAD_BYTES, as on the relay's path. The request fails, and may have run. HeadBuffer, so far RequestHeadBuffer, counts the lines on both sides.

--- a/mangorack/src/main/java/org/mangorack/http/ClientConnection.java
+++ b/mangorack/src/main/java/org/mangorack/http/ClientConnection.java
@@ -1,25 +1,35 @@
 package org.mangorack.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
  * A client connection that tells whether bytes were received that no response has
- * consumed.
+ * consumed. The size of the head of a response and of its trailers is limited.
  */
 final class ClientConnection extends DefaultBHttpClientConnection {
 
+	/**
+	 * Maximum total size of the header lines of a response, including those of interim
+	 * responses, and of its trailers, in bytes. Also the maximum length of each line.
+	 */
+	static final int MAX_HEAD_BYTES = 64 * 1024;
+
+	private static final Http1Config CONFIG = Http1Config.custom().setMaxLineLength(MAX_HEAD_BYTES).build();
+
 	private final ResponseHeadParser parser;
 
 	ClientConnection() {
-		this(new ResponseHeadParser(Http1Config.DEFAULT));
+		this(new ResponseHeadParser(CONFIG, MAX_HEAD_BYTES));
 	}
 
 	private ClientConnection(ResponseHeadParser parser) {
-		super(Http1Config.DEFAULT, null, null, null, null, null, (config) -> parser);
+		super(CONFIG, null, null, null, null, null, (config) -> parser);
 		this.parser = parser;
 	}
 
@@ -42,4 +52,9 @@
 		}
 	}
 
+	@Override
+	protected InputStream createContentInputStream(long length, SessionInputBuffer buffer, InputStream in) {
+		return super.createContentInputStream(length, new HeadBuffer(buffer, MAX_HEAD_BYTES), in);
+	}
+
 }
--- a/mangorack/src/main/java/org/mangorack/http/RequestHeadBuffer.java
+++ b/mangorack/src/main/java/org/mangorack/http/HeadBuffer.java
@@ -9,11 +9,11 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Input buffer for a single request head that limits the total size of the header lines.
- * The length of each line, including the request line, is limited by the underlying
- * buffer.
+ * Input buffer that limits the total size of the header lines of a message and of other
+ * lines that follow one another, such as trailers. The length of each line, including the
+ * start line, is limited by the underlying buffer.
  */
-final class RequestHeadBuffer implements SessionInputBuffer {
+final class HeadBuffer implements SessionInputBuffer {
 
 	private static final int LINE_END_BYTES = 2;
 
@@ -21,16 +21,16 @@
 
 	private final int maxBytes;
 
-	private boolean readingRequestLine = true;
+	private boolean readingStartLine = true;
 
-	private long headerBytes;
+	private long lineBytes;
 
 	/**
-	 * Creates a buffer for the next request head.
+	 * Creates a buffer for the next head.
 	 * @param buffer the underlying session buffer
 	 * @param maxBytes the maximum total size of the header lines, in bytes
 	 */
-	RequestHeadBuffer(SessionInputBuffer buffer, int maxBytes) {
+	HeadBuffer(SessionInputBuffer buffer, int maxBytes) {
 		this.buffer = buffer;
 		this.maxBytes = maxBytes;
 	}
@@ -52,16 +52,19 @@
 
 	@Override
 	public int read(byte[] target, int offset, int length, InputStream in) throws IOException {
+		this.lineBytes = 0;
 		return this.buffer.read(target, offset, length, in);
 	}
 
 	@Override
 	public int read(byte[] target, InputStream in) throws IOException {
+		this.lineBytes = 0;
 		return this.buffer.read(target, in);
 	}
 
 	@Override
 	public int read(InputStream in) throws IOException {
+		this.lineBytes = 0;
 		return this.buffer.read(in);
 	}
 
@@ -70,14 +73,14 @@
 		int before = line.length();
 		int result = this.buffer.readLine(line, in);
 		int read = line.length() - before;
-		if (!this.readingRequestLine) {
-			this.headerBytes += read + LINE_END_BYTES;
+		if (!this.readingStartLine) {
+			this.lineBytes += read + LINE_END_BYTES;
 		}
-		if (this.headerBytes > this.maxBytes) {
-			throw new MessageConstraintException("request headers exceed " + this.maxBytes + " bytes");
+		if (this.lineBytes > this.maxBytes) {
+			throw new MessageConstraintException("headers exceed " + this.maxBytes + " bytes");
 		}
-		// Empty lines may precede the request line.
-		this.readingRequestLine &= (read == 0);
+		// Empty lines may precede the start line.
+		this.readingStartLine &= (read == 0);
 		return result;
 	}
 
--- a/mangorack/src/main/java/org/mangorack/http/RequestHeadParser.java
+++ b/mangorack/src/main/java/org/mangorack/http/RequestHeadParser.java
@@ -49,7 +49,7 @@
 	 */
 	@Override
 	public ClassicHttpRequest parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
-		ClassicHttpRequest head = super.parse(new RequestHeadBuffer(buffer, this.maxHeadBytes),
+		ClassicHttpRequest head = super.parse(new HeadBuffer(buffer, this.maxHeadBytes),
 				new HeadInputStream(in, buffer.length() > 0));
 		if (head != null) {
 			check(head);
--- a/mangorack/src/main/java/org/mangorack/http/ResponseHeadParser.java
+++ b/mangorack/src/main/java/org/mangorack/http/ResponseHeadParser.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
@@ -21,14 +22,21 @@
  */
 final class ResponseHeadParser extends DefaultHttpResponseParser {
 
+	private final int maxHeadBytes;
+
 	private SessionInputBuffer buffer;
 
+	// Kept from an interim response to the final one, so that the limit applies to both.
+	private HeadBuffer head;
+
 	/**
 	 * Creates a parser.
-	 * @param config the limits of a head
+	 * @param config the limit of each line
+	 * @param maxHeadBytes the maximum total size of the header lines, in bytes
 	 */
-	ResponseHeadParser(Http1Config config) {
+	ResponseHeadParser(Http1Config config, int maxHeadBytes) {
 		super(config);
+		this.maxHeadBytes = maxHeadBytes;
 	}
 
 	/**
@@ -50,17 +58,21 @@
 	@Override
 	public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
 		this.buffer = buffer;
-		ClassicHttpResponse head;
+		if (this.head == null) {
+			this.head = new HeadBuffer(buffer, this.maxHeadBytes);
+		}
+		ClassicHttpResponse response;
 		try {
-			head = super.parse(buffer, new HeadInputStream(in, buffer.length() > 0));
+			response = super.parse(this.head, new HeadInputStream(in, buffer.length() > 0));
 		}
 		catch (IllegalArgumentException ex) {
 			throw new ProtocolException("invalid status line: " + ex.getMessage(), ex);
 		}
-		if (head != null) {
-			check(head);
+		if (response != null) {
+			check(response);
+			this.head = (response.getCode() < HttpStatus.SC_SUCCESS) ? this.head : null;
 		}
-		return head;
+		return response;
 	}
 
 	private static void check(ClassicHttpResponse head) throws ProtocolException {
