Bound what an entry holds for all calls together

What callers saw: with 40 to 60 callers of bodies without end, entries of 96 MB logged "Java heap space" and other requests got no answer.

Cause: a response that is not streamed was buffered up to 16 MB for each call, without a limit on the sum; six of them fill the heap. Whole responses were copied into direct memory at once, and neither they nor the output of turns were counted.

MemoryBudget counts buffered responses, bodies of calls, the output of turns and what callers have not taken yet, and gives up the holder of the most bytes when the sum exceeds a third of the heap or of the direct memory, whichever is smaller. The holder that grows beyond the others is the one that ends, so short calls go on. Large responses are passed to the channel part by part as the caller takes them.

Evidence: EntryMemoryTests#bodiesWithoutEndForManyCallersLeaveMemoryForOthers (a real entry with the options of the deploy file, 50 callers of 24 MB each) fails on the unchanged code with "Java heap space" in the log of the entry.

--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetProcesses.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetProcesses.java
@@ -346,6 +346,14 @@
 
 	// ---- Upstreams
 
+	/**
+	 * Replaces the script of all upstreams.
+	 * @param script the script
+	 */
+	void setScript(ScriptedUpstream.Script script) {
+		this.upstreams.forEach((upstream) -> upstream.setScript(script));
+	}
+
 	private boolean respondToTurn(Received request, OutputStream out, Socket socket) throws IOException {
 		String id = request.header("Request-Id");
 		this.ledger.arrived(id);
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -190,6 +190,11 @@
 	/** A caller sent a malformed request. */
 	CALLER_MALFORMED(2121, Level.INFO, "malformed request"),
 
+	/**
+	 * The bytes held for all calls exceeded the limit; their largest holder was ended.
+	 */
+	HOLDER_GIVEN_UP(2131, Level.WARN, "largest holder of memory given up"),
+
 	/** An upstream was added. */
 	UPSTREAM_IN_USE(2201, Level.INFO, "upstream in use"),
 
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -67,6 +67,15 @@
 		return this.responseHead != null;
 	}
 
+	/**
+	 * Returns the memory that the response takes.
+	 * @return the number of bytes, with those of an incomplete event counted twice, as
+	 * the scanner has a copy
+	 */
+	long heldBytes() {
+		return (long) this.buffered.capacity() + this.scannedBytes;
+	}
+
 	// ---- Operations
 
 	/**
@@ -160,6 +169,7 @@
 		if (this.streaming) {
 			flushBuffered();
 		}
+		this.call.updateHeld();
 	}
 
 	private void recordLatency() {
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -47,6 +48,9 @@
 	// Bound on queued HTTP messages, above which reading from the socket is suspended.
 	private static final int MAX_QUEUED_MESSAGES = 64;
 
+	// The largest part of a response that is passed to the channel at once.
+	private static final int MAX_PART_BYTES = 32 * 1024;
+
 	/**
 	 * The longest time for which the rest of a refused request is discarded before the
 	 * connection is closed.
@@ -59,6 +63,8 @@
 
 	private final Deque<HttpObject> queued = new ArrayDeque<>();
 
+	private final MemoryBudget.Holder output;
+
 	private Channel channel;
 
 	private State state = State.IDLE;
@@ -73,6 +79,9 @@
 
 	private boolean keepAlive;
 
+	// The part of a large response that is not written to the channel yet.
+	private ByteBuf unwritten;
+
 	// Whether the current request was refused before it was read completely.
 	private boolean discarding;
 
@@ -80,6 +89,7 @@
 		this.server = server;
 		this.limits = limits;
 		this.stateSince = server.now();
+		this.output = server.memory().newHolder("output", () -> String.valueOf(this.channel), this::close);
 	}
 
 	// ---- Accessors
@@ -203,7 +213,9 @@
 	}
 
 	void writeChunk(ByteBuf part) {
-		this.channel.writeAndFlush(new DefaultHttpContent(part));
+		int size = part.readableBytes();
+		this.output.add(size);
+		this.channel.writeAndFlush(new DefaultHttpContent(part)).addListener((f) -> this.output.add(-size));
 	}
 
 	void endStream() {
@@ -246,6 +258,8 @@
 		this.state = State.CLOSED;
 		releaseQueued();
 		releaseBody();
+		releaseUnwritten();
+		this.output.close();
 		RelayCall abandoned = this.call;
 		this.call = null;
 		if (abandoned != null) {
@@ -253,6 +267,11 @@
 		}
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		writeUnwritten();
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		this.server.log().log(Event.CALLER_GONE, "cause", cause);
@@ -364,9 +383,41 @@
 	}
 
 	private void write(FullHttpResponse response) {
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+		int size = response.content().readableBytes();
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, size);
 		setConnection(response.headers());
-		finish(response);
+		this.output.add(size);
+		if (size <= MAX_PART_BYTES) {
+			finish(response);
+			return;
+		}
+		this.call = null;
+		this.unwritten = response.content();
+		this.channel.write(new DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers()));
+		writeUnwritten();
+	}
+
+	// The channel copies what it gets into direct memory, so it gets no more than it can
+	// send soon.
+	private void writeUnwritten() {
+		while ((this.unwritten != null) && this.channel.isWritable()) {
+			int size = Math.min(this.unwritten.readableBytes(), MAX_PART_BYTES);
+			ByteBuf part = this.unwritten.readRetainedSlice(size);
+			if (this.unwritten.isReadable()) {
+				this.channel.writeAndFlush(new DefaultHttpContent(part));
+			}
+			else {
+				releaseUnwritten();
+				finish(new DefaultLastHttpContent(part));
+			}
+		}
+	}
+
+	private void releaseUnwritten() {
+		if (this.unwritten != null) {
+			this.unwritten.release();
+			this.unwritten = null;
+		}
 	}
 
 	private void setConnection(HttpHeaders headers) {
@@ -380,6 +431,7 @@
 		this.call = null;
 		boolean keep = this.keepAlive && this.server.isAccepting();
 		this.channel.writeAndFlush(last).addListener((ChannelFutureListener) (f) -> {
+			this.output.set(0);
 			if (f.isSuccess() && this.discarding) {
 				discardRest();
 				return;
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -70,6 +70,8 @@
 
 	private static final String STOPPING = "instance_stopping";
 
+	private static final String MEMORY = "memory_exhausted";
+
 	// The codes of refusals because too few keepers answered.
 	private static final Set<String> KEEPER_CODES = Set.of("keepers_away", "rate_unknown", "turn_uncertain",
 			"reservation_lost");
@@ -84,6 +86,8 @@
 
 	private final long arrivedAt;
 
+	private final MemoryBudget.Holder held;
+
 	private final Set<Upstream> tried = new HashSet<>();
 
 	private RelayRoute route;
@@ -138,6 +142,7 @@
 		this.head = head;
 		this.body = body;
 		this.arrivedAt = server.now();
+		this.held = server.memory().newHolder("call", head::requestId, this::giveUp);
 	}
 
 	// ---- Accessors
@@ -189,6 +194,10 @@
 	// ---- Admission
 
 	void start() {
+		updateHeld();
+		if (this.ended) {
+			return;
+		}
 		this.server.gate()
 			.submit(this.head.remainingTime(), this::admitUnlessEnded)
 			.ifPresent((p) -> this.heldCall = p);
@@ -444,6 +453,7 @@
 	void retryOrFail(Upstream upstream, Verdict verdict, String cause) {
 		this.tried.add(upstream);
 		this.attempt = null;
+		updateHeld();
 		this.lastVerdict = this.lastVerdict.combine(verdict);
 		this.server.log()
 			.log(Event.ATTEMPT_FAILED, "request", this.head.requestId(), "upstream", upstream.id(), "attempt",
@@ -464,8 +474,25 @@
 		}
 	}
 
+	/**
+	 * Counts the memory that the call takes, and ends the call if it is too much for the
+	 * entry.
+	 */
+	void updateHeld() {
+		if (!this.ended) {
+			long response = (this.attempt != null) ? this.attempt.heldBytes() : 0;
+			long output = (this.stream != null) ? this.stream.outputBytes() : 0;
+			this.held.set(this.body.length + response + output);
+		}
+	}
+
 	// ---- Ends
 
+	private void giveUp() {
+		String detail = "the instance holds too many bytes for its calls, most of them for this one";
+		refuse(this.sent ? Refusal.mayHaveRun(502, MEMORY, detail) : Refusal.unavailable(MEMORY, detail, RETRY_AFTER));
+	}
+
 	private void onDeadline() {
 		if (this.ended) {
 			return;
@@ -655,6 +682,7 @@
 
 	private void end() {
 		this.ended = true;
+		this.held.close();
 		cancel(this.deadlineTask);
 		cancel(this.responseTimeoutTask);
 		if (this.heldCall != null) {
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -67,6 +67,8 @@
 
 	private final CallLog log;
 
+	private final MemoryBudget memory;
+
 	private final RouteLatencies routeLatencies = new RouteLatencies();
 
 	private final Set<CallerConnection> connections = new HashSet<>();
@@ -99,6 +101,8 @@
 		this.gate = new StartupGate(loop, clock);
 		this.log = new CallLog(clock, metrics);
 		this.keepersLastServingAt = clock.nanoTime();
+		this.memory = new MemoryBudget(MemoryBudget.processLimit(), metrics);
+		metrics.gauge("mangorack.held.bytes", this.memory::heldBytes);
 	}
 
 	// ---- Lifecycle
@@ -267,6 +271,10 @@
 		return this.routeLatencies;
 	}
 
+	MemoryBudget memory() {
+		return this.memory;
+	}
+
 	CallLog log() {
 		return this.log;
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/ResponseStream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ResponseStream.java
@@ -70,6 +70,14 @@
 		return this.output.toByteArray();
 	}
 
+	/**
+	 * Returns the size of the collected output.
+	 * @return the number of bytes, 0 if none is collected
+	 */
+	int outputBytes() {
+		return (this.output != null) ? this.output.size() : 0;
+	}
+
 	/**
 	 * Returns whether the request may be sent again.
 	 * @return {@code true} unless the caller has received a part that no other run can
