Begin a stream with its first event, and never join two runs from the start

What callers saw on a resumable route: 200 with the signature and headers of one run and the whole body of another, ended as complete, if an upstream broke off within its first event, or behind a comment (MIXED).

Cause: the head was forwarded with the first bytes of a body, before an event was complete, and another run was allowed as long as no event was forwarded.

Change: the head is forwarded with the first complete block, or with the end of an empty stream. Once anything was forwarded, another run has to go on after an event.

The constant of the single-use period exists once now, in ResponseRules.

--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -189,11 +189,11 @@
 		if (!this.streaming || aborted || !this.call.isReservationDurable()) {
 			return;
 		}
-		if (!this.call.stream().isBegun()) {
-			this.call.beginStream(this.responseHead);
-		}
 		int unscanned = this.buffered.readableBytes() - this.scannedBytes;
 		int length = this.scanner.scan(this.buffered.slice(this.buffered.readerIndex() + this.scannedBytes, unscanned));
+		if (length > 0) {
+			beginStream();
+		}
 		forward(length);
 		if (this.scanner.isRefused()) {
 			abort();
@@ -205,6 +205,12 @@
 		}
 	}
 
+	private void beginStream() {
+		if (!this.call.stream().isBegun()) {
+			this.call.beginStream(this.responseHead);
+		}
+	}
+
 	private void forward(int length) {
 		int completeBytes = (length > 0) ? (this.scannedBytes + length) : 0;
 		int remaining = this.buffered.readableBytes() - completeBytes;
@@ -275,6 +281,7 @@
 					"the stream of " + this.upstream.id() + " ended within an event");
 			return;
 		}
+		beginStream();
 		this.call.endStream(this.upstream, this.responseHead.status());
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/ResponseStream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/ResponseStream.java
@@ -84,7 +84,7 @@
 	 * continue
 	 */
 	boolean mayRetry() {
-		return !this.begun || (this.resumable && this.positionKnown);
+		return !this.begun || (this.resumable && this.positionKnown && (this.events > 0));
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamClient.java
@@ -1,6 +1,5 @@
 package org.mangorack.relay;
 
-import java.time.Duration;
 import java.util.Iterator;
 import java.util.function.Consumer;
 
@@ -13,6 +12,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
+import org.mangorack.http.ResponseRules;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.Metrics;
@@ -35,12 +35,6 @@
 	 */
 	static final int MAX_IDLE_CONNECTIONS = 6;
 
-	/**
-	 * For how long the connections to an upstream carry one request each after stray
-	 * bytes. Longer than a response is repeated late, several times.
-	 */
-	static final Duration SINGLE_USE_PERIOD = Duration.ofSeconds(5);
-
 	private final EventLoop loop;
 
 	private final FleetProtocol protocol;
@@ -148,7 +142,7 @@
 	 */
 	void strayReceived(Upstream upstream, String kind) {
 		this.metrics.count("mangorack.upstream.stray", 1, "kind", kind);
-		upstream.setSingleUseUntil(now() + SINGLE_USE_PERIOD.toNanos());
+		upstream.setSingleUseUntil(now() + ResponseRules.SINGLE_USE_PERIOD.toNanos());
 		closeIdle(upstream, true);
 	}
 
