Test that a call behind an invalid request ends with its caller

Fails on this code; CallerConnection is not changed here.

What happens: a caller sends three requests ahead, the second with an invalid header value such as Time-Remaining: x, and leaves while the third one runs. The upstream works on until the deadline of the request, and a planned stop does not end it either.

Cause: RelayServer#newCall refuses the second request, whose response ends within that call and starts the third one. CallerConnection#readBody then sets the current call to the null that newCall returns, and forgets the third one.

Evidence: EntryContractTests #theUpstreamConnectionClosesWhenTheCallerDisconnectsAfterAnInvalidRequest fails (expected "left" but was null: no close within 20 s of a request that has 60 s).

--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryContractTests.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -265,6 +266,34 @@
 		}
 	}
 
+	// Guards against a call that its connection forgets, which nothing ends then.
+	@Test
+	void theUpstreamConnectionClosesWhenTheCallerDisconnectsAfterAnInvalidRequest() throws Exception {
+		this.upstream.setScript((request, out, socket) -> {
+			// The requests behind the first one are queued meanwhile.
+			ScriptedUpstream.sleep(200);
+			if (!request.header("Request-Id").equals("left")) {
+				out.write(ScriptedUpstream.plain(request, request.header("Time-Remaining")));
+			}
+			return true;
+		});
+		// Only the caller's departure may end the call while the test waits.
+		this.fleet.configureTimeout(2, Duration.ofMinutes(1));
+		TestFleetNodes.awaitResponse(this.fleet.callers(), longRequest("first"),
+				(response) -> response.matches("(?s).*\r\n\r\n\\d{5}"));
+		try (Socket socket = this.fleet.connect()) {
+			String invalid = longRequest("invalid").replace("Time-Remaining: 60000", "Time-Remaining: x");
+			socket.getOutputStream()
+				.write(ScriptedUpstream.bytes(longRequest("first") + invalid + longRequest("left")));
+			await(() -> last().header("Request-Id").equals("left"));
+		}
+		String closed = this.upstream.closed().poll(20, TimeUnit.SECONDS);
+		while ((closed != null) && !closed.equals("left")) {
+			closed = this.upstream.closed().poll(20, TimeUnit.SECONDS);
+		}
+		assertThat(closed).isEqualTo("left");
+	}
+
 	@Test
 	void theUpstreamConnectionClosesWhenTheCallerDisconnects() throws Exception {
 		this.upstream.setScript((request, out, socket) -> true);
@@ -435,6 +464,11 @@
 
 	// ---- Helpers
 
+	private static String longRequest(String id) {
+		return TestFleetNodes.request("POST", "/write/1", id, "", "x")
+			.replace("Time-Remaining: 4000", "Time-Remaining: 60000");
+	}
+
 	private Received last() {
 		List<Received> all = this.upstream.received();
 		return all.get(all.size() - 1);
