Keep the call of a request that was sent ahead

What callers saw: an upstream went on working for a request sent ahead after its caller had left, and a planned stop did not end it, if the request between was refused for an invalid header.

Cause: the refusal starts the next request before the call of its own, which is null, is recorded; it replaced the new one.

--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -343,9 +343,11 @@
 			releaseBody();
 			this.request = null;
 			transitionTo(State.BUSY);
-			this.call = this.server.newCall(this, fullRequest, bytes);
-			if (this.call != null) {
-				this.call.start();
+			RelayCall created = this.server.newCall(this, fullRequest, bytes);
+			// Without one, a call of the next request may have started already.
+			if (created != null) {
+				this.call = created;
+				created.start();
 			}
 		}
 	}
