Limit the lines and the length of a stream of a model engine

Cause: EventReader and HttpObjectStore read lines of any length, and EventReader any number of them.

Change: HttpReply#lines limits the bytes of a line and of the body. The stream fails as one that breaks off does, so the request may have run. A watch has no limit in total, as it keeps one event at a time.

--- a/mangorack/src/main/java/org/mangorack/http/HttpReply.java
+++ b/mangorack/src/main/java/org/mangorack/http/HttpReply.java
@@ -1,9 +1,12 @@
 package org.mangorack.http;
 
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -104,6 +107,19 @@
 		return new EndTrackingStream(entity.getContent());
 	}
 
+	/**
+	 * Returns the body as lines in UTF-8. Reading them to the end makes the connection
+	 * reusable. A read fails if a limit is exceeded.
+	 * @param maxLineBytes the maximum length of a line, in bytes
+	 * @param maxBytes the maximum length of the body, in bytes
+	 * @return the lines
+	 * @throws IOException if the body cannot be opened
+	 */
+	public BufferedReader lines(int maxLineBytes, long maxBytes) throws IOException {
+		return new BufferedReader(
+				new InputStreamReader(new LineLimitStream(body(), maxLineBytes, maxBytes), StandardCharsets.UTF_8));
+	}
+
 	/**
 	 * Reads the whole body.
 	 * @param maxBytes the maximum size of the body, in bytes
--- a/mangorack/src/main/java/org/mangorack/platform/HttpObjectStore.java
+++ b/mangorack/src/main/java/org/mangorack/platform/HttpObjectStore.java
@@ -2,7 +2,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -43,6 +42,8 @@
 
 	private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 
+	private static final int MAX_EVENT_BYTES = 16 * 1024 * 1024;
+
 	private static final Map<String, String> JSON_HEADERS = Map.of("Content-Type", "application/json");
 
 	private final HttpAddress address;
@@ -128,7 +129,7 @@
 		try (HttpReply reply = this.client.send(this.address, "GET", path, Map.of(), null, WATCH_READ_TIMEOUT,
 				ConnectionUse.FRESH)) {
 			checkStatus(reply.status(), path, reply);
-			BufferedReader lines = new BufferedReader(new InputStreamReader(reply.body(), StandardCharsets.UTF_8));
+			BufferedReader lines = reply.lines(MAX_EVENT_BYTES, Long.MAX_VALUE);
 			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
 				deliver(kind, line, listener);
 			}
--- a/mangorack/src/main/java/org/mangorack/upstream/EventReader.java
+++ b/mangorack/src/main/java/org/mangorack/upstream/EventReader.java
@@ -3,8 +3,6 @@
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -27,6 +25,10 @@
 
 	private static final int MAX_RESUMES = 3;
 
+	private static final int MAX_LINE_BYTES = 1024 * 1024;
+
+	private static final long MAX_STREAM_BYTES = 32L * 1024 * 1024;
+
 	private final UpstreamClient client;
 
 	private final Upstream upstream;
@@ -137,7 +139,7 @@
 	private void open(HttpReply opened) throws IOException {
 		this.reply = opened;
 		this.reply.setReadTimeout(this.readTimeout);
-		this.lines = new BufferedReader(new InputStreamReader(opened.body(), StandardCharsets.UTF_8));
+		this.lines = opened.lines(MAX_LINE_BYTES, MAX_STREAM_BYTES);
 	}
 
 }
--- a/mangorack/src/test/java/org/mangorack/platform/HttpObjectStoreTests.java
+++ b/mangorack/src/test/java/org/mangorack/platform/HttpObjectStoreTests.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 import com.sun.net.httpserver.HttpServer;
@@ -18,6 +19,7 @@
 
 import org.mangorack.http.HttpAddress;
 import org.mangorack.http.PooledHttpClient;
+import org.mangorack.http.ScriptedServer;
 import org.mangorack.observe.Metrics;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -30,6 +32,8 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+	private static final int EXCESSIVE_BYTES = 64 * 1024 * 1024;
+
 	private final PooledHttpClient client = new PooledHttpClient(TIMEOUT);
 
 	private final List<String> delivered = new ArrayList<>();
@@ -101,6 +105,20 @@
 		assertThat(this.delivered).containsExactly("changed a", "progress 8");
 	}
 
+	// Guards against running out of memory because of one faulty store.
+	@Test
+	void anEndlessEventIsCut() throws Exception {
+		AtomicInteger written = new AtomicInteger();
+		try (ScriptedServer endless = new ScriptedServer()) {
+			endless.setScript(ScriptedServer.Script.endless("HTTP/1.1 200 OK\r\n\r\n{\"type\":\"", "x", EXCESSIVE_BYTES,
+					written));
+			HttpObjectStore faulty = new HttpObjectStore(endless.address(), TIMEOUT, this.client, new Metrics());
+			assertThatExceptionOfType(StoreException.class)
+				.isThrownBy(() -> faulty.watch(ObjectKind.KEY, "7", new Recorder()));
+		}
+		assertThat(written.get()).isLessThan(EXCESSIVE_BYTES);
+	}
+
 	private static String object(String name, String content) {
 		return "{\"metadata\":{\"name\":" + name + ",\"resourceVersion\":\"8\"},\"spec\":" + content + "}";
 	}
