Quote no unreadable event in an error of the own interface

What callers could see: the bytes of an event that is no JSON, which may belong to another caller, in the detail of the refusal.

Cause: the message of the JSON parser was passed on.

--- a/mangorack/src/main/java/org/mangorack/upstream/EventReader.java
+++ b/mangorack/src/main/java/org/mangorack/upstream/EventReader.java
@@ -6,12 +6,15 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 
 import org.mangorack.call.Jsons;
 import org.mangorack.config.Upstream;
 import org.mangorack.http.HttpCallException;
 import org.mangorack.http.HttpReply;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
 
 /**
  * Reads the events of a stream of a model engine. If the connection breaks or a read
@@ -101,12 +104,24 @@
 				return Optional.empty();
 			}
 			if (line.startsWith(DATA)) {
-				return Optional.of(Jsons.MAPPER.readTree(line.substring(DATA.length())));
+				return Optional.of(parse(line.substring(DATA.length())));
 			}
 		}
 		throw new IOException("stream of " + this.upstream.id() + " ended before its last event");
 	}
 
+	// The event may belong to another caller, whose data this one must not see.
+	private JsonNode parse(String event) throws IOException {
+		try {
+			return Jsons.MAPPER.readTree(event);
+		}
+		catch (JsonProcessingException ex) {
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "cause", "an event that cannot be read",
+					"problem", ex.getMessage());
+			throw new IOException("stream of " + this.upstream.id() + " has an event that cannot be read", ex);
+		}
+	}
+
 	/**
 	 * Reads to the end of the body, so that the connection can be reused.
 	 */
