--- a/mangorack/src/main/java/org/mangorack/upstream/EventReader.java
+++ b/mangorack/src/main/java/org/mangorack/upstream/EventReader.java
@@ -3,17 +3,18 @@
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 
 import org.mangorack.call.Jsons;
 import org.mangorack.config.Upstream;
 import org.mangorack.http.HttpCallException;
 import org.mangorack.http.HttpReply;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
 
 /**
  * Reads the events of a stream of a model engine. If the connection breaks or a read
@@ -27,6 +28,10 @@
 
 	private static final int MAX_RESUMES = 3;
 
+	private static final int MAX_LINE_BYTES = 1024 * 1024;
+
+	private static final long MAX_STREAM_BYTES = 32L * 1024 * 1024;
+
 	private final UpstreamClient client;
 
 	private final Upstream upstream;
@@ -99,12 +104,24 @@
 				return Optional.empty();
 			}
 			if (line.startsWith(DATA)) {
-				return Optional.of(Jsons.MAPPER.readTree(line.substring(DATA.length())));
+				return Optional.of(parse(line.substring(DATA.length())));
 			}
 		}
 		throw new IOException("stream of " + this.upstream.id() + " ended before its last event");
 	}
 
+	// The event may belong to another caller, whose data this one must not see.
+	private JsonNode parse(String event) throws IOException {
+		try {
+			return Jsons.MAPPER.readTree(event);
+		}
+		catch (JsonProcessingException ex) {
+			EventLog.log(Event.STRAY_ANSWER, "upstream", this.upstream.id(), "cause", "an event that cannot be read",
+					"problem", ex.getMessage());
+			throw new IOException("stream of " + this.upstream.id() + " has an event that cannot be read", ex);
+		}
+	}
+
 	/**
 	 * Reads to the end of the body, so that the connection can be reused.
 	 */
@@ -137,7 +154,7 @@
 	private void open(HttpReply opened) throws IOException {
 		this.reply = opened;
 		this.reply.setReadTimeout(this.readTimeout);
-		this.lines = new BufferedReader(new InputStreamReader(opened.body(), StandardCharsets.UTF_8));
+		this.lines = opened.lines(MAX_LINE_BYTES, MAX_STREAM_BYTES);
 	}
 
 }
