Read a stream no faster than its caller takes it

What callers saw: nothing yet; an entry kept all that an upstream sent for a caller that took nothing of its stream.

Cause: events were written to the caller's channel whether or not it was writable, and the upstream connection was read on.

Now reading from the upstream is suspended while more than the high water mark of the caller's channel (64 KB) waits, and resumed when it has been taken. A connection whose response is complete reads in any case, so none is returned to the pool suspended. The time limit of the route goes on.

Evidence: UpstreamFaultTests#aStreamThatItsCallerDoesNotTakeIsNotReadEither fails on the unchanged code, which reads all of 64 MB, and passes now. aStreamThatItsCallerTakesLateArrivesWhole passes before and after and guards the resumption. EntryMemoryTests#streamsThatTheirCallersDoNotTakeLeaveMemoryForOthers passes before and after; it shows no fault of the unchanged code. In its first run it failed, as it sent turns before the entry knew the keepers; the set-up awaits a turn since.

--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryMemoryTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryMemoryTests.java
@@ -1,6 +1,7 @@
 package org.mangorack.bench.fleet;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -23,6 +25,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import org.mangorack.bench.fleet.FleetProcess.Port;
+import org.mangorack.http.HttpAddress;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -54,6 +57,13 @@
 				new FleetRunSettings(1, 1, 1, 0, 1, 2, Duration.ZERO, EnumSet.noneOf(FleetTrouble.class)), this.folder,
 				new RequestLedger());
 		this.fleet.start();
+		this.fleet.setScript((request, out, socket) -> {
+			out.write(ScriptedUpstream.stream(request, "one"));
+			return true;
+		});
+		// Entries are ready before they know the keepers.
+		TestFleetNodes.awaitResponse(entry().address(Port.CALLERS),
+				TestFleetNodes.request("POST", "/turns/1", "first", "", "x"), (r) -> r.startsWith("HTTP/1.1 200"));
 	}
 
 	@AfterEach
@@ -82,6 +92,37 @@
 			.allMatch((r) -> r.startsWith("HTTP/1.1 502") || r.startsWith("HTTP/1.1 504"));
 	}
 
+	@Test
+	void streamsThatTheirCallersDoNotTakeLeaveMemoryForOthers() throws Exception {
+		CountDownLatch ended = new CountDownLatch(GREEDY_CALLERS);
+		String event = "data: " + "x".repeat(BLOCK.length) + "\n\n";
+		this.fleet.setScript((request, out, socket) -> {
+			String id = request.header("Request-Id");
+			if (!id.startsWith("greedy")) {
+				out.write(ScriptedUpstream.plain(request, "for " + id));
+				return true;
+			}
+			try {
+				out.write(ScriptedUpstream.bytes(ScriptedUpstream.streamHead(request)));
+				for (int number = 1; (long) number * BLOCK.length < BYTES_PER_CALL; number++) {
+					out.write(ScriptedUpstream.bytes(ScriptedUpstream.chunk("id: " + number + "\n" + event)));
+				}
+			}
+			finally {
+				ended.countDown();
+			}
+			return false;
+		});
+		List<String> responses = besideShortCalls((i) -> {
+			try (Socket socket = connect()) {
+				socket.getOutputStream()
+					.write(ScriptedUpstream.bytes(request("greedy" + i).replace("/unsafe/", "/turns/")));
+				return ended.await(60, TimeUnit.SECONDS) ? "ended" : "not ended";
+			}
+		});
+		assertThat(responses).hasSize(GREEDY_CALLERS).containsOnly("ended");
+	}
+
 	// ---- Helpers
 
 	// Runs calls that make the entry hold much, beside short calls that have to succeed.
@@ -115,8 +156,8 @@
 		for (Future<?> caller : shortCalls) {
 			caller.get(60, TimeUnit.SECONDS);
 		}
-		assertThat(Files.readAllLines(entry().log()))
-			.noneMatch((l) -> l.contains("OutOfMemory") || l.contains("heap space") || l.contains("direct memory"));
+		assertThat(Files.readAllLines(entry().log())).noneMatch((l) -> l.contains("OutOfMemory")
+				|| l.contains("heap space") || l.contains("direct memory") || l.contains("direct buffer memory"));
 		assertThat(failed).isEmpty();
 		assertThat(ids.get()).isGreaterThan(SHORT_CALLERS);
 		return responses;
@@ -131,6 +172,11 @@
 			.replaceFirst("Time-Remaining: 4000", "Time-Remaining: 6000");
 	}
 
+	private Socket connect() throws IOException {
+		HttpAddress callers = entry().address(Port.CALLERS);
+		return new Socket(callers.host(), callers.port());
+	}
+
 	private FleetProcess entry() {
 		return this.fleet.entries().get(0);
 	}
@@ -141,7 +187,7 @@
 	@FunctionalInterface
 	private interface GreedyCall {
 
-		String run(int number) throws IOException;
+		String run(int number) throws Exception;
 
 	}
 
--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -244,6 +244,52 @@
 				Arguments.of("an event", "/turns/1", events, "10\r\ndata: 0123456789\r\n"));
 	}
 
+	@Test
+	void aStreamThatItsCallerDoesNotTakeIsNotReadEither() throws Exception {
+		AtomicLong written = new AtomicLong();
+		this.upstream.setScript((request, out, socket) -> {
+			writeEvents(request, out, EXCESSIVE_BYTES, written);
+			return false;
+		});
+		try (Socket caller = this.fleet.connect()) {
+			caller.getOutputStream()
+				.write(ScriptedUpstream.bytes(TestFleetNodes.request("POST", "/dialog/1", "endless", "", "x")));
+			assertThat(this.upstream.closed().poll(20, TimeUnit.SECONDS)).isEqualTo("endless");
+		}
+		assertThat(written.get()).isLessThan(EXCESSIVE_BYTES);
+	}
+
+	@Test
+	void aStreamThatItsCallerTakesLateArrivesWhole() throws Exception {
+		int size = 24 * 1024 * 1024;
+		AtomicLong written = new AtomicLong();
+		this.upstream.setScript((request, out, socket) -> {
+			if (request.header("Request-Id").equals("late")) {
+				writeEvents(request, out, size, written);
+				write(out, "0\r\n\r\n");
+			}
+			else {
+				out.write(ScriptedUpstream.plain(request, "for " + request.header("Request-Id")));
+			}
+			return true;
+		});
+		try (Socket caller = this.fleet.connect()) {
+			caller.getOutputStream()
+				.write(ScriptedUpstream
+					.bytes(TestFleetNodes.request("POST", "/dialog/1", "late", "Connection: close\r\n", "x")));
+			// Less than the buffers of the sockets hold, and more than the entry reads at
+			// once.
+			while (written.get() < 2 * 1024 * 1024) {
+				ScriptedUpstream.sleep(5);
+			}
+			byte[] response = caller.getInputStream().readAllBytes();
+			String last = new String(response, response.length - 64, 64, StandardCharsets.ISO_8859_1);
+			assertThat(response).hasSizeGreaterThan(size);
+			assertThat(last).endsWith("\r\n0\r\n\r\n");
+		}
+		assertThat(call("GET", "/read/2", "next")).startsWith("HTTP/1.1 200").endsWith("for next");
+	}
+
 	@Test
 	void aCallToASlowUpstreamIsNeitherRetriedNorAbandoned() throws Exception {
 		ScriptedUpstream.Script late = (request, out, socket) -> {
@@ -271,6 +317,16 @@
 				+ "Not-Executed: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
 	}
 
+	private static void writeEvents(ScriptedUpstream.Received request, OutputStream out, long size, AtomicLong written)
+			throws IOException {
+		write(out, ScriptedUpstream.streamHead(request));
+		String data = "x".repeat(BLOCK);
+		for (int id = 1; written.get() < size; id++) {
+			write(out, ScriptedUpstream.chunk("id: " + id + "\ndata: " + data + "\n\n"));
+			written.addAndGet(BLOCK);
+		}
+	}
+
 	private static long writes(ScriptedUpstream upstream) {
 		return upstream.received().stream().filter((r) -> r.start().contains("/write/")).count();
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -150,6 +150,16 @@
 		if (this.streaming) {
 			this.call.stream().runStarted();
 			this.scanner = new EventStreamScanner(this.call.stream()::accept);
+			adjustReading();
+		}
+	}
+
+	/**
+	 * Reads on only if the caller takes the stream.
+	 */
+	void adjustReading() {
+		if (this.streaming && !this.finished) {
+			this.connection.setReading(this.call.isCallerWritable());
 		}
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -102,6 +102,14 @@
 		return (this.state == State.BUSY) && (this.call != null) && this.call.isStreamBegun();
 	}
 
+	/**
+	 * Returns whether the caller has taken most of what was written.
+	 * @return {@code false} if further parts of the response should wait
+	 */
+	boolean isWritable() {
+		return this.channel.isWritable();
+	}
+
 	/**
 	 * Starts the head timeout at the first byte of a request and restarts the idle
 	 * timeout while a body is received. Further bytes of a head do not extend its
@@ -270,6 +278,9 @@
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
 		writeUnwritten();
+		if (this.call != null) {
+			this.call.adjustReading();
+		}
 	}
 
 	@Override
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -639,6 +639,20 @@
 		this.caller.writeChunk(part);
 	}
 
+	boolean isCallerWritable() {
+		return this.caller.isWritable();
+	}
+
+	/**
+	 * Suspends or resumes reading from the upstream, so that a stream is read no faster
+	 * than its caller takes it.
+	 */
+	void adjustReading() {
+		if (this.attempt != null) {
+			this.attempt.adjustReading();
+		}
+	}
+
 	/**
 	 * Ends a stream, once its turn is durable.
 	 * @param upstream the upstream
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamConnection.java
@@ -155,6 +155,15 @@
 		});
 	}
 
+	/**
+	 * Suspends or resumes reading the response. A connection whose response is complete
+	 * reads in any case.
+	 * @param reading whether to read
+	 */
+	void setReading(boolean reading) {
+		this.channel.config().setAutoRead(reading);
+	}
+
 	/**
 	 * Aborts the request by closing the connection, which makes most upstreams stop
 	 * processing it.
@@ -311,6 +320,7 @@
 		ResponseListener done = this.listener;
 		this.listener = null;
 		this.requestId = null;
+		setReading(true);
 		boolean keep = this.reusable && this.requestWritten && this.channel.isActive();
 		this.usableUntil = this.client.now() + this.idleTimeout.toNanos();
 		if (keep) {
