Count requests that are being received in the memory of an entry

What callers saw: while 50 callers sent bodies of 4 MB slowly, short calls of others got 503.

Cause: bodies were kept as slices of the pooled direct buffers that they arrived in, up to the limit of a single body for each connection and without a limit on the sum. Pipelined requests were not counted either.

Bodies are collected on the heap and counted in the MemoryBudget, as are queued parts of pipelined requests and the chains of turns. At the limit the largest request gets 503 memory_exhausted with Retry-After, not run; a connection with a request under way is closed if what it sent ahead is the most.

Evidence: EntryMemoryTests#requestBodiesThatArriveSlowlyLeaveMemoryForOthers (a real entry with the options of the deploy file) fails on the unchanged code, as short calls get 503, and passes now.

--- a/bench/src/test/java/org/mangorack/bench/fleet/EntryMemoryTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/EntryMemoryTests.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -42,6 +43,8 @@
 	// Together several times the memory of an entry.
 	private static final long BYTES_PER_CALL = 24L * 1024 * 1024;
 
+	private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
 	private static final byte[] BLOCK = ScriptedUpstream.bytes("x".repeat(16 * 1024));
 
 	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
@@ -123,6 +126,31 @@
 		assertThat(responses).hasSize(GREEDY_CALLERS).containsOnly("ended");
 	}
 
+	@Test
+	void requestBodiesThatArriveSlowlyLeaveMemoryForOthers() throws Exception {
+		this.fleet.setScript((request, out, socket) -> {
+			out.write(ScriptedUpstream.plain(request, "for " + request.header("Request-Id")));
+			return true;
+		});
+		CyclicBarrier allSent = new CyclicBarrier(GREEDY_CALLERS);
+		List<String> responses = besideShortCalls((i) -> {
+			try (Socket socket = connect()) {
+				socket.getOutputStream()
+					.write(ScriptedUpstream.bytes(TestFleetNodes.request("POST", "/unsafe/1", "greedy" + i, "", "")
+						.replace("Content-Length: 0", "Content-Length: " + MAX_BODY_BYTES)));
+				for (int left = MAX_BODY_BYTES - 1; left > 0; left -= BLOCK.length) {
+					writeUnlessRefused(socket, Math.min(left, BLOCK.length));
+				}
+				allSent.await(60, TimeUnit.SECONDS);
+				writeUnlessRefused(socket, 1);
+				return TestFleetNodes.readResponse(socket);
+			}
+		});
+		assertThat(responses).hasSize(GREEDY_CALLERS)
+			.allMatch((r) -> r.startsWith("HTTP/1.1 200") || r.startsWith("HTTP/1.1 503"))
+			.anyMatch((r) -> r.contains("memory_exhausted"));
+	}
+
 	// ---- Helpers
 
 	// Runs calls that make the entry hold much, beside short calls that have to succeed.
@@ -172,6 +200,16 @@
 			.replaceFirst("Time-Remaining: 4000", "Time-Remaining: 6000");
 	}
 
+	// The entry closes the connection of a request that it refused.
+	private static void writeUnlessRefused(Socket socket, int length) {
+		try {
+			socket.getOutputStream().write(BLOCK, 0, length);
+		}
+		catch (IOException ex) {
+			// The response is read all the same.
+		}
+	}
+
 	private Socket connect() throws IOException {
 		HttpAddress callers = entry().address(Port.CALLERS);
 		return new Socket(callers.host(), callers.port());
--- a/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallerConnection.java
@@ -7,7 +7,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -63,6 +62,8 @@
 
 	private final Deque<HttpObject> queued = new ArrayDeque<>();
 
+	private final MemoryBudget.Holder input;
+
 	private final MemoryBudget.Holder output;
 
 	private Channel channel;
@@ -73,7 +74,10 @@
 
 	private HttpRequest request;
 
-	private CompositeByteBuf body;
+	// On the heap, as the buffers of the socket that its parts arrive in are larger.
+	private ByteBuf body;
+
+	private int queuedBytes;
 
 	private RelayCall call;
 
@@ -89,6 +93,7 @@
 		this.server = server;
 		this.limits = limits;
 		this.stateSince = server.now();
+		this.input = server.memory().newHolder("request", () -> String.valueOf(this.channel), this::giveUpInput);
 		this.output = server.memory().newHolder("output", () -> String.valueOf(this.channel), this::close);
 	}
 
@@ -254,10 +259,12 @@
 			return;
 		}
 		this.queued.add((HttpObject) message);
+		this.queuedBytes += size(message);
 		if (this.queued.size() > MAX_QUEUED_MESSAGES) {
 			this.channel.config().setAutoRead(false);
 		}
 		processQueued();
+		updateInput();
 	}
 
 	@Override
@@ -267,6 +274,7 @@
 		releaseQueued();
 		releaseBody();
 		releaseUnwritten();
+		this.input.close();
 		this.output.close();
 		RelayCall abandoned = this.call;
 		this.call = null;
@@ -299,6 +307,7 @@
 	private void processQueued() {
 		while ((this.state != State.BUSY) && (this.state != State.CLOSED) && !this.queued.isEmpty()) {
 			HttpObject message = this.queued.poll();
+			this.queuedBytes -= size(message);
 			try {
 				process(message);
 			}
@@ -327,7 +336,7 @@
 	private void readHead(HttpRequest head) {
 		this.request = head;
 		this.keepAlive = HttpUtil.isKeepAlive(head);
-		this.body = Unpooled.compositeBuffer();
+		this.body = Unpooled.buffer(0);
 		this.channel.pipeline().get(CallerEncoder.class).expectResponseTo(head.method().name());
 		transitionTo(State.BODY);
 		Optional<Refusal> problem = RequestRules.check(head.protocolVersion().text(), head.method().name(), head.uri(),
@@ -345,13 +354,13 @@
 			refuse(RequestRules.bodyTooLarge(this.limits.maxBodyBytes()));
 			return;
 		}
-		if (content.content().isReadable()) {
-			this.body.addComponent(true, content.content().retain());
-		}
-		if (content instanceof LastHttpContent) {
+		this.body.writeBytes(content.content());
+		updateInput();
+		if ((content instanceof LastHttpContent) && (this.request != null)) {
 			HttpRequest fullRequest = this.request;
 			byte[] bytes = ByteBufUtil.getBytes(this.body);
 			releaseBody();
+			updateInput();
 			this.request = null;
 			transitionTo(State.BUSY);
 			RelayCall created = this.server.newCall(this, fullRequest, bytes);
@@ -377,6 +386,7 @@
 		this.request = null;
 		releaseBody();
 		releaseQueued();
+		this.input.close();
 		this.discarding = true;
 		this.channel.config().setAutoRead(true);
 		transitionTo(State.BUSY);
@@ -386,6 +396,26 @@
 	private void releaseQueued() {
 		this.queued.forEach(ReferenceCountUtil::release);
 		this.queued.clear();
+		this.queuedBytes = 0;
+	}
+
+	private static int size(Object message) {
+		return (message instanceof HttpContent content) ? content.content().readableBytes() : 0;
+	}
+
+	private void updateInput() {
+		this.input.set(this.queuedBytes + ((this.body != null) ? this.body.capacity() : 0));
+	}
+
+	private void giveUpInput() {
+		if (this.state == State.BODY) {
+			refuse(Refusal.unavailable(RelayCall.MEMORY,
+					"the instance holds too many bytes for its calls, most of them for this one",
+					RelayCall.RETRY_AFTER));
+		}
+		else {
+			close();
+		}
 	}
 
 	private void releaseBody() {
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -70,7 +70,8 @@
 
 	private static final String STOPPING = "instance_stopping";
 
-	private static final String MEMORY = "memory_exhausted";
+	/** The code of refusals because the entry holds too many bytes. */
+	static final String MEMORY = "memory_exhausted";
 
 	// The codes of refusals because too few keepers answered.
 	private static final Set<String> KEEPER_CODES = Set.of("keepers_away", "rate_unknown", "turn_uncertain",
@@ -107,6 +108,8 @@
 
 	private List<Turn> chain = List.of();
 
+	private long chainBytes;
+
 	private boolean chainReady;
 
 	private boolean reserved;
@@ -482,7 +485,7 @@
 		if (!this.ended) {
 			long response = (this.attempt != null) ? this.attempt.heldBytes() : 0;
 			long output = (this.stream != null) ? this.stream.outputBytes() : 0;
-			this.held.set(this.body.length + response + output);
+			this.held.set(this.body.length + this.chainBytes + response + output);
 		}
 	}
 
@@ -781,6 +784,8 @@
 				return;
 			}
 			RelayCall.this.chain = turns;
+			RelayCall.this.chainBytes = turns.stream().mapToLong(Turn::getSerializedSize).sum();
+			updateHeld();
 			RelayCall.this.chainReady = true;
 			sendIfReady();
 		}
