Let upstreams misbehave in the fleet run of real processes

Change: a share of the responses (mangorack.fleet.faults, 0 as before) has an UpstreamFault: second copies after 0 to 1.2 s (whole, without the id, in two pieces, torn with the connection left open), bytes that are no answer before or behind a response, responses without a length (whole or reset), broken and reset ones, 500 and 503 with Not-Executed, early and interim answers, for calls and streams. mangorack.fleet.faultKinds names them. Each response has a signature of its own. GivenAnswers compares status, signature and body of each answer that a caller gets with what upstreams gave, in nine sub-rules, and judges bytes that come while no request is waiting. A quarter of the calls of tools are sent two at a time. A request without an answer is not held against the entry if its upstream broke off or wrote other bytes on that connection.

--- a/bench/src/test/java/org/mangorack/bench/fleet/CallerConnection.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/CallerConnection.java
@@ -76,11 +76,43 @@
 		Answer answer = new Answer();
 		answer.number = ++this.requests;
 		try {
-			this.socket.setSoTimeout(timeoutMillis);
 			this.socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
 			answer.sent = true;
+		}
+		catch (IOException ex) {
+			answer.failure = ex.getMessage();
+			close();
+			return answer;
+		}
+		return receive(answer, timeoutMillis);
+	}
+
+	/**
+	 * Reads the answer to a request that was sent in one piece with the one before.
+	 * @param timeoutMillis how long a read may wait, in milliseconds
+	 * @return the answer, which may be incomplete; one of a request that counts as not
+	 * sent if the connection ended with the answer before
+	 */
+	Answer receiveNext(int timeoutMillis) {
+		Answer answer = new Answer();
+		answer.number = ++this.requests;
+		if (!this.open) {
+			answer.failure = "closed after the answer before";
+			return answer;
+		}
+		answer.sent = true;
+		return receive(answer, timeoutMillis);
+	}
+
+	private Answer receive(Answer answer, int timeoutMillis) {
+		try {
+			this.socket.setSoTimeout(timeoutMillis);
 			read(answer);
 		}
+		catch (MalformedAnswerException ex) {
+			answer.malformed = true;
+			answer.failure = ex.getMessage();
+		}
 		catch (SocketTimeoutException ex) {
 			answer.failure = "no more bytes within " + timeoutMillis + " ms";
 		}
@@ -94,6 +126,20 @@
 		return answer;
 	}
 
+	/**
+	 * Returns the bytes that have come since the last answer was read.
+	 * @return the bytes; empty if there are none or the connection is closed
+	 */
+	String unawaited() {
+		try {
+			return (this.open && (this.in.available() > 0))
+					? new String(this.in.readNBytes(this.in.available()), StandardCharsets.ISO_8859_1) : "";
+		}
+		catch (IOException ex) {
+			return "";
+		}
+	}
+
 	@Override
 	public void close() {
 		this.open = false;
@@ -108,31 +154,60 @@
 	private void read(Answer answer) throws IOException {
 		do {
 			answer.headers.clear();
-			answer.status = Integer.parseInt(readLine().split(" ")[1]);
+			String start = readLine();
+			if (!GivenAnswers.isStatusLine(start)) {
+				throw new MalformedAnswerException("status line \"" + start + "\"");
+			}
+			answer.status = Integer.parseInt(start.split(" ")[1]);
 			for (String line = readLine(); !line.isEmpty(); line = readLine()) {
-				answer.headers.put(line.substring(0, line.indexOf(':')), line.substring(line.indexOf(':') + 1).strip());
+				readHeader(answer, line);
 			}
 		}
 		while (answer.status < 200);
+		String length = answer.headers.get("Content-Length");
 		if ("chunked".equalsIgnoreCase(answer.headers.get("Transfer-Encoding"))) {
 			readChunks(answer);
 		}
+		else if (length == null) {
+			answer.body.writeBytes(this.in.readAllBytes());
+			answer.headers.put("Connection", "close");
+		}
 		else {
-			readBytes(answer, Integer.parseInt(answer.headers.getOrDefault("Content-Length", "0")));
+			readBytes(answer, parse(length, 10));
 		}
 		answer.whole = true;
 	}
 
+	private static void readHeader(Answer answer, String line) throws IOException {
+		int colon = line.indexOf(':');
+		if (colon < 1) {
+			throw new MalformedAnswerException("header \"" + line + "\"");
+		}
+		answer.headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
+	}
+
 	private void readChunks(Answer answer) throws IOException {
 		int length;
 		do {
-			length = Integer.parseInt(readLine(), 16);
+			length = parse(readLine(), 16);
 			readBytes(answer, length);
-			readLine();
+			String end = readLine();
+			if (!end.isEmpty()) {
+				throw new MalformedAnswerException("end of a chunk \"" + end + "\"");
+			}
 		}
 		while (length > 0);
 	}
 
+	private static int parse(String length, int radix) throws IOException {
+		try {
+			return Integer.parseUnsignedInt(length, radix);
+		}
+		catch (NumberFormatException ex) {
+			throw new MalformedAnswerException("length \"" + length + "\"");
+		}
+	}
+
 	private void readBytes(Answer answer, int length) throws IOException {
 		byte[] bytes = this.in.readNBytes(length);
 		answer.body.writeBytes(bytes);
@@ -171,6 +246,8 @@
 
 		private boolean whole;
 
+		private boolean malformed;
+
 		private String failure;
 
 		/**
@@ -182,16 +259,41 @@
 		 * @return the answer
 		 */
 		static Answer of(int number, int status, String body, String failure) {
+			return of(number, status, Map.of(), body, failure);
+		}
+
+		/**
+		 * Creates an answer with headers that was received without a connection.
+		 * @param number how many requests were sent on the connection, this one included
+		 * @param status the status; 0 if none came
+		 * @param headers the headers
+		 * @param body the body
+		 * @param failure why the answer is not whole, or {@code null} if it is
+		 * @return the answer
+		 */
+		static Answer of(int number, int status, Map<String, String> headers, String body, String failure) {
 			Answer answer = new Answer();
 			answer.number = number;
 			answer.sent = true;
 			answer.status = status;
+			answer.headers.putAll(headers);
 			answer.body.writeBytes(body.getBytes(StandardCharsets.ISO_8859_1));
 			answer.whole = (failure == null);
 			answer.failure = failure;
 			return answer;
 		}
 
+		/**
+		 * Creates the answer of a caller that received bytes which are no answer.
+		 * @param failure what they are
+		 * @return the answer
+		 */
+		static Answer malformed(String failure) {
+			Answer answer = of(1, 0, "", failure);
+			answer.malformed = true;
+			return answer;
+		}
+
 		/**
 		 * Returns how many requests were sent on the connection, this one included.
 		 * @return the number
@@ -220,6 +322,14 @@
 			return this.whole;
 		}
 
+		/**
+		 * Tells whether bytes that are no answer were received.
+		 * @return {@code true} if they were
+		 */
+		boolean isMalformed() {
+			return this.malformed;
+		}
+
 		boolean isServed() {
 			return this.whole && (this.status == 200);
 		}
@@ -238,4 +348,15 @@
 
 	}
 
+	/**
+	 * Thrown when bytes that are no answer were received.
+	 */
+	private static final class MalformedAnswerException extends IOException {
+
+		MalformedAnswerException(String message) {
+			super(message);
+		}
+
+	}
+
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetProcesses.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetProcesses.java
@@ -1,8 +1,6 @@
 package org.mangorack.bench.fleet;
 
 import java.io.IOException;
-import java.io.OutputStream;
-import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -16,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -24,9 +23,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.mangorack.bench.fleet.FaultyUpstream.Work;
 import org.mangorack.bench.fleet.FleetProcess.Port;
 import org.mangorack.bench.fleet.FleetProcess.Role;
 import org.mangorack.bench.fleet.ScriptedUpstream.Received;
+import org.mangorack.bench.fleet.UpstreamResponse.Framing;
 import org.mangorack.bench.standin.FleetStoreStandIn;
 import org.mangorack.keeper.GroupDocument;
 import org.mangorack.platform.ObjectKind;
@@ -61,6 +62,8 @@
 
 	private static final int HOSTS_PER_NETWORK = 200;
 
+	private static final int MAX_UPSTREAMS = 1000;
+
 	private final Path root = FleetRunSettings.root();
 
 	private final Path folder;
@@ -81,6 +84,8 @@
 
 	private volatile boolean closed;
 
+	private volatile boolean faulty = true;
+
 	private int machines;
 
 	private long version;
@@ -102,8 +107,8 @@
 		this.store.start();
 		configure();
 		for (int i = 0; i < this.settings.upstreams(); i++) {
-			addUpstream("engine-" + i, "engines", this::respondToTurn);
-			addUpstream("service-" + i, "plain", this::respondToCall);
+			addUpstream("engine-" + i, "engines", FleetProcesses::turn);
+			addUpstream("service-" + i, "plain", FleetProcesses::call);
 		}
 		for (int i = 1; i <= this.settings.keepers(); i++) {
 			add(Role.KEEPER, i);
@@ -333,8 +338,9 @@
 		this.store.put("config", "main", document);
 	}
 
-	private void addUpstream(String id, String pool, ScriptedUpstream.Script script) throws IOException {
-		ScriptedUpstream upstream = new ScriptedUpstream(script);
+	private void addUpstream(String id, String pool, Function<Received, Work> work) throws IOException {
+		ScriptedUpstream upstream = new ScriptedUpstream(new FaultyUpstream(this.ledger, work, this.settings,
+				() -> this.faulty, this.settings.seed() * MAX_UPSTREAMS + this.upstreams.size()));
 		this.upstreams.add(upstream);
 		ObjectNode registration = MAPPER.createObjectNode();
 		registration.put("service", pool).put("address", upstream.address());
@@ -346,28 +352,30 @@
 
 	// ---- Upstreams
 
-	private boolean respondToTurn(Received request, OutputStream out, Socket socket) throws IOException {
+	/**
+	 * Lets all upstreams respond without faults from now on.
+	 */
+	void endUpstreamFaults() {
+		this.faulty = false;
+	}
+
+	private static Work turn(Received request) {
 		String id = request.header("Request-Id");
-		this.ledger.arrived(id);
-		out.write(ScriptedUpstream.bytes(ScriptedUpstream.streamHead(request)));
 		int events = 2 + Math.floorMod(id.hashCode(), 6);
+		List<String> parts = new ArrayList<>();
+		List<Integer> pauses = new ArrayList<>();
 		for (int i = 1; i <= events; i++) {
 			String event = id + " " + i + "/" + events + " " + RequestLedger.digest(request.body());
-			out.write(ScriptedUpstream.bytes(ScriptedUpstream.chunk("id: " + i + "\ndata: " + event + "\n\n")));
-			out.flush();
-			ScriptedUpstream.sleep(Math.floorMod(id.hashCode() * 31 + i, 100));
+			parts.add("id: " + i + "\ndata: " + event + "\n\n");
+			pauses.add(Math.floorMod(id.hashCode() * 31 + i, 100));
 		}
-		out.write(ScriptedUpstream.bytes("0\r\n\r\n"));
-		return true;
+		return new Work(Framing.CHUNKED, parts, 0, pauses);
 	}
 
-	private boolean respondToCall(Received request, OutputStream out, Socket socket) throws IOException {
+	private static Work call(Received request) {
 		String id = request.header("Request-Id");
-		this.ledger.arrived(id);
-		ScriptedUpstream.sleep(20 + Math.floorMod(id.hashCode(), 180));
-		out.write(ScriptedUpstream.plain(request,
-				id + " 1/1 " + RequestLedger.digest(request.start().split(" ")[0] + request.body())));
-		return true;
+		String body = id + " 1/1 " + RequestLedger.digest(request.start().split(" ")[0] + request.body());
+		return new Work(Framing.LENGTH, List.of(body), 20 + Math.floorMod(id.hashCode(), 180), List.of());
 	}
 
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetRunSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
@@ -19,9 +20,10 @@
  * @param upstreams the number of upstreams of each of the two pools
  * @param troubles for how long troubles are inflicted
  * @param kinds the kinds of trouble, in their order
+ * @param faults how many of a hundred responses of upstreams have a fault
  */
 record FleetRunSettings(long seed, int keepers, int entries, int tolerance, int callers, int upstreams,
-		Duration troubles, Set<FleetTrouble> kinds) {
+		Duration troubles, Set<FleetTrouble> kinds, int faults) {
 
 	private static final String PREFIX = "mangorack.fleet.";
 
@@ -44,7 +46,8 @@
 		return new FleetRunSettings(withSeed, integer("keepers", this.keepers), integer("entries", this.entries),
 				integer("tolerance", this.tolerance), integer("callers", this.callers),
 				integer("upstreams", this.upstreams),
-				Duration.ofSeconds(integer("seconds", (int) this.troubles.toSeconds())), kinds(this.kinds));
+				Duration.ofSeconds(integer("seconds", (int) this.troubles.toSeconds())), kinds(this.kinds),
+				integer("faults", this.faults));
 	}
 
 	private static int integer(String name, int defaultValue) {
@@ -71,6 +74,16 @@
 			.collect(Collectors.toCollection(() -> EnumSet.noneOf(FleetTrouble.class)));
 	}
 
+	/**
+	 * Returns the faults that responses of upstreams may have.
+	 * @return the faults
+	 */
+	List<UpstreamFault> upstreamFaults() {
+		String given = System.getProperty(PREFIX + "faultKinds");
+		return (given != null) ? Stream.of(given.split(",")).map(UpstreamFault::valueOf).toList()
+				: List.of(UpstreamFault.values());
+	}
+
 	/**
 	 * Returns the folder with the jar and the deploy files that are run.
 	 * @return the folder
@@ -100,7 +113,8 @@
 	@Override
 	public String toString() {
 		return "seed " + this.seed + ", " + this.keepers + " keepers, " + this.entries + " entries, tolerance "
-				+ this.tolerance + ((this.kinds.size() < FleetTrouble.values().length) ? ", " + this.kinds : "");
+				+ this.tolerance + ((this.kinds.size() < FleetTrouble.values().length) ? ", " + this.kinds : "")
+				+ ((this.faults > 0) ? ", " + this.faults + "% of responses faulty" : "");
 	}
 
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ProgramCaller.java
@@ -46,6 +46,8 @@
 
 	private Answer last;
 
+	private String lastId;
+
 	private final List<String> tries = new ArrayList<>();
 
 	ProgramCaller(FleetProcesses fleet, Turns turns, long seed, AtomicBoolean ended) {
@@ -91,10 +93,19 @@
 	}
 
 	private void callTool(String program) {
+		if (this.random.nextInt(4) == 0) {
+			sendTogether(drawCall(program), drawCall(program));
+		}
+		else {
+			send(drawCall(program));
+		}
+		pause(20);
+	}
+
+	private Request drawCall(String program) {
 		Kind kind = this.random.nextBoolean() ? Kind.SAFE : Kind.UNSAFE;
 		String input = kind.isRepeatable() ? "" : "input of " + program;
-		send(kind, this.turns.newId(), program, null, input, kind.method() + input);
-		pause(20);
+		return new Request(kind, this.turns.newId(), program, null, input, kind.method() + input);
 	}
 
 	private Turn runTurn(String program, Turn previous) {
@@ -104,7 +115,8 @@
 		for (int i = 0; (i < MAX_TRIES) && ((i == 0) || !this.ended.get()); i++) {
 			String id = this.turns.newId();
 			this.tries.add(id);
-			this.last = send(Kind.TURN, id, program, (previous != null) ? previous.id() : null, input, prompt);
+			this.last = send(
+					new Request(Kind.TURN, id, program, (previous != null) ? previous.id() : null, input, prompt));
 			if (this.last.isServed()) {
 				return this.turns.add(id, prompt + String.join("\n", RequestLedger.events(this.last.body())) + "\n");
 			}
@@ -143,7 +155,7 @@
 			disconnect();
 			String id = this.turns.newId();
 			this.tries.add(id);
-			this.last = send(Kind.TURN, id, program, turn.id(), input, prompt);
+			this.last = send(new Request(Kind.TURN, id, program, turn.id(), input, prompt));
 			if (this.ledger.hasArrived(id)) {
 				break;
 			}
@@ -153,20 +165,33 @@
 		this.ledger.triedInRecovery(turn.id(), this.tries, this.last);
 	}
 
-	private Answer send(Kind kind, String id, String program, String previous, String input, String prompt) {
+	private Answer send(Request request) {
 		connect();
-		String headers = "Program: " + program + "\r\nSession: " + program
-				+ "\r\nProgram-Time-Remaining: 60000\r\nToken-Budget: 1000000\r\nToken-Counts: 100,100\r\n"
-				+ ((previous != null) ? "Previous-Turn: " + previous + "\r\n" : "");
-		String request = TestFleetNodes.request(kind.method(), kind.path(), id, headers, input)
-			.replaceFirst("Time-Remaining: 4000", "Time-Remaining: " + kind.time().toMillis());
-		this.ledger.sending(id, kind, this.connection.entry().name(), previous);
-		Answer answer = this.connection.exchange(request, (int) kind.time().toMillis() + READ_SLACK_MS);
-		this.ledger.answered(id, answer, RequestLedger.digest(prompt));
+		sending(request);
+		Answer answer = this.connection.exchange(request.text(), request.readTimeout());
+		return answered(request, answer);
+	}
+
+	private void sendTogether(Request first, Request second) {
+		connect();
+		sending(first);
+		sending(second);
+		answered(first, this.connection.exchange(first.text() + second.text(), first.readTimeout()));
+		answered(second, this.connection.receiveNext(second.readTimeout()));
+	}
+
+	private void sending(Request request) {
+		this.ledger.sending(request.id, request.kind, this.connection.entry().name(), request.previous);
+		this.lastId = request.id;
+	}
+
+	private Answer answered(Request request, Answer answer) {
+		this.ledger.answered(request.id, answer, RequestLedger.digest(request.prompt));
 		return answer;
 	}
 
 	private void connect() {
+		checkUnawaited();
 		for (int i = 0; ((this.connection == null) || !this.connection.isOpen()) && (i < MAX_CONNECTS); i++) {
 			List<FleetProcess> entries = this.fleet.entries();
 			this.connection = new CallerConnection(entries.get(this.random.nextInt(entries.size())));
@@ -178,6 +203,15 @@
 
 	private void disconnect() {
 		if (this.connection != null) {
+			checkUnawaited();
+			this.connection.close();
+		}
+	}
+
+	private void checkUnawaited() {
+		String bytes = (this.connection != null) ? this.connection.unawaited() : "";
+		if (!bytes.isEmpty()) {
+			this.ledger.unawaited(bytes, this.connection.entry().name(), this.lastId);
 			this.connection.close();
 		}
 	}
@@ -191,6 +225,25 @@
 		}
 	}
 
+	/**
+	 * A request.
+	 */
+	private record Request(Kind kind, String id, String program, String previous, String input, String prompt) {
+
+		private String text() {
+			String headers = "Program: " + this.program + "\r\nSession: " + this.program
+					+ "\r\nProgram-Time-Remaining: 60000\r\nToken-Budget: 1000000\r\nToken-Counts: 100,100\r\n"
+					+ ((this.previous != null) ? "Previous-Turn: " + this.previous + "\r\n" : "");
+			return TestFleetNodes.request(this.kind.method(), this.kind.path(), this.id, headers, this.input)
+				.replaceFirst("Time-Remaining: 4000", "Time-Remaining: " + this.kind.time().toMillis());
+		}
+
+		private int readTimeout() {
+			return (int) this.kind.time().toMillis() + READ_SLACK_MS;
+		}
+
+	}
+
 	/**
 	 * A turn that was answered whole.
 	 *
--- a/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RandomisedFleetRunTests.java
@@ -30,11 +30,13 @@
  * for other runs: a seed, or the first and last one with a dash in between. These take
  * their size from {@code mangorack.fleet.keepers}, {@code entries}, {@code tolerance},
  * {@code callers}, {@code upstreams} (of each of two pools) and {@code seconds} (of
- * troubles); {@code kinds} names the troubles, separated by commas. A lost disk counts
- * for the promised time only, whether or not the group is whole again; with {@code timed}
- * set to {@code false} it counts until the group is whole, for machines that are too
- * slow. They take their code from {@code mangorack.fleet.root} (the root of a built
- * repository), and keep their logs below {@code mangorack.fleet.folder}.
+ * troubles); {@code kinds} names the troubles, separated by commas; {@code faults} is how
+ * many of a hundred responses of upstreams have an {@link UpstreamFault}, and
+ * {@code faultKinds} names these. A lost disk counts for the promised time only, whether
+ * or not the group is whole again; with {@code timed} set to {@code false} it counts
+ * until the group is whole, for machines that are too slow. They take their code from
+ * {@code mangorack.fleet.root} (the root of a built repository), and keep their logs
+ * below {@code mangorack.fleet.folder}.
  */
 class RandomisedFleetRunTests {
 
@@ -50,6 +52,8 @@
 
 	private static final int MAX_VERIFIED = 1500;
 
+	private static final int FAULTS = 30;
+
 	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
 	Path temporary;
 
@@ -57,10 +61,11 @@
 		Set<FleetTrouble> all = EnumSet.allOf(FleetTrouble.class);
 		Set<FleetTrouble> fullDisks = EnumSet.of(FleetTrouble.FULL_DISK, FleetTrouble.LOSE_DISKS_AFTER_FULL_DISK);
 		Set<FleetTrouble> lostDisks = EnumSet.of(FleetTrouble.KILL_KEEPERS, FleetTrouble.LOSE_DISKS_AFTER_KILL);
-		return FleetRunSettings.fromProperties(new FleetRunSettings(1, 5, 4, 1, 12, 2, Duration.ofSeconds(30), all),
-				new FleetRunSettings(2, 6, 4, 2, 12, 2, Duration.ofSeconds(30), all),
-				new FleetRunSettings(1, 4, 4, 1, 12, 2, Duration.ofSeconds(45), fullDisks),
-				new FleetRunSettings(2, 4, 4, 1, 12, 2, Duration.ofSeconds(45), lostDisks));
+		return FleetRunSettings.fromProperties(new FleetRunSettings(1, 5, 4, 1, 12, 2, Duration.ofSeconds(30), all, 0),
+				new FleetRunSettings(2, 6, 4, 2, 12, 2, Duration.ofSeconds(30), all, 0),
+				new FleetRunSettings(1, 4, 4, 1, 12, 2, Duration.ofSeconds(45), fullDisks, 0),
+				new FleetRunSettings(2, 4, 4, 1, 12, 2, Duration.ofSeconds(45), lostDisks, 0),
+				new FleetRunSettings(3, 4, 2, 1, 12, 2, Duration.ofSeconds(20), all, FAULTS));
 	}
 
 	@ParameterizedTest
@@ -84,6 +89,7 @@
 			int before = turns.size();
 			ended.set(true);
 			join(callers);
+			fleet.endUpstreamFaults();
 			verify(fleet, turns);
 			ledger.note(settings + ": " + before + " turns, " + ledger.counts());
 			ledger.note("s until a turn was served after each fault of all: " + ledger.timesToServe()
@@ -91,6 +97,7 @@
 				.map((time) -> (time != null) ? String.valueOf(time.toMillis() / 1e3) : "never")
 				.toList());
 			ledger.note(ledger.describeRepairs());
+			ledger.note("answers that no upstream gave to the caller: " + ledger.mixedCounts());
 			ledger.note("outcomes in the last " + LAST_OF_RECOVERY.toSeconds() + " s of the recovery: "
 					+ ledger.recoveryCounts());
 			ledger.note("passed on, but closed without an answer in touch: " + ledger.closed());
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedger.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,6 +24,7 @@
 import java.util.zip.CRC32;
 
 import org.mangorack.bench.fleet.CallerConnection.Answer;
+import org.mangorack.bench.fleet.GivenAnswers.Mix;
 import org.mangorack.operator.Main;
 
 /**
@@ -59,6 +61,10 @@
 
 	private final Queue<Violation> violations = new ConcurrentLinkedQueue<>();
 
+	private final GivenAnswers given = new GivenAnswers();
+
+	private final Map<String, AtomicInteger> mixed = new ConcurrentHashMap<>();
+
 	private final Map<String, AtomicInteger> counts = new ConcurrentHashMap<>();
 
 	private final AtomicLong delay = new AtomicLong();
@@ -263,11 +269,12 @@
 	 * @param id its id
 	 */
 	void arrived(String id) {
-		Entry entry = this.entries.get(id);
+		Entry entry = (id != null) ? this.entries.get(id) : null;
 		if (entry == null) {
-			violate(Rule.UNASKED, id, "-", "ran, but was never sent");
+			violate(Rule.UNASKED, String.valueOf(id), "-", "ran, but was never sent");
 			return;
 		}
+		entry.offered = true;
 		entry.arrivedAt = this.clock.getAsLong();
 		int runs = entry.runs.incrementAndGet();
 		if ((runs > 1) && !entry.kind.isRepeatable()) {
@@ -278,8 +285,79 @@
 		}
 	}
 
+	/**
+	 * Records that a request has arrived at an upstream, which refuses to run it.
+	 * @param id its id
+	 */
+	void offered(String id) {
+		Entry entry = (id != null) ? this.entries.get(id) : null;
+		if (entry == null) {
+			violate(Rule.UNASKED, String.valueOf(id), "-", "reached an upstream, but was never sent");
+			return;
+		}
+		entry.offered = true;
+	}
+
+	/**
+	 * Records that an upstream broke off its answer to a request, or that other bytes
+	 * were written on the connection, so that the entry may have no answer to give.
+	 * @param id the id of the request
+	 */
+	void spoiled(String id) {
+		Entry entry = (id != null) ? this.entries.get(id) : null;
+		if (entry != null) {
+			entry.spoiled = true;
+		}
+	}
+
+	/**
+	 * Records how an upstream treats a request, to describe broken promises with it.
+	 * @param id the id of the request
+	 * @param fault the fault
+	 */
+	void faulty(String id, UpstreamFault fault) {
+		Entry entry = (id != null) ? this.entries.get(id) : null;
+		if (entry != null) {
+			entry.faults.add(fault);
+		}
+	}
+
+	/**
+	 * Records what an upstream gives, before it writes it.
+	 * @param response the response
+	 * @param whole whether it writes all of it
+	 */
+	void gave(UpstreamResponse response, boolean whole) {
+		this.given.add(response, whole);
+	}
+
+	/**
+	 * Checks bytes that a caller received while it waited for no answer.
+	 * @param bytes the bytes
+	 * @param instance the entry that sent them
+	 * @param last the id of the last request on the connection
+	 */
+	void unawaited(String bytes, String instance, String last) {
+		GivenAnswers.checkUnawaited(bytes)
+			.ifPresentOrElse((mix) -> mixed(mix, last, instance, "\"" + bytes + "\" while no request was waiting"),
+					() -> note("a failure while no request was waiting, after " + last + " at " + instance));
+	}
+
+	private void mixed(Mix mix, String id, String instance, String text) {
+		this.mixed.computeIfAbsent(mix.name(), (k) -> new AtomicInteger()).incrementAndGet();
+		violate(Rule.MIXED, id, instance, mix + ": " + text);
+	}
+
+	/**
+	 * Returns how many answers were mixed up in which way.
+	 * @return the counts by the name of {@link Mix}
+	 */
+	Map<String, Integer> mixedCounts() {
+		return copy(this.mixed);
+	}
+
 	boolean hasArrived(String id) {
-		return this.entries.get(id).runs.get() > 0;
+		return this.entries.get(id).offered;
 	}
 
 	/**
@@ -291,6 +369,12 @@
 	void answered(String id, Answer answer, String digest) {
 		Entry entry = this.entries.get(id);
 		long now = this.clock.getAsLong();
+		Optional<Mix> mix = this.given.check(id, answer);
+		if (mix.isPresent()) {
+			count(entry.kind, "mixed");
+			mixed(mix.get(), id, entry.instance, this.given.describe(answer) + ", faults " + entry.faults);
+			return;
+		}
 		if (!answer.isWhole()) {
 			checkUnanswered(entry, answer, now);
 			return;
@@ -343,13 +427,17 @@
 	}
 
 	private void checkUnanswered(Entry entry, Answer answer, long now) {
+		if (entry.spoiled) {
+			count(entry.kind, "cut after its upstream");
+			return;
+		}
 		boolean inTime = now - entry.sentAt < entry.kind.time().toNanos();
 		if (inTime && (entry.runs.get() > 0) && isInTouch(entry.instance, entry.arrivedAt, now)) {
 			closedInTouch(entry, answer, now);
 		}
 		String what = "status " + answer.status() + ", " + answer.failure() + ", after "
 				+ Duration.ofNanos(now - entry.sentAt).toMillis() + " ms, ran " + entry.runs.get() + " times, request "
-				+ answer.number() + " of its connection";
+				+ answer.number() + " of its connection, faults " + entry.faults;
 		if (!answer.isSent()) {
 			count(entry.kind, "not sent");
 		}
@@ -611,7 +699,7 @@
 		/** A request that was refused as not run has run, or runs later. */
 		REFUSED,
 
-		/** An answer belongs to another request. */
+		/** A caller takes something for an answer that none gave to it. */
 		MIXED,
 
 		/** Events are missing, come twice or out of order. */
@@ -825,8 +913,14 @@
 
 		private final AtomicInteger runs = new AtomicInteger();
 
+		private final Queue<UpstreamFault> faults = new ConcurrentLinkedQueue<>();
+
 		private volatile long arrivedAt;
 
+		private volatile boolean offered;
+
+		private volatile boolean spoiled;
+
 		private volatile boolean refused;
 
 		private volatile long servedAt;
--- a/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/RequestLedgerTests.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
@@ -15,11 +18,13 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 import org.mangorack.bench.fleet.CallerConnection.Answer;
+import org.mangorack.bench.fleet.GivenAnswers.Mix;
 import org.mangorack.bench.fleet.RequestLedger.Disturbance;
 import org.mangorack.bench.fleet.RequestLedger.FaultOfAll;
 import org.mangorack.bench.fleet.RequestLedger.Kind;
 import org.mangorack.bench.fleet.RequestLedger.Rule;
 import org.mangorack.bench.fleet.RequestLedger.Violation;
+import org.mangorack.bench.fleet.UpstreamResponse.Framing;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -49,7 +54,8 @@
 
 	static Stream<Arguments> histories() {
 		return Stream
-			.of(closes(), triesInRecovery(), triesInVain(), Stream.of(history("served", (h) -> h.serve(ENTRY))))
+			.of(closes(), triesInRecovery(), triesInVain(), spoiled(),
+					Stream.of(history("served", (h) -> h.serve(ENTRY))))
 			.flatMap(Function.identity());
 	}
 
@@ -134,7 +140,7 @@
 		String before = history.send(ENTRY, true);
 		history.pass(1);
 		FaultOfAll fault = history.ledger.allDown();
-		history.answer(200, "id: 1\ndata: " + before + " 1/1 d\n\n", null);
+		history.answerWhole(before);
 		history.pass(500);
 		fault.back();
 		history.pass(700);
@@ -252,6 +258,138 @@
 				}, Rule.LOST_ANSWER, Rule.LOST_ANSWER, Rule.LOST_ANSWER, Rule.CLOSED, Rule.LOST_ANSWER));
 	}
 
+	private static Stream<Arguments> spoiled() {
+		return Stream.of(history("a close after an upstream broke off", (h) -> {
+			h.ledger.spoiled(h.send(ENTRY, true));
+			h.answer(200, "id: 1\n", "closed");
+		}), history("closes after upstreams broke off", (h) -> {
+			h.begin(KEEPER, true);
+			h.pass(CONTACT_MS + 1);
+			for (int i = 0; i < 9; i++) {
+				h.ledger.spoiled(h.send(ENTRY, true));
+				h.answer(0, "", "closed");
+			}
+		}), history("a close after another request's upstream broke off", (h) -> {
+			h.ledger.spoiled(h.serve(ENTRY));
+			h.close(1, 500);
+		}, Rule.LOST_ANSWER), history("a request that an upstream refused to run is refused", (h) -> {
+			String id = h.send(ENTRY, false);
+			h.ledger.offered(id);
+			h.receive(id, 503, h.give(id, 503, true).signature(), "", null);
+		}), history("a request that an upstream refused to run has reached it", (h) -> {
+			String id = h.send(ENTRY, false);
+			h.ledger.offered(id);
+			h.answer(503, "", null);
+			h.triedInVain(List.of(id));
+		}), history("a request that ran is refused with the signature of a refusal", (h) -> {
+			String id = h.send(ENTRY, true);
+			h.receive(id, 503, h.give(id, 503, true).signature(), "", null);
+		}, Rule.REFUSED), history("a request without an id runs", (h) -> h.ledger.arrived(null), Rule.UNASKED));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("answers")
+	void reportsHowAnAnswerIsMixedUp(String name, Consumer<History> history, Map<String, Integer> mixed) {
+		History planted = new History();
+		history.accept(planted);
+		assertThat(planted.ledger.mixedCounts()).isEqualTo(mixed);
+		assertThat(planted.ledger.violations()).extracting(Violation::rule)
+			.containsExactlyElementsOf(Collections.nCopies(mixed.size(), Rule.MIXED));
+	}
+
+	static Stream<Arguments> answers() {
+		return Stream.of(answersOfOthers(), answersThatFail(), answersThatAreNotWhole(), answersToNothing())
+			.flatMap(Function.identity());
+	}
+
+	private static Stream<Arguments> answersOfOthers() {
+		return Stream.of(answer("a success without a signature", (h, id) -> {
+			UpstreamResponse response = h.give(id, 200, true);
+			h.receive(id, 200, Map.of(), response.body(), null);
+		}, Mix.UNSIGNED), answer("a signature that nobody gave", (h, id) -> {
+			UpstreamResponse response = h.give(id, 200, true);
+			h.receive(id, 200, "other", response.body(), null);
+		}, Mix.UNKNOWN_SIGNATURE), answer("the success of another request", (h, id) -> {
+			UpstreamResponse response = h.give("other", 200, true);
+			h.receive(id, 200, response.signature(), response.body(), null);
+		}, Mix.OTHER_REQUEST), answer("the begin of the success of another request", (h, id) -> {
+			UpstreamResponse response = h.give("other", 200, true);
+			h.receive(id, 200, response.signature(), "id: 1", "closed");
+		}, Mix.OTHER_REQUEST), answer("the failure of another request", (h, id) -> {
+			UpstreamResponse response = h.give("other", 500, true);
+			h.receive(id, 500, response.signature(), response.body(), null);
+		}, Mix.OTHER_REQUEST),
+				answer("a failure of the entry for another request",
+						(h, id) -> h.receive(id, 504, Map.of("Request-Id", "other"), "", null), Mix.OTHER_REQUEST),
+				answer("a success with the body of another request", (h, id) -> {
+					UpstreamResponse other = h.give("other", 200, true);
+					h.receive(id, 200, h.give(id, 200, true).signature(), other.body(), null);
+				}, Mix.OTHER_BODY), answer("one of two successes of a request", (h, id) -> {
+					UpstreamResponse first = h.give(id, 200, true);
+					h.give(id, 200, true);
+					h.receive(id, 200, first.signature(), first.body(), null);
+				}),
+				answer("a failure of the entry", (h, id) -> h.receive(id, 504, Map.of("Request-Id", id), "", null)));
+	}
+
+	private static Stream<Arguments> answersThatFail() {
+		return Stream.of(answer("a success whose upstream failed", (h, id) -> {
+			UpstreamResponse response = h.give(id, 500, true);
+			h.receive(id, 200, response.signature(), response.body(), null);
+		}, Mix.SUCCESS_OF_FAILURE), answer("a failure whose upstream succeeded", (h, id) -> {
+			UpstreamResponse response = h.give(id, 200, true);
+			h.receive(id, 502, response.signature(), response.body(), null);
+		}, Mix.OTHER_STATUS), answer("a failure of another status", (h, id) -> {
+			UpstreamResponse response = h.give(id, 500, true);
+			h.receive(id, 502, response.signature(), response.body(), null);
+		}, Mix.OTHER_STATUS), answer("a failure as it was given", (h, id) -> {
+			UpstreamResponse response = h.give(id, 500, true);
+			h.receive(id, 500, response.signature(), response.body(), null);
+		}));
+	}
+
+	private static Stream<Arguments> answersThatAreNotWhole() {
+		return Stream.of(answer("a whole success that was broken off", (h, id) -> {
+			UpstreamResponse response = h.give(id, 200, false);
+			h.receive(id, 200, response.signature(), response.body(), null);
+		}, Mix.NOT_WHOLE), answer("the begin of a success as a whole one", (h, id) -> {
+			UpstreamResponse response = h.give(id, 200, true);
+			h.receive(id, 200, response.signature(), response.body().substring(0, 9), null);
+		}, Mix.OTHER_BODY), answer("the begin of a success that was broken off", (h, id) -> {
+			UpstreamResponse response = h.give(id, 200, false);
+			h.ledger.spoiled(id);
+			h.receive(id, 200, response.signature(), response.body().substring(0, 9), "closed");
+		}), answer("another begin of a success that was broken off", (h, id) -> {
+			UpstreamResponse response = h.give(id, 200, false);
+			h.ledger.spoiled(id);
+			h.receive(id, 200, response.signature(), response.body().substring(1, 9), "closed");
+		}, Mix.OTHER_BODY));
+	}
+
+	private static Stream<Arguments> answersToNothing() {
+		return Stream.of(
+				answer("bytes that are no answer",
+						(h, id) -> h.ledger.answered(id, Answer.malformed("status line \"x\""), "d"), Mix.NO_ANSWER),
+				answer("an unawaited success", (h, id) -> {
+					h.answerWhole(id);
+					h.ledger.unawaited("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ENTRY, id);
+				}, Mix.UNAWAITED), answer("an unawaited failure of an upstream", (h, id) -> {
+					h.answerWhole(id);
+					h.ledger.unawaited("HTTP/1.1 500 Reason\r\nresponse-signature: s\r\n\r\n", ENTRY, id);
+				}, Mix.UNAWAITED), answer("an unawaited failure of the entry", (h, id) -> {
+					h.answerWhole(id);
+					h.ledger.unawaited("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", ENTRY, id);
+				}), answer("unawaited bytes", (h, id) -> {
+					h.answerWhole(id);
+					h.ledger.unawaited("\r\nx", ENTRY, id);
+				}, Mix.NO_ANSWER));
+	}
+
+	private static Arguments answer(String name, BiConsumer<History, String> history, Mix... mixed) {
+		return Arguments.of(name, (Consumer<History>) (h) -> history.accept(h, h.send(ENTRY, true)),
+				Stream.of(mixed).collect(Collectors.toMap(Mix::name, (m) -> 1)));
+	}
+
 	private static Arguments history(String name, Consumer<History> history, Rule... broken) {
 		return Arguments.of(name, history, List.of(broken));
 	}
@@ -269,6 +407,8 @@
 
 		private int answered;
 
+		private int given;
+
 		void pass(long millis) {
 			this.now += TimeUnit.MILLISECONDS.toNanos(millis);
 		}
@@ -335,10 +475,32 @@
 
 		String serve(String entry) {
 			String id = send(entry, true);
-			answer(200, "id: 1\ndata: " + id + " 1/1 d\n\n", null);
+			answerWhole(id);
 			return id;
 		}
 
+		private void answerWhole(String id) {
+			UpstreamResponse response = give(id, 200, true);
+			receive(id, 200, response.signature(), response.body(), null);
+		}
+
+		UpstreamResponse give(String id, int status, boolean whole) {
+			String body = "id: 1\ndata: " + id + " 1/1 d\n\n";
+			UpstreamResponse response = new UpstreamResponse(id, status, "signature-" + ++this.given, Framing.LENGTH,
+					List.of(body));
+			this.ledger.gave(response, whole);
+			return response;
+		}
+
+		void receive(String id, int status, String signature, String body, String failure) {
+			receive(id, status, Map.of("Response-Signature", signature), body, failure);
+		}
+
+		void receive(String id, int status, Map<String, String> headers, String body, String failure) {
+			this.answered++;
+			this.ledger.answered(id, Answer.of(this.answered, status, headers, body, failure), "d");
+		}
+
 	}
 
 }
--- a/bench/src/test/java/org/mangorack/bench/fleet/ScriptedUpstream.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/ScriptedUpstream.java
@@ -137,13 +137,16 @@
 		try (socket) {
 			InputStream in = new BufferedInputStream(socket.getInputStream());
 			while (true) {
-				Received request = readRequest(in);
-				if (request == null) {
+				Received head = readHead(in);
+				if (head == null) {
 					break;
 				}
-				last = request.header("Request-Id");
+				last = head.header("Request-Id");
+				Script current = this.script;
+				boolean responded = current.respondEarly(head, socket.getOutputStream(), socket);
+				Received request = readBody(in, head);
 				this.received.add(request);
-				if (!this.script.respond(request, socket.getOutputStream(), socket)) {
+				if (!responded && !current.respond(request, socket.getOutputStream(), socket)) {
 					return;
 				}
 			}
@@ -154,7 +157,7 @@
 		this.closed.add(last);
 	}
 
-	private static Received readRequest(InputStream in) throws IOException {
+	private static Received readHead(InputStream in) throws IOException {
 		String start = readLine(in);
 		if (start == null) {
 			return null;
@@ -163,8 +166,12 @@
 		for (String text = readLine(in); (text != null) && !text.isEmpty(); text = readLine(in)) {
 			headers.put(text.substring(0, text.indexOf(':')), text.substring(text.indexOf(':') + 1).strip());
 		}
-		byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("Content-Length", "0")));
-		return new Received(start, headers, new String(body, StandardCharsets.ISO_8859_1));
+		return new Received(start, headers, "");
+	}
+
+	private static Received readBody(InputStream in, Received head) throws IOException {
+		byte[] body = in.readNBytes(Integer.parseInt(head.headers().getOrDefault("Content-Length", "0")));
+		return new Received(head.start(), head.headers(), new String(body, StandardCharsets.ISO_8859_1));
 	}
 
 	private static String readLine(InputStream in) throws IOException {
@@ -196,6 +203,19 @@
 		 */
 		boolean respond(Received request, OutputStream out, Socket socket) throws IOException;
 
+		/**
+		 * Responds to a request before its body is read, or leaves it to
+		 * {@link #respond}.
+		 * @param head the request without its body
+		 * @param out receives the response
+		 * @param socket the connection
+		 * @return {@code true} if the response has been written
+		 * @throws IOException if the connection fails
+		 */
+		default boolean respondEarly(Received head, OutputStream out, Socket socket) throws IOException {
+			return false;
+		}
+
 	}
 
 	/**
