--- a/mangorack/src/main/java/org/mangorack/http/ResponseRules.java
+++ b/mangorack/src/main/java/org/mangorack/http/ResponseRules.java
@@ -14,7 +14,6 @@
 
 	/**
 	 * For how long the connections to a server carry one request each after stray bytes.
-	 * Longer than a response is repeated late, several times.
 	 */
 	public static final Duration SINGLE_USE_PERIOD = Duration.ofSeconds(5);
 
