--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -185,7 +185,8 @@
 		String name = "entry-" + ++this.entries;
 		this.entry = new EntryNode(
 				new EntrySettings(name, "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
-						this.keeperAddresses, tolerance, Duration.ofSeconds(4), CONFIGURATION_APPLY, grace),
+						this.keeperAddresses, tolerance, Duration.ofSeconds(4), CONFIGURATION_APPLY, grace,
+						EntrySettings.DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES),
 				newStore(), new WireProtocol(), newMetrics(name));
 		this.resources.add(this.entry);
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Turn.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Turn.java
@@ -33,6 +33,8 @@
     previous_ = "";
     input_ = com.google.protobuf.ByteString.EMPTY;
     output_ = com.google.protobuf.ByteString.EMPTY;
+    upstream_ = "";
+    session_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -217,6 +219,100 @@
     return retentionMs_;
   }
 
+  public static final int UPSTREAM_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object upstream_ = "";
+  /**
+   * <pre>
+   * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+   * </pre>
+   *
+   * <code>string upstream = 8;</code>
+   * @return The upstream.
+   */
+  @java.lang.Override
+  public java.lang.String getUpstream() {
+    java.lang.Object ref = upstream_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      upstream_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+   * </pre>
+   *
+   * <code>string upstream = 8;</code>
+   * @return The bytes for upstream.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getUpstreamBytes() {
+    java.lang.Object ref = upstream_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      upstream_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int SESSION_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object session_ = "";
+  /**
+   * <pre>
+   * The session of the turn; sub-agents continue turns of another session.
+   * </pre>
+   *
+   * <code>string session = 9;</code>
+   * @return The session.
+   */
+  @java.lang.Override
+  public java.lang.String getSession() {
+    java.lang.Object ref = session_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      session_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The session of the turn; sub-agents continue turns of another session.
+   * </pre>
+   *
+   * <code>string session = 9;</code>
+   * @return The bytes for session.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSessionBytes() {
+    java.lang.Object ref = session_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      session_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -252,6 +348,12 @@
     if (retentionMs_ != 0L) {
       output.writeInt64(7, retentionMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstream_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, upstream_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(session_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, session_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -286,6 +388,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, retentionMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstream_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, upstream_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(session_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(9, session_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -315,6 +423,10 @@
         != other.getStoredMs()) return false;
     if (getRetentionMs()
         != other.getRetentionMs()) return false;
+    if (!getUpstream()
+        .equals(other.getUpstream())) return false;
+    if (!getSession()
+        .equals(other.getSession())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -342,6 +454,10 @@
     hash = (37 * hash) + RETENTION_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRetentionMs());
+    hash = (37 * hash) + UPSTREAM_FIELD_NUMBER;
+    hash = (53 * hash) + getUpstream().hashCode();
+    hash = (37 * hash) + SESSION_FIELD_NUMBER;
+    hash = (53 * hash) + getSession().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -480,6 +596,8 @@
       output_ = com.google.protobuf.ByteString.EMPTY;
       storedMs_ = 0L;
       retentionMs_ = 0L;
+      upstream_ = "";
+      session_ = "";
       return this;
     }
 
@@ -534,6 +652,12 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.retentionMs_ = retentionMs_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.upstream_ = upstream_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.session_ = session_;
+      }
     }
 
     @java.lang.Override
@@ -575,6 +699,16 @@
       if (other.getRetentionMs() != 0L) {
         setRetentionMs(other.getRetentionMs());
       }
+      if (!other.getUpstream().isEmpty()) {
+        upstream_ = other.upstream_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      if (!other.getSession().isEmpty()) {
+        session_ = other.session_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -636,6 +770,16 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              upstream_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
+            case 74: {
+              session_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1021,6 +1165,190 @@
       return this;
     }
 
+    private java.lang.Object upstream_ = "";
+    /**
+     * <pre>
+     * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+     * </pre>
+     *
+     * <code>string upstream = 8;</code>
+     * @return The upstream.
+     */
+    public java.lang.String getUpstream() {
+      java.lang.Object ref = upstream_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        upstream_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+     * </pre>
+     *
+     * <code>string upstream = 8;</code>
+     * @return The bytes for upstream.
+     */
+    public com.google.protobuf.ByteString
+        getUpstreamBytes() {
+      java.lang.Object ref = upstream_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        upstream_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+     * </pre>
+     *
+     * <code>string upstream = 8;</code>
+     * @param value The upstream to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUpstream(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      upstream_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+     * </pre>
+     *
+     * <code>string upstream = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUpstream() {
+      upstream_ = getDefaultInstance().getUpstream();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+     * </pre>
+     *
+     * <code>string upstream = 8;</code>
+     * @param value The bytes for upstream to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUpstreamBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      upstream_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object session_ = "";
+    /**
+     * <pre>
+     * The session of the turn; sub-agents continue turns of another session.
+     * </pre>
+     *
+     * <code>string session = 9;</code>
+     * @return The session.
+     */
+    public java.lang.String getSession() {
+      java.lang.Object ref = session_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        session_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The session of the turn; sub-agents continue turns of another session.
+     * </pre>
+     *
+     * <code>string session = 9;</code>
+     * @return The bytes for session.
+     */
+    public com.google.protobuf.ByteString
+        getSessionBytes() {
+      java.lang.Object ref = session_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        session_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The session of the turn; sub-agents continue turns of another session.
+     * </pre>
+     *
+     * <code>string session = 9;</code>
+     * @param value The session to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSession(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      session_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The session of the turn; sub-agents continue turns of another session.
+     * </pre>
+     *
+     * <code>string session = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSession() {
+      session_ = getDefaultInstance().getSession();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The session of the turn; sub-agents continue turns of another session.
+     * </pre>
+     *
+     * <code>string session = 9;</code>
+     * @param value The bytes for session to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSessionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      session_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Turn)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/TurnOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/TurnOrBuilder.java
@@ -77,4 +77,44 @@
    * @return The retentionMs.
    */
   long getRetentionMs();
+
+  /**
+   * <pre>
+   * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+   * </pre>
+   *
+   * <code>string upstream = 8;</code>
+   * @return The upstream.
+   */
+  java.lang.String getUpstream();
+  /**
+   * <pre>
+   * The upstream that generated the output, and probably keeps the prompt; empty if that is of no use.
+   * </pre>
+   *
+   * <code>string upstream = 8;</code>
+   * @return The bytes for upstream.
+   */
+  com.google.protobuf.ByteString
+      getUpstreamBytes();
+
+  /**
+   * <pre>
+   * The session of the turn; sub-agents continue turns of another session.
+   * </pre>
+   *
+   * <code>string session = 9;</code>
+   * @return The session.
+   */
+  java.lang.String getSession();
+  /**
+   * <pre>
+   * The session of the turn; sub-agents continue turns of another session.
+   * </pre>
+   *
+   * <code>string session = 9;</code>
+   * @return The bytes for session.
+   */
+  com.google.protobuf.ByteString
+      getSessionBytes();
 }
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -18,12 +18,23 @@
 	// A response that is not streamed is buffered and forwarded only when it is complete.
 	private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 
+	/**
+	 * Stands for the number of tokens to read where the times of engines are not
+	 * measured.
+	 */
+	static final long NOT_MEASURED = -1;
+
+	// Fewer events say too little about the time between them.
+	private static final int MIN_MEASURED_EVENTS = 3;
+
 	private final RelayServer server;
 
 	private final RelayCall call;
 
 	private final Upstream upstream;
 
+	private final long unreadTokens;
+
 	private final ByteBuf buffered = Unpooled.buffer(512);
 
 	private UpstreamConnection connection;
@@ -42,6 +53,10 @@
 
 	private long sentAt;
 
+	private long firstDataAt;
+
+	private int eventsBefore;
+
 	// The size of the scanned part of an event whose end has not arrived yet.
 	private int scannedBytes;
 
@@ -50,11 +65,14 @@
 	 * @param server the server that received the call
 	 * @param call the call
 	 * @param upstream the upstream
+	 * @param unreadTokens the tokens of the prompt that the engine probably has to read,
+	 * or {@link #NOT_MEASURED}
 	 */
-	Attempt(RelayServer server, RelayCall call, Upstream upstream) {
+	Attempt(RelayServer server, RelayCall call, Upstream upstream, long unreadTokens) {
 		this.server = server;
 		this.call = call;
 		this.upstream = upstream;
+		this.unreadTokens = unreadTokens;
 	}
 
 	// ---- Accessors
@@ -185,11 +203,34 @@
 	private void recordLatency() {
 		if (!this.latencyRecorded && this.responseHead.isSuccess()) {
 			this.latencyRecorded = true;
-			Duration time = Duration.ofNanos(this.server.now() - this.sentAt);
+			this.firstDataAt = this.server.now();
+			Duration time = Duration.ofNanos(this.firstDataAt - this.sentAt);
+			if (isMeasured()) {
+				this.eventsBefore = this.call.stream().events();
+				this.server.upstreams().engineTimes(this.call.pool()).recordRead(this.unreadTokens, time);
+				return;
+			}
 			this.upstream.responseReceived(this.server.routeLatencies().latencyRatio(this.call.route().name(), time));
 		}
 	}
 
+	private boolean isMeasured() {
+		return this.unreadTokens != NOT_MEASURED;
+	}
+
+	// The time between events shows the speed of an engine. The time to the first one
+	// also
+	// depends on the size of the prompt.
+	private void recordGeneration() {
+		int events = this.call.stream().events() - this.eventsBefore;
+		if (isMeasured() && this.latencyRecorded && (events >= MIN_MEASURED_EVENTS)) {
+			Duration time = Duration.ofNanos(this.server.now() - this.firstDataAt);
+			this.server.upstreams().engineTimes(this.call.pool()).recordGeneration(time);
+			this.upstream
+				.responseReceived(this.server.routeLatencies().latencyRatio(this.call.pool(), time.dividedBy(events)));
+		}
+	}
+
 	/**
 	 * Forwards complete events, but none before the reservation is durable and none once
 	 * the call has ended, whose caller has got another response by then.
@@ -240,6 +281,7 @@
 		finish();
 		this.upstream.succeeded();
 		if (this.streaming) {
+			recordGeneration();
 			flushBuffered();
 		}
 		else {
--- a/mangorack/src/main/java/org/mangorack/relay/CallHead.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallHead.java
@@ -4,6 +4,8 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 
+import org.mangorack.call.Prompt;
+
 /**
  * The head of a caller's request.
  *
@@ -23,11 +25,14 @@
  * {@code null}
  * @param affinity the affinity key, which identifies the object that the request
  * concerns, or {@code null}
+ * @param session the session of the turn, which differs between a program and its
+ * sub-agents, or {@code null}
+ * @param prompt the parts of the prompt
  * @param headers all headers
  */
 public record CallHead(String method, String target, String host, String requestId, Duration remainingTime, String key,
 		String program, Long budget, int maxTokens, String previousTurn, String lastEventId, String affinity,
-		HttpHeaders headers) {
+		String session, Prompt prompt, HttpHeaders headers) {
 
 	/**
 	 * Returns the path without the query.
--- a/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
@@ -26,10 +26,20 @@
  * @param maxAbsenceAge the maximum time since the configuration was confirmed at which a
  * route or key that it lacks is reported as missing
  * @param grace the time limit of a graceful stop
+ * @param promptReuseMinTokenBytes the memory for a token from which on the engines of a
+ * pool take so long to read a prompt that turns are placed where their prompts are kept,
+ * in bytes
  */
 public record EntrySettings(String instance, String dataCentre, HttpAddress callers, HttpAddress readiness,
 		HttpAddress directory, HttpAddress metrics, HttpAddress platform, List<HttpAddress> seeds, int tolerance,
-		Duration maxConfigurationAge, Duration maxAbsenceAge, Duration grace) {
+		Duration maxConfigurationAge, Duration maxAbsenceAge, Duration grace, long promptReuseMinTokenBytes) {
+
+	/**
+	 * The default of the least memory for a token of pools whose prompts are reused.
+	 * Small models take about 20 KB and read hundreds of tokens in a millisecond, large
+	 * ones take 160 KB and more.
+	 */
+	public static final long DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES = 64 * 1024;
 
 	private static final int MAX_TOLERANCE = 10;
 
@@ -62,7 +72,8 @@
 		Duration maxAbsenceAge = Duration.ofMillis(reader.integer("configurationApplyMillis", 200, 600_000, 2000));
 		Duration grace = Duration.ofMillis((long) (reader.number("graceSeconds", 0.5, 3600, 8) * 1000));
 		return new EntrySettings(instance, dataCentre, callers, readiness, directory, metrics, platform, seeds,
-				tolerance, maxConfigurationAge, maxAbsenceAge, grace);
+				tolerance, maxConfigurationAge, maxAbsenceAge, grace,
+				reader.integer("promptReuseMinTokenBytes", 0, Long.MAX_VALUE, DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES));
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
@@ -145,8 +145,21 @@
 	 * instances together
 	 * @param tokensPerEvent the number of tokens that a stream event represents; 0 if the
 	 * upstreams are not engines
+	 * @param memory the memory of each upstream, or {@code null} if the upstreams are not
+	 * engines
 	 */
-	public record Pool(String name, int maxConnections, int tokensPerEvent) {
+	public record Pool(String name, int maxConnections, int tokensPerEvent, EngineMemory memory) {
+	}
+
+	/**
+	 * The memory of an engine, which holds the prompts and outputs of running requests
+	 * and what is kept of earlier ones.
+	 *
+	 * @param tokens its size in tokens
+	 * @param tokenBytes the bytes that it takes for a token, which grow with the size of
+	 * the model
+	 */
+	public record EngineMemory(long tokens, long tokenBytes) {
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -16,6 +16,7 @@
 
 import org.mangorack.call.Refusal;
 import org.mangorack.call.Verdict;
+import org.mangorack.dispatch.KeptPrompt;
 import org.mangorack.keeper.ChainListener;
 import org.mangorack.keeper.ChainedTurn;
 import org.mangorack.keeper.GroupView;
@@ -27,6 +28,7 @@
 import org.mangorack.relay.FleetConfiguration.Pool;
 import org.mangorack.relay.FleetConfiguration.Workspace;
 import org.mangorack.relay.FleetProtocol.ResponseHead;
+import org.mangorack.relay.UpstreamTable.Placed;
 
 /**
  * A caller's request from its arrival to the last byte of the response. Not thread-safe:
@@ -132,6 +134,12 @@
 
 	private int tokensPerEvent;
 
+	// Whether the turn is placed by what engines keep of its prompt.
+	private boolean placedByPrompt;
+
+	// The engine that keeps the beginning of the prompt, if known.
+	private KeptPrompt keptPrompt;
+
 	private ResponseStream stream;
 
 	// Zero until the upstream has ended the stream and its turn is being stored.
@@ -186,6 +194,10 @@
 		return (this.stream != null) ? this.stream.lastEventId() : null;
 	}
 
+	String pool() {
+		return this.pool;
+	}
+
 	boolean isReservationDurable() {
 		return this.reservationDurable;
 	}
@@ -326,6 +338,14 @@
 		// Read once for the whole call, as a newer version may lack the pool.
 		Pool poolSettings = this.configuration.pool(this.pool);
 		this.tokensPerEvent = (poolSettings != null) ? poolSettings.tokensPerEvent() : 0;
+		this.placedByPrompt = this.route.rule().isStreamed() && this.head.prompt().isKnown()
+				&& this.server.reusesPrompts(poolSettings);
+		if (this.placedByPrompt && (this.head.prompt().tokens() > poolSettings.memory().tokens())) {
+			refuse(Refusal.unavailable("request_too_large", "the prompt has " + this.head.prompt().tokens()
+					+ " tokens, the engines of pool \"" + this.pool + "\" hold " + poolSettings.memory().tokens(),
+					RETRY_AFTER));
+			return;
+		}
 		if ((this.route.storesTurns() || isBudgeted()) && this.server.isKeeperGroupUnavailable()) {
 			refuse(Refusal.unavailable("keepers_away", "too few keepers are connected", RETRY_AFTER));
 			return;
@@ -378,27 +398,36 @@
 		if (this.configuration.requiresKeys() && !this.route.open() && !isKeyStillValid()) {
 			return;
 		}
-		String affinity = this.route.sticky() ? this.head.affinity() : null;
-		Optional<Upstream> chosen = this.server.upstreams().choose(this.pool, this.tried, affinity);
+		Optional<Placed> chosen = choose(this.tried);
 		if (chosen.isEmpty() && (this.lastVerdict == Verdict.MAY_HAVE_RUN)) {
-			chosen = this.server.upstreams().choose(this.pool, Set.of(), affinity);
+			chosen = choose(Set.of());
 		}
 		if (chosen.isEmpty()) {
 			String detail = "no upstream of pool \"" + this.pool + "\" is left after " + this.attempts + " attempts";
 			refuseUnserved("no_upstream", detail);
 			return;
 		}
-		Upstream upstream = chosen.get();
+		Upstream upstream = chosen.get().upstream();
 		if (isStreamBegun()) {
 			this.server.log()
 				.log(Event.STREAM_RESUMED, "request", this.head.requestId(), "upstream", upstream.id(), "afterEvent",
 						lastEventId(), "attempt", this.attempts + 1);
 		}
 		this.connectionAttempts++;
-		this.attempt = new Attempt(this.server, this, upstream);
+		this.attempt = new Attempt(this.server, this, upstream,
+				this.placedByPrompt ? (this.head.prompt().tokens() - chosen.get().keptTokens()) : Attempt.NOT_MEASURED);
 		this.attempt.start();
 	}
 
+	private Optional<Placed> choose(Set<Upstream> excluded) {
+		if (this.placedByPrompt) {
+			return this.server.upstreams()
+				.chooseByPrompt(this.pool, excluded, this.head.prompt(), this.keptPrompt, !this.route.storesTurns());
+		}
+		String affinity = this.route.sticky() ? this.head.affinity() : null;
+		return this.server.upstreams().choose(this.pool, excluded, affinity).map((upstream) -> new Placed(upstream, 0));
+	}
+
 	// The key may have been withdrawn while the request was waiting.
 	private boolean isKeyStillValid() {
 		this.configuration = this.server.configuration().current();
@@ -669,7 +698,7 @@
 			return;
 		}
 		this.streamEndedAt = this.server.now();
-		this.server.keepers().settle(programAttempt(), tokens(), isBudgeted(), turn(), (kept) -> {
+		this.server.keepers().settle(programAttempt(), tokens(), isBudgeted(), turn(upstream), (kept) -> {
 			if (this.ended) {
 				this.server.recordConfirmation("ended", confirmationWait());
 				return;
@@ -759,7 +788,7 @@
 		return full.toByteArray();
 	}
 
-	private ChainedTurn turn() {
+	private ChainedTurn turn(Upstream upstream) {
 		Turn.Builder turn = Turn.newBuilder()
 			.setId(this.head.requestId())
 			.setWorkspace(workspaceName())
@@ -769,9 +798,24 @@
 		if (this.head.previousTurn() != null) {
 			turn.setPrevious(this.head.previousTurn());
 		}
+		if (this.placedByPrompt && (this.head.session() != null)) {
+			turn.setUpstream(upstream.id()).setSession(this.head.session());
+		}
 		return new ChainedTurn(turn.build(), this.chain);
 	}
 
+	// What the engine of the previous turn keeps. The sub-agents of a turn start at the
+	// same
+	// time and would overload its engine, so each of them starts anywhere.
+	private KeptPrompt keptBy(Turn previous) {
+		if (!this.placedByPrompt || previous.getUpstream().isEmpty()
+				|| !previous.getSession().equals(this.head.session())) {
+			return null;
+		}
+		double share = this.chainBytes / (double) (this.chainBytes + this.body.length);
+		return new KeptPrompt(previous.getUpstream(), (long) (this.head.prompt().tokens() * share));
+	}
+
 	/**
 	 * Receives the chain of turns that this turn continues.
 	 */
@@ -786,6 +830,7 @@
 			RelayCall.this.chain = turns;
 			RelayCall.this.chainBytes = turns.stream().mapToLong(Turn::getSerializedSize).sum();
 			updateHeld();
+			RelayCall.this.keptPrompt = keptBy(turns.get(0));
 			RelayCall.this.chainReady = true;
 			sendIfReady();
 		}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -25,6 +25,7 @@
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.relay.FleetConfiguration.CallerLimits;
+import org.mangorack.relay.FleetConfiguration.Pool;
 
 /**
  * Accepts connections from callers and holds the state that their calls share. Not
@@ -51,6 +52,8 @@
 
 	private final Duration maxConfigurationAge;
 
+	private final long promptReuseMinTokenBytes;
+
 	private final AbsenceCheck absence;
 
 	private final PlatformOutageDetector contact;
@@ -92,6 +95,7 @@
 		this.metrics = metrics;
 		this.configuration = configuration;
 		this.maxConfigurationAge = settings.maxConfigurationAge();
+		this.promptReuseMinTokenBytes = settings.promptReuseMinTokenBytes();
 		this.absence = new AbsenceCheck(loop, configuration, settings.maxAbsenceAge());
 		this.contact = contact;
 		this.upstreams = upstreams;
@@ -236,6 +240,18 @@
 		return (this.configuration.age().compareTo(this.maxConfigurationAge) < 0) || this.contact.isFleetWideOutage();
 	}
 
+	/**
+	 * Returns whether turns are placed at the engines that keep their prompts, because
+	 * reading a prompt takes long at the engines of a pool.
+	 * @param pool the pool, or {@code null} if it is unknown
+	 * @return {@code true} if its engines take at least as much memory for a token as the
+	 * settings demand
+	 */
+	boolean reusesPrompts(Pool pool) {
+		return (pool != null) && (pool.memory() != null)
+				&& (pool.memory().tokenBytes() >= this.promptReuseMinTokenBytes);
+	}
+
 	AbsenceCheck absence() {
 		return this.absence;
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
@@ -2,13 +2,14 @@
 
 import java.time.Duration;
 
+import org.mangorack.dispatch.PlacementCandidate;
 import org.mangorack.keeper.proto.Load;
 
 /**
  * The state of an upstream at one entry, as {@link UpstreamChoice} needs it: the calls in
  * flight, the latency ratio of its responses, and whether it is avoided after failures.
  */
-public abstract class UpstreamCandidate {
+public abstract class UpstreamCandidate implements PlacementCandidate {
 
 	private final FailureBackoff backoff;
 
@@ -33,18 +34,6 @@
 
 	// ---- Accessors
 
-	/**
-	 * Returns the id of the upstream.
-	 * @return the id
-	 */
-	public abstract String id();
-
-	/**
-	 * Returns the data centre of the upstream.
-	 * @return the data centre
-	 */
-	public abstract String dataCentre();
-
 	/**
 	 * Returns the number of calls that the upstream runs concurrently.
 	 * @return the slots, at least one
@@ -59,27 +48,17 @@
 		return this.callsInFlight;
 	}
 
-	/**
-	 * Returns the load of the upstream, over all entries.
-	 * @return the calls in flight per slot
-	 */
+	@Override
 	public double load() {
 		return (this.callsInFlight + this.callsInFlightElsewhere) / (double) slots();
 	}
 
-	/**
-	 * Returns the recent latency ratio of the upstream, over all entries.
-	 * @return the ratio of its response times to the average of their routes
-	 */
+	@Override
 	public double latencyRatio() {
 		return this.latencyRatio;
 	}
 
-	/**
-	 * Returns whether the upstream gets calls only if no other is available.
-	 * @param now the time on the monotonic clock
-	 * @return {@code true} if it recently failed or had no free capacity
-	 */
+	@Override
 	public boolean isAvoided(long now) {
 		return this.backoff.isAvoided(now);
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -16,6 +16,10 @@
 import io.netty.channel.EventLoop;
 
 import org.mangorack.call.Jsons;
+import org.mangorack.call.Prompt;
+import org.mangorack.dispatch.EngineTimes;
+import org.mangorack.dispatch.KeptPrompt;
+import org.mangorack.dispatch.PromptPlacement;
 import org.mangorack.keeper.Departures;
 import org.mangorack.keeper.proto.Departure;
 import org.mangorack.keeper.proto.Load;
@@ -65,6 +69,11 @@
 
 	private final UpstreamChoice<Upstream> choice;
 
+	private final PromptPlacement<Upstream> promptPlacement;
+
+	// Times of the pools whose prompts are reused.
+	private final Map<String, EngineTimes> engineTimes = new HashMap<>();
+
 	private final Map<String, Upstream> upstreams = new HashMap<>();
 
 	private final Set<String> unreadable = new HashSet<>();
@@ -91,6 +100,7 @@
 		this.client = client;
 		this.clock = clock;
 		this.choice = new UpstreamChoice<>(new SplittableRandom(), dataCentre);
+		this.promptPlacement = new PromptPlacement<>(new SplittableRandom(), dataCentre);
 		loop.scheduleWithFixedDelay(new GuardedTask("idle upstream connections", this::closeIdleConnections),
 				SWEEP_INTERVAL.toMillis(), SWEEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -250,13 +260,48 @@
 	 * @return the upstream, or empty if none is available
 	 */
 	Optional<Upstream> choose(String pool, Set<Upstream> tried, String affinity) {
+		return Optional.ofNullable(this.choice.choose(candidates(pool, tried), affinity, this.clock.nanoTime()));
+	}
+
+	/**
+	 * Selects an engine for a turn by what is kept of its prompt.
+	 * @param pool the pool
+	 * @param tried the upstreams that this turn has already been sent to
+	 * @param prompt the prompt of the turn
+	 * @param kept the engine that keeps the beginning of the prompt, or {@code null} if
+	 * that is unknown
+	 * @param byHash whether the engine of the session is to be found by its hash
+	 * @return the engine, with what it probably keeps, or empty if none is available
+	 */
+	Optional<Placed> chooseByPrompt(String pool, Set<Upstream> tried, Prompt prompt, KeptPrompt kept, boolean byHash) {
+		List<Upstream> candidates = candidates(pool, tried);
+		KeptPrompt known = byHash ? PromptPlacement.home(candidates, prompt) : kept;
+		Upstream chosen = this.promptPlacement.choose(candidates, prompt, known, engineTimes(pool),
+				this.clock.nanoTime());
+		if (chosen == null) {
+			return Optional.empty();
+		}
+		boolean reused = (known != null) && chosen.id().equals(known.upstream());
+		return Optional.of(new Placed(chosen, reused ? known.tokens() : prompt.sharedTokens()));
+	}
+
+	/**
+	 * Returns the usual times of the engines of a pool.
+	 * @param pool the pool
+	 * @return the times, which the turns of this entry update
+	 */
+	EngineTimes engineTimes(String pool) {
+		return this.engineTimes.computeIfAbsent(pool, (p) -> new EngineTimes());
+	}
+
+	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
 		List<Upstream> candidates = new ArrayList<>();
 		for (Upstream u : this.upstreams.values()) {
 			if (u.entry().pool().equals(pool) && u.isInUse() && !tried.contains(u)) {
 				candidates.add(u);
 			}
 		}
-		return Optional.ofNullable(this.choice.choose(candidates, affinity, this.clock.nanoTime()));
+		return candidates;
 	}
 
 	// ---- Helpers
@@ -308,4 +353,13 @@
 		this.upstreams.values().forEach((u) -> this.client.closeIdle(u, false));
 	}
 
+	/**
+	 * An engine that was selected for a turn.
+	 *
+	 * @param upstream the engine
+	 * @param keptTokens what it probably keeps of the prompt, in tokens
+	 */
+	record Placed(Upstream upstream, long keptTokens) {
+	}
+
 }
--- a/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import org.mangorack.call.Prompt;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.observe.Metrics;
 import org.mangorack.relay.FleetProtocol.ResponseHead;
@@ -131,8 +132,8 @@
 	}
 
 	private static CallHead request(String method, String id) {
-		return new CallHead(method, "/read/1", "check.example", id, null, null, null, null, 0, null, null, null,
-				new DefaultHttpHeaders());
+		return new CallHead(method, "/read/1", "check.example", id, null, null, null, null, 0, null, null, null, null,
+				Prompt.UNKNOWN, new DefaultHttpHeaders());
 	}
 
 	private static ResponseHead head(HttpResponse response) {
--- a/mangorack/src/test/java/org/mangorack/relay/UpstreamConnectionTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamConnectionTests.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.Test;
 
+import org.mangorack.call.Prompt;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.relay.FleetProtocol.ResponseHead;
 
@@ -36,7 +37,7 @@
 				new UpstreamDecoder(this.connection::onBytesReceived), new HttpRequestEncoder(), this.connection);
 		Outcome outcome = new Outcome();
 		CallHead head = new CallHead("POST", "/write/1", "check.example", "r1", null, null, null, null, 0, null, null,
-				null, new DefaultHttpHeaders());
+				null, null, Prompt.UNKNOWN, new DefaultHttpHeaders());
 		this.connection.send(head, new DefaultHttpHeaders(), Unpooled.copiedBuffer(new byte[] { 'x' }), outcome);
 		channel.runPendingTasks();
 		assertThat(outcome.causes).containsExactly("the request could not be written: connection reset");
