--- a/bench/src/main/java/org/mangorack/bench/emulator/Entry.java
+++ b/bench/src/main/java/org/mangorack/bench/emulator/Entry.java
@@ -21,6 +21,8 @@
 
 	private final Placement placement;
 
+	private final boolean measuresGeneration;
+
 	private final int attempts;
 
 	private final long distanceNanos;
@@ -37,17 +39,19 @@
 	 * Creates an entry.
 	 * @param clock the virtual clock
 	 * @param dataCentre the data centre of the entry
-	 * @param placement the placement policy
+	 * @param policy the placement policy
+	 * @param placement the placement of this entry by that policy
 	 * @param attempts the maximum number of attempts per call
 	 * @param distanceNanos the round-trip time to another data centre, in nanoseconds
 	 * @param engines the engines
 	 * @param services the servers of plain services
 	 */
-	Entry(VirtualClock clock, String dataCentre, Placement placement, int attempts, long distanceNanos,
-			List<? extends EmulatedUpstream> engines, List<? extends EmulatedUpstream> services) {
+	Entry(VirtualClock clock, String dataCentre, PlacementPolicy policy, Placement placement, int attempts,
+			long distanceNanos, List<? extends EmulatedUpstream> engines, List<? extends EmulatedUpstream> services) {
 		this.clock = clock;
 		this.dataCentre = dataCentre;
 		this.placement = placement;
+		this.measuresGeneration = policy.measuresGeneration();
 		this.attempts = attempts;
 		this.distanceNanos = distanceNanos;
 		this.engines = engines.stream().map(KnownUpstream::new).toList();
@@ -88,6 +92,8 @@
 
 		private final Set<KnownUpstream> tried = new HashSet<>();
 
+		private long firstEventAt;
+
 		private PendingCall(PlannedCall call, String affinity, CallResult result) {
 			this.call = call;
 			this.affinity = affinity;
@@ -102,7 +108,7 @@
 				return;
 			}
 			long now = Entry.this.clock.nanoTime();
-			KnownUpstream chosen = Entry.this.placement.choose(candidates, this.affinity, now);
+			KnownUpstream chosen = Entry.this.placement.choose(candidates, this.call, this.affinity, now);
 			this.tried.add(chosen);
 			chosen.callStarted();
 			long way = chosen.dataCentre().equals(Entry.this.dataCentre) ? 0 : (Entry.this.distanceNanos / 2);
@@ -146,16 +152,31 @@
 		@Override
 		public void firstEvent() {
 			clock().after(this.wayNanos, () -> {
-				Duration time = Duration.ofNanos(clock().nanoTime() - this.sentAt);
-				this.upstream
-					.responseReceived(entry().routeLatencies.latencyRatio(this.pendingCall.call.route(), time));
+				this.pendingCall.firstEventAt = clock().nanoTime();
+				if (!measuresGeneration()) {
+					record(this.pendingCall.call.route(), Duration.ofNanos(clock().nanoTime() - this.sentAt));
+				}
 				this.pendingCall.result.firstEvent();
 			});
 		}
 
 		@Override
 		public void ended(CallOutcome outcome) {
-			clock().after(this.wayNanos, () -> this.pendingCall.ended(this.upstream, outcome));
+			clock().after(this.wayNanos, () -> {
+				if (measuresGeneration() && (outcome == CallOutcome.ANSWERED)) {
+					Duration time = Duration.ofNanos(clock().nanoTime() - this.pendingCall.firstEventAt);
+					record("generation", time.dividedBy(this.pendingCall.call.outputTokens()));
+				}
+				this.pendingCall.ended(this.upstream, outcome);
+			});
+		}
+
+		private boolean measuresGeneration() {
+			return entry().measuresGeneration && this.pendingCall.call.isTurn();
+		}
+
+		private void record(String route, Duration time) {
+			this.upstream.responseReceived(entry().routeLatencies.latencyRatio(route, time));
 		}
 
 		@Override
--- a/bench/src/main/java/org/mangorack/bench/emulator/Fleet.java
+++ b/bench/src/main/java/org/mangorack/bench/emulator/Fleet.java
@@ -75,11 +75,13 @@
 	}
 
 	private void createEntries(PlacementPolicy policy, SplittableRandom random) {
+		SessionEngines sessions = new SessionEngines();
 		long distance = Math.round(this.shape.distanceMillis() * 1e6);
 		long refresh = Math.round(this.shape.refreshMillis() * 1e6);
 		for (int i = 0; i < this.shape.entries(); i++) {
-			Entry entry = new Entry(this.clock, dataCentre(i), policy.placement(random.split(), dataCentre(i)),
-					this.shape.attempts(), distance, this.engines, this.services);
+			Entry entry = new Entry(this.clock, dataCentre(i), policy,
+					policy.placement(random.split(), dataCentre(i), sessions), this.shape.attempts(), distance,
+					this.engines, this.services);
 			this.entries.add(entry);
 			this.clock.every(random.nextLong(refresh), refresh, () -> refresh(entry));
 		}
--- a/bench/src/main/java/org/mangorack/bench/emulator/KnownUpstream.java
+++ b/bench/src/main/java/org/mangorack/bench/emulator/KnownUpstream.java
@@ -30,7 +30,7 @@
 	}
 
 	@Override
-	protected int slots() {
+	public int slots() {
 		return this.upstream.slots();
 	}
 
--- a/bench/src/main/java/org/mangorack/bench/emulator/PlacementPolicy.java
+++ b/bench/src/main/java/org/mangorack/bench/emulator/PlacementPolicy.java
@@ -8,6 +8,8 @@
 import io.vavr.collection.Stream;
 import io.vavr.control.Either;
 
+import org.mangorack.dispatch.EngineTimes;
+import org.mangorack.dispatch.PromptPlacement;
 import org.mangorack.relay.UpstreamChoice;
 
 /**
@@ -19,16 +21,16 @@
 	/** Any upstream. */
 	RANDOM {
 		@Override
-		Placement placement(RandomGenerator random, String dataCentre) {
-			return (candidates, affinity, now) -> candidates.get(random.nextInt(candidates.size()));
+		Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions) {
+			return (candidates, call, affinity, now) -> candidates.get(random.nextInt(candidates.size()));
 		}
 	},
 
 	/** The upstream with the fewest calls relative to its slots. */
 	LEAST_LOADED {
 		@Override
-		Placement placement(RandomGenerator random, String dataCentre) {
-			return (candidates, affinity, now) -> leastLoaded(candidates, random);
+		Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions) {
+			return (candidates, call, affinity, now) -> leastLoaded(candidates, random);
 		}
 	},
 
@@ -38,8 +40,8 @@
 	 */
 	LEAST_LOADED_AFFINITY {
 		@Override
-		Placement placement(RandomGenerator random, String dataCentre) {
-			return (candidates, affinity, now) -> {
+		Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions) {
+			return (candidates, call, affinity, now) -> {
 				KnownUpstream affinityUpstream = (affinity != null)
 						? UpstreamChoice.affinityUpstream(candidates, affinity) : null;
 				return ((affinityUpstream != null) && (affinityUpstream.load() < 1)) ? affinityUpstream
@@ -51,17 +53,42 @@
 	/** The policy of real entries for calls without affinity. */
 	BEST_OF_THREE {
 		@Override
-		Placement placement(RandomGenerator random, String dataCentre) {
+		Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions) {
 			UpstreamChoice<KnownUpstream> choice = new UpstreamChoice<>(random, dataCentre);
-			return (candidates, affinity, now) -> choice.choose(candidates, null, now);
+			return (candidates, call, affinity, now) -> choice.choose(candidates, null, now);
 		}
 	},
 
 	/** The policy of real entries for calls with affinity. */
 	BEST_OF_THREE_AFFINITY {
 		@Override
-		Placement placement(RandomGenerator random, String dataCentre) {
-			return new UpstreamChoice<KnownUpstream>(random, dataCentre)::choose;
+		Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions) {
+			UpstreamChoice<KnownUpstream> choice = new UpstreamChoice<>(random, dataCentre);
+			return (candidates, call, affinity, now) -> choice.choose(candidates, affinity, now);
+		}
+	},
+
+	/** The policy of real entries for large models. */
+	KEPT_PROMPT {
+		@Override
+		Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions) {
+			UpstreamChoice<KnownUpstream> choice = new UpstreamChoice<>(random, dataCentre);
+			PromptPlacement<KnownUpstream> prompts = new PromptPlacement<>(random, dataCentre);
+			EngineTimes times = new EngineTimes();
+			return (candidates, call, affinity, now) -> {
+				if (!call.isTurn()) {
+					return choice.choose(candidates, null, now);
+				}
+				KnownUpstream chosen = prompts.choose(candidates, SessionEngines.prompt(call), sessions.kept(call),
+						times, now);
+				sessions.served(call, chosen.id());
+				return chosen;
+			};
+		}
+
+		@Override
+		boolean measuresGeneration() {
+			return true;
 		}
 	};
 
@@ -89,9 +116,19 @@
 	 * Creates the placement of an entry.
 	 * @param random the source of randomness
 	 * @param dataCentre the data centre of the entry
+	 * @param sessions the engines that served earlier turns
 	 * @return the placement
 	 */
-	abstract Placement placement(RandomGenerator random, String dataCentre);
+	abstract Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions);
+
+	/**
+	 * Returns whether entries measure the speed of engines by the generation of turns
+	 * instead of their first events.
+	 * @return {@code true} if they do
+	 */
+	boolean measuresGeneration() {
+		return false;
+	}
 
 	// Starts at a random index, so that ties are broken randomly.
 	private static KnownUpstream leastLoaded(List<KnownUpstream> candidates, RandomGenerator random) {
--- a/mangorack/src/main/java/org/mangorack/dispatch/PlacementCandidate.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PlacementCandidate.java
@@ -17,6 +17,12 @@
 	 */
 	String dataCentre();
 
+	/**
+	 * Returns the number of calls that the upstream runs concurrently.
+	 * @return the slots, at least one
+	 */
+	int slots();
+
 	/**
 	 * Returns the load of the upstream, over all entries.
 	 * @return the calls in flight per slot
--- a/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
@@ -128,11 +128,14 @@
 		return (home != null) ? new KeptPrompt(home.id(), (long) (prompt.tokens() * HOME_KEPT_FRACTION)) : null;
 	}
 
-	// The wait for a slot, the reading of what is not kept, and the generation.
+	// The wait for a slot, the reading of what is not kept, which delays each running
+	// stream
+	// as much as the turn itself, and the generation.
 	private double expectedMillis(T engine, long unread, EngineTimes times) {
 		double load = engine.load();
 		double slowdown = 1 + (SLOWDOWN_AT_FULL_LOAD * Math.min(1, load * load));
-		double work = (times.readMillis(unread) + times.generationMillis()) * slowdown;
+		double running = Math.min(1, load) * engine.slots();
+		double work = (times.readMillis(unread) * (1 + running)) + (times.generationMillis() * slowdown);
 		double wait = Math.max(0, load - 1) * times.generationMillis() * slowdown;
 		double distance = engine.dataCentre().equals(this.dataCentre) ? 0
 				: (CROSS_DATA_CENTRE_COST * times.generationMillis());
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -68,7 +68,7 @@
 	}
 
 	@Override
-	protected int slots() {
+	public int slots() {
 		return Math.max(1, this.entry.slots());
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
@@ -34,12 +34,6 @@
 
 	// ---- Accessors
 
-	/**
-	 * Returns the number of calls that the upstream runs concurrently.
-	 * @return the slots, at least one
-	 */
-	protected abstract int slots();
-
 	/**
 	 * Returns the number of calls that this entry has in flight.
 	 * @return the number of calls
