--- a/bench/src/main/java/org/mangorack/bench/emulator/PlacementPolicy.java
+++ b/bench/src/main/java/org/mangorack/bench/emulator/PlacementPolicy.java
@@ -10,6 +10,7 @@
 
 import org.mangorack.dispatch.EngineTimes;
 import org.mangorack.dispatch.PromptPlacement;
+import org.mangorack.dispatch.UpstreamSubset;
 import org.mangorack.relay.UpstreamChoice;
 
 /**
@@ -73,7 +74,8 @@
 		@Override
 		Placement placement(RandomGenerator random, String dataCentre, SessionEngines sessions) {
 			UpstreamChoice<KnownUpstream> choice = new UpstreamChoice<>(random, dataCentre);
-			PromptPlacement<KnownUpstream> prompts = new PromptPlacement<>(random, dataCentre);
+			PromptPlacement<KnownUpstream> prompts = new PromptPlacement<>(random, dataCentre,
+					new UpstreamSubset(Long.toString(random.nextLong()), dataCentre));
 			EngineTimes times = new EngineTimes();
 			return (candidates, call, affinity, now) -> {
 				if (!call.isTurn()) {
--- a/bench/src/test/java/org/mangorack/bench/emulator/ExperimentTests.java
+++ b/bench/src/test/java/org/mangorack/bench/emulator/ExperimentTests.java
@@ -39,6 +39,21 @@
 			.isLessThan(SMALL.play(PlacementPolicy.LEAST_LOADED).tokensReadAgain());
 	}
 
+	/**
+	 * Conversations on large models, with a burst of 1.7 times the usual load. Guards
+	 * against turns that read their whole prompt again at another engine, at the expense
+	 * of all streams there.
+	 */
+	@Test
+	void programsEndInTimeWherePromptsAreKept() {
+		Experiment pressFloor = new Experiment(LoadShape.sample("press-floor").get(), 1);
+		Figures baseline = pressFloor.play(PlacementPolicy.BEST_OF_THREE);
+		Figures kept = pressFloor.play(PlacementPolicy.KEPT_PROMPT);
+		assertThat(kept.shareInAim()).isGreaterThan(0.95).isGreaterThan(baseline.shareInAim());
+		assertThat(kept.tokensRead()).isLessThan(baseline.tokensRead() / 3);
+		assertThat(kept.latencyAt(99)).isLessThan(baseline.latencyAt(99));
+	}
+
 	@ParameterizedTest
 	@EnumSource
 	void callsEndWhenMemoryAndQueuesAreShort(PlacementPolicy policy) {
--- a/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
@@ -55,14 +55,18 @@
 
 	private final String dataCentre;
 
+	private final UpstreamSubset subset;
+
 	/**
 	 * Creates the placement of an entry.
 	 * @param random the source of randomness
 	 * @param dataCentre the data centre of the entry
+	 * @param subset the engines from which the sample is drawn
 	 */
-	public PromptPlacement(RandomGenerator random, String dataCentre) {
+	public PromptPlacement(RandomGenerator random, String dataCentre, UpstreamSubset subset) {
 		this.random = random;
 		this.dataCentre = dataCentre;
+		this.subset = subset;
 	}
 
 	/**
@@ -93,8 +97,9 @@
 			}
 			remaining.remove(best);
 		}
-		for (int i = 0; (i < SAMPLE_SIZE) && !remaining.isEmpty(); i++) {
-			T next = remaining.remove(this.random.nextInt(remaining.size()));
+		List<T> others = new ArrayList<>(this.subset.select(remaining, now));
+		for (int i = 0; (i < SAMPLE_SIZE) && !others.isEmpty(); i++) {
+			T next = others.remove(this.random.nextInt(others.size()));
 			double expected = expectedMillis(next, unread, times);
 			if (expected < lowest) {
 				best = next;
@@ -119,7 +124,7 @@
 		double highest = Double.NEGATIVE_INFINITY;
 		for (U u : candidates) {
 			double weight = Math.pow(u.latencyRatio(), -LATENCY_WEIGHT_EXPONENT);
-			double score = -weight / Math.log(uniform(prompt.sessionPart() + "|" + u.id()));
+			double score = RendezvousHash.score(prompt.sessionPart(), u.id(), weight);
 			if (score > highest) {
 				highest = score;
 				home = u;
@@ -142,17 +147,4 @@
 		return (engine.latencyRatio() * (work + wait)) + distance;
 	}
 
-	// A number between 0 and 1, exclusive, that depends on all bits of the key.
-	private static double uniform(String key) {
-		long x = 0;
-		for (int i = 0; i < key.length(); i++) {
-			x = (x * 31) + key.charAt(i);
-		}
-		x += 0x9E3779B97F4A7C15L;
-		x = (x ^ (x >>> 30)) * 0xBF58476D1CE4E5B9L;
-		x = (x ^ (x >>> 27)) * 0x94D049BB133111EBL;
-		x ^= x >>> 31;
-		return ((x >>> 11) + 0.5) * 0x1.0p-53;
-	}
-
 }
--- a/mangorack/src/main/java/org/mangorack/relay/CallHead.java
+++ b/mangorack/src/main/java/org/mangorack/relay/CallHead.java
@@ -27,12 +27,13 @@
  * concerns, or {@code null}
  * @param session the session of the turn, which differs between a program and its
  * sub-agents, or {@code null}
+ * @param programTime the time until the program should be finished, or {@code null}
  * @param prompt the parts of the prompt
  * @param headers all headers
  */
 public record CallHead(String method, String target, String host, String requestId, Duration remainingTime, String key,
 		String program, Long budget, int maxTokens, String previousTurn, String lastEventId, String affinity,
-		String session, Prompt prompt, HttpHeaders headers) {
+		String session, Duration programTime, Prompt prompt, HttpHeaders headers) {
 
 	/**
 	 * Returns the path without the query.
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -175,7 +175,8 @@
 				this::onConfigurationApplied);
 		this.keepers = new KeeperClient(this.loop, this.clock, settings.dataCentre(), settings.tolerance());
 		UpstreamClient client = new UpstreamClient(this.loop, protocol, this.clock, metrics);
-		this.upstreams = new UpstreamTable(this.loop, protocol, client, this.clock, settings.dataCentre());
+		this.upstreams = new UpstreamTable(this.loop, protocol, client, this.clock, settings.instance(),
+				settings.dataCentre());
 		this.rates = new WorkspaceRateLimiter(this.keepers, this.configuration::version, this.loop, this.clock);
 		this.keeperReplies = new KeeperReplies(this.clock, settings.dataCentre());
 		this.probe = new PlatformProbe(store, this.clock, metrics, new ProbeListener());
@@ -361,6 +362,7 @@
 
 	private void onConfigurationApplied() {
 		this.server.absence().update();
+		this.server.turns().reconsider();
 		openGateIfReady();
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -31,6 +32,8 @@
 
 	private final CallerLimits callerLimits;
 
+	private final long largestTokenBytes;
+
 	/**
 	 * Creates a configuration.
 	 * @param version its version, which increases with each change
@@ -47,6 +50,12 @@
 		routes.forEach(
 				(r) -> this.routes.computeIfAbsent(r.host(), (host) -> new HashMap<>()).putIfAbsent(r.prefix(), r));
 		pools.forEach((p) -> this.pools.put(p.name(), p));
+		this.largestTokenBytes = pools.stream()
+			.map(Pool::memory)
+			.filter(Objects::nonNull)
+			.mapToLong(EngineMemory::tokenBytes)
+			.max()
+			.orElse(0);
 		if (workspaces != null) {
 			workspaces.forEach((w) -> {
 				w.keys().forEach((key) -> this.workspacesByKey.put(key, w));
@@ -120,6 +129,14 @@
 		return this.pools.get(name);
 	}
 
+	/**
+	 * Returns the largest memory for a token among the engines of all pools.
+	 * @return the size in bytes; 0 if there are no engines
+	 */
+	public long largestTokenBytes() {
+		return this.largestTokenBytes;
+	}
+
 	/**
 	 * Finds the rate limit of a workspace.
 	 * @param workspace the name of the workspace
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -17,6 +18,7 @@
 import org.mangorack.call.Refusal;
 import org.mangorack.call.Verdict;
 import org.mangorack.dispatch.KeptPrompt;
+import org.mangorack.dispatch.QueuedTurn;
 import org.mangorack.keeper.ChainListener;
 import org.mangorack.keeper.ChainedTurn;
 import org.mangorack.keeper.GroupView;
@@ -34,7 +36,7 @@
  * A caller's request from its arrival to the last byte of the response. Not thread-safe:
  * used only on the traffic event loop.
  */
-final class RelayCall {
+final class RelayCall implements QueuedTurn {
 
 	/**
 	 * The largest number of upstreams that are tried while none of them takes the
@@ -137,6 +139,10 @@
 	// Whether the turn is placed by what engines keep of its prompt.
 	private boolean placedByPrompt;
 
+	private boolean waiting;
+
+	private long waitingSince;
+
 	// The engine that keeps the beginning of the prompt, if known.
 	private KeptPrompt keptPrompt;
 
@@ -346,6 +352,9 @@
 					RETRY_AFTER));
 			return;
 		}
+		if (this.placedByPrompt && !isBegun() && !isAdmittedToPool()) {
+			return;
+		}
 		if ((this.route.storesTurns() || isBudgeted()) && this.server.isKeeperGroupUnavailable()) {
 			refuse(Refusal.unavailable("keepers_away", "too few keepers are connected", RETRY_AFTER));
 			return;
@@ -398,6 +407,12 @@
 		if (this.configuration.requiresKeys() && !this.route.open() && !isKeyStillValid()) {
 			return;
 		}
+		boolean mayWait = this.placedByPrompt && (this.connectionAttempts == 0) && (this.waitingSince == 0);
+		if (mayWait && this.server.turns().offer(this.pool, this, timeLeft())) {
+			this.waiting = true;
+			this.waitingSince = this.server.now();
+			return;
+		}
 		Optional<Placed> chosen = choose(this.tried);
 		if (chosen.isEmpty() && (this.lastVerdict == Verdict.MAY_HAVE_RUN)) {
 			chosen = choose(Set.of());
@@ -425,9 +440,109 @@
 				.chooseByPrompt(this.pool, excluded, this.head.prompt(), this.keptPrompt, !this.route.storesTurns());
 		}
 		String affinity = this.route.sticky() ? this.head.affinity() : null;
+		if ((affinity == null) && this.server.prefersSubset(this.configuration)) {
+			return this.server.upstreams()
+				.choosePreferred(this.pool, excluded)
+				.map((upstream) -> new Placed(upstream, 0));
+		}
 		return this.server.upstreams().choose(this.pool, excluded, affinity).map((upstream) -> new Placed(upstream, 0));
 	}
 
+	private Duration timeLeft() {
+		return Duration.ofNanos(this.deadline - this.server.now());
+	}
+
+	// ---- Waiting for room
+
+	@Override
+	public int priority() {
+		return ((this.workspace != null) && (this.workspace.priority() != null)) ? this.workspace.priority()
+				: this.route.priority();
+	}
+
+	// A route that stores no turns does not show which turn of a program a request is.
+	@Override
+	public boolean isBegun() {
+		boolean subAgent = (this.head.session() != null) && !this.head.session().equals(this.head.program());
+		return !isBeginning() || subAgent;
+	}
+
+	@Override
+	public String workspace() {
+		return workspaceName();
+	}
+
+	@Override
+	public long dueAt() {
+		return (this.head.programTime() != null) ? (this.arrivedAt + this.head.programTime().toNanos()) : this.deadline;
+	}
+
+	@Override
+	public long workTokens() {
+		return this.head.prompt().tokens() + this.head.maxTokens();
+	}
+
+	private boolean isAdmittedToPool() {
+		double fill = this.server.upstreams().fill(this.pool);
+		boolean admitted = this.server.admission().admits(priority(), fill);
+		this.server.count("mangorack.programs.admission", "outcome", admitted ? "admitted" : "refused", "priority",
+				Integer.toString(priority()));
+		if (!admitted) {
+			refusePoolBusy(fill);
+		}
+		return admitted;
+	}
+
+	private void refusePoolBusy(double fill) {
+		double turnMillis = this.server.upstreams().engineTimes(this.pool).generationMillis();
+		refuse(Refusal.unavailable("pool_busy",
+				String.format(Locale.ROOT, "pool \"%s\" has %.2f requests for each slot", this.pool, fill),
+				this.server.admission().retryAfter(fill, turnMillis)));
+	}
+
+	/**
+	 * Sends the turn, whose wait for room has ended.
+	 */
+	void waitEnded() {
+		this.waiting = false;
+		this.server.recordWait(priority(), Duration.ofNanos(this.server.now() - this.waitingSince));
+		send();
+	}
+
+	/**
+	 * Ends the longest wait of the turn. A program that has begun is worth the wait at an
+	 * engine; one that has not is refused while its caller can still use the refusal.
+	 */
+	void waitExpired() {
+		if (isBegun()) {
+			waitEnded();
+			return;
+		}
+		this.waiting = false;
+		refusePoolBusy(this.server.upstreams().fill(this.pool));
+	}
+
+	/**
+	 * Judges the waiting turn by the newest configuration, which may lack its route or
+	 * have another time limit or priority for it. The key is checked when the turn is
+	 * sent.
+	 */
+	void reconsider() {
+		FleetConfiguration current = this.server.configuration().current();
+		Optional<RelayRoute> found = current.route(this.head.host(), this.head.path());
+		if (found.isPresent()) {
+			this.configuration = current;
+			this.route = found.get();
+			this.workspace = (this.workspace != null) ? current.workspace(this.head.key()).orElse(this.workspace)
+					: null;
+			cancel(this.deadlineTask);
+			setDeadline();
+		}
+		else if (this.server.absence().isCertain(current)) {
+			refuse(Refusal.notRun(404, "no_route", "the route was removed while the turn waited for room"));
+		}
+	}
+
 	// The key may have been withdrawn while the request was waiting.
 	private boolean isKeyStillValid() {
 		this.configuration = this.server.configuration().current();
@@ -454,7 +569,7 @@
 	Duration recordAttempt() {
 		this.sent = true;
 		this.attempts++;
-		return Duration.ofNanos(this.deadline - this.server.now());
+		return timeLeft();
 	}
 
 	/**
@@ -734,6 +849,9 @@
 		if (this.heldCall != null) {
 			this.heldCall.cancel();
 		}
+		if (this.waiting) {
+			this.server.turns().remove(this.pool, this);
+		}
 		if (this.attempt != null) {
 			this.attempt.abort();
 		}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -21,6 +22,7 @@
 import org.mangorack.call.Refusal;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.KeeperClient;
+import org.mangorack.limit.ProgramAdmission;
 import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
@@ -74,6 +76,10 @@
 
 	private final RouteLatencies routeLatencies = new RouteLatencies();
 
+	private final WaitingTurns turns;
+
+	private final ProgramAdmission admission = new ProgramAdmission(new SplittableRandom());
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private Channel serverChannel;
@@ -103,6 +109,7 @@
 		this.keepers = keepers;
 		this.rates = rates;
 		this.gate = new StartupGate(loop, clock);
+		this.turns = new WaitingTurns(loop, clock, upstreams, metrics);
 		this.log = new CallLog(clock, metrics);
 		this.keepersLastServingAt = clock.nanoTime();
 		this.memory = new MemoryBudget(MemoryBudget.processLimit(), metrics);
@@ -252,6 +259,26 @@
 				&& (pool.memory().tokenBytes() >= this.promptReuseMinTokenBytes);
 	}
 
+	/**
+	 * Returns whether a deployment has engines whose turns are placed by their prompts.
+	 * Its calls without affinity then go to few upstreams of each entry, as programs call
+	 * tools between their turns at a high rate.
+	 * @param current the configuration
+	 * @return {@code true} if any pool reuses prompts
+	 */
+	boolean prefersSubset(FleetConfiguration current) {
+		long tokenBytes = current.largestTokenBytes();
+		return (tokenBytes > 0) && (tokenBytes >= this.promptReuseMinTokenBytes);
+	}
+
+	WaitingTurns turns() {
+		return this.turns;
+	}
+
+	ProgramAdmission admission() {
+		return this.admission;
+	}
+
 	AbsenceCheck absence() {
 		return this.absence;
 	}
@@ -305,6 +332,24 @@
 		return this.loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
 	}
 
+	/**
+	 * Records how long a turn waited for room at the engines of its pool.
+	 * @param priority the priority of the turn
+	 * @param time the time of waiting
+	 */
+	void recordWait(int priority, Duration time) {
+		this.metrics.timer("mangorack.turns.waited", "priority", Integer.toString(priority)).record(time);
+	}
+
+	/**
+	 * Counts an event of a part of the entry.
+	 * @param name the name of the metric
+	 * @param tags alternating names and values
+	 */
+	void count(String name, String... tags) {
+		this.metrics.count(name, 1, tags);
+	}
+
 	void record(String workspace, String route, String outcome, Duration time) {
 		this.metrics.recordCall(workspace.isEmpty() ? "none" : workspace, route, outcome, time);
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -20,6 +20,7 @@
 import org.mangorack.dispatch.EngineTimes;
 import org.mangorack.dispatch.KeptPrompt;
 import org.mangorack.dispatch.PromptPlacement;
+import org.mangorack.dispatch.UpstreamSubset;
 import org.mangorack.keeper.Departures;
 import org.mangorack.keeper.proto.Departure;
 import org.mangorack.keeper.proto.Load;
@@ -55,6 +56,12 @@
 	 */
 	static final Duration DEPARTURE_REPORT_PERIOD = Duration.ofSeconds(3);
 
+	/**
+	 * The load from which on an engine gets no more turns that can wait at the entry. A
+	 * few queued turns keep it busy while the news of its load is on its way.
+	 */
+	static final double ROOM_LOAD = 1.25;
+
 	private static final int MAX_LOGGED_ENTRY_BYTES = 2048;
 
 	private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
@@ -71,6 +78,8 @@
 
 	private final PromptPlacement<Upstream> promptPlacement;
 
+	private final UpstreamSubset subset;
+
 	// Times of the pools whose prompts are reused.
 	private final Map<String, EngineTimes> engineTimes = new HashMap<>();
 
@@ -90,7 +99,7 @@
 
 	private long version;
 
-	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock,
+	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock, String instance,
 			String dataCentre) {
 		this.loop = loop;
 		this.platformRecovery = new PlatformRecovery(clock);
@@ -100,7 +109,8 @@
 		this.client = client;
 		this.clock = clock;
 		this.choice = new UpstreamChoice<>(new SplittableRandom(), dataCentre);
-		this.promptPlacement = new PromptPlacement<>(new SplittableRandom(), dataCentre);
+		this.subset = new UpstreamSubset(instance, dataCentre);
+		this.promptPlacement = new PromptPlacement<>(new SplittableRandom(), dataCentre, this.subset);
 		loop.scheduleWithFixedDelay(new GuardedTask("idle upstream connections", this::closeIdleConnections),
 				SWEEP_INTERVAL.toMillis(), SWEEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -263,6 +273,18 @@
 		return Optional.ofNullable(this.choice.choose(candidates(pool, tried), affinity, this.clock.nanoTime()));
 	}
 
+	/**
+	 * Selects an upstream for a call without affinity among those that this entry
+	 * prefers.
+	 * @param pool the pool
+	 * @param tried the upstreams that this call has already been sent to
+	 * @return the upstream, or empty if none is available
+	 */
+	Optional<Upstream> choosePreferred(String pool, Set<Upstream> tried) {
+		long now = this.clock.nanoTime();
+		return Optional.ofNullable(this.choice.choose(this.subset.select(candidates(pool, tried), now), null, now));
+	}
+
 	/**
 	 * Selects an engine for a turn by what is kept of its prompt.
 	 * @param pool the pool
@@ -294,6 +316,35 @@
 		return this.engineTimes.computeIfAbsent(pool, (p) -> new EngineTimes());
 	}
 
+	/**
+	 * Returns the fill of a pool.
+	 * @param pool the pool
+	 * @return the calls in flight per slot of the upstreams that are not avoided; 0 if
+	 * there are none
+	 */
+	double fill(String pool) {
+		long now = this.clock.nanoTime();
+		double calls = 0;
+		int slots = 0;
+		for (Upstream u : candidates(pool, Set.of())) {
+			if (!u.isAvoided(now)) {
+				calls += u.load() * u.slots();
+				slots += u.slots();
+			}
+		}
+		return (slots > 0) ? (calls / slots) : 0;
+	}
+
+	/**
+	 * Returns whether a pool can take another turn.
+	 * @param pool the pool
+	 * @return {@code false} if all of its upstreams are loaded beyond {@link #ROOM_LOAD}
+	 */
+	boolean hasRoom(String pool) {
+		List<Upstream> candidates = candidates(pool, Set.of());
+		return candidates.isEmpty() || candidates.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
+	}
+
 	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
 		List<Upstream> candidates = new ArrayList<>();
 		for (Upstream u : this.upstreams.values()) {
--- a/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
@@ -133,7 +133,7 @@
 
 	private static CallHead request(String method, String id) {
 		return new CallHead(method, "/read/1", "check.example", id, null, null, null, null, 0, null, null, null, null,
-				Prompt.UNKNOWN, new DefaultHttpHeaders());
+				null, Prompt.UNKNOWN, new DefaultHttpHeaders());
 	}
 
 	private static ResponseHead head(HttpResponse response) {
--- a/mangorack/src/test/java/org/mangorack/relay/UpstreamConnectionTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamConnectionTests.java
@@ -37,7 +37,7 @@
 				new UpstreamDecoder(this.connection::onBytesReceived), new HttpRequestEncoder(), this.connection);
 		Outcome outcome = new Outcome();
 		CallHead head = new CallHead("POST", "/write/1", "check.example", "r1", null, null, null, null, 0, null, null,
-				null, null, Prompt.UNKNOWN, new DefaultHttpHeaders());
+				null, null, null, Prompt.UNKNOWN, new DefaultHttpHeaders());
 		this.connection.send(head, new DefaultHttpHeaders(), Unpooled.copiedBuffer(new byte[] { 'x' }), outcome);
 		channel.runPendingTasks();
 		assertThat(outcome.causes).containsExactly("the request could not be written: connection reset");
--- a/mangorack/src/test/java/org/mangorack/relay/UpstreamTableTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamTableTests.java
@@ -38,7 +38,7 @@
 
 	private final UpstreamTable table = new UpstreamTable(this.channel.eventLoop(), this.protocol,
 			new UpstreamClient(this.channel.eventLoop(), this.protocol, () -> this.now, new Metrics()), () -> this.now,
-			"dc");
+			"entry", "dc");
 
 	private final ContactTracker first = new ContactTracker(() -> this.now);
 
