--- a/mangorack/src/main/java/org/mangorack/dispatch/UpstreamSubset.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/UpstreamSubset.java
@@ -12,8 +12,8 @@
  * Answers the load of many entries before many upstreams, where each pair carries so few
  * calls that its connections time out between them. An entry that spreads its calls over
  * a few upstreams reuses its connections. Each upstream is preferred by the same share of
- * the entries on average; where that is not even enough, upstreams that are loaded are
- * replaced by the next ones in the order of the entry, which is stable through restarts.
+ * the entries on average. Slow and avoided upstreams are replaced by the next ones in the
+ * order of the entry, which is stable through restarts.
  */
 public final class UpstreamSubset {
 
@@ -24,7 +24,9 @@
 	static final int SIZE = 5;
 
 	/**
-	 * The load from which on an upstream is replaced by the next one.
+	 * The load of all preferred upstreams from which on an entry uses the whole pool.
+	 * Single loaded ones are not replaced by the next ones that are not: under a burst,
+	 * all entries would send to the few of those.
 	 */
 	static final double MAX_LOAD = 0.75;
 
@@ -59,19 +61,20 @@
 	 * @param <T> the type of the upstreams
 	 * @param candidates the available upstreams
 	 * @param now the time on the monotonic clock
-	 * @return at most {@link #SIZE} of them that are neither loaded nor slow nor avoided,
-	 * or all candidates if there are none
+	 * @return at most {@link #SIZE} of them that are neither slow nor avoided, or all
+	 * candidates if there are none or all of them are loaded
 	 */
 	public <T extends PlacementCandidate> List<T> select(List<T> candidates, long now) {
 		List<T> ranked = new ArrayList<>(candidates);
-		ranked.removeIf((u) -> (u.load() >= MAX_LOAD) || (u.latencyRatio() >= MAX_LATENCY_RATIO) || u.isAvoided(now));
+		ranked.removeIf((u) -> (u.latencyRatio() >= MAX_LATENCY_RATIO) || u.isAvoided(now));
 		if (ranked.size() > SIZE) {
 			Map<String, Double> scores = new HashMap<>();
 			ranked.forEach((u) -> scores.put(u.id(), score(u)));
 			ranked.sort(Comparator.comparingDouble((T u) -> -scores.get(u.id())));
 			ranked = ranked.subList(0, SIZE);
 		}
-		return ranked.isEmpty() ? candidates : ranked;
+		boolean loaded = ranked.stream().allMatch((u) -> u.load() >= MAX_LOAD);
+		return loaded ? candidates : ranked;
 	}
 
 	private double score(PlacementCandidate upstream) {
