--- a/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
@@ -45,6 +45,8 @@
 	 */
 	static final double LATENCY_WEIGHT_EXPONENT = 3;
 
+	private static final double LATENCY_STEP = 1.4;
+
 	/**
 	 * The part of a prompt that the engine of the session is expected to keep, if it is
 	 * known from the hash of the session only: the last turn and its output are new.
@@ -116,14 +118,20 @@
 	 * @param <U> the type of the upstreams
 	 * @param candidates the available engines
 	 * @param prompt the prompt of a turn of the session
+	 * @param now the time on the monotonic clock
 	 * @return the engine, with the part of the prompt that it probably keeps, or
 	 * {@code null} if there are no candidates
 	 */
-	public static <U extends PlacementCandidate> KeptPrompt home(List<U> candidates, Prompt prompt) {
+	public static <U extends PlacementCandidate> KeptPrompt home(List<U> candidates, Prompt prompt, long now) {
 		U home = null;
 		double highest = Double.NEGATIVE_INFINITY;
 		for (U u : candidates) {
-			double weight = Math.pow(u.latencyRatio(), -LATENCY_WEIGHT_EXPONENT);
+			if (u.isAvoided(now)) {
+				continue;
+			}
+			// Steps keep small changes of the ratio from moving sessions.
+			long step = Math.round(Math.log(u.latencyRatio()) / Math.log(LATENCY_STEP));
+			double weight = Math.pow(LATENCY_STEP, -LATENCY_WEIGHT_EXPONENT * step);
 			double score = RendezvousHash.score(prompt.sessionPart(), u.id(), weight);
 			if (score > highest) {
 				highest = score;
--- a/mangorack/src/main/java/org/mangorack/dispatch/QueuedTurn.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/QueuedTurn.java
@@ -8,8 +8,7 @@
 
 	/**
 	 * Returns the priority.
-	 * @return the priority of the workspace, or of the route if it has none; 0 is the
-	 * highest
+	 * @return the priority, from 0 for the highest to {@link TurnQueue#LOWEST_PRIORITY}
 	 */
 	int priority();
 
--- a/mangorack/src/main/java/org/mangorack/dispatch/TurnQueue.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/TurnQueue.java
@@ -27,6 +27,12 @@
 	 */
 	static final Duration AGEING_INTERVAL = Duration.ofMillis(400);
 
+	/**
+	 * The lowest priority. The longest wait raises any turn above new turns of the
+	 * highest one.
+	 */
+	public static final int LOWEST_PRIORITY = 3;
+
 	private final MonotonicClock clock;
 
 	private final int capacity;
@@ -92,8 +98,7 @@
 			return Optional.empty();
 		}
 		this.waiting.remove(first);
-		this.shares.charge(first.turn().workspace(), 1, first.turn().workTokens());
-		this.shares.evictIdle();
+		charge(first.turn());
 		return Optional.of(first.turn());
 	}
 
@@ -109,6 +114,7 @@
 			if (now - next.until() >= 0) {
 				iterator.remove();
 				expired.add(next.turn());
+				charge(next.turn());
 			}
 		}
 		return expired;
@@ -122,6 +128,11 @@
 		return this.waiting.stream().map(Waiting::turn).toList();
 	}
 
+	private void charge(T turn) {
+		this.shares.charge(turn.workspace(), 1, turn.workTokens());
+		this.shares.evictIdle();
+	}
+
 	private int compare(Waiting<T> a, Waiting<T> b, long now) {
 		int order = Long.compare(rank(a, now), rank(b, now));
 		if (order == 0) {
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -57,6 +57,8 @@
 
 	private int eventsBefore;
 
+	private boolean readingSuspended;
+
 	// The size of the scanned part of an event whose end has not arrived yet.
 	private int scannedBytes;
 
@@ -177,6 +179,7 @@
 	 */
 	void adjustReading() {
 		if (this.streaming && !this.finished) {
+			this.readingSuspended |= !this.call.isCallerWritable();
 			this.connection.setReading(this.call.isCallerWritable());
 		}
 	}
@@ -218,16 +221,16 @@
 		return this.unreadTokens != NOT_MEASURED;
 	}
 
-	// The time between events shows the speed of an engine. The time to the first one
-	// also
-	// depends on the size of the prompt.
+	// The time between events shows the speed of an engine, unless a slow caller held it
+	// back. The time to the first one depends on the size of the prompt too.
 	private void recordGeneration() {
 		int events = this.call.stream().events() - this.eventsBefore;
-		if (isMeasured() && this.latencyRecorded && (events >= MIN_MEASURED_EVENTS)) {
+		boolean measurable = isMeasured() && this.latencyRecorded && !this.readingSuspended;
+		if (measurable && (events >= MIN_MEASURED_EVENTS)) {
 			Duration time = Duration.ofNanos(this.server.now() - this.firstDataAt);
 			this.server.upstreams().engineTimes(this.call.pool()).recordGeneration(time);
-			this.upstream
-				.responseReceived(this.server.routeLatencies().latencyRatio(this.call.pool(), time.dividedBy(events)));
+			this.upstream.responseReceived(
+					this.server.generationLatencies().latencyRatio(this.call.pool(), time.dividedBy(events)));
 		}
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -5,7 +5,6 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -17,8 +16,7 @@
 
 import org.mangorack.call.Refusal;
 import org.mangorack.call.Verdict;
-import org.mangorack.dispatch.KeptPrompt;
-import org.mangorack.dispatch.QueuedTurn;
+import org.mangorack.dispatch.TurnQueue;
 import org.mangorack.keeper.ChainListener;
 import org.mangorack.keeper.ChainedTurn;
 import org.mangorack.keeper.GroupView;
@@ -36,7 +34,7 @@
  * A caller's request from its arrival to the last byte of the response. Not thread-safe:
  * used only on the traffic event loop.
  */
-final class RelayCall implements QueuedTurn {
+final class RelayCall {
 
 	/**
 	 * The largest number of upstreams that are tried while none of them takes the
@@ -116,6 +114,8 @@
 
 	private boolean chainReady;
 
+	private boolean reservationRequested;
+
 	private boolean reserved;
 
 	private boolean reservationDurable;
@@ -136,15 +136,8 @@
 
 	private int tokensPerEvent;
 
-	// Whether the turn is placed by what engines keep of its prompt.
-	private boolean placedByPrompt;
-
-	private boolean waiting;
-
-	private long waitingSince;
-
-	// The engine that keeps the beginning of the prompt, if known.
-	private KeptPrompt keptPrompt;
+	// Null unless the call is a turn for a pool of large models.
+	private EngineTurn engineTurn;
 
 	private ResponseStream stream;
 
@@ -188,6 +181,25 @@
 		return this.stream;
 	}
 
+	/**
+	 * Returns the priority.
+	 * @return the priority of the workspace, or of the route if it has none, from 0 for
+	 * the highest to {@link TurnQueue#LOWEST_PRIORITY}
+	 */
+	int priority() {
+		boolean own = (this.workspace != null) && (this.workspace.priority() != null);
+		int priority = own ? this.workspace.priority() : this.route.priority();
+		return Math.max(0, Math.min(TurnQueue.LOWEST_PRIORITY, priority));
+	}
+
+	/**
+	 * Returns when the program of the call should be finished.
+	 * @return the time on the monotonic clock; the deadline of the call if it is unknown
+	 */
+	long dueAt() {
+		return (this.head.programTime() != null) ? (this.arrivedAt + this.head.programTime().toNanos()) : this.deadline;
+	}
+
 	boolean isStreamBegun() {
 		return (this.stream != null) && this.stream.isBegun();
 	}
@@ -294,7 +306,7 @@
 				+ this.configuration.version() + ", which may not be the newest one", RETRY_AFTER));
 	}
 
-	private boolean isBeginning() {
+	boolean isBeginning() {
 		return this.route.storesTurns() && (this.head.previousTurn() == null);
 	}
 
@@ -307,8 +319,8 @@
 	private void setDeadline() {
 		Duration limit = timeLimit();
 		this.deadline = this.arrivedAt + limit.toNanos();
-		this.deadlineTask = this.server.schedule(this::onDeadline,
-				limit.minus(DEADLINE_MARGIN).isNegative() ? Duration.ZERO : limit.minus(DEADLINE_MARGIN));
+		Duration left = Duration.ofNanos(this.deadline - this.server.now()).minus(DEADLINE_MARGIN);
+		this.deadlineTask = this.server.schedule(this::onDeadline, left.isNegative() ? Duration.ZERO : left);
 	}
 
 	private void onRateDecision(Duration wait) {
@@ -344,16 +356,13 @@
 		// Read once for the whole call, as a newer version may lack the pool.
 		Pool poolSettings = this.configuration.pool(this.pool);
 		this.tokensPerEvent = (poolSettings != null) ? poolSettings.tokensPerEvent() : 0;
-		this.placedByPrompt = this.route.rule().isStreamed() && this.head.prompt().isKnown()
-				&& this.server.reusesPrompts(poolSettings);
-		if (this.placedByPrompt && (this.head.prompt().tokens() > poolSettings.memory().tokens())) {
-			refuse(Refusal.unavailable("request_too_large", "the prompt has " + this.head.prompt().tokens()
-					+ " tokens, the engines of pool \"" + this.pool + "\" hold " + poolSettings.memory().tokens(),
-					RETRY_AFTER));
-			return;
-		}
-		if (this.placedByPrompt && !isBegun() && !isAdmittedToPool()) {
-			return;
+		if (this.route.rule().isStreamed() && this.head.prompt().isKnown() && this.server.reusesPrompts(poolSettings)) {
+			this.engineTurn = new EngineTurn(this.server, this, poolSettings);
+			Optional<Refusal> refusal = this.engineTurn.refusal();
+			if (refusal.isPresent()) {
+				refuse(refusal.get());
+				return;
+			}
 		}
 		if ((this.route.storesTurns() || isBudgeted()) && this.server.isKeeperGroupUnavailable()) {
 			refuse(Refusal.unavailable("keepers_away", "too few keepers are connected", RETRY_AFTER));
@@ -367,6 +376,7 @@
 		this.reserved = !isBudgeted();
 		this.reservationDurable = this.reserved;
 		if (!this.reserved) {
+			this.reservationRequested = true;
 			this.server.keepers()
 				.reserve(programAttempt(), this.head.maxTokens(), this.head.budget(), new ReservationHandler());
 		}
@@ -391,7 +401,7 @@
 		return new ProgramAttempt(program(), this.head.requestId(), retention.plus(this.route.timeout()));
 	}
 
-	private String workspaceName() {
+	String workspaceName() {
 		return (this.workspace != null) ? this.workspace.name() : "";
 	}
 
@@ -403,14 +413,14 @@
 		}
 	}
 
-	private void send() {
+	void send() {
+		if (this.ended) {
+			return;
+		}
 		if (this.configuration.requiresKeys() && !this.route.open() && !isKeyStillValid()) {
 			return;
 		}
-		boolean mayWait = this.placedByPrompt && (this.connectionAttempts == 0) && (this.waitingSince == 0);
-		if (mayWait && this.server.turns().offer(this.pool, this, timeLeft())) {
-			this.waiting = true;
-			this.waitingSince = this.server.now();
+		if ((this.engineTurn != null) && (this.connectionAttempts == 0) && this.engineTurn.awaitRoom()) {
 			return;
 		}
 		Optional<Placed> chosen = choose(this.tried);
@@ -429,15 +439,14 @@
 						lastEventId(), "attempt", this.attempts + 1);
 		}
 		this.connectionAttempts++;
-		this.attempt = new Attempt(this.server, this, upstream,
-				this.placedByPrompt ? (this.head.prompt().tokens() - chosen.get().keptTokens()) : Attempt.NOT_MEASURED);
+		this.attempt = new Attempt(this.server, this, upstream, (this.engineTurn != null)
+				? (this.head.prompt().tokens() - chosen.get().keptTokens()) : Attempt.NOT_MEASURED);
 		this.attempt.start();
 	}
 
 	private Optional<Placed> choose(Set<Upstream> excluded) {
-		if (this.placedByPrompt) {
-			return this.server.upstreams()
-				.chooseByPrompt(this.pool, excluded, this.head.prompt(), this.keptPrompt, !this.route.storesTurns());
+		if (this.engineTurn != null) {
+			return this.engineTurn.choose(excluded);
 		}
 		String affinity = this.route.sticky() ? this.head.affinity() : null;
 		if ((affinity == null) && this.server.prefersSubset(this.configuration)) {
@@ -448,99 +457,40 @@
 		return this.server.upstreams().choose(this.pool, excluded, affinity).map((upstream) -> new Placed(upstream, 0));
 	}
 
-	private Duration timeLeft() {
+	Duration timeLeft() {
 		return Duration.ofNanos(this.deadline - this.server.now());
 	}
 
-	// ---- Waiting for room
-
-	@Override
-	public int priority() {
-		return ((this.workspace != null) && (this.workspace.priority() != null)) ? this.workspace.priority()
-				: this.route.priority();
-	}
-
-	// A route that stores no turns does not show which turn of a program a request is.
-	@Override
-	public boolean isBegun() {
-		boolean subAgent = (this.head.session() != null) && !this.head.session().equals(this.head.program());
-		return !isBeginning() || subAgent;
-	}
-
-	@Override
-	public String workspace() {
-		return workspaceName();
-	}
-
-	@Override
-	public long dueAt() {
-		return (this.head.programTime() != null) ? (this.arrivedAt + this.head.programTime().toNanos()) : this.deadline;
-	}
-
-	@Override
-	public long workTokens() {
-		return this.head.prompt().tokens() + this.head.maxTokens();
-	}
-
-	private boolean isAdmittedToPool() {
-		double fill = this.server.upstreams().fill(this.pool);
-		boolean admitted = this.server.admission().admits(priority(), fill);
-		this.server.count("mangorack.programs.admission", "outcome", admitted ? "admitted" : "refused", "priority",
-				Integer.toString(priority()));
-		if (!admitted) {
-			refusePoolBusy(fill);
-		}
-		return admitted;
-	}
-
-	private void refusePoolBusy(double fill) {
-		double turnMillis = this.server.upstreams().engineTimes(this.pool).generationMillis();
-		refuse(Refusal.unavailable("pool_busy",
-				String.format(Locale.ROOT, "pool \"%s\" has %.2f requests for each slot", this.pool, fill),
-				this.server.admission().retryAfter(fill, turnMillis)));
-	}
-
-	/**
-	 * Sends the turn, whose wait for room has ended.
-	 */
-	void waitEnded() {
-		this.waiting = false;
-		this.server.recordWait(priority(), Duration.ofNanos(this.server.now() - this.waitingSince));
-		send();
-	}
-
-	/**
-	 * Ends the longest wait of the turn. A program that has begun is worth the wait at an
-	 * engine; one that has not is refused while its caller can still use the refusal.
-	 */
-	void waitExpired() {
-		if (isBegun()) {
-			waitEnded();
-			return;
-		}
-		this.waiting = false;
-		refusePoolBusy(this.server.upstreams().fill(this.pool));
-	}
-
 	/**
-	 * Judges the waiting turn by the newest configuration, which may lack its route or
-	 * have another time limit or priority for it. The key is checked when the turn is
-	 * sent.
+	 * Judges a waiting call by the newest configuration: by the time limit and priority
+	 * that hold now. What was decided or reserved by the former version cannot be
+	 * changed, so a call whose route now means something else is refused. The key is
+	 * checked when the call is sent.
 	 */
 	void reconsider() {
 		FleetConfiguration current = this.server.configuration().current();
+		if (this.ended || (current == this.configuration)) {
+			return;
+		}
 		Optional<RelayRoute> found = current.route(this.head.host(), this.head.path());
-		if (found.isPresent()) {
-			this.configuration = current;
-			this.route = found.get();
-			this.workspace = (this.workspace != null) ? current.workspace(this.head.key()).orElse(this.workspace)
-					: null;
-			cancel(this.deadlineTask);
-			setDeadline();
+		if (found.isEmpty()) {
+			if (this.server.absence().isCertain(current)) {
+				refuse(Refusal.notRun(404, "no_route", "the route was removed while the request waited"));
+			}
+			return;
 		}
-		else if (this.server.absence().isCertain(current)) {
-			refuse(Refusal.notRun(404, "no_route", "the route was removed while the turn waited for room"));
+		if (!found.get().isCompatible(this.route, this.pool)
+				|| (current.requiresKeys() != this.configuration.requiresKeys())) {
+			refuse(Refusal.unavailable("route_changed", "the route changed while the request waited", RETRY_AFTER));
+			return;
 		}
+		this.configuration = current;
+		this.route = found.get();
+		current.workspace(this.head.key())
+			.filter((w) -> (this.workspace != null) && w.name().equals(this.workspace.name()))
+			.ifPresent((w) -> this.workspace = w);
+		cancel(this.deadlineTask);
+		setDeadline();
 	}
 
 	// The key may have been withdrawn while the request was waiting.
@@ -691,7 +641,7 @@
 	// upstream.
 	private void reportUnresponsive() {
 		boolean unresponsive = (this.attempt != null) && !this.attempt.hasResponse()
-				&& (elapsed().compareTo(UNRESPONSIVE_AFTER) > 0);
+				&& (elapsed().minus(waited()).compareTo(UNRESPONSIVE_AFTER) > 0);
 		if (unresponsive) {
 			this.attempt.upstream().failed(this.server.now(), "no response after " + elapsed().toMillis() + " ms");
 			this.server.client().closeIdle(this.attempt.upstream(), true);
@@ -704,7 +654,7 @@
 				: Refusal.mayHaveRun(502, code, detail));
 	}
 
-	private void refuse(Refusal refusal) {
+	void refuse(Refusal refusal) {
 		if (this.ended) {
 			return;
 		}
@@ -849,8 +799,8 @@
 		if (this.heldCall != null) {
 			this.heldCall.cancel();
 		}
-		if (this.waiting) {
-			this.server.turns().remove(this.pool, this);
+		if (this.engineTurn != null) {
+			this.engineTurn.cancel();
 		}
 		if (this.attempt != null) {
 			this.attempt.abort();
@@ -859,7 +809,7 @@
 
 	// Replaces the reservation by the tokens that the caller may have received.
 	private void settleCharge() {
-		if ((this.pool != null) && isBudgeted()) {
+		if (this.reservationRequested) {
 			this.server.keepers().settle(programAttempt(), tokens(), true, null, (done) -> {
 			});
 		}
@@ -883,6 +833,11 @@
 		return Duration.ofNanos(this.server.now() - this.arrivedAt);
 	}
 
+	// How long the call waited for room, when no upstream could respond.
+	private Duration waited() {
+		return (this.engineTurn != null) ? this.engineTurn.waited() : Duration.ZERO;
+	}
+
 	private Duration confirmationWait() {
 		return (this.streamEndedAt != 0) ? Duration.ofNanos(this.server.now() - this.streamEndedAt) : Duration.ZERO;
 	}
@@ -916,24 +871,12 @@
 		if (this.head.previousTurn() != null) {
 			turn.setPrevious(this.head.previousTurn());
 		}
-		if (this.placedByPrompt && (this.head.session() != null)) {
-			turn.setUpstream(upstream.id()).setSession(this.head.session());
+		if (this.engineTurn != null) {
+			this.engineTurn.describe(turn, upstream);
 		}
 		return new ChainedTurn(turn.build(), this.chain);
 	}
 
-	// What the engine of the previous turn keeps. The sub-agents of a turn start at the
-	// same
-	// time and would overload its engine, so each of them starts anywhere.
-	private KeptPrompt keptBy(Turn previous) {
-		if (!this.placedByPrompt || previous.getUpstream().isEmpty()
-				|| !previous.getSession().equals(this.head.session())) {
-			return null;
-		}
-		double share = this.chainBytes / (double) (this.chainBytes + this.body.length);
-		return new KeptPrompt(previous.getUpstream(), (long) (this.head.prompt().tokens() * share));
-	}
-
 	/**
 	 * Receives the chain of turns that this turn continues.
 	 */
@@ -948,7 +891,10 @@
 			RelayCall.this.chain = turns;
 			RelayCall.this.chainBytes = turns.stream().mapToLong(Turn::getSerializedSize).sum();
 			updateHeld();
-			RelayCall.this.keptPrompt = keptBy(turns.get(0));
+			if (RelayCall.this.engineTurn != null) {
+				RelayCall.this.engineTurn.setPrevious(turns.get(0), RelayCall.this.chainBytes,
+						RelayCall.this.body.length);
+			}
 			RelayCall.this.chainReady = true;
 			sendIfReady();
 		}
--- a/mangorack/src/main/java/org/mangorack/relay/RelayRoute.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayRoute.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A route of the fleet's configuration.
@@ -47,6 +48,19 @@
 		return this.retention != null;
 	}
 
+	/**
+	 * Returns whether a request that was admitted by another version of the route can be
+	 * served by this one.
+	 * @param admittedBy the version that admitted the request
+	 * @param pool the pool that was selected
+	 * @return {@code true} if only limits, priorities or weights differ
+	 */
+	boolean isCompatible(RelayRoute admittedBy, String pool) {
+		return (this.rule == admittedBy.rule) && (this.open == admittedBy.open)
+				&& Objects.equals(this.retention, admittedBy.retention)
+				&& this.shares.stream().anyMatch((s) -> s.pool().equals(pool));
+	}
+
 	/**
 	 * A pool and its share of a route.
 	 *
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -76,6 +76,9 @@
 
 	private final RouteLatencies routeLatencies = new RouteLatencies();
 
+	// The times between events, by pool of large models.
+	private final RouteLatencies generationLatencies = new RouteLatencies();
+
 	private final WaitingTurns turns;
 
 	private final ProgramAdmission admission = new ProgramAdmission(new SplittableRandom());
@@ -314,6 +317,10 @@
 		return this.routeLatencies;
 	}
 
+	RouteLatencies generationLatencies() {
+		return this.generationLatencies;
+	}
+
 	MemoryBudget memory() {
 		return this.memory;
 	}
@@ -342,12 +349,13 @@
 	}
 
 	/**
-	 * Counts an event of a part of the entry.
-	 * @param name the name of the metric
-	 * @param tags alternating names and values
+	 * Counts a program that began or was refused because its pool was nearly full.
+	 * @param priority the priority of the program
+	 * @param admitted whether it began
 	 */
-	void count(String name, String... tags) {
-		this.metrics.count(name, 1, tags);
+	void recordAdmission(int priority, boolean admitted) {
+		this.metrics.count("mangorack.programs.admission", 1, "outcome", admitted ? "admitted" : "refused", "priority",
+				Integer.toString(priority));
 	}
 
 	void record(String workspace, String route, String outcome, Duration time) {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -296,13 +296,18 @@
 	 * @return the engine, with what it probably keeps, or empty if none is available
 	 */
 	Optional<Placed> chooseByPrompt(String pool, Set<Upstream> tried, Prompt prompt, KeptPrompt kept, boolean byHash) {
+		long now = this.clock.nanoTime();
 		List<Upstream> candidates = candidates(pool, tried);
-		KeptPrompt known = byHash ? PromptPlacement.home(candidates, prompt) : kept;
-		Upstream chosen = this.promptPlacement.choose(candidates, prompt, known, engineTimes(pool),
-				this.clock.nanoTime());
+		KeptPrompt known = byHash ? PromptPlacement.home(candidates, prompt, now) : kept;
+		Upstream chosen = this.promptPlacement.choose(candidates, prompt, known, engineTimes(pool), now);
 		if (chosen == null) {
 			return Optional.empty();
 		}
+		if (byHash) {
+			// What the engine keeps is assumed, so the turn says nothing about its speed
+			// of reading.
+			return Optional.of(new Placed(chosen, prompt.tokens()));
+		}
 		boolean reused = (known != null) && chosen.id().equals(known.upstream());
 		return Optional.of(new Placed(chosen, reused ? known.tokens() : prompt.sharedTokens()));
 	}
@@ -319,18 +324,17 @@
 	/**
 	 * Returns the fill of a pool.
 	 * @param pool the pool
-	 * @return the calls in flight per slot of the upstreams that are not avoided; 0 if
-	 * there are none
+	 * @return the calls in flight per slot, where upstreams that are avoided count as
+	 * full; 0 if there are no upstreams
 	 */
 	double fill(String pool) {
 		long now = this.clock.nanoTime();
 		double calls = 0;
 		int slots = 0;
 		for (Upstream u : candidates(pool, Set.of())) {
-			if (!u.isAvoided(now)) {
-				calls += u.load() * u.slots();
-				slots += u.slots();
-			}
+			double load = u.isAvoided(now) ? Math.max(1, u.load()) : u.load();
+			calls += load * u.slots();
+			slots += u.slots();
 		}
 		return (slots > 0) ? (calls / slots) : 0;
 	}
@@ -338,11 +342,15 @@
 	/**
 	 * Returns whether a pool can take another turn.
 	 * @param pool the pool
-	 * @return {@code false} if all of its upstreams are loaded beyond {@link #ROOM_LOAD}
+	 * @return {@code false} if all of its upstreams that are not avoided are loaded
+	 * beyond {@link #ROOM_LOAD}; if all are avoided, each of them counts
 	 */
 	boolean hasRoom(String pool) {
+		long now = this.clock.nanoTime();
 		List<Upstream> candidates = candidates(pool, Set.of());
-		return candidates.isEmpty() || candidates.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
+		List<Upstream> available = candidates.stream().filter((u) -> !u.isAvoided(now)).toList();
+		List<Upstream> counted = available.isEmpty() ? candidates : available;
+		return counted.isEmpty() || counted.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
 	}
 
 	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
--- a/mangorack/src/main/java/org/mangorack/relay/WaitingTurns.java
+++ b/mangorack/src/main/java/org/mangorack/relay/WaitingTurns.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -31,11 +30,13 @@
 	 */
 	static final double MAX_WAIT_FRACTION = 0.25;
 
+	private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
+
 	/**
-	 * The interval between checks for room. At most one turn of a pool is sent at each:
-	 * all entries learn of free slots at the same time and would overfill them together.
+	 * The part of the waiting turns of a pool that is sent at one check, at least one.
+	 * All entries learn of free slots at the same time and would overfill them together.
 	 */
-	private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
+	static final double SENT_FRACTION = 0.125;
 
 	private final EventLoop loop;
 
@@ -43,37 +44,43 @@
 
 	private final UpstreamTable upstreams;
 
-	private final Map<String, TurnQueue<RelayCall>> queues = new HashMap<>();
+	private final Map<String, TurnQueue<EngineTurn>> queues = new HashMap<>();
 
 	private boolean checkScheduled;
 
+	// Read by the thread that reports metrics.
+	private volatile int waiting;
+
 	WaitingTurns(EventLoop loop, MonotonicClock clock, UpstreamTable upstreams, Metrics metrics) {
 		this.loop = loop;
 		this.clock = clock;
 		this.upstreams = upstreams;
-		metrics.gauge("mangorack.turns.waiting", this::size);
+		metrics.gauge("mangorack.turns.waiting", () -> this.waiting);
 	}
 
 	/**
-	 * Adds a turn if its engines are full.
+	 * Adds a turn if its engines are full. If too many turns wait already, the first of
+	 * them is sent instead.
 	 * @param pool the pool of the turn
 	 * @param turn the turn
 	 * @param remaining the time left for the turn
-	 * @return {@code false} if the turn is to be sent now, because there is room or too
-	 * many turns wait
+	 * @return {@code false} if the turn is to be sent now, because there is room
 	 */
-	boolean offer(String pool, RelayCall turn, Duration remaining) {
-		TurnQueue<RelayCall> queue = this.queues.computeIfAbsent(pool, (p) -> new TurnQueue<>(this.clock, CAPACITY));
+	boolean offer(String pool, EngineTurn turn, Duration remaining) {
+		TurnQueue<EngineTurn> queue = this.queues.computeIfAbsent(pool, (p) -> new TurnQueue<>(this.clock, CAPACITY));
 		if ((queue.size() == 0) && this.upstreams.hasRoom(pool)) {
 			return false;
 		}
+		if (queue.size() >= CAPACITY) {
+			queue.poll().ifPresent(EngineTurn::waitEnded);
+		}
 		boolean added = queue.offer(turn, Duration.ofNanos((long) (remaining.toNanos() * MAX_WAIT_FRACTION)));
 		scheduleCheck();
 		return added;
 	}
 
-	void remove(String pool, RelayCall turn) {
-		TurnQueue<RelayCall> queue = this.queues.get(pool);
+	void remove(String pool, EngineTurn turn) {
+		TurnQueue<EngineTurn> queue = this.queues.get(pool);
 		if (queue != null) {
 			queue.remove(turn);
 		}
@@ -88,15 +95,12 @@
 			.map(TurnQueue::turns)
 			.flatMap(List::stream)
 			.toList()
-			.forEach(RelayCall::reconsider);
-	}
-
-	private int size() {
-		return this.queues.values().stream().mapToInt(TurnQueue::size).sum();
+			.forEach(EngineTurn::reconsider);
 	}
 
 	private void scheduleCheck() {
-		if (!this.checkScheduled && (size() > 0)) {
+		this.waiting = this.queues.values().stream().mapToInt(TurnQueue::size).sum();
+		if (!this.checkScheduled && (this.waiting > 0)) {
 			this.checkScheduled = true;
 			this.loop.schedule(new GuardedTask("waiting turns", this::check), CHECK_INTERVAL.toMillis(),
 					TimeUnit.MILLISECONDS);
@@ -105,12 +109,22 @@
 
 	private void check() {
 		this.checkScheduled = false;
-		this.queues.forEach((pool, queue) -> {
-			queue.pollExpired().forEach(RelayCall::waitExpired);
-			Optional<RelayCall> next = this.upstreams.hasRoom(pool) ? queue.poll() : Optional.empty();
-			next.ifPresent(RelayCall::waitEnded);
-		});
-		scheduleCheck();
+		try {
+			// The end of a turn may start the next request of its caller, and so add a
+			// queue.
+			Map.copyOf(this.queues).forEach(this::check);
+		}
+		finally {
+			scheduleCheck();
+		}
+	}
+
+	private void check(String pool, TurnQueue<EngineTurn> queue) {
+		queue.pollExpired().forEach(EngineTurn::waitExpired);
+		int most = (int) Math.ceil(queue.size() * SENT_FRACTION);
+		for (int i = 0; (i < most) && this.upstreams.hasRoom(pool); i++) {
+			queue.poll().ifPresent(EngineTurn::waitEnded);
+		}
 	}
 
 }
--- a/mangorack/src/test/java/org/mangorack/dispatch/PromptPlacementTests.java
+++ b/mangorack/src/test/java/org/mangorack/dispatch/PromptPlacementTests.java
@@ -32,7 +32,7 @@
 	@Test
 	void withoutCandidatesNoEngineIsSelected() {
 		assertThat(choose(List.of(), KEPT, 1)).isNull();
-		assertThat(PromptPlacement.home(List.<TestCandidate>of(), PROMPT)).isNull();
+		assertThat(PromptPlacement.home(List.<TestCandidate>of(), PROMPT, this.now)).isNull();
 	}
 
 	/**
@@ -110,23 +110,45 @@
 		Map<String, Integer> homes = new HashMap<>();
 		for (int i = 0; i < 3000; i++) {
 			Prompt prompt = Prompt.parse("5:512," + Integer.toHexString(i) + ":900");
-			KeptPrompt home = PromptPlacement.home(engines, prompt);
+			KeptPrompt home = PromptPlacement.home(engines, prompt, this.now);
 			homes.merge(home.upstream(), 1, Integer::sum);
 			List<TestCandidate> fewer = engines.stream().filter((e) -> !e.id().equals("e3")).toList();
 			if (!home.upstream().equals("e3")) {
-				assertThat(PromptPlacement.home(fewer, prompt)).isEqualTo(home);
+				assertThat(PromptPlacement.home(fewer, prompt, this.now)).isEqualTo(home);
 			}
 		}
 		assertThat(homes).hasSize(30);
 		assertThat(homes.values()).allMatch((count) -> (count > 60) && (count < 140));
 	}
 
+	/**
+	 * Guards against sessions that move to another engine with each small change of the
+	 * latency ratios.
+	 */
+	@Test
+	void smallChangesOfTheLatencyRatioMoveNoSession() {
+		List<TestCandidate> engines = engines(10);
+		Prompt prompt = Prompt.parse("5:512,a:900");
+		KeptPrompt home = PromptPlacement.home(engines, prompt, this.now);
+		IntStream.range(0, 10).forEach((i) -> engines.get(i).latencyRatio(0.9 + (0.02 * i)));
+		assertThat(PromptPlacement.home(engines, prompt, this.now)).isEqualTo(home);
+	}
+
+	@Test
+	void anAvoidedEngineIsTheHomeOfNoSession() {
+		List<TestCandidate> engines = engines(10);
+		Prompt prompt = Prompt.parse("5:512,a:900");
+		String home = PromptPlacement.home(engines, prompt, this.now).upstream();
+		engines.stream().filter((e) -> e.id().equals(home)).forEach(TestCandidate::avoided);
+		assertThat(PromptPlacement.home(engines, prompt, this.now).upstream()).isNotEqualTo(home);
+	}
+
 	@Test
 	void aSlowEngineIsTheHomeOfFewSessions() {
 		List<TestCandidate> engines = engines(10);
 		engines.get(0).latencyRatio(2);
 		long slow = IntStream.range(0, 1000)
-			.filter((i) -> PromptPlacement.home(engines, Prompt.parse(Integer.toHexString(i) + ":900"))
+			.filter((i) -> PromptPlacement.home(engines, Prompt.parse(Integer.toHexString(i) + ":900"), this.now)
 				.upstream()
 				.equals("e0"))
 			.count();
