--- a/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
@@ -141,9 +141,8 @@
 		return (home != null) ? new KeptPrompt(home.id(), (long) (prompt.tokens() * HOME_KEPT_FRACTION)) : null;
 	}
 
-	// The wait for a slot, the reading of what is not kept, which delays each running
-	// stream
-	// as much as the turn itself, and the generation.
+	// The wait for a slot, the reading of what is not kept, and the generation. Reading
+	// delays each running stream as much as the turn itself.
 	private double expectedMillis(T engine, long unread, EngineTimes times) {
 		double load = engine.load();
 		double slowdown = 1 + (SLOWDOWN_AT_FULL_LOAD * Math.min(1, load * load));
--- a/mangorack/src/main/java/org/mangorack/relay/EngineTurn.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EngineTurn.java
@@ -187,8 +187,10 @@
 	 * @return the engine, or empty if none is available
 	 */
 	Optional<Placed> choose(Set<Upstream> excluded) {
-		return this.server.upstreams()
+		Optional<Placed> placed = this.server.upstreams()
 			.chooseByPrompt(this.pool.name(), excluded, prompt(), this.kept, !this.call.route().storesTurns());
+		placed.ifPresent((p) -> this.server.recordPlacement(p.reuse().label()));
+		return placed;
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -29,6 +29,7 @@
 import org.mangorack.relay.FleetConfiguration.Workspace;
 import org.mangorack.relay.FleetProtocol.ResponseHead;
 import org.mangorack.relay.UpstreamTable.Placed;
+import org.mangorack.relay.UpstreamTable.Reuse;
 
 /**
  * A caller's request from its arrival to the last byte of the response. Not thread-safe:
@@ -452,9 +453,11 @@
 		if ((affinity == null) && this.server.prefersSubset(this.configuration)) {
 			return this.server.upstreams()
 				.choosePreferred(this.pool, excluded)
-				.map((upstream) -> new Placed(upstream, 0));
+				.map((upstream) -> new Placed(upstream, 0, Reuse.NEW));
 		}
-		return this.server.upstreams().choose(this.pool, excluded, affinity).map((upstream) -> new Placed(upstream, 0));
+		return this.server.upstreams()
+			.choose(this.pool, excluded, affinity)
+			.map((upstream) -> new Placed(upstream, 0, Reuse.NEW));
 	}
 
 	Duration timeLeft() {
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -348,6 +348,15 @@
 		this.metrics.timer("mangorack.turns.waited", "priority", Integer.toString(priority)).record(time);
 	}
 
+	/**
+	 * Counts an attempt of a turn for a pool of large models.
+	 * @param where {@code kept} at the engine that probably keeps its prompt,
+	 * {@code moved} away from it, or {@code new} if none is known
+	 */
+	void recordPlacement(String where) {
+		this.metrics.count("mangorack.turns.placed", 1, "where", where);
+	}
+
 	/**
 	 * Counts a program that began or was refused because its pool was nearly full.
 	 * @param priority the priority of the program
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -303,13 +304,12 @@
 		if (chosen == null) {
 			return Optional.empty();
 		}
-		if (byHash) {
-			// What the engine keeps is assumed, so the turn says nothing about its speed
-			// of reading.
-			return Optional.of(new Placed(chosen, prompt.tokens()));
-		}
-		boolean reused = (known != null) && chosen.id().equals(known.upstream());
-		return Optional.of(new Placed(chosen, reused ? known.tokens() : prompt.sharedTokens()));
+		Reuse reuse = (known != null) ? Reuse.of(chosen, known) : Reuse.NEW;
+		// What the engine of a hash keeps is assumed, so the turn says nothing about its
+		// speed
+		// of reading.
+		long reused = (reuse == Reuse.KEPT) ? known.tokens() : prompt.sharedTokens();
+		return Optional.of(new Placed(chosen, byHash ? prompt.tokens() : reused, reuse));
 	}
 
 	/**
@@ -413,12 +413,37 @@
 	}
 
 	/**
-	 * An engine that was selected for a turn.
+	 * Whether a turn reuses a prompt that was read before.
+	 */
+	enum Reuse {
+
+		/** At the engine that probably keeps the beginning of its prompt. */
+		KEPT,
+
+		/** At another engine than that. */
+		MOVED,
+
+		/** No engine is known to keep it. */
+		NEW;
+
+		private static Reuse of(Upstream chosen, KeptPrompt known) {
+			return chosen.id().equals(known.upstream()) ? KEPT : MOVED;
+		}
+
+		String label() {
+			return name().toLowerCase(Locale.ROOT);
+		}
+
+	}
+
+	/**
+	 * An upstream that was selected for a call.
 	 *
-	 * @param upstream the engine
+	 * @param upstream the upstream
 	 * @param keptTokens what it probably keeps of the prompt, in tokens
+	 * @param reuse whether the call reuses a prompt
 	 */
-	record Placed(Upstream upstream, long keptTokens) {
+	record Placed(Upstream upstream, long keptTokens, Reuse reuse) {
 	}
 
 }
