--- a/bench/src/test/java/org/mangorack/bench/fleet/FleetProcesses.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/FleetProcesses.java
@@ -52,6 +52,10 @@
 
 	private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.]+)(\\|json)?\\}\\}");
 
+	// A part of a template that is rendered only if a value is present.
+	private static final Pattern SECTION = Pattern.compile("\\{\\{#([a-z_.]+)\\}\\}(.*?)\\{\\{/\\1\\}\\}",
+			Pattern.DOTALL);
+
 	private static final Pattern COMMAND = Pattern.compile("run = \"(.*)\"");
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -277,7 +281,9 @@
 		Map<String, Object> values = settingsOf(process);
 		String template = Files.readString(this.root.resolve("deploy/" + process.role().key() + ".json"));
 		StringBuilder text = new StringBuilder();
-		Matcher matcher = PLACEHOLDER.matcher(template);
+		String present = SECTION.matcher(template)
+			.replaceAll((s) -> values.containsKey(s.group(1)) ? Matcher.quoteReplacement(s.group(2)) : "");
+		Matcher matcher = PLACEHOLDER.matcher(present);
 		while (matcher.find()) {
 			Object value = values.get(matcher.group(1));
 			String rendered = (matcher.group(2) != null) ? MAPPER.writeValueAsString(value) : String.valueOf(value);
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -96,6 +96,8 @@
 
 	private int entries;
 
+	private Duration evacuationBound;
+
 	TestFleetNodes() throws IOException {
 		this.store.start();
 	}
@@ -186,7 +188,7 @@
 		this.entry = new EntryNode(
 				new EntrySettings(name, "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
 						this.keeperAddresses, tolerance, Duration.ofSeconds(4), CONFIGURATION_APPLY, grace,
-						EntrySettings.DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES),
+						EntrySettings.DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES, this.evacuationBound),
 				newStore(), new WireProtocol(), newMetrics(name));
 		this.resources.add(this.entry);
 	}
@@ -218,8 +220,9 @@
 		KindCache retirements = new KindCache(client, ObjectKind.RETIREMENT, MonotonicClock.SYSTEM, () -> {
 		});
 		KeeperNode keeper = new KeeperNode(
-				new KeeperSettings(name, "dc", address, null, storeAddress(), folder, tolerance, first), client, watch,
-				new PlatformRetirements(client, retirements), this.metrics);
+				new KeeperSettings(name, "dc", address, null, storeAddress(), folder, tolerance, first,
+						this.evacuationBound),
+				client, watch, new PlatformRetirements(client, retirements), this.metrics);
 		this.resources.addAll(List.of(watch, retirements, keeper));
 		keeper.start();
 		watch.start();
@@ -227,6 +230,14 @@
 		this.keepers.add(keeper);
 	}
 
+	/**
+	 * Makes keepers that are started from now on watch evacuations.
+	 * @param bound the time within which an evacuation must take effect
+	 */
+	void setEvacuationBound(Duration bound) {
+		this.evacuationBound = bound;
+	}
+
 	void stopKeepers() {
 		this.keepers.forEach(KeeperNode::stop);
 		this.keepers.clear();
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -99,6 +99,11 @@
 		KindCache upstreams = cache(ObjectKind.UPSTREAM);
 		this.service = new KeeperService(this.loops, turns, viewFile, disk, view, this.configuration,
 				new UpstreamList(upstreams::snapshot, upstreams::contact), this.clock, this.metrics);
+		if (this.settings.evacuationBound() != null) {
+			KindCache evacuations = cache(ObjectKind.EVACUATION);
+			this.service.setEvacuations(new EvacuationList(evacuations::snapshot));
+			evacuations.start();
+		}
 		try {
 			this.loops.next().submit(() -> null).get();
 		}
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -95,6 +95,8 @@
 
 	private final MonotonicClock clock;
 
+	private EvacuationList evacuations = EvacuationList.unwatched();
+
 	private Consumer<GroupView> viewListener = (v) -> {
 	};
 
@@ -194,6 +196,15 @@
 		this.viewListener = listener;
 	}
 
+	/**
+	 * Sets the evacuated data centres to report to entries. Must be called before the
+	 * service is started.
+	 * @param evacuations the list, which the platform watch keeps up to date
+	 */
+	void setEvacuations(EvacuationList evacuations) {
+		this.evacuations = evacuations;
+	}
+
 	TurnStore turns() {
 		return this.turns;
 	}
@@ -374,6 +385,7 @@
 			.setUpstreams(this.upstreams.changesSince(beat.getUpstreams()))
 			.addAllLoad(this.entries.loadOfOtherEntries(beat.getInstance()));
 		this.entries.addChanges(beat, pulse);
+		this.evacuations.newerThan(beat.getEvacuations()).ifPresent(pulse::setEvacuations);
 		pulse.setDepartures(this.departures.version());
 		if (this.departures.version() != beat.getDepartures()) {
 			pulse.addAllDeparture(this.departures.all(Departures.RETENTION));
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperSettings.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperSettings.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.nio.file.Path;
+import java.time.Duration;
 
 import org.mangorack.call.Identifiers;
 import org.mangorack.config.ObjectReader;
@@ -18,9 +19,11 @@
  * @param tolerance how many disks may be lost at once
  * @param firstStart whether the whole system starts for the first time, so that the
  * keepers create the group
+ * @param evacuationBound the time within which an evacuation of a data centre must take
+ * effect, or {@code null} if there are no evacuations
  */
 public record KeeperSettings(String instance, String dataCentre, HttpAddress listen, HttpAddress metrics,
-		HttpAddress platform, Path dataFolder, int tolerance, boolean firstStart) {
+		HttpAddress platform, Path dataFolder, int tolerance, boolean firstStart, Duration evacuationBound) {
 
 	private static final int MAX_TOLERANCE = 10;
 
@@ -38,8 +41,10 @@
 		String folder = reader.string("dataFolder");
 		int tolerance = (int) reader.integer("tolerance", 0, MAX_TOLERANCE, 1);
 		boolean firstStart = reader.bool("firstStart", false);
+		Duration evacuationBound = reader.has("evacuationMillis")
+				? Duration.ofMillis(reader.integer("evacuationMillis", 100, 600_000, 5000)) : null;
 		return new KeeperSettings(instance, dataCentre, listen, metrics, platform, Path.of(folder), tolerance,
-				firstStart);
+				firstStart, evacuationBound);
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Beat.java
@@ -455,6 +455,21 @@
     return entriesStart_;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 18;
+  private long evacuations_ = 0L;
+  /**
+   * <pre>
+   * Version of the evacuations that the sender knows; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 evacuations = 18;</code>
+   * @return The evacuations.
+   */
+  @java.lang.Override
+  public long getEvacuations() {
+    return evacuations_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -517,6 +532,9 @@
     if (entriesStart_ != 0L) {
       output.writeFixed64(17, entriesStart_);
     }
+    if (evacuations_ != 0L) {
+      output.writeUInt64(18, evacuations_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -587,6 +605,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(17, entriesStart_);
     }
+    if (evacuations_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(18, evacuations_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -634,6 +656,8 @@
         != other.getDepartures()) return false;
     if (getEntriesStart()
         != other.getEntriesStart()) return false;
+    if (getEvacuations()
+        != other.getEvacuations()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -693,6 +717,9 @@
     hash = (37 * hash) + ENTRIES_START_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEntriesStart());
+    hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvacuations());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -862,6 +889,7 @@
       bitField0_ = (bitField0_ & ~0x00002000);
       departures_ = 0L;
       entriesStart_ = 0L;
+      evacuations_ = 0L;
       return this;
     }
 
@@ -965,6 +993,9 @@
       if (((from_bitField0_ & 0x00008000) != 0)) {
         result.entriesStart_ = entriesStart_;
       }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.evacuations_ = evacuations_;
+      }
     }
 
     @java.lang.Override
@@ -1102,6 +1133,9 @@
       if (other.getEntriesStart() != 0L) {
         setEntriesStart(other.getEntriesStart());
       }
+      if (other.getEvacuations() != 0L) {
+        setEvacuations(other.getEvacuations());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1232,6 +1266,11 @@
               bitField0_ |= 0x00008000;
               break;
             } // case 137
+            case 144: {
+              evacuations_ = input.readUInt64();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 144
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2673,6 +2712,50 @@
       return this;
     }
 
+    private long evacuations_ ;
+    /**
+     * <pre>
+     * Version of the evacuations that the sender knows; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 evacuations = 18;</code>
+     * @return The evacuations.
+     */
+    @java.lang.Override
+    public long getEvacuations() {
+      return evacuations_;
+    }
+    /**
+     * <pre>
+     * Version of the evacuations that the sender knows; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 evacuations = 18;</code>
+     * @param value The evacuations to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuations(long value) {
+
+      evacuations_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the evacuations that the sender knows; 0 for none.
+     * </pre>
+     *
+     * <code>uint64 evacuations = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuations() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      evacuations_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Beat)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/BeatOrBuilder.java
@@ -229,4 +229,14 @@
    * @return The entriesStart.
    */
   long getEntriesStart();
+
+  /**
+   * <pre>
+   * Version of the evacuations that the sender knows; 0 for none.
+   * </pre>
+   *
+   * <code>uint64 evacuations = 18;</code>
+   * @return The evacuations.
+   */
+  long getEvacuations();
 }
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -106,6 +106,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_mangorack_keeper_Pulse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_mangorack_keeper_Evacuations_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_mangorack_keeper_Evacuations_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_mangorack_keeper_FetchConfiguration_descriptor;
   static final 
@@ -248,7 +253,7 @@
       "tion_ms\030\007 \001(\003\022\020\n\010upstream\030\010 \001(\t\022\017\n\007sessi" +
       "on\030\t \001(\t\"\025\n\005Fetch\022\014\n\004turn\030\001 \001(\t\"P\n\005Chain" +
       "\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\022\017" +
-      "\n\007missing\030\002 \001(\t\022\020\n\010complete\030\003 \001(\010\"\234\003\n\004Be" +
+      "\n\007missing\030\002 \001(\t\022\020\n\010complete\030\003 \001(\010\"\261\003\n\004Be" +
       "at\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_address\030\002" +
       " \001(\t\022\014\n\004zone\030\003 \001(\t\022\021\n\taccepting\030\004 \001(\010\022&\n" +
       "\005usage\030\005 \003(\0132\027.mangorack.keeper.Usage\022\025\n" +
@@ -259,60 +264,63 @@
       "_lists\030\r \001(\010\022\021\n\tupstreams\030\016 \001(\004\022.\n\tdepar" +
       "ture\030\017 \003(\0132\033.mangorack.keeper.Departure\022" +
       "\022\n\ndepartures\030\020 \001(\004\022\025\n\rentries_start\030\021 \001" +
-      "(\006J\004\010\n\020\013\"R\n\tDeparture\022\020\n\010upstream\030\001 \001(\t\022" +
-      "\017\n\007address\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\003\022\016\n\006" +
-      "age_ms\030\004 \001(\004\"=\n\005Usage\022\021\n\tworkspace\030\001 \001(\t" +
-      "\022\r\n\005calls\030\002 \001(\021\022\022\n\nbeginnings\030\003 \001(\021\"X\n\004L" +
-      "oad\022\020\n\010upstream\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007" +
-      "answers\030\003 \001(\r\022\020\n\010pace_sum\030\004 \001(\001\022\014\n\004pace\030" +
-      "\005 \001(\001\"\310\004\n\005Pulse\022&\n\005level\030\001 \003(\0132\027.mangora" +
-      "ck.keeper.Level\022\025\n\rconfiguration\030\002 \001(\004\022\034" +
-      "\n\024configuration_age_ms\030\003 \001(\004\022\017\n\007entries\030" +
-      "\005 \001(\004\022&\n\005entry\030\006 \003(\0132\027.mangorack.keeper." +
-      "Entry\022$\n\004load\030\007 \003(\0132\026.mangorack.keeper.L" +
-      "oad\022\026\n\016contact_age_ms\030\010 \001(\004\022\036\n\026entries_c" +
-      "ontact_age_ms\030\t \001(\004\022\025\n\rentries_heard\030\n \001" +
-      "(\r\022\017\n\007time_ms\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\022" +
-      "1\n\tupstreams\030\r \001(\0132\036.mangorack.keeper.Up" +
-      "streamNews\0222\n\007contact\030\016 \001(\0132!.mangorack." +
-      "keeper.PlatformContact\022\022\n\ndepartures\030\017 \001" +
-      "(\004\022.\n\tdeparture\030\020 \003(\0132\033.mangorack.keeper" +
-      ".Departure\022\034\n\024configuration_wanted\030\021 \001(\010" +
-      "\022\025\n\rentries_since\030\022 \001(\004\022\022\n\nentry_gone\030\023 " +
-      "\003(\t\022\025\n\rentries_start\030\024 \001(\006J\004\010\004\020\005\"#\n\022Fetc" +
-      "hConfiguration\022\r\n\005known\030\001 \001(\004\"I\n\025Configu" +
-      "rationDocument\022\017\n\007version\030\001 \001(\004\022\017\n\007conte" +
-      "nt\030\002 \001(\014\022\016\n\006age_ms\030\003 \001(\004\"G\n\017PlatformCont" +
-      "act\022\021\n\tanswering\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(" +
-      "\004\022\016\n\006broken\030\003 \001(\010\"v\n\014UpstreamNews\022\017\n\007ver" +
-      "sion\030\001 \001(\004\022\r\n\005whole\030\002 \001(\010\0222\n\010upstream\030\003 " +
-      "\003(\0132 .mangorack.keeper.UpstreamObject\022\014\n" +
-      "\004gone\030\004 \003(\tJ\004\010\005\020\006\"0\n\016UpstreamObject\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\020\n\010document\030\002 \001(\014\"?\n\005Entry\022\020\n\010" +
-      "instance\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014" +
-      "\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t" +
-      "\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw" +
-      "\022\021\n\tworkspace\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016" +
-      "\n\006urgent\030\003 \001(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Dr" +
-      "awn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-" +
-      "\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack.keeper" +
-      ".View\"\013\n\tInventory\"a\n\007Listing\022\014\n\004turn\030\001 " +
-      "\003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.keeper." +
-      "ProgramCharges\022\025\n\runsynced_turn\030\003 \003(\t\"a\n" +
-      "\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(\n\006char" +
-      "ge\030\002 \003(\0132\030.mangorack.keeper.Charge\022\024\n\014re" +
-      "tention_ms\030\003 \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-" +
-      "\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper" +
-      ".Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack" +
-      ".keeper.Turn\0221\n\007program\030\002 \003(\0132 .mangorac" +
-      "k.keeper.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\t" +
-      "stored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorac" +
-      "k.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mango" +
-      "rack.keeper.ProgramChargesH\000B\006\n\004body*N\n\006" +
-      "Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOW" +
-      "N_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032" +
-      "org.mangorack.keeper.protoB\013KeeperProtoP" +
-      "\001b\006proto3"
+      "(\006\022\023\n\013evacuations\030\022 \001(\004J\004\010\n\020\013\"R\n\tDepartu" +
+      "re\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\022\n" +
+      "\nstarted_at\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\004\"=\n\005Usa" +
+      "ge\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022\022\n\n" +
+      "beginnings\030\003 \001(\021\"X\n\004Load\022\020\n\010upstream\030\001 \001" +
+      "(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\020\n\010pa" +
+      "ce_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\"\374\004\n\005Pulse\022&\n\005" +
+      "level\030\001 \003(\0132\027.mangorack.keeper.Level\022\025\n\r" +
+      "configuration\030\002 \001(\004\022\034\n\024configuration_age" +
+      "_ms\030\003 \001(\004\022\017\n\007entries\030\005 \001(\004\022&\n\005entry\030\006 \003(" +
+      "\0132\027.mangorack.keeper.Entry\022$\n\004load\030\007 \003(\013" +
+      "2\026.mangorack.keeper.Load\022\026\n\016contact_age_" +
+      "ms\030\010 \001(\004\022\036\n\026entries_contact_age_ms\030\t \001(\004" +
+      "\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_ms\030\013 \001(\003" +
+      "\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstreams\030\r \001(\0132" +
+      "\036.mangorack.keeper.UpstreamNews\0222\n\007conta" +
+      "ct\030\016 \001(\0132!.mangorack.keeper.PlatformCont" +
+      "act\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdeparture\030\020 \003" +
+      "(\0132\033.mangorack.keeper.Departure\022\034\n\024confi" +
+      "guration_wanted\030\021 \001(\010\022\025\n\rentries_since\030\022" +
+      " \001(\004\022\022\n\nentry_gone\030\023 \003(\t\022\025\n\rentries_star" +
+      "t\030\024 \001(\006\0222\n\013evacuations\030\025 \001(\0132\035.mangorack" +
+      ".keeper.EvacuationsJ\004\010\004\020\005\"3\n\013Evacuations" +
+      "\022\017\n\007version\030\001 \001(\004\022\023\n\013data_centre\030\002 \003(\t\"#" +
+      "\n\022FetchConfiguration\022\r\n\005known\030\001 \001(\004\"I\n\025C" +
+      "onfigurationDocument\022\017\n\007version\030\001 \001(\004\022\017\n" +
+      "\007content\030\002 \001(\014\022\016\n\006age_ms\030\003 \001(\004\"G\n\017Platfo" +
+      "rmContact\022\021\n\tanswering\030\001 \001(\010\022\021\n\tlength_m" +
+      "s\030\002 \001(\004\022\016\n\006broken\030\003 \001(\010\"v\n\014UpstreamNews\022" +
+      "\017\n\007version\030\001 \001(\004\022\r\n\005whole\030\002 \001(\010\0222\n\010upstr" +
+      "eam\030\003 \003(\0132 .mangorack.keeper.UpstreamObj" +
+      "ect\022\014\n\004gone\030\004 \003(\tJ\004\010\005\020\006\"0\n\016UpstreamObjec" +
+      "t\022\014\n\004name\030\001 \001(\t\022\020\n\010document\030\002 \001(\014\"?\n\005Ent" +
+      "ry\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_address\030\002" +
+      " \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace" +
+      "\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"P" +
+      "\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\022\021\n\tbeginning\030\002" +
+      " \001(\010\022\016\n\006urgent\030\003 \001(\010\022\022\n\ncorrection\030\004 \001(\021" +
+      "\"*\n\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002" +
+      " \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack." +
+      "keeper.View\"\013\n\tInventory\"a\n\007Listing\022\014\n\004t" +
+      "urn\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.k" +
+      "eeper.ProgramCharges\022\025\n\runsynced_turn\030\003 " +
+      "\003(\t\"a\n\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(" +
+      "\n\006charge\030\002 \003(\0132\030.mangorack.keeper.Charge" +
+      "\022\024\n\014retention_ms\030\003 \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001" +
+      " \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack." +
+      "keeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.man" +
+      "gorack.keeper.Turn\0221\n\007program\030\002 \003(\0132 .ma" +
+      "ngorack.keeper.ProgramCharges\"\202\001\n\010LogEnt" +
+      "ry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.ma" +
+      "ngorack.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 " +
+      ".mangorack.keeper.ProgramChargesH\000B\006\n\004bo" +
+      "dy*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014" +
+      "UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK" +
+      "\020\004B+\n\032org.mangorack.keeper.protoB\013Keeper" +
+      "ProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -389,7 +397,7 @@
     internal_static_mangorack_keeper_Beat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Beat_descriptor,
-        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "ConfigurationAgeMs", "PulseTimeMs", "WithLists", "Upstreams", "Departure", "Departures", "EntriesStart", });
+        new java.lang.String[] { "Instance", "CallerAddress", "Zone", "Accepting", "Usage", "Configuration", "Entries", "Load", "ContactAgeMs", "ConfigurationAgeMs", "PulseTimeMs", "WithLists", "Upstreams", "Departure", "Departures", "EntriesStart", "Evacuations", });
     internal_static_mangorack_keeper_Departure_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_mangorack_keeper_Departure_fieldAccessorTable = new
@@ -413,105 +421,111 @@
     internal_static_mangorack_keeper_Pulse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Pulse_descriptor,
-        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", "TimeMs", "WithLists", "Upstreams", "Contact", "Departures", "Departure", "ConfigurationWanted", "EntriesSince", "EntryGone", "EntriesStart", });
-    internal_static_mangorack_keeper_FetchConfiguration_descriptor =
+        new java.lang.String[] { "Level", "Configuration", "ConfigurationAgeMs", "Entries", "Entry", "Load", "ContactAgeMs", "EntriesContactAgeMs", "EntriesHeard", "TimeMs", "WithLists", "Upstreams", "Contact", "Departures", "Departure", "ConfigurationWanted", "EntriesSince", "EntryGone", "EntriesStart", "Evacuations", });
+    internal_static_mangorack_keeper_Evacuations_descriptor =
       getDescriptor().getMessageType(16);
+    internal_static_mangorack_keeper_Evacuations_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_mangorack_keeper_Evacuations_descriptor,
+        new java.lang.String[] { "Version", "DataCentre", });
+    internal_static_mangorack_keeper_FetchConfiguration_descriptor =
+      getDescriptor().getMessageType(17);
     internal_static_mangorack_keeper_FetchConfiguration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_FetchConfiguration_descriptor,
         new java.lang.String[] { "Known", });
     internal_static_mangorack_keeper_ConfigurationDocument_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_mangorack_keeper_ConfigurationDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_ConfigurationDocument_descriptor,
         new java.lang.String[] { "Version", "Content", "AgeMs", });
     internal_static_mangorack_keeper_PlatformContact_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_mangorack_keeper_PlatformContact_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_PlatformContact_descriptor,
         new java.lang.String[] { "Answering", "LengthMs", "Broken", });
     internal_static_mangorack_keeper_UpstreamNews_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_mangorack_keeper_UpstreamNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_UpstreamNews_descriptor,
         new java.lang.String[] { "Version", "Whole", "Upstream", "Gone", });
     internal_static_mangorack_keeper_UpstreamObject_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_mangorack_keeper_UpstreamObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_UpstreamObject_descriptor,
         new java.lang.String[] { "Name", "Document", });
     internal_static_mangorack_keeper_Entry_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_mangorack_keeper_Entry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Entry_descriptor,
         new java.lang.String[] { "Instance", "CallerAddress", "Zone", });
     internal_static_mangorack_keeper_Level_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_mangorack_keeper_Level_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Level_descriptor,
         new java.lang.String[] { "Workspace", "Calls", "Warming", });
     internal_static_mangorack_keeper_Draw_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_mangorack_keeper_Draw_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Draw_descriptor,
         new java.lang.String[] { "Workspace", "Beginning", "Urgent", "Correction", });
     internal_static_mangorack_keeper_Drawn_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_mangorack_keeper_Drawn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Drawn_descriptor,
         new java.lang.String[] { "Granted", "RetryMs", });
     internal_static_mangorack_keeper_Adopt_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_mangorack_keeper_Adopt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Adopt_descriptor,
         new java.lang.String[] { "View", });
     internal_static_mangorack_keeper_Inventory_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_mangorack_keeper_Inventory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Inventory_descriptor,
         new java.lang.String[] { });
     internal_static_mangorack_keeper_Listing_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_mangorack_keeper_Listing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Listing_descriptor,
         new java.lang.String[] { "Turn", "Program", "UnsyncedTurn", });
     internal_static_mangorack_keeper_ProgramCharges_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_mangorack_keeper_ProgramCharges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_ProgramCharges_descriptor,
         new java.lang.String[] { "Program", "Charge", "RetentionMs", });
     internal_static_mangorack_keeper_Copy_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_mangorack_keeper_Copy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Copy_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Batch_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_mangorack_keeper_Batch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Batch_descriptor,
         new java.lang.String[] { "Turn", });
     internal_static_mangorack_keeper_Store_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_mangorack_keeper_Store_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Store_descriptor,
         new java.lang.String[] { "Turn", "Program", });
     internal_static_mangorack_keeper_LogEntry_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_mangorack_keeper_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_LogEntry_descriptor,
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Pulse.java
@@ -575,6 +575,44 @@
     return entriesStart_;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 21;
+  private org.mangorack.keeper.proto.Evacuations evacuations_;
+  /**
+   * <pre>
+   * The evacuations, if the keeper's are newer than those that the beat named.
+   * </pre>
+   *
+   * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+   * @return Whether the evacuations field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuations() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * The evacuations, if the keeper's are newer than those that the beat named.
+   * </pre>
+   *
+   * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+   * @return The evacuations.
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.Evacuations getEvacuations() {
+    return evacuations_ == null ? org.mangorack.keeper.proto.Evacuations.getDefaultInstance() : evacuations_;
+  }
+  /**
+   * <pre>
+   * The evacuations, if the keeper's are newer than those that the beat named.
+   * </pre>
+   *
+   * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+   */
+  @java.lang.Override
+  public org.mangorack.keeper.proto.EvacuationsOrBuilder getEvacuationsOrBuilder() {
+    return evacuations_ == null ? org.mangorack.keeper.proto.Evacuations.getDefaultInstance() : evacuations_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -646,6 +684,9 @@
     if (entriesStart_ != 0L) {
       output.writeFixed64(20, entriesStart_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(21, getEvacuations());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -735,6 +776,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(20, entriesStart_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, getEvacuations());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -794,6 +839,11 @@
         .equals(other.getEntryGoneList())) return false;
     if (getEntriesStart()
         != other.getEntriesStart()) return false;
+    if (hasEvacuations() != other.hasEvacuations()) return false;
+    if (hasEvacuations()) {
+      if (!getEvacuations()
+          .equals(other.getEvacuations())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -868,6 +918,10 @@
     hash = (37 * hash) + ENTRIES_START_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEntriesStart());
+    if (hasEvacuations()) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuations().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1004,6 +1058,7 @@
         internalGetUpstreamsFieldBuilder();
         internalGetContactFieldBuilder();
         internalGetDepartureFieldBuilder();
+        internalGetEvacuationsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1062,6 +1117,11 @@
       entryGone_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       entriesStart_ = 0L;
+      evacuations_ = null;
+      if (evacuationsBuilder_ != null) {
+        evacuationsBuilder_.dispose();
+        evacuationsBuilder_ = null;
+      }
       return this;
     }
 
@@ -1188,6 +1248,12 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.entriesStart_ = entriesStart_;
       }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.evacuations_ = evacuationsBuilder_ == null
+            ? evacuations_
+            : evacuationsBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1359,6 +1425,9 @@
       if (other.getEntriesStart() != 0L) {
         setEntriesStart(other.getEntriesStart());
       }
+      if (other.hasEvacuations()) {
+        mergeEvacuations(other.getEvacuations());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1517,6 +1586,13 @@
               bitField0_ |= 0x00040000;
               break;
             } // case 161
+            case 170: {
+              input.readMessage(
+                  internalGetEvacuationsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 170
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3687,6 +3763,163 @@
       return this;
     }
 
+    private org.mangorack.keeper.proto.Evacuations evacuations_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.Evacuations, org.mangorack.keeper.proto.Evacuations.Builder, org.mangorack.keeper.proto.EvacuationsOrBuilder> evacuationsBuilder_;
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     * @return Whether the evacuations field is set.
+     */
+    public boolean hasEvacuations() {
+      return ((bitField0_ & 0x00080000) != 0);
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     * @return The evacuations.
+     */
+    public org.mangorack.keeper.proto.Evacuations getEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_ == null ? org.mangorack.keeper.proto.Evacuations.getDefaultInstance() : evacuations_;
+      } else {
+        return evacuationsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     */
+    public Builder setEvacuations(org.mangorack.keeper.proto.Evacuations value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        evacuations_ = value;
+      } else {
+        evacuationsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     */
+    public Builder setEvacuations(
+        org.mangorack.keeper.proto.Evacuations.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = builderForValue.build();
+      } else {
+        evacuationsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     */
+    public Builder mergeEvacuations(org.mangorack.keeper.proto.Evacuations value) {
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00080000) != 0) &&
+          evacuations_ != null &&
+          evacuations_ != org.mangorack.keeper.proto.Evacuations.getDefaultInstance()) {
+          getEvacuationsBuilder().mergeFrom(value);
+        } else {
+          evacuations_ = value;
+        }
+      } else {
+        evacuationsBuilder_.mergeFrom(value);
+      }
+      if (evacuations_ != null) {
+        bitField0_ |= 0x00080000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     */
+    public Builder clearEvacuations() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      evacuations_ = null;
+      if (evacuationsBuilder_ != null) {
+        evacuationsBuilder_.dispose();
+        evacuationsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     */
+    public org.mangorack.keeper.proto.Evacuations.Builder getEvacuationsBuilder() {
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return internalGetEvacuationsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     */
+    public org.mangorack.keeper.proto.EvacuationsOrBuilder getEvacuationsOrBuilder() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilder();
+      } else {
+        return evacuations_ == null ?
+            org.mangorack.keeper.proto.Evacuations.getDefaultInstance() : evacuations_;
+      }
+    }
+    /**
+     * <pre>
+     * The evacuations, if the keeper's are newer than those that the beat named.
+     * </pre>
+     *
+     * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.mangorack.keeper.proto.Evacuations, org.mangorack.keeper.proto.Evacuations.Builder, org.mangorack.keeper.proto.EvacuationsOrBuilder> 
+        internalGetEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.mangorack.keeper.proto.Evacuations, org.mangorack.keeper.proto.Evacuations.Builder, org.mangorack.keeper.proto.EvacuationsOrBuilder>(
+                getEvacuations(),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Pulse)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/PulseOrBuilder.java
@@ -372,4 +372,31 @@
    * @return The entriesStart.
    */
   long getEntriesStart();
+
+  /**
+   * <pre>
+   * The evacuations, if the keeper's are newer than those that the beat named.
+   * </pre>
+   *
+   * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+   * @return Whether the evacuations field is set.
+   */
+  boolean hasEvacuations();
+  /**
+   * <pre>
+   * The evacuations, if the keeper's are newer than those that the beat named.
+   * </pre>
+   *
+   * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+   * @return The evacuations.
+   */
+  org.mangorack.keeper.proto.Evacuations getEvacuations();
+  /**
+   * <pre>
+   * The evacuations, if the keeper's are newer than those that the beat named.
+   * </pre>
+   *
+   * <code>.mangorack.keeper.Evacuations evacuations = 21;</code>
+   */
+  org.mangorack.keeper.proto.EvacuationsOrBuilder getEvacuationsOrBuilder();
 }
--- a/mangorack/src/main/java/org/mangorack/platform/ObjectKind.java
+++ b/mangorack/src/main/java/org/mangorack/platform/ObjectKind.java
@@ -36,7 +36,13 @@
 	UPSTREAM("upstreams"),
 
 	/** A request to drain a keeper. Only its status is written. */
-	RETIREMENT("retirements");
+	RETIREMENT("retirements"),
+
+	/**
+	 * A request to send nothing to the upstreams of the data centre that it is named
+	 * after. Read-only.
+	 */
+	EVACUATION("evacuations");
 
 	private final String plural;
 
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -30,6 +30,7 @@
 import org.mangorack.keeper.KeeperClient;
 import org.mangorack.keeper.proto.Beat;
 import org.mangorack.keeper.proto.Departure;
+import org.mangorack.keeper.proto.Evacuations;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.Member;
 import org.mangorack.keeper.proto.PlatformContact;
@@ -180,6 +181,9 @@
 		this.rates = new WorkspaceRateLimiter(this.keepers, this.configuration::version, this.loop, this.clock);
 		this.keeperReplies = new KeeperReplies(this.clock, settings.dataCentre());
 		this.probe = new PlatformProbe(store, this.clock, metrics, new ProbeListener());
+		if (settings.evacuationBound() != null) {
+			this.probe.includeEvacuations();
+		}
 		this.contact = new PlatformOutageDetector(this.clock, this.keepers::view, this::timeSinceContact);
 		this.server = new RelayServer(this.loop, protocol, this.clock, metrics, this.configuration, settings,
 				this.contact, this.upstreams, client, this.keepers, this.rates);
@@ -317,6 +321,7 @@
 					(member, pulse, source) -> {
 						onConfigurationVersion(pulse, source, sentAt);
 						this.upstreams.apply(pulse.getUpstreams());
+						this.upstreams.applyEvacuations(pulse.getEvacuations());
 						this.upstreams.applyDepartures(pulse.getDepartureList());
 						openGateIfReady();
 					});
@@ -347,6 +352,7 @@
 			.setPulseTimeMs((known != null) ? known.keeperTimeMillis() : 0)
 			.setWithLists(withLists)
 			.setUpstreams(this.upstreams.version())
+			.setEvacuations(this.upstreams.evacuationsVersion())
 			.build();
 	}
 
@@ -377,6 +383,7 @@
 		this.rates.setLevels(member.getDisk(), pulse, reported);
 		if (pulse.getWithLists()) {
 			this.upstreams.apply(pulse.getUpstreams());
+			this.upstreams.applyEvacuations(pulse.getEvacuations());
 			this.upstreams.applyDepartures(pulse.getDepartureList());
 			this.upstreams.setLoadOfOtherEntries(this.keeperReplies.loadOfOtherEntries());
 		}
@@ -477,6 +484,11 @@
 			});
 		}
 
+		@Override
+		public void evacuations(Evacuations evacuations) {
+			EntryNode.this.loop.execute(() -> EntryNode.this.upstreams.applyEvacuations(evacuations));
+		}
+
 		@Override
 		public void group(StoredObject object) {
 			GroupView view = GroupDocument.read(object.spec(), EntryNode.this.settings.tolerance());
--- a/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
@@ -29,10 +29,13 @@
  * @param promptReuseMinTokenBytes the memory for a token from which on the engines of a
  * pool take so long to read a prompt that turns are placed where their prompts are kept,
  * in bytes
+ * @param evacuationBound the time within which an evacuation of a data centre must take
+ * effect, or {@code null} if there are no evacuations
  */
 public record EntrySettings(String instance, String dataCentre, HttpAddress callers, HttpAddress readiness,
 		HttpAddress directory, HttpAddress metrics, HttpAddress platform, List<HttpAddress> seeds, int tolerance,
-		Duration maxConfigurationAge, Duration maxAbsenceAge, Duration grace, long promptReuseMinTokenBytes) {
+		Duration maxConfigurationAge, Duration maxAbsenceAge, Duration grace, long promptReuseMinTokenBytes,
+		Duration evacuationBound) {
 
 	/**
 	 * The default of the least memory for a token of pools whose prompts are reused.
@@ -71,9 +74,12 @@
 			.dividedBy(5);
 		Duration maxAbsenceAge = Duration.ofMillis(reader.integer("configurationApplyMillis", 200, 600_000, 2000));
 		Duration grace = Duration.ofMillis((long) (reader.number("graceSeconds", 0.5, 3600, 8) * 1000));
+		Duration evacuationBound = reader.has("evacuationMillis")
+				? Duration.ofMillis(reader.integer("evacuationMillis", 100, 600_000, 5000)) : null;
 		return new EntrySettings(instance, dataCentre, callers, readiness, directory, metrics, platform, seeds,
 				tolerance, maxConfigurationAge, maxAbsenceAge, grace,
-				reader.integer("promptReuseMinTokenBytes", 0, Long.MAX_VALUE, DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES));
+				reader.integer("promptReuseMinTokenBytes", 0, Long.MAX_VALUE, DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES),
+				evacuationBound);
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
+++ b/mangorack/src/main/java/org/mangorack/relay/PlatformProbe.java
@@ -9,6 +9,7 @@
 
 import org.mangorack.keeper.GroupDocument;
 import org.mangorack.keeper.UpstreamObjects;
+import org.mangorack.keeper.proto.Evacuations;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
@@ -89,10 +90,20 @@
 		this.contact = new ContactTracker(clock);
 		long firstQueryAt = clock.nanoTime() + SEED_RESPONSE_TIMEOUT.toNanos();
 		for (Need need : Need.values()) {
-			this.schedules.put(need, new Schedule(firstQueryAt));
+			if (need != Need.EVACUATIONS) {
+				this.schedules.put(need, new Schedule(firstQueryAt));
+			}
 		}
 	}
 
+	/**
+	 * Queries evacuations too, whenever the upstreams are needed. Must be called before
+	 * the first run.
+	 */
+	void includeEvacuations() {
+		this.schedules.put(Need.EVACUATIONS, new Schedule(this.clock.nanoTime() + SEED_RESPONSE_TIMEOUT.toNanos()));
+	}
+
 	/**
 	 * Sets the data that is needed from now on.
 	 * @param needs the data that the keepers do not provide
@@ -176,6 +187,15 @@
 		return true;
 	}
 
+	private boolean queryEvacuations() throws StoreException {
+		ObjectList list = this.store.list(ObjectKind.EVACUATION);
+		recordOutcome(null);
+		Evacuations.Builder evacuations = Evacuations.newBuilder().setVersion(KindCache.number(list.version()));
+		list.items().forEach((o) -> evacuations.addDataCentre(o.name()));
+		this.listener.evacuations(evacuations.build());
+		return true;
+	}
+
 	private void recordOutcome(StoreException failure) {
 		boolean changed;
 		if (failure == null) {
@@ -227,6 +247,14 @@
 			boolean query(PlatformProbe probe) throws StoreException {
 				return probe.queryUpstreams();
 			}
+		},
+
+		/** The evacuated data centres. */
+		EVACUATIONS {
+			@Override
+			boolean query(PlatformProbe probe) throws StoreException {
+				return probe.queryEvacuations();
+			}
 		};
 
 		// Returns whether to continue with the next query.
@@ -282,7 +310,7 @@
 			return switch (need) {
 				case GROUP -> this.group;
 				case CONFIGURATION -> this.configuration;
-				case UPSTREAMS -> this.upstreams;
+				case UPSTREAMS, EVACUATIONS -> this.upstreams;
 			};
 		}
 
@@ -314,6 +342,12 @@
 		 */
 		void upstreams(UpstreamNews news, ContactTracker.Contact contact);
 
+		/**
+		 * Reports all evacuated data centres.
+		 * @param evacuations the complete list
+		 */
+		void evacuations(Evacuations evacuations);
+
 		/**
 		 * Reports the group of keepers.
 		 * @param object the group
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -341,6 +341,10 @@
 
 	private void onAdmitted() {
 		this.pool = this.route.pool(ThreadLocalRandom.current().nextDouble());
+		if (this.server.upstreams().isEvacuated(this.pool)) {
+			refuseEvacuated();
+			return;
+		}
 		// Read once for the whole call, as a newer version may lack the pool.
 		Pool poolSettings = this.configuration.pool(this.pool);
 		this.tokensPerEvent = (poolSettings != null) ? poolSettings.tokensPerEvent() : 0;
@@ -417,6 +421,10 @@
 		if (chosen.isEmpty() && (this.lastVerdict == Verdict.MAY_HAVE_RUN)) {
 			chosen = choose(Set.of());
 		}
+		if (chosen.isEmpty() && this.server.upstreams().isEvacuated(this.pool)) {
+			refuseEvacuated();
+			return;
+		}
 		if (chosen.isEmpty()) {
 			String detail = "no upstream of pool \"" + this.pool + "\" is left after " + this.attempts + " attempts";
 			refuseUnserved("no_upstream", detail);
@@ -434,6 +442,10 @@
 		this.attempt.start();
 	}
 
+	private void refuseEvacuated() {
+		refuseUnserved("all_evacuated", "all data centres with upstreams of pool \"" + this.pool + "\" are evacuated");
+	}
+
 	private Optional<Placed> choose(Set<Upstream> excluded) {
 		if (this.placedByPrompt) {
 			return this.server.upstreams()
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -23,6 +23,7 @@
 import org.mangorack.dispatch.UpstreamSubset;
 import org.mangorack.keeper.Departures;
 import org.mangorack.keeper.proto.Departure;
+import org.mangorack.keeper.proto.Evacuations;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.observe.Event;
@@ -99,6 +100,11 @@
 
 	private long version;
 
+	// The data centres whose upstreams must get no requests.
+	private Set<String> evacuated = Set.of();
+
+	private long evacuationsVersion;
+
 	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock, String instance,
 			String dataCentre) {
 		this.loop = loop;
@@ -259,6 +265,48 @@
 			.build();
 	}
 
+	/**
+	 * Returns the version of the platform's data that the evacuations show.
+	 * @return the version; 0 before the first list
+	 */
+	long evacuationsVersion() {
+		return this.evacuationsVersion;
+	}
+
+	/**
+	 * Replaces the evacuated data centres, whose upstreams get no requests. Ignores lists
+	 * that are not newer than the known one. The known list stays in force until a newer
+	 * one arrives.
+	 * @param evacuations the complete list
+	 */
+	void applyEvacuations(Evacuations evacuations) {
+		if (evacuations.getVersion() <= this.evacuationsVersion) {
+			return;
+		}
+		this.evacuationsVersion = evacuations.getVersion();
+		Set<String> dataCentres = Set.copyOf(evacuations.getDataCentreList());
+		if (!dataCentres.equals(this.evacuated)) {
+			this.evacuated = dataCentres;
+			EventLog.log(Event.EVACUATIONS_CHANGED, "dataCentres", dataCentres, "version", this.evacuationsVersion);
+		}
+	}
+
+	/**
+	 * Returns whether a pool gets no requests because of evacuations.
+	 * @param pool the pool
+	 * @return {@code true} if it has upstreams, all of them in evacuated data centres
+	 */
+	boolean isEvacuated(String pool) {
+		if (this.evacuated.isEmpty()) {
+			return false;
+		}
+		List<Upstream> inUse = this.upstreams.values()
+			.stream()
+			.filter((u) -> u.entry().pool().equals(pool) && u.isInUse())
+			.toList();
+		return !inUse.isEmpty() && inUse.stream().allMatch((u) -> this.evacuated.contains(u.dataCentre()));
+	}
+
 	// ---- Selection
 
 	/**
@@ -348,7 +396,8 @@
 	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
 		List<Upstream> candidates = new ArrayList<>();
 		for (Upstream u : this.upstreams.values()) {
-			if (u.entry().pool().equals(pool) && u.isInUse() && !tried.contains(u)) {
+			if (u.entry().pool().equals(pool) && u.isInUse() && !tried.contains(u)
+					&& !this.evacuated.contains(u.dataCentre())) {
 				candidates.add(u);
 			}
 		}
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperNodeTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperNodeTests.java
@@ -1,12 +1,17 @@
 package org.mangorack.keeper;
 
 import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
@@ -17,6 +22,8 @@
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.mangorack.http.HttpAddress;
 import org.mangorack.keeper.proto.Turn;
@@ -25,6 +32,8 @@
 import org.mangorack.observe.Metrics;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.FakeStore;
+import org.mangorack.platform.ObjectKind;
+import org.mangorack.platform.ObjectStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
@@ -47,8 +56,8 @@
 	void aKeeperThatIsNotStartedCanBeStopped() {
 		HttpAddress address = HttpAddress.parse("127.0.0.1:1");
 		KeeperNode keeper = new KeeperNode(
-				new KeeperSettings("keeper-1", "dc", address, null, address, this.folder, 0, true), null, null, null,
-				new Metrics());
+				new KeeperSettings("keeper-1", "dc", address, null, address, this.folder, 0, true, null), null, null,
+				null, new Metrics());
 		assertThatCode(keeper::stop).doesNotThrowAnyException();
 		keeper.close();
 	}
@@ -60,7 +69,7 @@
 		StringMapMessage started;
 		try (EventCapture capture = new EventCapture()) {
 			KeeperNode keeper = new KeeperNode(
-					new KeeperSettings("keeper-1", "dc", ANY_PORT, null, ANY_PORT, this.folder, 0, false),
+					new KeeperSettings("keeper-1", "dc", ANY_PORT, null, ANY_PORT, this.folder, 0, false, null),
 					new FakeStore(), new FixedConfiguration(null), new TestGroup.Retirements(), new Metrics());
 			keeper.start();
 			keeper.close();
@@ -72,6 +81,40 @@
 		assertThat(Long.parseLong(started.get("logMillis"))).isNotNegative();
 	}
 
+	// Guards against calls of the platform, each of which has a price, in deployments
+	// whose settings name no evacuations, and against evacuations that are not watched
+	// elsewhere.
+	@ParameterizedTest
+	@CsvSource(nullValues = "-", value = { "-, false", "PT5S, true" })
+	void evacuationsAreWatchedOnlyIfTheSettingsNameThem(Duration bound, boolean watched) throws Exception {
+		Set<Object> kinds = ConcurrentHashMap.newKeySet();
+		FakeStore store = new FakeStore();
+		ObjectStore recording = (ObjectStore) Proxy.newProxyInstance(ObjectStore.class.getClassLoader(),
+				new Class<?>[] { ObjectStore.class }, (proxy, method, arguments) -> {
+					kinds.add(arguments[0]);
+					try {
+						return method.invoke(store, arguments);
+					}
+					catch (InvocationTargetException ex) {
+						throw ex.getCause();
+					}
+				});
+		KeeperNode keeper = new KeeperNode(
+				new KeeperSettings("keeper-1", "dc", ANY_PORT, null, ANY_PORT, this.folder, 0, false, bound), recording,
+				new FixedConfiguration(null), new TestGroup.Retirements(), new Metrics());
+		keeper.start();
+		// The watch of evacuations is started before that of upstreams.
+		long deadline = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+		while (!(kinds.contains(ObjectKind.UPSTREAM) && kinds.contains(ObjectKind.KEEPER_GROUP)
+				&& (!watched || kinds.contains(ObjectKind.EVACUATION))) && (System.nanoTime() < deadline)) {
+			TimeUnit.MILLISECONDS.sleep(5);
+		}
+		TimeUnit.MILLISECONDS.sleep(100);
+		keeper.close();
+		assertThat(kinds).contains(ObjectKind.UPSTREAM);
+		assertThat(kinds.contains(ObjectKind.EVACUATION)).isEqualTo(watched);
+	}
+
 	// ---- Helpers
 
 	// Writes a turn in each of some starts, which open a segment each.
--- a/mangorack/src/test/java/org/mangorack/relay/PlatformProbeTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/PlatformProbeTests.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.Jsons;
+import org.mangorack.keeper.proto.Evacuations;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.observe.Metrics;
 import org.mangorack.platform.ContactTracker;
@@ -65,6 +66,18 @@
 		assertThat(this.probe.timeSinceResponse()).isLessThan(Duration.ofSeconds(1));
 	}
 
+	// Guards against an entry that starts while no keeper answers and sends requests to
+	// an
+	// evacuated data centre.
+	@Test
+	void evacuationsAreQueriedWithTheUpstreamsIfTheyAreIncluded() {
+		this.probe.includeEvacuations();
+		this.probe.setNeeds(ALL);
+		run(1300);
+		assertThat(this.reported).containsExactly("group", "configuration", "upstreams of 42, whole",
+				"evacuations of 42: [main]");
+	}
+
 	@Test
 	void onlyTheGroupIsQueriedWhileItIsBeingFormed() {
 		this.store.group = false;
@@ -167,6 +180,12 @@
 			PlatformProbeTests.this.contact = contact;
 		}
 
+		@Override
+		public void evacuations(Evacuations evacuations) {
+			PlatformProbeTests.this.reported
+				.add("evacuations of " + evacuations.getVersion() + ": " + evacuations.getDataCentreList());
+		}
+
 		@Override
 		public void group(StoredObject object) {
 			if (PlatformProbeTests.this.groupFailure instanceof RuntimeException failure) {
--- a/review/standins/Run.java
+++ b/review/standins/Run.java
@@ -34,6 +34,8 @@
 
 	static final int TIMEOUT_MILLIS = 3000;
 
+	private static final Pattern SECTION = Pattern.compile("\\{\\{#([a-z_.]+)\\}\\}(.*?)\\{\\{/\\1\\}\\}", Pattern.DOTALL);
+
 	private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.]+)(\\|json)?\\}\\}");
 
 	final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -227,7 +229,10 @@
 			values.put("bounds.grace_s", 8L);
 			values.put("data_directory", data().toString());
 			values.put("first_start", !this.startedBefore);
-			Matcher matcher = PLACEHOLDER.matcher(Files.readString(Run.this.root.resolve("deploy/" + this.role + ".json")));
+			String template = Files.readString(Run.this.root.resolve("deploy/" + this.role + ".json"));
+			String present = SECTION.matcher(template)
+				.replaceAll((s) -> values.containsKey(s.group(1)) ? Matcher.quoteReplacement(s.group(2)) : "");
+			Matcher matcher = PLACEHOLDER.matcher(present);
 			return matcher.replaceAll((m) -> {
 				Object value = values.get(m.group(1));
 				return Matcher.quoteReplacement((m.group(2) != null) ? Json.write(value) : String.valueOf(value));
