--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -354,6 +354,10 @@
 
 	private void onAdmitted() {
 		this.pool = this.route.pool(ThreadLocalRandom.current().nextDouble());
+		if (this.server.upstreams().isEvacuated(this.pool)) {
+			refuseEvacuated();
+			return;
+		}
 		// Read once for the whole call, as a newer version may lack the pool.
 		Pool poolSettings = this.configuration.pool(this.pool);
 		this.tokensPerEvent = (poolSettings != null) ? poolSettings.tokensPerEvent() : 0;
@@ -428,6 +432,10 @@
 		if (chosen.isEmpty() && (this.lastVerdict == Verdict.MAY_HAVE_RUN)) {
 			chosen = choose(Set.of());
 		}
+		if (chosen.isEmpty() && this.server.upstreams().isEvacuated(this.pool)) {
+			refuseEvacuated();
+			return;
+		}
 		if (chosen.isEmpty()) {
 			String detail = "no upstream of pool \"" + this.pool + "\" is left after " + this.attempts + " attempts";
 			refuseUnserved("no_upstream", detail);
@@ -445,6 +453,10 @@
 		this.attempt.start();
 	}
 
+	private void refuseEvacuated() {
+		refuseUnserved("all_evacuated", "all data centres with upstreams of pool \"" + this.pool + "\" are evacuated");
+	}
+
 	private Optional<Placed> choose(Set<Upstream> excluded) {
 		if (this.engineTurn != null) {
 			return this.engineTurn.choose(excluded);
--- a/mangorack/src/test/java/org/mangorack/relay/WaitingTurnsTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/WaitingTurnsTests.java
@@ -88,7 +88,7 @@
 	private final RelayServer server = new RelayServer(this.channel.eventLoop(), this.protocol, () -> this.now,
 			this.metrics, this.holder,
 			new EntrySettings("entry", "dc", ADDRESS, ADDRESS, ADDRESS, ADDRESS, ADDRESS, List.of(ADDRESS), 1,
-					Duration.ofSeconds(100), Duration.ofSeconds(100), Duration.ofSeconds(8), 65536),
+					Duration.ofSeconds(100), Duration.ofSeconds(100), Duration.ofSeconds(8), 65536, null),
 			new PlatformOutageDetector(() -> this.now, this.keepers::view, () -> Duration.ZERO), this.table,
 			this.client, this.keepers,
 			new WorkspaceRateLimiter(this.keepers, this.holder::version, this.channel.eventLoop(), () -> this.now));
