--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -353,9 +353,8 @@
 			return Optional.empty();
 		}
 		Reuse reuse = (known != null) ? Reuse.of(chosen, known) : Reuse.NEW;
-		// What the engine of a hash keeps is assumed, so the turn says nothing about its
-		// speed
-		// of reading.
+		// By hash, it is only assumed what the engine keeps, so the time to the first event
+		// says nothing.
 		long reused = (reuse == Reuse.KEPT) ? known.tokens() : prompt.sharedTokens();
 		return Optional.of(new Placed(chosen, byHash ? prompt.tokens() : reused, reuse));
 	}
