--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -208,7 +208,7 @@
 	UPSTREAM_AVOIDED(2204, Level.WARN, "upstream avoided"),
 
 	/** The set of data centres that get no requests has changed. */
-	EVACUATIONS_CHANGED(2205, Level.INFO, "evacuated data centres changed"),
+	EVACUATIONS_CHANGED(2207, Level.INFO, "evacuated data centres changed"),
 
 	/** The configuration was last confirmed too long ago to accept keyed requests. */
 	CONFIGURATION_STALE(2211, Level.WARN, "configuration too old for keyed requests"),
