--- a/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/LiveEntries.java
@@ -193,9 +193,15 @@
 	 */
 	List<Load> loadOfOtherEntries(String except) {
 		Map<String, Integer> sums = new HashMap<>();
+		Map<String, Long> good = new HashMap<>();
+		Map<String, Long> bad = new HashMap<>();
 		this.entries.forEach((instance, known) -> {
 			if (!instance.equals(except)) {
-				known.load().forEach((l) -> sums.merge(l.getUpstream(), l.getCalls(), Integer::sum));
+				known.load().forEach((l) -> {
+					sums.merge(l.getUpstream(), l.getCalls(), Integer::sum);
+					good.merge(l.getUpstream(), l.getGood(), Long::sum);
+					bad.merge(l.getUpstream(), l.getBad(), Long::sum);
+				});
 			}
 		});
 		Map<String, Double> known = this.upstreamLatencies.all();
@@ -206,6 +212,8 @@
 					.setUpstream(upstream)
 					.setCalls(calls)
 					.setPace(known.getOrDefault(upstream, 0.0))
+					.setGood(good.getOrDefault(upstream, 0L))
+					.setBad(bad.getOrDefault(upstream, 0L))
 					.build()));
 		return load;
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -262,57 +262,57 @@
       "(\006J\004\010\n\020\013\"R\n\tDeparture\022\020\n\010upstream\030\001 \001(\t\022" +
       "\017\n\007address\030\002 \001(\t\022\022\n\nstarted_at\030\003 \001(\003\022\016\n\006" +
       "age_ms\030\004 \001(\004\"=\n\005Usage\022\021\n\tworkspace\030\001 \001(\t" +
-      "\022\r\n\005calls\030\002 \001(\021\022\022\n\nbeginnings\030\003 \001(\021\"X\n\004L" +
+      "\022\r\n\005calls\030\002 \001(\021\022\022\n\nbeginnings\030\003 \001(\021\"s\n\004L" +
       "oad\022\020\n\010upstream\030\001 \001(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007" +
       "answers\030\003 \001(\r\022\020\n\010pace_sum\030\004 \001(\001\022\014\n\004pace\030" +
-      "\005 \001(\001\"\310\004\n\005Pulse\022&\n\005level\030\001 \003(\0132\027.mangora" +
-      "ck.keeper.Level\022\025\n\rconfiguration\030\002 \001(\004\022\034" +
-      "\n\024configuration_age_ms\030\003 \001(\004\022\017\n\007entries\030" +
-      "\005 \001(\004\022&\n\005entry\030\006 \003(\0132\027.mangorack.keeper." +
-      "Entry\022$\n\004load\030\007 \003(\0132\026.mangorack.keeper.L" +
-      "oad\022\026\n\016contact_age_ms\030\010 \001(\004\022\036\n\026entries_c" +
-      "ontact_age_ms\030\t \001(\004\022\025\n\rentries_heard\030\n \001" +
-      "(\r\022\017\n\007time_ms\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\022" +
-      "1\n\tupstreams\030\r \001(\0132\036.mangorack.keeper.Up" +
-      "streamNews\0222\n\007contact\030\016 \001(\0132!.mangorack." +
-      "keeper.PlatformContact\022\022\n\ndepartures\030\017 \001" +
-      "(\004\022.\n\tdeparture\030\020 \003(\0132\033.mangorack.keeper" +
-      ".Departure\022\034\n\024configuration_wanted\030\021 \001(\010" +
-      "\022\025\n\rentries_since\030\022 \001(\004\022\022\n\nentry_gone\030\023 " +
-      "\003(\t\022\025\n\rentries_start\030\024 \001(\006J\004\010\004\020\005\"#\n\022Fetc" +
-      "hConfiguration\022\r\n\005known\030\001 \001(\004\"I\n\025Configu" +
-      "rationDocument\022\017\n\007version\030\001 \001(\004\022\017\n\007conte" +
-      "nt\030\002 \001(\014\022\016\n\006age_ms\030\003 \001(\004\"G\n\017PlatformCont" +
-      "act\022\021\n\tanswering\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(" +
-      "\004\022\016\n\006broken\030\003 \001(\010\"v\n\014UpstreamNews\022\017\n\007ver" +
-      "sion\030\001 \001(\004\022\r\n\005whole\030\002 \001(\010\0222\n\010upstream\030\003 " +
-      "\003(\0132 .mangorack.keeper.UpstreamObject\022\014\n" +
-      "\004gone\030\004 \003(\tJ\004\010\005\020\006\"0\n\016UpstreamObject\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\020\n\010document\030\002 \001(\014\"?\n\005Entry\022\020\n\010" +
-      "instance\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014" +
-      "\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t" +
-      "\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw" +
-      "\022\021\n\tworkspace\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016" +
-      "\n\006urgent\030\003 \001(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Dr" +
-      "awn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-" +
-      "\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack.keeper" +
-      ".View\"\013\n\tInventory\"a\n\007Listing\022\014\n\004turn\030\001 " +
-      "\003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.keeper." +
-      "ProgramCharges\022\025\n\runsynced_turn\030\003 \003(\t\"a\n" +
-      "\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(\n\006char" +
-      "ge\030\002 \003(\0132\030.mangorack.keeper.Charge\022\024\n\014re" +
-      "tention_ms\030\003 \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-" +
-      "\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper" +
-      ".Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack" +
-      ".keeper.Turn\0221\n\007program\030\002 \003(\0132 .mangorac" +
-      "k.keeper.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\t" +
-      "stored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorac" +
-      "k.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mango" +
-      "rack.keeper.ProgramChargesH\000B\006\n\004body*N\n\006" +
-      "Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOW" +
-      "N_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032" +
-      "org.mangorack.keeper.protoB\013KeeperProtoP" +
-      "\001b\006proto3"
+      "\005 \001(\001\022\014\n\004good\030\006 \001(\004\022\013\n\003bad\030\007 \001(\004\"\310\004\n\005Pul" +
+      "se\022&\n\005level\030\001 \003(\0132\027.mangorack.keeper.Lev" +
+      "el\022\025\n\rconfiguration\030\002 \001(\004\022\034\n\024configurati" +
+      "on_age_ms\030\003 \001(\004\022\017\n\007entries\030\005 \001(\004\022&\n\005entr" +
+      "y\030\006 \003(\0132\027.mangorack.keeper.Entry\022$\n\004load" +
+      "\030\007 \003(\0132\026.mangorack.keeper.Load\022\026\n\016contac" +
+      "t_age_ms\030\010 \001(\004\022\036\n\026entries_contact_age_ms" +
+      "\030\t \001(\004\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_ms" +
+      "\030\013 \001(\003\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstreams\030" +
+      "\r \001(\0132\036.mangorack.keeper.UpstreamNews\0222\n" +
+      "\007contact\030\016 \001(\0132!.mangorack.keeper.Platfo" +
+      "rmContact\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdepartu" +
+      "re\030\020 \003(\0132\033.mangorack.keeper.Departure\022\034\n" +
+      "\024configuration_wanted\030\021 \001(\010\022\025\n\rentries_s" +
+      "ince\030\022 \001(\004\022\022\n\nentry_gone\030\023 \003(\t\022\025\n\rentrie" +
+      "s_start\030\024 \001(\006J\004\010\004\020\005\"#\n\022FetchConfiguratio" +
+      "n\022\r\n\005known\030\001 \001(\004\"I\n\025ConfigurationDocumen" +
+      "t\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\022\016\n\006a" +
+      "ge_ms\030\003 \001(\004\"G\n\017PlatformContact\022\021\n\tanswer" +
+      "ing\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006broken\030\003" +
+      " \001(\010\"v\n\014UpstreamNews\022\017\n\007version\030\001 \001(\004\022\r\n" +
+      "\005whole\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .mangora" +
+      "ck.keeper.UpstreamObject\022\014\n\004gone\030\004 \003(\tJ\004" +
+      "\010\005\020\006\"0\n\016UpstreamObject\022\014\n\004name\030\001 \001(\t\022\020\n\010" +
+      "document\030\002 \001(\014\"?\n\005Entry\022\020\n\010instance\030\001 \001(" +
+      "\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\"" +
+      ":\n\005Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001" +
+      "(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n\tworkspace" +
+      "\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgent\030\003 \001(" +
+      "\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007grante" +
+      "d\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt\022$\n\004vi" +
+      "ew\030\001 \001(\0132\026.mangorack.keeper.View\"\013\n\tInve" +
+      "ntory\"a\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007progra" +
+      "m\030\002 \003(\0132 .mangorack.keeper.ProgramCharge" +
+      "s\022\025\n\runsynced_turn\030\003 \003(\t\"a\n\016ProgramCharg" +
+      "es\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030\002 \003(\0132\030.ma" +
+      "ngorack.keeper.Charge\022\024\n\014retention_ms\030\003 " +
+      "\001(\003\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch\022$\n\004tu" +
+      "rn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`\n\005Stor" +
+      "e\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\022" +
+      "1\n\007program\030\002 \003(\0132 .mangorack.keeper.Prog" +
+      "ramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_ms\030\001 \001" +
+      "(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keeper.Turn" +
+      "H\000\0223\n\007charges\030\003 \001(\0132 .mangorack.keeper.P" +
+      "rogramChargesH\000B\006\n\004body*N\n\006Status\022\006\n\002OK\020" +
+      "\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006F" +
+      "AILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.mangorack" +
+      ".keeper.protoB\013KeeperProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -407,7 +407,7 @@
     internal_static_mangorack_keeper_Load_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Load_descriptor,
-        new java.lang.String[] { "Upstream", "Calls", "Answers", "PaceSum", "Pace", });
+        new java.lang.String[] { "Upstream", "Calls", "Answers", "PaceSum", "Pace", "Good", "Bad", });
     internal_static_mangorack_keeper_Pulse_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_mangorack_keeper_Pulse_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/Load.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/Load.java
@@ -140,6 +140,34 @@
     return pace_;
   }
 
+  public static final int GOOD_FIELD_NUMBER = 6;
+  private long good_ = 0L;
+  /**
+   * <pre>
+   * In a beat: answers since the last one that took about as long as those of other upstreams, and answers that took much
+   * longer, refusals and failures; 0 if the deployment does not limit upstreams that start. In a pulse: the sums of the
+   * latest beats of all entries but the asking one.
+   * </pre>
+   *
+   * <code>uint64 good = 6;</code>
+   * @return The good.
+   */
+  @java.lang.Override
+  public long getGood() {
+    return good_;
+  }
+
+  public static final int BAD_FIELD_NUMBER = 7;
+  private long bad_ = 0L;
+  /**
+   * <code>uint64 bad = 7;</code>
+   * @return The bad.
+   */
+  @java.lang.Override
+  public long getBad() {
+    return bad_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -169,6 +197,12 @@
     if (java.lang.Double.doubleToRawLongBits(pace_) != 0) {
       output.writeDouble(5, pace_);
     }
+    if (good_ != 0L) {
+      output.writeUInt64(6, good_);
+    }
+    if (bad_ != 0L) {
+      output.writeUInt64(7, bad_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -197,6 +231,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(5, pace_);
     }
+    if (good_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, good_);
+    }
+    if (bad_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, bad_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -224,6 +266,10 @@
     if (java.lang.Double.doubleToLongBits(getPace())
         != java.lang.Double.doubleToLongBits(
             other.getPace())) return false;
+    if (getGood()
+        != other.getGood()) return false;
+    if (getBad()
+        != other.getBad()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -247,6 +293,12 @@
     hash = (37 * hash) + PACE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getPace()));
+    hash = (37 * hash) + GOOD_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getGood());
+    hash = (37 * hash) + BAD_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBad());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -387,6 +439,8 @@
       answers_ = 0;
       paceSum_ = 0D;
       pace_ = 0D;
+      good_ = 0L;
+      bad_ = 0L;
       return this;
     }
 
@@ -435,6 +489,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.pace_ = pace_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.good_ = good_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.bad_ = bad_;
+      }
     }
 
     @java.lang.Override
@@ -466,6 +526,12 @@
       if (java.lang.Double.doubleToRawLongBits(other.getPace()) != 0) {
         setPace(other.getPace());
       }
+      if (other.getGood() != 0L) {
+        setGood(other.getGood());
+      }
+      if (other.getBad() != 0L) {
+        setBad(other.getBad());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -517,6 +583,16 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 41
+            case 48: {
+              good_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              bad_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -761,6 +837,88 @@
       return this;
     }
 
+    private long good_ ;
+    /**
+     * <pre>
+     * In a beat: answers since the last one that took about as long as those of other upstreams, and answers that took much
+     * longer, refusals and failures; 0 if the deployment does not limit upstreams that start. In a pulse: the sums of the
+     * latest beats of all entries but the asking one.
+     * </pre>
+     *
+     * <code>uint64 good = 6;</code>
+     * @return The good.
+     */
+    @java.lang.Override
+    public long getGood() {
+      return good_;
+    }
+    /**
+     * <pre>
+     * In a beat: answers since the last one that took about as long as those of other upstreams, and answers that took much
+     * longer, refusals and failures; 0 if the deployment does not limit upstreams that start. In a pulse: the sums of the
+     * latest beats of all entries but the asking one.
+     * </pre>
+     *
+     * <code>uint64 good = 6;</code>
+     * @param value The good to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGood(long value) {
+
+      good_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In a beat: answers since the last one that took about as long as those of other upstreams, and answers that took much
+     * longer, refusals and failures; 0 if the deployment does not limit upstreams that start. In a pulse: the sums of the
+     * latest beats of all entries but the asking one.
+     * </pre>
+     *
+     * <code>uint64 good = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGood() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      good_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long bad_ ;
+    /**
+     * <code>uint64 bad = 7;</code>
+     * @return The bad.
+     */
+    @java.lang.Override
+    public long getBad() {
+      return bad_;
+    }
+    /**
+     * <code>uint64 bad = 7;</code>
+     * @param value The bad to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBad(long value) {
+
+      bad_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 bad = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBad() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      bad_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:mangorack.keeper.Load)
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/LoadOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/LoadOrBuilder.java
@@ -54,4 +54,22 @@
    * @return The pace.
    */
   double getPace();
+
+  /**
+   * <pre>
+   * In a beat: answers since the last one that took about as long as those of other upstreams, and answers that took much
+   * longer, refusals and failures; 0 if the deployment does not limit upstreams that start. In a pulse: the sums of the
+   * latest beats of all entries but the asking one.
+   * </pre>
+   *
+   * <code>uint64 good = 6;</code>
+   * @return The good.
+   */
+  long getGood();
+
+  /**
+   * <code>uint64 bad = 7;</code>
+   * @return The bad.
+   */
+  long getBad();
 }
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -207,6 +207,12 @@
 	/** An upstream is excluded from selection after failures. */
 	UPSTREAM_AVOIDED(2204, Level.WARN, "upstream avoided"),
 
+	/** The calls in flight at an upstream are limited, as it starts or recovers. */
+	UPSTREAM_STARTING(2205, Level.INFO, "upstream limited at its start"),
+
+	/** An upstream that started answers as well as others and is no longer limited. */
+	UPSTREAM_STARTED(2206, Level.INFO, "upstream no longer limited"),
+
 	/** The configuration was last confirmed too long ago to accept keyed requests. */
 	CONFIGURATION_STALE(2211, Level.WARN, "configuration too old for keyed requests"),
 
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -223,12 +223,18 @@
 	// depends on the size of the prompt.
 	private void recordGeneration() {
 		int events = this.call.stream().events() - this.eventsBefore;
-		if (isMeasured() && this.latencyRecorded && (events >= MIN_MEASURED_EVENTS)) {
+		if (!isMeasured() || !this.latencyRecorded) {
+			return;
+		}
+		if (events >= MIN_MEASURED_EVENTS) {
 			Duration time = Duration.ofNanos(this.server.now() - this.firstDataAt);
 			this.server.upstreams().engineTimes(this.call.pool()).recordGeneration(time);
 			this.upstream
 				.responseReceived(this.server.routeLatencies().latencyRatio(this.call.pool(), time.dividedBy(events)));
 		}
+		else {
+			this.upstream.shortResponseReceived();
+		}
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -114,6 +114,8 @@
 		this.keepersLastServingAt = clock.nanoTime();
 		this.memory = new MemoryBudget(MemoryBudget.processLimit(), metrics);
 		metrics.gauge("mangorack.held.bytes", this.memory::heldBytes);
+		upstreams.setStartsLimited(this::limitsStarts);
+		metrics.gauge("mangorack.upstreams.starting", upstreams::startingCount);
 	}
 
 	// ---- Lifecycle
@@ -271,6 +273,13 @@
 		return (tokenBytes > 0) && (tokenBytes >= this.promptReuseMinTokenBytes);
 	}
 
+	// A deployment with any pool that reuses prompts: programs wait for tools between
+	// their turns, so that an upstream of a plain pool that starts delays them as well.
+	private boolean limitsStarts() {
+		FleetConfiguration current = this.configuration.current();
+		return (current != null) && prefersSubset(current);
+	}
+
 	WaitingTurns turns() {
 		return this.turns;
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BooleanSupplier;
 
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
@@ -17,6 +18,8 @@
 
 	private UpstreamRegistration entry;
 
+	private final BooleanSupplier startsLimited;
+
 	private boolean inUse = true;
 
 	private boolean departing;
@@ -28,7 +31,18 @@
 	private long singleUseUntil;
 
 	Upstream(UpstreamRegistration entry, long now) {
+		this(entry, now, () -> false);
+	}
+
+	/**
+	 * Creates the state of an upstream that has received no calls yet.
+	 * @param entry its registration
+	 * @param now the time on the monotonic clock
+	 * @param startsLimited whether upstreams that start or recover are limited
+	 */
+	Upstream(UpstreamRegistration entry, long now, BooleanSupplier startsLimited) {
 		super(now);
+		this.startsLimited = startsLimited;
 		this.singleUseUntil = now;
 		this.entry = entry;
 	}
@@ -109,6 +123,55 @@
 		this.singleUseUntil = until;
 	}
 
+	// ---- Start
+
+	/**
+	 * Limits the calls in flight from now on, if the deployment limits upstreams that
+	 * start.
+	 * @param cause why, for the log
+	 */
+	void beginStart(String cause) {
+		if (this.startsLimited.getAsBoolean()) {
+			boolean limitedBefore = startPace().isLimited();
+			startPace().begin();
+			if (!limitedBefore) {
+				EventLog.log(Event.UPSTREAM_STARTING, "upstream", id(), "cause", cause);
+			}
+		}
+	}
+
+	/**
+	 * Counts the answers to other entries.
+	 * @param good the number of good answers in their latest heartbeats
+	 * @param bad the number of bad answers in their latest heartbeats
+	 * @param now the time on the monotonic clock
+	 */
+	void answeredElsewhere(long good, long bad, long now) {
+		boolean limitedBefore = startPace().isLimited();
+		startPace().answeredElsewhere(good, bad, slots(), now);
+		logEnd(limitedBefore);
+	}
+
+	@Override
+	public void responseReceived(double ratio) {
+		boolean limitedBefore = startPace().isLimited();
+		super.responseReceived(ratio);
+		logEnd(limitedBefore);
+	}
+
+	@Override
+	public void shortResponseReceived() {
+		boolean limitedBefore = startPace().isLimited();
+		super.shortResponseReceived();
+		logEnd(limitedBefore);
+	}
+
+	private void logEnd(boolean limitedBefore) {
+		if (limitedBefore && !startPace().isLimited()) {
+			EventLog.log(Event.UPSTREAM_STARTED, "upstream", id(), "slots", slots());
+		}
+	}
+
 	// ---- Outcomes
 
 	void failed(long now, String cause) {
@@ -123,6 +186,7 @@
 		if (!avoided.isZero()) {
 			EventLog.log(Event.UPSTREAM_AVOIDED, "upstream", id(), "forMillis", avoided.toMillis(), "failures",
 					consecutiveFailures(), "cause", cause);
+			beginStart("failures");
 		}
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.mangorack.dispatch.PlacementCandidate;
+import org.mangorack.dispatch.StartPace;
 import org.mangorack.keeper.proto.Load;
 
 /**
@@ -13,6 +14,8 @@
 
 	private final FailureBackoff backoff;
 
+	private final StartPace startPace;
+
 	private int callsInFlight;
 
 	private int callsInFlightElsewhere;
@@ -30,6 +33,7 @@
 	 */
 	protected UpstreamCandidate(long now) {
 		this.backoff = new FailureBackoff(now);
+		this.startPace = new StartPace(now);
 	}
 
 	// ---- Accessors
@@ -57,6 +61,21 @@
 		return this.backoff.isAvoided(now);
 	}
 
+	StartPace startPace() {
+		return this.startPace;
+	}
+
+	/**
+	 * Returns whether the upstream may get another call of this entry while it starts.
+	 * @param share the part of the calls of the pool that this entry has in flight, from
+	 * 0 to 1
+	 * @param now the time on the monotonic clock
+	 * @return {@code true} if it is not limited or has room for the call
+	 */
+	boolean hasStartRoom(double share, long now) {
+		return this.startPace.hasRoom(this.callsInFlight, this.callsInFlightElsewhere, share, now);
+	}
+
 	int consecutiveFailures() {
 		return this.backoff.consecutiveFailures();
 	}
@@ -118,6 +137,14 @@
 	public void responseReceived(double ratio) {
 		this.responses++;
 		this.latencyRatioSum += ratio;
+		this.startPace.answered(ratio, slots());
+	}
+
+	/**
+	 * Records a complete response that was too short to measure its time.
+	 */
+	public void shortResponseReceived() {
+		this.startPace.answered(1, slots());
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -5,12 +5,15 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
@@ -62,6 +65,12 @@
 	 */
 	static final double ROOM_LOAD = 1.25;
 
+	/**
+	 * The number of removed upstreams that are remembered, so that one whose registration
+	 * was lost for a while does not count as started when it returns.
+	 */
+	static final int MAX_REMOVED = 500;
+
 	private static final int MAX_LOGGED_ENTRY_BYTES = 2048;
 
 	private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
@@ -85,6 +94,8 @@
 
 	private final Map<String, Upstream> upstreams = new HashMap<>();
 
+	private final Map<String, UpstreamRegistration> removed = new LinkedHashMap<>();
+
 	private final Set<String> unreadable = new HashSet<>();
 
 	// The valid upstream entries that the platform holds.
@@ -97,6 +108,11 @@
 
 	private final PlatformRecovery platformRecovery;
 
+	private BooleanSupplier startsLimited = () -> false;
+
+	// Read by the thread that collects the metrics.
+	private volatile int startingCount;
+
 	private long version;
 
 	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock, String instance,
@@ -125,6 +141,26 @@
 		return this.version;
 	}
 
+	/**
+	 * Sets whether upstreams that start or recover are limited by how they answer.
+	 * @param startsLimited the switch, which may change with the configuration
+	 */
+	void setStartsLimited(BooleanSupplier startsLimited) {
+		this.startsLimited = startsLimited;
+	}
+
+	/**
+	 * Returns how many upstreams are limited as they start or recover.
+	 * @return the number at the last sweep
+	 */
+	int startingCount() {
+		return this.startingCount;
+	}
+
+	Upstream upstream(String id) {
+		return this.upstreams.get(id);
+	}
+
 	/**
 	 * Updates what a source reports of its contact with the platform.
 	 * @param source the disk of a keeper, or an empty string for this entry's own
@@ -154,11 +190,15 @@
 		}
 		news.getGoneList().forEach(this.registered::remove);
 		news.getGoneList().forEach(this.unreadable::remove);
-		news.getUpstreamList().forEach((u) -> parseEntry(u.getName(), u.getDocument()));
+		Set<String> knownPools = this.upstreams.values()
+			.stream()
+			.map((u) -> u.entry().pool())
+			.collect(Collectors.toSet());
+		news.getUpstreamList().forEach((u) -> parseEntry(u.getName(), u.getDocument(), knownPools));
 		removeMissing();
 	}
 
-	private void parseEntry(String id, ByteString document) {
+	private void parseEntry(String id, ByteString document, Set<String> knownPools) {
 		Optional<UpstreamRegistration> entry = Optional.empty();
 		Exception cause = null;
 		try {
@@ -170,7 +210,7 @@
 		if (entry.isPresent()) {
 			this.registered.put(id, entry.get());
 			this.unreadable.remove(id);
-			update(entry.get());
+			update(entry.get(), knownPools);
 		}
 		else {
 			this.registered.remove(id);
@@ -199,15 +239,21 @@
 	void setLoadOfOtherEntries(List<Load> load) {
 		Map<String, Integer> calls = new HashMap<>();
 		Map<String, Double> latencyRatios = new HashMap<>();
+		Map<String, Long> good = new HashMap<>();
+		Map<String, Long> bad = new HashMap<>();
 		load.forEach((l) -> {
 			calls.merge(l.getUpstream(), l.getCalls(), Math::max);
+			good.merge(l.getUpstream(), l.getGood(), Math::max);
+			bad.merge(l.getUpstream(), l.getBad(), Math::max);
 			if (l.getPace() > 0) {
 				latencyRatios.merge(l.getUpstream(), l.getPace(), Math::max);
 			}
 		});
+		long now = this.clock.nanoTime();
 		this.upstreams.forEach((id, u) -> {
 			u.setCallsInFlightElsewhere(calls.getOrDefault(id, 0));
 			u.setLatencyRatio(latencyRatios.getOrDefault(id, 1.0));
+			u.answeredElsewhere(good.getOrDefault(id, 0L), bad.getOrDefault(id, 0L), now);
 		});
 	}
 
@@ -218,11 +264,18 @@
 	List<Load> drainLoad() {
 		return this.upstreams.values()
 			.stream()
-			.map(Upstream::drainLoad)
+			.map(this::drainLoad)
 			.filter((l) -> (l.getCalls() > 0) || (l.getAnswers() > 0))
 			.toList();
 	}
 
+	private Load drainLoad(Upstream upstream) {
+		Load load = upstream.drainLoad();
+		long good = upstream.startPace().drainGood();
+		long bad = upstream.startPace().drainBad();
+		return this.startsLimited.getAsBoolean() ? load.toBuilder().setGood(good).setBad(bad).build() : load;
+	}
+
 	/**
 	 * Returns the departures that this entry reports to others.
 	 * @return the recent departures that upstreams announced to this entry
@@ -270,7 +323,7 @@
 	 * @return the upstream, or empty if none is available
 	 */
 	Optional<Upstream> choose(String pool, Set<Upstream> tried, String affinity) {
-		return Optional.ofNullable(this.choice.choose(candidates(pool, tried), affinity, this.clock.nanoTime()));
+		return Optional.ofNullable(this.choice.choose(started(pool, tried), affinity, this.clock.nanoTime()));
 	}
 
 	/**
@@ -282,7 +335,7 @@
 	 */
 	Optional<Upstream> choosePreferred(String pool, Set<Upstream> tried) {
 		long now = this.clock.nanoTime();
-		return Optional.ofNullable(this.choice.choose(this.subset.select(candidates(pool, tried), now), null, now));
+		return Optional.ofNullable(this.choice.choose(this.subset.select(started(pool, tried), now), null, now));
 	}
 
 	/**
@@ -296,7 +349,7 @@
 	 * @return the engine, with what it probably keeps, or empty if none is available
 	 */
 	Optional<Placed> chooseByPrompt(String pool, Set<Upstream> tried, Prompt prompt, KeptPrompt kept, boolean byHash) {
-		List<Upstream> candidates = candidates(pool, tried);
+		List<Upstream> candidates = started(pool, tried);
 		KeptPrompt known = byHash ? PromptPlacement.home(candidates, prompt) : kept;
 		Upstream chosen = this.promptPlacement.choose(candidates, prompt, known, engineTimes(pool),
 				this.clock.nanoTime());
@@ -345,6 +398,11 @@
 		return candidates.isEmpty() || candidates.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
 	}
 
+	private List<Upstream> started(String pool, Set<Upstream> tried) {
+		List<Upstream> candidates = candidates(pool, tried);
+		return this.startsLimited.getAsBoolean() ? StartRoom.select(candidates, this.clock.nanoTime()) : candidates;
+	}
+
 	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
 		List<Upstream> candidates = new ArrayList<>();
 		for (Upstream u : this.upstreams.values()) {
@@ -357,16 +415,20 @@
 
 	// ---- Helpers
 
-	private void update(UpstreamRegistration entry) {
+	private void update(UpstreamRegistration entry, Set<String> knownPools) {
 		Upstream known = this.upstreams.get(entry.id());
 		if ((known == null) || !known.entry().isSameIncarnation(entry)) {
 			if (known != null) {
 				takeOutOfUse(known, "restarted");
 			}
-			Upstream added = new Upstream(entry, this.clock.nanoTime());
+			Upstream added = new Upstream(entry, this.clock.nanoTime(), () -> this.startsLimited.getAsBoolean());
 			this.upstreams.put(entry.id(), added);
 			EventLog.log(Event.UPSTREAM_IN_USE, "upstream", entry.id(), "pool", entry.pool(), "address",
 					entry.address(), "leaving", entry.leaving());
+			UpstreamRegistration before = this.removed.remove(entry.id());
+			if (knownPools.contains(entry.pool()) && ((before == null) || !before.isSameIncarnation(entry))) {
+				added.beginStart("started");
+			}
 			if (this.remoteDepartures.contains(toDeparture(entry))) {
 				this.client.markDeparting(added);
 			}
@@ -394,6 +456,10 @@
 
 	private void takeOutOfUse(Upstream upstream, String cause) {
 		this.upstreams.remove(upstream.id());
+		this.removed.put(upstream.id(), upstream.entry());
+		if (this.removed.size() > MAX_REMOVED) {
+			this.removed.remove(this.removed.keySet().iterator().next());
+		}
 		upstream.setInUse(false);
 		this.client.closeIdle(upstream, true);
 		EventLog.log(Event.UPSTREAM_OUT_OF_USE, "upstream", upstream.id(), "cause", cause, "underWay",
@@ -401,6 +467,9 @@
 	}
 
 	private void closeIdleConnections() {
+		boolean limited = this.startsLimited.getAsBoolean();
+		this.startingCount = limited
+				? (int) this.upstreams.values().stream().filter((u) -> u.startPace().isLimited()).count() : 0;
 		this.upstreams.values().forEach((u) -> this.client.closeIdle(u, false));
 	}
 
