--- a/mangorack/src/main/java/org/mangorack/dispatch/StartPace.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/StartPace.java
@@ -1,7 +1,6 @@
 package org.mangorack.dispatch;
 
 import java.time.Duration;
-import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 
 /**
@@ -40,7 +39,8 @@
 
 	/**
 	 * The factor of the room for a bad answer. With {@link #GOOD_STEP}, an upstream of
-	 * eight slots stays limited if a fifth of its answers or more are bad.
+	 * eight slots stays limited if two fifths of its answers are bad, but not if a tenth
+	 * are.
 	 */
 	static final double BAD_FACTOR = 0.5;
 
@@ -82,20 +82,12 @@
 
 	private long roundedAt;
 
-	/**
-	 * Creates the state of an upstream that is not limited.
-	 * @param now the time on the monotonic clock
-	 */
-	public StartPace(long now) {
-		this(now, new SplittableRandom());
-	}
-
 	/**
 	 * Creates the state of an upstream that is not limited.
 	 * @param now the time on the monotonic clock
 	 * @param random the source of randomness
 	 */
-	StartPace(long now, RandomGenerator random) {
+	public StartPace(long now, RandomGenerator random) {
 		this.random = random;
 		this.elsewhereAt = now;
 		this.roundedAt = now - INTERVAL.toNanos();
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
 
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
@@ -31,7 +33,7 @@
 	private long singleUseUntil;
 
 	Upstream(UpstreamRegistration entry, long now) {
-		this(entry, now, () -> false);
+		this(entry, now, () -> false, new SplittableRandom());
 	}
 
 	/**
@@ -39,9 +41,10 @@
 	 * @param entry its registration
 	 * @param now the time on the monotonic clock
 	 * @param startsLimited whether upstreams that start or recover are limited
+	 * @param random the source of randomness
 	 */
-	Upstream(UpstreamRegistration entry, long now, BooleanSupplier startsLimited) {
-		super(now);
+	Upstream(UpstreamRegistration entry, long now, BooleanSupplier startsLimited, RandomGenerator random) {
+		super(now, random);
 		this.startsLimited = startsLimited;
 		this.singleUseUntil = now;
 		this.entry = entry;
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamCandidate.java
@@ -1,6 +1,8 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 
 import org.mangorack.dispatch.PlacementCandidate;
 import org.mangorack.dispatch.StartPace;
@@ -32,8 +34,17 @@
 	 * @param now the time on the monotonic clock
 	 */
 	protected UpstreamCandidate(long now) {
+		this(now, new SplittableRandom());
+	}
+
+	/**
+	 * Creates the state of an upstream that has received no calls yet.
+	 * @param now the time on the monotonic clock
+	 * @param random the source of randomness
+	 */
+	protected UpstreamCandidate(long now, RandomGenerator random) {
 		this.backoff = new FailureBackoff(now);
-		this.startPace = new StartPace(now);
+		this.startPace = new StartPace(now, random);
 	}
 
 	// ---- Accessors
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -421,7 +421,8 @@
 			if (known != null) {
 				takeOutOfUse(known, "restarted");
 			}
-			Upstream added = new Upstream(entry, this.clock.nanoTime(), () -> this.startsLimited.getAsBoolean());
+			Upstream added = new Upstream(entry, this.clock.nanoTime(), () -> this.startsLimited.getAsBoolean(),
+					new SplittableRandom());
 			this.upstreams.put(entry.id(), added);
 			EventLog.log(Event.UPSTREAM_IN_USE, "upstream", entry.id(), "pool", entry.pool(), "address",
 					entry.address(), "leaving", entry.leaving());
--- a/mangorack/src/test/java/org/mangorack/keeper/LiveEntriesTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/LiveEntriesTests.java
@@ -1,5 +1,6 @@
 package org.mangorack.keeper;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
@@ -59,6 +60,21 @@
 		assertThat(this.entries.version()).isEqualTo(version);
 	}
 
+	/**
+	 * Guards against answers that an entry counts twice, as it counts its own when they
+	 * arrive.
+	 */
+	@Test
+	void goodAndBadAnswersAreSummedOverTheOtherEntries() {
+		Load.Builder load = Load.newBuilder().setUpstream("u").setGood(2).setBad(1);
+		for (String instance : List.of("e1", "e2", "e3")) {
+			this.entries.recordHeartbeat(Beat.newBuilder().setInstance(instance).addLoad(load).build());
+		}
+		Load sum = this.entries.loadOfOtherEntries("e1").get(0);
+		assertThat(sum.getGood()).isEqualTo(4);
+		assertThat(sum.getBad()).isEqualTo(2);
+	}
+
 	@Test
 	void anEntryIsNotSentItsOwnCalls() {
 		this.entries.recordHeartbeat(beat("e1", true));
