--- a/mangorack/src/test/java/org/mangorack/relay/UpstreamStartSimulationTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/UpstreamStartSimulationTests.java
@@ -134,6 +134,29 @@
 		assertThat(calls[1]).isPositive().isLessThan(calls[0] / 2);
 	}
 
+	/**
+	 * Guards against more calls to an upstream that fails all of them while it starts
+	 * than avoidance alone leaves, and against a limit that lasts after its recovery.
+	 */
+	@Test
+	void anUpstreamThatRelapsesGetsFewCallsUntilItRecovers() {
+		int[] calls = new int[2];
+		for (int i = 0; i < 2; i++) {
+			Simulation s = new Simulation(1, 40, 12, 0.5, i == 1);
+			s.run(RELEASE);
+			s.replace(0, 1, 1, 0);
+			s.run(RELEASE + 3);
+			int before = s.server("u-0").arrived;
+			s.server("u-0").failing = 1;
+			s.run(RELEASE + 8);
+			calls[i] = s.server("u-0").arrived - before;
+			s.server("u-0").failing = 0;
+			s.run(RELEASE + 40);
+			assertThat(s.limitedShare("u-0")).isLessThan(0.5);
+		}
+		assertThat(calls[1]).isPositive().isLessThanOrEqualTo(calls[0]);
+	}
+
 	/**
 	 * Guards against an upstream that is never tried as few callers need its pool.
 	 */
@@ -151,7 +174,7 @@
 
 		private final int warmCalls;
 
-		private final double failing;
+		private double failing;
 
 		private final Deque<Call> queue = new ArrayDeque<>();
 
