--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -268,59 +268,60 @@
       "re\022\020\n\010upstream\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\022\n" +
       "\nstarted_at\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\004\"=\n\005Usa" +
       "ge\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005calls\030\002 \001(\021\022\022\n\n" +
-      "beginnings\030\003 \001(\021\"X\n\004Load\022\020\n\010upstream\030\001 \001" +
+      "beginnings\030\003 \001(\021\"s\n\004Load\022\020\n\010upstream\030\001 \001" +
       "(\t\022\r\n\005calls\030\002 \001(\r\022\017\n\007answers\030\003 \001(\r\022\020\n\010pa" +
-      "ce_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\"\374\004\n\005Pulse\022&\n\005" +
-      "level\030\001 \003(\0132\027.mangorack.keeper.Level\022\025\n\r" +
-      "configuration\030\002 \001(\004\022\034\n\024configuration_age" +
-      "_ms\030\003 \001(\004\022\017\n\007entries\030\005 \001(\004\022&\n\005entry\030\006 \003(" +
-      "\0132\027.mangorack.keeper.Entry\022$\n\004load\030\007 \003(\013" +
-      "2\026.mangorack.keeper.Load\022\026\n\016contact_age_" +
-      "ms\030\010 \001(\004\022\036\n\026entries_contact_age_ms\030\t \001(\004" +
-      "\022\025\n\rentries_heard\030\n \001(\r\022\017\n\007time_ms\030\013 \001(\003" +
-      "\022\022\n\nwith_lists\030\014 \001(\010\0221\n\tupstreams\030\r \001(\0132" +
-      "\036.mangorack.keeper.UpstreamNews\0222\n\007conta" +
-      "ct\030\016 \001(\0132!.mangorack.keeper.PlatformCont" +
-      "act\022\022\n\ndepartures\030\017 \001(\004\022.\n\tdeparture\030\020 \003" +
-      "(\0132\033.mangorack.keeper.Departure\022\034\n\024confi" +
-      "guration_wanted\030\021 \001(\010\022\025\n\rentries_since\030\022" +
-      " \001(\004\022\022\n\nentry_gone\030\023 \003(\t\022\025\n\rentries_star" +
-      "t\030\024 \001(\006\0222\n\013evacuations\030\025 \001(\0132\035.mangorack" +
-      ".keeper.EvacuationsJ\004\010\004\020\005\"3\n\013Evacuations" +
-      "\022\017\n\007version\030\001 \001(\004\022\023\n\013data_centre\030\002 \003(\t\"#" +
-      "\n\022FetchConfiguration\022\r\n\005known\030\001 \001(\004\"I\n\025C" +
-      "onfigurationDocument\022\017\n\007version\030\001 \001(\004\022\017\n" +
-      "\007content\030\002 \001(\014\022\016\n\006age_ms\030\003 \001(\004\"G\n\017Platfo" +
-      "rmContact\022\021\n\tanswering\030\001 \001(\010\022\021\n\tlength_m" +
-      "s\030\002 \001(\004\022\016\n\006broken\030\003 \001(\010\"v\n\014UpstreamNews\022" +
-      "\017\n\007version\030\001 \001(\004\022\r\n\005whole\030\002 \001(\010\0222\n\010upstr" +
-      "eam\030\003 \003(\0132 .mangorack.keeper.UpstreamObj" +
-      "ect\022\014\n\004gone\030\004 \003(\tJ\004\010\005\020\006\"0\n\016UpstreamObjec" +
-      "t\022\014\n\004name\030\001 \001(\t\022\020\n\010document\030\002 \001(\014\"?\n\005Ent" +
-      "ry\022\020\n\010instance\030\001 \001(\t\022\026\n\016caller_address\030\002" +
-      " \001(\t\022\014\n\004zone\030\003 \001(\t\":\n\005Level\022\021\n\tworkspace" +
-      "\030\001 \001(\t\022\r\n\005calls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"P" +
-      "\n\004Draw\022\021\n\tworkspace\030\001 \001(\t\022\021\n\tbeginning\030\002" +
-      " \001(\010\022\016\n\006urgent\030\003 \001(\010\022\022\n\ncorrection\030\004 \001(\021" +
-      "\"*\n\005Drawn\022\017\n\007granted\030\001 \001(\010\022\020\n\010retry_ms\030\002" +
-      " \001(\004\"-\n\005Adopt\022$\n\004view\030\001 \001(\0132\026.mangorack." +
-      "keeper.View\"\013\n\tInventory\"a\n\007Listing\022\014\n\004t" +
-      "urn\030\001 \003(\t\0221\n\007program\030\002 \003(\0132 .mangorack.k" +
-      "eeper.ProgramCharges\022\025\n\runsynced_turn\030\003 " +
-      "\003(\t\"a\n\016ProgramCharges\022\017\n\007program\030\001 \001(\t\022(" +
-      "\n\006charge\030\002 \003(\0132\030.mangorack.keeper.Charge" +
-      "\022\024\n\014retention_ms\030\003 \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001" +
-      " \003(\t\"-\n\005Batch\022$\n\004turn\030\001 \003(\0132\026.mangorack." +
-      "keeper.Turn\"`\n\005Store\022$\n\004turn\030\001 \003(\0132\026.man" +
-      "gorack.keeper.Turn\0221\n\007program\030\002 \003(\0132 .ma" +
-      "ngorack.keeper.ProgramCharges\"\202\001\n\010LogEnt" +
-      "ry\022\021\n\tstored_ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.ma" +
-      "ngorack.keeper.TurnH\000\0223\n\007charges\030\003 \001(\0132 " +
-      ".mangorack.keeper.ProgramChargesH\000B\006\n\004bo" +
-      "dy*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014" +
-      "UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK" +
-      "\020\004B+\n\032org.mangorack.keeper.protoB\013Keeper" +
-      "ProtoP\001b\006proto3"
+      "ce_sum\030\004 \001(\001\022\014\n\004pace\030\005 \001(\001\022\014\n\004good\030\006 \001(\004" +
+      "\022\013\n\003bad\030\007 \001(\004\"\374\004\n\005Pulse\022&\n\005level\030\001 \003(\0132\027" +
+      ".mangorack.keeper.Level\022\025\n\rconfiguration" +
+      "\030\002 \001(\004\022\034\n\024configuration_age_ms\030\003 \001(\004\022\017\n\007" +
+      "entries\030\005 \001(\004\022&\n\005entry\030\006 \003(\0132\027.mangorack" +
+      ".keeper.Entry\022$\n\004load\030\007 \003(\0132\026.mangorack." +
+      "keeper.Load\022\026\n\016contact_age_ms\030\010 \001(\004\022\036\n\026e" +
+      "ntries_contact_age_ms\030\t \001(\004\022\025\n\rentries_h" +
+      "eard\030\n \001(\r\022\017\n\007time_ms\030\013 \001(\003\022\022\n\nwith_list" +
+      "s\030\014 \001(\010\0221\n\tupstreams\030\r \001(\0132\036.mangorack.k" +
+      "eeper.UpstreamNews\0222\n\007contact\030\016 \001(\0132!.ma" +
+      "ngorack.keeper.PlatformContact\022\022\n\ndepart" +
+      "ures\030\017 \001(\004\022.\n\tdeparture\030\020 \003(\0132\033.mangorac" +
+      "k.keeper.Departure\022\034\n\024configuration_want" +
+      "ed\030\021 \001(\010\022\025\n\rentries_since\030\022 \001(\004\022\022\n\nentry" +
+      "_gone\030\023 \003(\t\022\025\n\rentries_start\030\024 \001(\006\0222\n\013ev" +
+      "acuations\030\025 \001(\0132\035.mangorack.keeper.Evacu" +
+      "ationsJ\004\010\004\020\005\"3\n\013Evacuations\022\017\n\007version\030\001" +
+      " \001(\004\022\023\n\013data_centre\030\002 \003(\t\"#\n\022FetchConfig" +
+      "uration\022\r\n\005known\030\001 \001(\004\"I\n\025ConfigurationD" +
+      "ocument\022\017\n\007version\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
+      "\014\022\016\n\006age_ms\030\003 \001(\004\"G\n\017PlatformContact\022\021\n\t" +
+      "answering\030\001 \001(\010\022\021\n\tlength_ms\030\002 \001(\004\022\016\n\006br" +
+      "oken\030\003 \001(\010\"v\n\014UpstreamNews\022\017\n\007version\030\001 " +
+      "\001(\004\022\r\n\005whole\030\002 \001(\010\0222\n\010upstream\030\003 \003(\0132 .m" +
+      "angorack.keeper.UpstreamObject\022\014\n\004gone\030\004" +
+      " \003(\tJ\004\010\005\020\006\"0\n\016UpstreamObject\022\014\n\004name\030\001 \001" +
+      "(\t\022\020\n\010document\030\002 \001(\014\"?\n\005Entry\022\020\n\010instanc" +
+      "e\030\001 \001(\t\022\026\n\016caller_address\030\002 \001(\t\022\014\n\004zone\030" +
+      "\003 \001(\t\":\n\005Level\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005cal" +
+      "ls\030\002 \001(\001\022\017\n\007warming\030\003 \001(\010\"P\n\004Draw\022\021\n\twor" +
+      "kspace\030\001 \001(\t\022\021\n\tbeginning\030\002 \001(\010\022\016\n\006urgen" +
+      "t\030\003 \001(\010\022\022\n\ncorrection\030\004 \001(\021\"*\n\005Drawn\022\017\n\007" +
+      "granted\030\001 \001(\010\022\020\n\010retry_ms\030\002 \001(\004\"-\n\005Adopt" +
+      "\022$\n\004view\030\001 \001(\0132\026.mangorack.keeper.View\"\013" +
+      "\n\tInventory\"a\n\007Listing\022\014\n\004turn\030\001 \003(\t\0221\n\007" +
+      "program\030\002 \003(\0132 .mangorack.keeper.Program" +
+      "Charges\022\025\n\runsynced_turn\030\003 \003(\t\"a\n\016Progra" +
+      "mCharges\022\017\n\007program\030\001 \001(\t\022(\n\006charge\030\002 \003(" +
+      "\0132\030.mangorack.keeper.Charge\022\024\n\014retention" +
+      "_ms\030\003 \001(\003\"\024\n\004Copy\022\014\n\004turn\030\001 \003(\t\"-\n\005Batch" +
+      "\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`" +
+      "\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper" +
+      ".Turn\0221\n\007program\030\002 \003(\0132 .mangorack.keepe" +
+      "r.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_" +
+      "ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keepe" +
+      "r.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack.ke" +
+      "eper.ProgramChargesH\000B\006\n\004body*N\n\006Status\022" +
+      "\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020" +
+      "\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.man" +
+      "gorack.keeper.protoB\013KeeperProtoP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -415,7 +416,7 @@
     internal_static_mangorack_keeper_Load_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_Load_descriptor,
-        new java.lang.String[] { "Upstream", "Calls", "Answers", "PaceSum", "Pace", });
+        new java.lang.String[] { "Upstream", "Calls", "Answers", "PaceSum", "Pace", "Good", "Bad", });
     internal_static_mangorack_keeper_Pulse_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_mangorack_keeper_Pulse_fieldAccessorTable = new
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -225,13 +225,18 @@
 	// back. The time to the first one depends on the size of the prompt too.
 	private void recordGeneration() {
 		int events = this.call.stream().events() - this.eventsBefore;
-		boolean measurable = isMeasured() && this.latencyRecorded && !this.readingSuspended;
-		if (measurable && (events >= MIN_MEASURED_EVENTS)) {
+		if (!isMeasured() || !this.latencyRecorded || this.readingSuspended) {
+			return;
+		}
+		if (events >= MIN_MEASURED_EVENTS) {
 			Duration time = Duration.ofNanos(this.server.now() - this.firstDataAt);
 			this.server.upstreams().engineTimes(this.call.pool()).recordGeneration(time);
 			this.upstream.responseReceived(
 					this.server.generationLatencies().latencyRatio(this.call.pool(), time.dividedBy(events)));
 		}
+		else {
+			this.upstream.shortResponseReceived();
+		}
 	}
 
 	/**
