--- a/mangorack/src/main/java/org/mangorack/call/Jsons.java
+++ b/mangorack/src/main/java/org/mangorack/call/Jsons.java
@@ -80,7 +80,7 @@
 	 */
 	public static long longLimit(JsonNode json, long absent) {
 		if (!json.isNumber()) {
-			return json.asLong(absent);
+			return json.isBoolean() ? absent : json.asLong(absent);
 		}
 		// A floating-point number is converted to the nearest value of the type.
 		return json.canConvertToLong() ? json.longValue() : (long) json.doubleValue();
