--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -307,8 +307,8 @@
 	private void setDeadline() {
 		Duration limit = timeLimit();
 		this.deadline = this.arrivedAt + limit.toNanos();
-		this.deadlineTask = this.server.schedule(this::onDeadline,
-				limit.minus(DEADLINE_MARGIN).isNegative() ? Duration.ZERO : limit.minus(DEADLINE_MARGIN));
+		Duration left = timeLeft().minus(DEADLINE_MARGIN);
+		this.deadlineTask = this.server.schedule(this::onDeadline, left.isNegative() ? Duration.ZERO : left);
 	}
 
 	private void onRateDecision(Duration wait) {
