--- a/bench/src/test/java/org/mangorack/bench/fleet/PromptPlacementContractTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/PromptPlacementContractTests.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.bench.fleet.ScriptedUpstream.Received;
 import org.mangorack.http.HttpAddress;
@@ -49,11 +50,17 @@
 
 	private static final long SMALL_TOKEN_BYTES = 18_432;
 
-	private static final int MEMORY_TOKENS = 9000;
+	private static final int MEMORY_TOKENS = 54_287;
 
 	private static final int SHARED_TOKENS = 512;
 
-	private static final int TOKENS_PER_TURN = 400;
+	private static final int TOKENS_PER_TURN = 654;
+
+	private static final int BYTES_PER_TOKEN = 4;
+
+	// Turns after which what engines are compared by no longer depends on how they were
+	// warmed up.
+	private static final int SETTLING_TURNS = 40;
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(4);
 
@@ -100,10 +107,14 @@
 
 	// Guards against prompts that are read again because the entry of the next turn does
 	// not know which engine keeps them.
-	@Test
-	void theTurnsOfAConversationReachOneEngineThroughDifferentEntries() throws Exception {
+	@ParameterizedTest
+	@ValueSource(strings = { "turns", "dialog" })
+	void theTurnsOfAConversationReachOneEngineThroughDifferentEntries(String route) throws Exception {
 		startEngines(4, 8, LARGE_TOKEN_BYTES);
-		Conversation conversation = new Conversation("c1", "turns");
+		for (int i = 0; i < SETTLING_TURNS; i++) {
+			assertServed(new Conversation("other-" + i, route).next(this.entries.get(i % 2)));
+		}
+		Conversation conversation = new Conversation("c1", route);
 		for (int i = 0; i < 14; i++) {
 			assertServed(conversation.next(this.entries.get(i % 2)));
 		}
@@ -357,6 +368,8 @@
 				"service":"pool","max_attempts":2}],
 				"services":[{"name":"pool","connection_limit":100,"engine":{"slots":8,"tokens_per_event":12,
 				"kv_cache_tokens":MEMORY,"kv_token_bytes":BYTES}}],
+				"limits":{"max_header_bytes":8192,"max_body_bytes":100000,"header_timeout_ms":600,
+				"idle_timeout_ms":3000},
 				"tenants":[{"name":"a","api_keys":["KEY"]},{"name":"marker","api_keys":["MARKER"]}]}"""
 			.replace("TIMEOUT", Long.toString(timeout.toMillis()))
 			.replace("MEMORY", Integer.toString(MEMORY_TOKENS))
@@ -502,7 +515,8 @@
 	}
 
 	/**
-	 * A line of turns whose prompt grows.
+	 * A line of turns whose prompt grows. Where the system stores no turns the whole
+	 * prompt is sent.
 	 */
 	private static final class Conversation {
 
@@ -525,14 +539,18 @@
 			if (this.turns > 0) {
 				this.prompt.append(this.lastInput).append(OUTPUT);
 			}
-			String previous = (this.turns > 0) ? "Previous-Turn: " + this.name + "-" + this.turns + "\r\n" : "";
+			boolean stored = this.route.equals("turns");
+			String previous = (stored && (this.turns > 0)) ? "Previous-Turn: " + this.name + "-" + this.turns + "\r\n"
+					: "";
 			this.turns++;
-			this.lastInput = ("input " + this.turns + " ").repeat(60);
+			int tokens = TOKENS_PER_TURN + ((this.turns == 1) ? SHARED_TOKENS : 0);
+			String mark = "input " + this.turns + " ";
+			this.lastInput = mark + "x".repeat((tokens * BYTES_PER_TOKEN) - OUTPUT.length() - mark.length());
 			String headers = "Program: " + this.name + "\r\nSession: session-" + this.name + "\r\n" + previous
 					+ "Prompt-Prefix: a1:" + SHARED_TOKENS + ",c" + Integer.toHexString(this.name.hashCode()) + ":"
 					+ (this.turns * TOKENS_PER_TURN) + "\r\n";
-			return exchange(entry,
-					request("/" + this.route + "/1", this.name + "-" + this.turns, headers, this.lastInput));
+			return exchange(entry, request("/" + this.route + "/1", this.name + "-" + this.turns, headers,
+					stored ? this.lastInput : wholePrompt()));
 		}
 
 		String wholePrompt() {
--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -295,6 +295,14 @@
 		return received;
 	}
 
+	/**
+	 * Returns what the newest entry holds for its calls.
+	 * @return the value of its metric, in bytes
+	 */
+	double heldBytes() {
+		return newMetrics("entry-" + this.entries).registry().get("mangorack.held.bytes").gauge().value();
+	}
+
 	private Metrics newMetrics(String instance) {
 		return this.metricsByInstance.computeIfAbsent(instance, (i) -> new Metrics());
 	}
