--- a/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/PromptPlacement.java
@@ -94,7 +94,7 @@
 			for (T u : remaining) {
 				if (u.id().equals(kept.upstream())) {
 					best = u;
-					lowest = expectedMillis(u, prompt.tokens() - kept.tokens(), times);
+					lowest = expectedMillis(u, loadOfOthers(u), prompt.tokens() - kept.tokens(), times);
 				}
 			}
 			remaining.remove(best);
@@ -102,7 +102,7 @@
 		List<T> others = new ArrayList<>(this.subset.select(remaining, now));
 		for (int i = 0; (i < SAMPLE_SIZE) && !others.isEmpty(); i++) {
 			T next = others.remove(this.random.nextInt(others.size()));
-			double expected = expectedMillis(next, unread, times);
+			double expected = expectedMillis(next, next.load(), unread, times);
 			if (expected < lowest) {
 				best = next;
 				lowest = expected;
@@ -141,10 +141,16 @@
 		return (home != null) ? new KeptPrompt(home.id(), (long) (prompt.tokens() * HOME_KEPT_FRACTION)) : null;
 	}
 
+	// The news of the load is so old that it mostly contains the previous turn of the
+	// same
+	// session, which has ended.
+	private double loadOfOthers(T engine) {
+		return Math.max(0, engine.load() - (1.0 / engine.slots()));
+	}
+
 	// The wait for a slot, the reading of what is not kept, and the generation. Reading
 	// delays each running stream as much as the turn itself.
-	private double expectedMillis(T engine, long unread, EngineTimes times) {
-		double load = engine.load();
+	private double expectedMillis(T engine, double load, long unread, EngineTimes times) {
 		double slowdown = 1 + (SLOWDOWN_AT_FULL_LOAD * Math.min(1, load * load));
 		double running = Math.min(1, load) * engine.slots();
 		double work = (times.readMillis(unread) * (1 + running)) + (times.generationMillis() * slowdown);
--- a/mangorack/src/main/java/org/mangorack/relay/EngineTurn.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EngineTurn.java
@@ -53,22 +53,35 @@
 	 * Decides whether the turn is refused before anything is done for it: because no
 	 * engine can hold its prompt, or because its program must not begin while the pool is
 	 * nearly full.
+	 * @param bodyBytes the size of its new input
 	 * @return the refusal, or empty if the turn is admitted
 	 */
-	Optional<Refusal> refusal() {
-		if (prompt().tokens() > this.pool.memory().tokens()) {
-			return Optional.of(Refusal.unavailable("request_too_large", "the prompt has " + prompt().tokens()
-					+ " tokens, the engines of pool \"" + this.pool.name() + "\" hold " + this.pool.memory().tokens(),
-					RETRY_AFTER_TOO_LARGE));
-		}
-		if (isBegun()) {
-			return Optional.empty();
+	Optional<Refusal> refusal(long bodyBytes) {
+		Optional<Refusal> tooLarge = sizeRefusal(bodyBytes);
+		if (tooLarge.isPresent() || isBegun()) {
+			return tooLarge;
 		}
 		boolean admitted = this.server.admission().admits(priority(), fill());
 		this.server.recordAdmission(priority(), admitted);
 		return admitted ? Optional.empty() : Optional.of(poolBusy());
 	}
 
+	/**
+	 * Refuses a prompt that no engine can hold. A caller may claim more tokens than its
+	 * input can have; such a claim is no reason to refuse it.
+	 * @param inputBytes the size of the whole input, as far as it is known
+	 * @return the refusal, or empty if the prompt fits or the claim cannot be true
+	 */
+	Optional<Refusal> sizeRefusal(long inputBytes) {
+		long tokens = prompt().tokens();
+		if ((tokens <= this.pool.memory().tokens()) || (tokens > inputBytes)) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(Refusal.unavailable("request_too_large", "the prompt has " + tokens + " tokens, the engines of pool \""
+					+ this.pool.name() + "\" hold " + this.pool.memory().tokens(), RETRY_AFTER_TOO_LARGE));
+	}
+
 	private Refusal poolBusy() {
 		double turnMillis = this.server.upstreams().engineTimes(this.pool.name()).generationMillis();
 		return Refusal.unavailable("pool_busy",
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -320,7 +320,7 @@
 	private void setDeadline() {
 		Duration limit = timeLimit();
 		this.deadline = this.arrivedAt + limit.toNanos();
-		Duration left = Duration.ofNanos(this.deadline - this.server.now()).minus(DEADLINE_MARGIN);
+		Duration left = timeLeft().minus(DEADLINE_MARGIN);
 		this.deadlineTask = this.server.schedule(this::onDeadline, left.isNegative() ? Duration.ZERO : left);
 	}
 
@@ -363,7 +363,7 @@
 		this.tokensPerEvent = (poolSettings != null) ? poolSettings.tokensPerEvent() : 0;
 		if (this.route.rule().isStreamed() && this.head.prompt().isKnown() && this.server.reusesPrompts(poolSettings)) {
 			this.engineTurn = new EngineTurn(this.server, this, poolSettings);
-			Optional<Refusal> refusal = this.engineTurn.refusal();
+			Optional<Refusal> refusal = this.engineTurn.refusal(this.body.length);
 			if (refusal.isPresent()) {
 				refuse(refusal.get());
 				return;
@@ -906,9 +906,14 @@
 			RelayCall.this.chain = turns;
 			RelayCall.this.chainBytes = turns.stream().mapToLong(Turn::getSerializedSize).sum();
 			updateHeld();
-			if (RelayCall.this.engineTurn != null) {
-				RelayCall.this.engineTurn.setPrevious(turns.get(0), RelayCall.this.chainBytes,
-						RelayCall.this.body.length);
+			EngineTurn turn = RelayCall.this.engineTurn;
+			if (turn != null) {
+				turn.setPrevious(turns.get(0), RelayCall.this.chainBytes, RelayCall.this.body.length);
+				Optional<Refusal> tooLarge = turn.sizeRefusal(RelayCall.this.chainBytes + RelayCall.this.body.length);
+				if (tooLarge.isPresent()) {
+					refuse(tooLarge.get());
+					return;
+				}
 			}
 			RelayCall.this.chainReady = true;
 			sendIfReady();
