--- a/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/TestFleetNodes.java
@@ -188,7 +188,7 @@
 		this.entry = new EntryNode(
 				new EntrySettings(name, "dc", this.callers, this.readiness, this.directory, null, storeAddress(),
 						this.keeperAddresses, tolerance, Duration.ofSeconds(4), CONFIGURATION_APPLY, grace,
-						EntrySettings.DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES, this.evacuationBound),
+						EntrySettings.DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES, this.evacuationBound, 1, 0),
 				newStore(), new WireProtocol(), newMetrics(name));
 		this.resources.add(this.entry);
 	}
--- a/mangorack/src/main/java/org/mangorack/dispatch/RendezvousHash.java
+++ b/mangorack/src/main/java/org/mangorack/dispatch/RendezvousHash.java
@@ -4,7 +4,7 @@
  * Hashes pairs of a key and an upstream, so that all instances rank the upstreams of a
  * key in the same order, and an upstream that comes or goes moves only its own keys.
  */
-final class RendezvousHash {
+public final class RendezvousHash {
 
 	private RendezvousHash() {
 	}
@@ -17,7 +17,7 @@
 	 * @param weight the weight of the upstream, above 0
 	 * @return the score, above 0
 	 */
-	static double score(String key, String upstream, double weight) {
+	public static double score(String key, String upstream, double weight) {
 		return -weight / Math.log(uniform(key + "|" + upstream));
 	}
 
--- a/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntryNode.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -37,6 +38,7 @@
 import org.mangorack.keeper.proto.Pulse;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.keeper.proto.Usage;
+import org.mangorack.limit.ColdRate;
 import org.mangorack.observe.DaemonThreads;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
@@ -128,6 +130,8 @@
 
 	private final UpstreamTable upstreams;
 
+	private final ColdRate coldRate;
+
 	private final WorkspaceRateLimiter rates;
 
 	private final RelayServer server;
@@ -181,6 +185,9 @@
 		this.rates = new WorkspaceRateLimiter(this.keepers, this.configuration::version, this.loop, this.clock);
 		this.keeperReplies = new KeeperReplies(this.clock, settings.dataCentre());
 		this.probe = new PlatformProbe(store, this.clock, metrics, new ProbeListener());
+		this.coldRate = new ColdRate(this.clock, settings.instance(), settings.coldOvershoot(), settings.coldSlack());
+		this.upstreams.setColdRate(this.coldRate,
+				(pool) -> Optional.ofNullable(this.configuration.current()).map((c) -> c.pool(pool)).orElse(null));
 		if (settings.evacuationBound() != null) {
 			this.probe.includeEvacuations();
 		}
@@ -223,6 +230,7 @@
 		EventLog.log(Event.DRAIN_STARTED, "instance", this.settings.instance(), "role", "entry");
 		try {
 			runOnLoop(() -> {
+				this.coldRate.withdraw();
 				this.server.announceStop(startedAt + stopSchedule().callsUntil().toNanos());
 				sendHeartbeat();
 			});
@@ -385,6 +393,9 @@
 			this.upstreams.apply(pulse.getUpstreams());
 			this.upstreams.applyEvacuations(pulse.getEvacuations());
 			this.upstreams.applyDepartures(pulse.getDepartureList());
+			if (this.keeperReplies.known(member.getDisk()).entries().matches(pulse) && !this.stopping) {
+				this.coldRate.setEntries(this.keeperReplies.instances(), sentAt);
+			}
 			this.upstreams.setLoadOfOtherEntries(this.keeperReplies.loadOfOtherEntries());
 		}
 		openGateIfReady();
--- a/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
+++ b/mangorack/src/main/java/org/mangorack/relay/EntrySettings.java
@@ -31,11 +31,14 @@
  * in bytes
  * @param evacuationBound the time within which an evacuation of a data centre must take
  * effect, or {@code null} if there are no evacuations
+ * @param coldOvershoot the requests that a cold upstream may get in a second, as a
+ * multiple of what it tolerates
+ * @param coldSlack the number of requests that it may get beyond that
  */
 public record EntrySettings(String instance, String dataCentre, HttpAddress callers, HttpAddress readiness,
 		HttpAddress directory, HttpAddress metrics, HttpAddress platform, List<HttpAddress> seeds, int tolerance,
 		Duration maxConfigurationAge, Duration maxAbsenceAge, Duration grace, long promptReuseMinTokenBytes,
-		Duration evacuationBound) {
+		Duration evacuationBound, double coldOvershoot, double coldSlack) {
 
 	/**
 	 * The default of the least memory for a token of pools whose prompts are reused.
@@ -79,7 +82,7 @@
 		return new EntrySettings(instance, dataCentre, callers, readiness, directory, metrics, platform, seeds,
 				tolerance, maxConfigurationAge, maxAbsenceAge, grace,
 				reader.integer("promptReuseMinTokenBytes", 0, Long.MAX_VALUE, DEFAULT_PROMPT_REUSE_MIN_TOKEN_BYTES),
-				evacuationBound);
+				evacuationBound, reader.number("coldOvershoot", 1, 100, 1), reader.number("coldSlack", 0, 10_000, 0));
 	}
 
 }
--- a/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
+++ b/mangorack/src/main/java/org/mangorack/relay/FleetConfiguration.java
@@ -164,8 +164,12 @@
 	 * upstreams are not engines
 	 * @param memory the memory of each upstream, or {@code null} if the upstreams are not
 	 * engines
+	 * @param coldPerSecond the requests that a cold upstream tolerates in a second; 0 if
+	 * the pool has no cold upstreams
+	 * @param coldStart for how long an upstream is cold after its start
 	 */
-	public record Pool(String name, int maxConnections, int tokensPerEvent, EngineMemory memory) {
+	public record Pool(String name, int maxConnections, int tokensPerEvent, EngineMemory memory, double coldPerSecond,
+			Duration coldStart) {
 	}
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/KeeperReplies.java
+++ b/mangorack/src/main/java/org/mangorack/relay/KeeperReplies.java
@@ -157,6 +157,16 @@
 		return this.lastAddresses;
 	}
 
+	/**
+	 * Returns the entries that any keeper reported recently.
+	 * @return their names
+	 */
+	Set<String> instances() {
+		Set<String> instances = new HashSet<>();
+		recentLists().forEach((p) -> p.entries().entries().values().forEach((e) -> instances.add(e.getInstance())));
+		return instances;
+	}
+
 	/**
 	 * Returns how many entries there are.
 	 * @return the number of addresses last known; 0 before the first list
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
+import org.mangorack.limit.ColdRate;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 
@@ -15,8 +16,13 @@
 
 	private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
 
+	// What this entry sent to the upstream while it was cold.
+	private final ColdRate.Sends coldSends = new ColdRate.Sends();
+
 	private UpstreamRegistration entry;
 
+	private long coldUntil;
+
 	private boolean inUse = true;
 
 	private boolean departing;
@@ -30,6 +36,7 @@
 	Upstream(UpstreamRegistration entry, long now) {
 		super(now);
 		this.singleUseUntil = now;
+		this.coldUntil = now;
 		this.entry = entry;
 	}
 
@@ -109,6 +116,27 @@
 		this.singleUseUntil = until;
 	}
 
+	/**
+	 * Returns whether the upstream tolerates only few requests.
+	 * @param now the time on the monotonic clock
+	 * @return {@code true} if it is cold
+	 */
+	boolean isCold(long now) {
+		return now - this.coldUntil < 0;
+	}
+
+	/**
+	 * Records that the upstream is cold. The latest end that was announced applies.
+	 * @param until the end on the monotonic clock
+	 */
+	void extendCold(long until) {
+		this.coldUntil = (until - this.coldUntil > 0) ? until : this.coldUntil;
+	}
+
+	ColdRate.Sends coldSends() {
+		return this.coldSends;
+	}
+
 	// ---- Outcomes
 
 	void failed(long now, String cause) {
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
@@ -26,11 +27,13 @@
 import org.mangorack.keeper.proto.Evacuations;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.UpstreamNews;
+import org.mangorack.limit.ColdRate;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.ContactTracker;
+import org.mangorack.relay.FleetConfiguration.Pool;
 
 /**
  * The known upstreams of all pools, and the selection of one for a call. Not thread-safe:
@@ -105,6 +108,13 @@
 
 	private long evacuationsVersion;
 
+	// Whether upstreams that are not known yet have started since.
+	private boolean listed;
+
+	private ColdRate coldRate;
+
+	private Function<String, Pool> pools = (name) -> null;
+
 	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock, String instance,
 			String dataCentre) {
 		this.loop = loop;
@@ -161,6 +171,7 @@
 		news.getGoneList().forEach(this.registered::remove);
 		news.getGoneList().forEach(this.unreadable::remove);
 		news.getUpstreamList().forEach((u) -> parseEntry(u.getName(), u.getDocument()));
+		this.listed = true;
 		removeMissing();
 	}
 
@@ -307,6 +318,16 @@
 		return !inUse.isEmpty() && inUse.stream().allMatch((u) -> this.evacuated.contains(u.dataCentre()));
 	}
 
+	/**
+	 * Makes the table bound the requests to cold upstreams.
+	 * @param rate the rate of this entry
+	 * @param poolsByName finds the settings of a pool, or {@code null} if it has none
+	 */
+	void setColdRate(ColdRate rate, Function<String, Pool> poolsByName) {
+		this.coldRate = rate;
+		this.pools = poolsByName;
+	}
+
 	// ---- Selection
 
 	/**
@@ -318,7 +339,7 @@
 	 * @return the upstream, or empty if none is available
 	 */
 	Optional<Upstream> choose(String pool, Set<Upstream> tried, String affinity) {
-		return Optional.ofNullable(this.choice.choose(candidates(pool, tried), affinity, this.clock.nanoTime()));
+		return recorded(this.choice.choose(candidates(pool, tried), affinity, this.clock.nanoTime()));
 	}
 
 	/**
@@ -330,7 +351,7 @@
 	 */
 	Optional<Upstream> choosePreferred(String pool, Set<Upstream> tried) {
 		long now = this.clock.nanoTime();
-		return Optional.ofNullable(this.choice.choose(this.subset.select(candidates(pool, tried), now), null, now));
+		return recorded(this.choice.choose(this.subset.select(candidates(pool, tried), now), null, now));
 	}
 
 	/**
@@ -351,6 +372,7 @@
 		if (chosen == null) {
 			return Optional.empty();
 		}
+		recorded(chosen);
 		boolean reused = (known != null) && chosen.id().equals(known.upstream());
 		return Optional.of(new Placed(chosen, reused ? known.tokens() : prompt.sharedTokens()));
 	}
@@ -395,17 +417,45 @@
 
 	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
 		List<Upstream> candidates = new ArrayList<>();
+		Pool settings = this.pools.apply(pool);
 		for (Upstream u : this.upstreams.values()) {
 			if (u.entry().pool().equals(pool) && u.isInUse() && !tried.contains(u)
-					&& !this.evacuated.contains(u.dataCentre())) {
+					&& !this.evacuated.contains(u.dataCentre()) && hasColdPermit(u, settings)) {
 				candidates.add(u);
 			}
 		}
 		return candidates;
 	}
 
+	private boolean isLimited(Upstream upstream, Pool pool) {
+		return (pool != null) && (pool.coldPerSecond() > 0) && upstream.isCold(this.clock.nanoTime());
+	}
+
+	private boolean hasColdPermit(Upstream upstream, Pool pool) {
+		return !isLimited(upstream, pool)
+				|| this.coldRate.permits(upstream.id(), pool.coldPerSecond(), upstream.coldSends());
+	}
+
+	private Optional<Upstream> recorded(Upstream chosen) {
+		if ((chosen != null) && isLimited(chosen, this.pools.apply(chosen.entry().pool()))) {
+			chosen.coldSends().add(this.clock.nanoTime());
+		}
+		return Optional.ofNullable(chosen);
+	}
+
 	// ---- Helpers
 
+	// The age of the registration is not known, so the upstream may be taken for cold for
+	// longer than it is. One that starts is cold before it says so.
+	private void updateCold(Upstream upstream, boolean starts) {
+		Duration cold = upstream.entry().coldRemaining();
+		Pool pool = this.pools.apply(upstream.entry().pool());
+		if (starts && (pool != null) && (pool.coldPerSecond() > 0) && (pool.coldStart().compareTo(cold) > 0)) {
+			cold = pool.coldStart();
+		}
+		upstream.extendCold(this.clock.nanoTime() + cold.toNanos());
+	}
+
 	private void update(UpstreamRegistration entry) {
 		Upstream known = this.upstreams.get(entry.id());
 		if ((known == null) || !known.entry().isSameIncarnation(entry)) {
@@ -414,6 +464,7 @@
 			}
 			Upstream added = new Upstream(entry, this.clock.nanoTime());
 			this.upstreams.put(entry.id(), added);
+			updateCold(added, (known != null) || this.listed);
 			EventLog.log(Event.UPSTREAM_IN_USE, "upstream", entry.id(), "pool", entry.pool(), "address",
 					entry.address(), "leaving", entry.leaving());
 			if (this.remoteDepartures.contains(toDeparture(entry))) {
@@ -423,6 +474,7 @@
 		}
 		boolean startsLeaving = entry.leaving() && !known.entry().leaving();
 		known.setEntry(entry);
+		updateCold(known, false);
 		known.setInUse(true);
 		if (startsLeaving) {
 			this.client.closeIdle(known, true);
--- a/mangorack/src/test/java/org/mangorack/relay/KeeperRepliesTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/KeeperRepliesTests.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.keeper.proto.Entry;
 import org.mangorack.keeper.proto.Load;
@@ -144,6 +146,32 @@
 			.addLoad(Load.newBuilder().setUpstream("u").setCalls(3));
 	}
 
+	// Guards against addresses of entries that were killed longer ago than callers may be
+	// told of them (7 s), while the keepers reply, while all of them are silent, and
+	// while
+	// only one that does not list the entry replies. Keepers drop an entry 1 s after its
+	// last heartbeat.
+	@ParameterizedTest
+	@ValueSource(strings = { "all", "none", "one" })
+	void theDirectoryDoesNotNameAnEntryThatWasKilledLongAgo(String replying) {
+		this.replies.update("d0", listed(7, "e1").setEntriesStart(5).build());
+		this.replies.update("d1", listed(7, "e1").setEntriesStart(6).build());
+		advance(1400);
+		for (int i = 0; i < 14; i++) {
+			advance(400);
+			if (replying.equals("all")) {
+				this.replies.update("d0",
+						listed(8, "e2").setEntriesStart(5).setEntriesSince(7).addEntryGone("e1").build());
+			}
+			if (!replying.equals("none")) {
+				this.replies.update("d1",
+						listed(8, "e2").setEntriesStart(6).setEntriesSince(7).addEntryGone("e1").build());
+			}
+		}
+		boolean named = this.replies.hasCurrentList() && this.replies.addresses().contains("address of e1");
+		assertThat(named).isFalse();
+	}
+
 	private static Member member(String disk, String zone) {
 		return Member.newBuilder().setDisk(disk).setZone(zone).build();
 	}
