--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -409,10 +409,17 @@
 	 * Returns whether a pool can take another turn.
 	 * @param pool the pool
 	 * @return {@code false} if all of its upstreams are loaded beyond {@link #ROOM_LOAD}
+	 * or cold without a permit left
 	 */
 	boolean hasRoom(String pool) {
 		List<Upstream> candidates = candidates(pool, Set.of());
-		return candidates.isEmpty() || candidates.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
+		if (candidates.isEmpty()) {
+			return this.upstreams.values()
+				.stream()
+				.noneMatch((u) -> u.entry().pool().equals(pool) && u.isInUse()
+						&& !this.evacuated.contains(u.dataCentre()));
+		}
+		return candidates.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
 	}
 
 	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
--- a/mangorack/src/test/java/org/mangorack/relay/ColdUpstreamTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/ColdUpstreamTests.java
@@ -14,6 +14,7 @@
 
 import org.mangorack.call.Prompt;
 import org.mangorack.http.HttpAddress;
+import org.mangorack.keeper.proto.Evacuations;
 import org.mangorack.keeper.proto.UpstreamNews;
 import org.mangorack.keeper.proto.UpstreamObject;
 import org.mangorack.limit.ColdRate;
@@ -136,6 +137,19 @@
 		assertThat(sends()).isEqualTo(100);
 	}
 
+	// Guards against a turn that is refused at once although a permit is free again
+	// before
+	// its wait ends, and against one that waits for an evacuated data centre.
+	@Test
+	void turnsWaitForAPermitOfAColdUpstream() {
+		register("u-1", 60_000);
+		assertThat(this.table.hasRoom(POOL)).isTrue();
+		sends();
+		assertThat(this.table.hasRoom(POOL)).isFalse();
+		this.table.applyEvacuations(Evacuations.newBuilder().setVersion(1).addDataCentre("dc").build());
+		assertThat(this.table.hasRoom(POOL)).isTrue();
+	}
+
 	private int sends() {
 		int sent = 0;
 		while ((sent < 100) && this.table.choose(POOL, Set.of(), null).isPresent()) {
