--- a/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayServer.java
@@ -56,6 +56,8 @@
 
 	private final long promptReuseMinTokenBytes;
 
+	private final boolean limitStarts;
+
 	private final AbsenceCheck absence;
 
 	private final PlatformOutageDetector contact;
@@ -105,6 +107,7 @@
 		this.configuration = configuration;
 		this.maxConfigurationAge = settings.maxConfigurationAge();
 		this.promptReuseMinTokenBytes = settings.promptReuseMinTokenBytes();
+		this.limitStarts = settings.limitStarts();
 		this.absence = new AbsenceCheck(loop, configuration, settings.maxAbsenceAge());
 		this.contact = contact;
 		this.upstreams = upstreams;
@@ -280,7 +283,7 @@
 	// their turns, so that an upstream of a plain pool that starts delays them as well.
 	private boolean limitsStarts() {
 		FleetConfiguration current = this.configuration.current();
-		return (current != null) && prefersSubset(current);
+		return this.limitStarts && (current != null) && prefersSubset(current);
 	}
 
 	WaitingTurns turns() {
--- a/mangorack/src/main/java/org/mangorack/relay/Upstream.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Upstream.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
+import org.mangorack.limit.ColdRate;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 
@@ -18,10 +19,15 @@
 
 	private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
 
+	// What this entry sent to the upstream while it was cold.
+	private final ColdRate.Sends coldSends = new ColdRate.Sends();
+
 	private UpstreamRegistration entry;
 
 	private final BooleanSupplier startsLimited;
 
+	private long coldUntil;
+
 	private boolean inUse = true;
 
 	private boolean departing;
@@ -47,6 +53,7 @@
 		super(now, random);
 		this.startsLimited = startsLimited;
 		this.singleUseUntil = now;
+		this.coldUntil = now;
 		this.entry = entry;
 	}
 
@@ -126,6 +133,27 @@
 		this.singleUseUntil = until;
 	}
 
+	/**
+	 * Returns whether the upstream tolerates only few requests.
+	 * @param now the time on the monotonic clock
+	 * @return {@code true} if it is cold
+	 */
+	boolean isCold(long now) {
+		return now - this.coldUntil < 0;
+	}
+
+	/**
+	 * Records that the upstream is cold. The latest end that was announced applies.
+	 * @param until the end on the monotonic clock
+	 */
+	void extendCold(long until) {
+		this.coldUntil = (until - this.coldUntil > 0) ? until : this.coldUntil;
+	}
+
+	ColdRate.Sends coldSends() {
+		return this.coldSends;
+	}
+
 	// ---- Start
 
 	/**
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamTable.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
@@ -30,11 +31,13 @@
 import org.mangorack.keeper.proto.Evacuations;
 import org.mangorack.keeper.proto.Load;
 import org.mangorack.keeper.proto.UpstreamNews;
+import org.mangorack.limit.ColdRate;
 import org.mangorack.observe.Event;
 import org.mangorack.observe.EventLog;
 import org.mangorack.observe.GuardedTask;
 import org.mangorack.observe.MonotonicClock;
 import org.mangorack.platform.ContactTracker;
+import org.mangorack.relay.FleetConfiguration.Pool;
 
 /**
  * The known upstreams of all pools, and the selection of one for a call. Not thread-safe:
@@ -122,6 +125,13 @@
 
 	private long evacuationsVersion;
 
+	// Whether upstreams that are not known yet have started since.
+	private boolean listed;
+
+	private ColdRate coldRate;
+
+	private Function<String, Pool> pools = (name) -> null;
+
 	UpstreamTable(EventLoop loop, FleetProtocol protocol, UpstreamClient client, MonotonicClock clock, String instance,
 			String dataCentre) {
 		this.loop = loop;
@@ -202,6 +212,7 @@
 			.map((u) -> u.entry().pool())
 			.collect(Collectors.toSet());
 		news.getUpstreamList().forEach((u) -> parseEntry(u.getName(), u.getDocument(), knownPools));
+		this.listed = true;
 		removeMissing();
 	}
 
@@ -361,6 +372,16 @@
 		return !inUse.isEmpty() && inUse.stream().allMatch((u) -> this.evacuated.contains(u.dataCentre()));
 	}
 
+	/**
+	 * Makes the table bound the requests to cold upstreams.
+	 * @param rate the rate of this entry
+	 * @param poolsByName finds the settings of a pool, or {@code null} if it has none
+	 */
+	void setColdRate(ColdRate rate, Function<String, Pool> poolsByName) {
+		this.coldRate = rate;
+		this.pools = poolsByName;
+	}
+
 	// ---- Selection
 
 	/**
@@ -372,7 +393,7 @@
 	 * @return the upstream, or empty if none is available
 	 */
 	Optional<Upstream> choose(String pool, Set<Upstream> tried, String affinity) {
-		return Optional.ofNullable(this.choice.choose(started(pool, tried), affinity, this.clock.nanoTime()));
+		return recorded(this.choice.choose(started(pool, tried), affinity, this.clock.nanoTime()));
 	}
 
 	/**
@@ -384,7 +405,7 @@
 	 */
 	Optional<Upstream> choosePreferred(String pool, Set<Upstream> tried) {
 		long now = this.clock.nanoTime();
-		return Optional.ofNullable(this.choice.choose(this.subset.select(started(pool, tried), now), null, now));
+		return recorded(this.choice.choose(this.subset.select(started(pool, tried), now), null, now));
 	}
 
 	/**
@@ -405,10 +426,9 @@
 		if (chosen == null) {
 			return Optional.empty();
 		}
+		recorded(chosen);
 		Reuse reuse = (known != null) ? Reuse.of(chosen, known) : Reuse.NEW;
-		// By hash, it is only assumed what the engine keeps, so the time to the first
-		// event
-		// says nothing.
+		// By hash, what the engine keeps is only assumed: the first event says nothing.
 		long reused = (reuse == Reuse.KEPT) ? known.tokens() : prompt.sharedTokens();
 		return Optional.of(new Placed(chosen, byHash ? prompt.tokens() : reused, reuse));
 	}
@@ -444,14 +464,21 @@
 	 * Returns whether a pool can take another turn.
 	 * @param pool the pool
 	 * @return {@code false} if all of its upstreams that are not avoided are loaded
-	 * beyond {@link #ROOM_LOAD}; if all are avoided, each of them counts
+	 * beyond {@link #ROOM_LOAD} or cold without a permit left; if all are avoided, each
+	 * of them counts
 	 */
 	boolean hasRoom(String pool) {
 		long now = this.clock.nanoTime();
 		List<Upstream> candidates = candidates(pool, Set.of());
+		if (candidates.isEmpty()) {
+			return this.upstreams.values()
+				.stream()
+				.noneMatch((u) -> u.entry().pool().equals(pool) && u.isInUse()
+						&& !this.evacuated.contains(u.dataCentre()));
+		}
 		List<Upstream> available = candidates.stream().filter((u) -> !u.isAvoided(now)).toList();
 		List<Upstream> counted = available.isEmpty() ? candidates : available;
-		return counted.isEmpty() || counted.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
+		return counted.stream().anyMatch((u) -> u.load() < ROOM_LOAD);
 	}
 
 	private List<Upstream> started(String pool, Set<Upstream> tried) {
@@ -461,17 +488,45 @@
 
 	private List<Upstream> candidates(String pool, Set<Upstream> tried) {
 		List<Upstream> candidates = new ArrayList<>();
+		Pool settings = this.pools.apply(pool);
 		for (Upstream u : this.upstreams.values()) {
 			if (u.entry().pool().equals(pool) && u.isInUse() && !tried.contains(u)
-					&& !this.evacuated.contains(u.dataCentre())) {
+					&& !this.evacuated.contains(u.dataCentre()) && hasColdPermit(u, settings)) {
 				candidates.add(u);
 			}
 		}
 		return candidates;
 	}
 
+	private boolean isLimited(Upstream upstream, Pool pool) {
+		return (pool != null) && (pool.coldPerSecond() > 0) && upstream.isCold(this.clock.nanoTime());
+	}
+
+	private boolean hasColdPermit(Upstream upstream, Pool pool) {
+		return !isLimited(upstream, pool)
+				|| this.coldRate.permits(upstream.id(), pool.coldPerSecond(), upstream.coldSends());
+	}
+
+	private Optional<Upstream> recorded(Upstream chosen) {
+		if ((chosen != null) && isLimited(chosen, this.pools.apply(chosen.entry().pool()))) {
+			chosen.coldSends().add(this.clock.nanoTime());
+		}
+		return Optional.ofNullable(chosen);
+	}
+
 	// ---- Helpers
 
+	// The age of the registration is not known, so the upstream may be taken for cold for
+	// longer than it is. One that starts is cold before it says so.
+	private void updateCold(Upstream upstream, boolean starts) {
+		Duration cold = upstream.entry().coldRemaining();
+		Pool pool = this.pools.apply(upstream.entry().pool());
+		if (starts && (pool != null) && (pool.coldPerSecond() > 0) && (pool.coldStart().compareTo(cold) > 0)) {
+			cold = pool.coldStart();
+		}
+		upstream.extendCold(this.clock.nanoTime() + cold.toNanos());
+	}
+
 	private void update(UpstreamRegistration entry, Set<String> knownPools) {
 		Upstream known = this.upstreams.get(entry.id());
 		if ((known == null) || !known.entry().isSameIncarnation(entry)) {
@@ -481,6 +536,7 @@
 			Upstream added = new Upstream(entry, this.clock.nanoTime(), () -> this.startsLimited.getAsBoolean(),
 					new SplittableRandom());
 			this.upstreams.put(entry.id(), added);
+			updateCold(added, (known != null) || this.listed);
 			EventLog.log(Event.UPSTREAM_IN_USE, "upstream", entry.id(), "pool", entry.pool(), "address",
 					entry.address(), "leaving", entry.leaving());
 			UpstreamRegistration before = this.removed.remove(entry.id());
@@ -494,6 +550,7 @@
 		}
 		boolean startsLeaving = entry.leaving() && !known.entry().leaving();
 		known.setEntry(entry);
+		updateCold(known, false);
 		known.setInUse(true);
 		if (startsLeaving) {
 			this.client.closeIdle(known, true);
--- a/mangorack/src/test/java/org/mangorack/relay/WaitingTurnsTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/WaitingTurnsTests.java
@@ -45,7 +45,7 @@
 
 	private static final HttpAddress ADDRESS = new HttpAddress("127.0.0.1", 9);
 
-	private static final Pool POOL = new Pool("pool", 8, 1, new EngineMemory(50_000, 163_840));
+	private static final Pool POOL = new Pool("pool", 8, 1, new EngineMemory(50_000, 163_840), 0, Duration.ZERO);
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(4);
 
@@ -88,7 +88,7 @@
 	private final RelayServer server = new RelayServer(this.channel.eventLoop(), this.protocol, () -> this.now,
 			this.metrics, this.holder,
 			new EntrySettings("entry", "dc", ADDRESS, ADDRESS, ADDRESS, ADDRESS, ADDRESS, List.of(ADDRESS), 1,
-					Duration.ofSeconds(100), Duration.ofSeconds(100), Duration.ofSeconds(8), 65536, null),
+					Duration.ofSeconds(100), Duration.ofSeconds(100), Duration.ofSeconds(8), 65536, null, 1, 0, false),
 			new PlatformOutageDetector(() -> this.now, this.keepers::view, () -> Duration.ZERO), this.table,
 			this.client, this.keepers,
 			new WorkspaceRateLimiter(this.keepers, this.holder::version, this.channel.eventLoop(), () -> this.now));
