--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -175,13 +175,15 @@
 	}
 
 	/**
-	 * Reads on only if the caller takes the stream.
+	 * Reads on if the caller takes the stream, or while there is memory to spare for what
+	 * it does not take: an upstream cuts off a response that stays unread for some
+	 * seconds.
 	 */
 	void adjustReading() {
 		if (this.streaming && !this.finished) {
 			boolean taken = this.call.isCallerWritable();
 			this.readingSuspended |= !taken;
-			this.connection.setReading(taken);
+			this.connection.setReading(taken || this.server.memory().hasSpareBytes());
 		}
 	}
 
@@ -202,6 +204,7 @@
 			flushBuffered();
 		}
 		this.call.updateHeld();
+		adjustReading();
 	}
 
 	private void recordLatency() {
