--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -27,7 +27,11 @@
 
 	private static final double ADDED_AT = 5;
 
-	private static final double SILENT_AT = 7.5;
+	/** The earliest time of the silence. It comes once the added machine watches the store. */
+	private static final double SILENT_AT = 7;
+
+	// Configuration, servers, group and retirements.
+	private static final int WATCHES = 4;
 
 	/** Long after catch_up_s (4.3 s) and contact_ms (3 s) have passed since the silence. */
 	private static final double DISK_LOST_AT = 24;
@@ -53,8 +57,9 @@
 		try (Record record = new Record(Path.of(arguments[1], "record.txt"));
 				Store store = new Store("127.0.0.1");
 				Proxy proxy = new Proxy("127.0.0.1", store.address());
+				Proxy addedProxy = new Proxy("127.0.0.1", store.address());
 				Fleet fleet = new Fleet(Path.of(arguments[0]), record)) {
-			exit = run(record, store, proxy, fleet, trouble);
+			exit = run(record, store, proxy, addedProxy, fleet, trouble);
 			record.log("exit %d", exit);
 		}
 		catch (Exception ex) {
@@ -63,7 +68,8 @@
 		System.exit(exit);
 	}
 
-	private static int run(Record record, Store store, Proxy proxy, Fleet fleet, boolean trouble) throws Exception {
+	private static int run(Record record, Store store, Proxy proxy, Proxy addedProxy, Fleet fleet, boolean trouble)
+			throws Exception {
 		store.put("config", "main", Site.configuration(7));
 		for (int i = 0; i < 6; i++) {
 			new Upstream("i-engine" + i, "engine", fleet.newHost(), store, record);
@@ -87,15 +93,20 @@
 		TimeUnit.MILLISECONDS.sleep(4000);
 
 		Fleet.Machine removed = keepers.get(0);
-		Fleet.Machine added = fleet.add("storage-kv-a-2", "keeper", "kv-a", proxy.address());
+		Fleet.Machine added = fleet.add("storage-kv-a-2", "keeper", "kv-a", addedProxy.address());
 		added.firstStart = false;
 		Fleet.Machine emptied = keepers.get(1);
 		Map<Double, Step> steps = new LinkedHashMap<>();
 		steps.put(REMOVED_AT, removed::kill);
 		steps.put(ADDED_AT, added::start);
 		steps.put(SILENT_AT, () -> {
+			for (int i = 0; (i < 100) && (addedProxy.open() < WATCHES); i++) {
+				TimeUnit.MILLISECONDS.sleep(50);
+			}
+			TimeUnit.MILLISECONDS.sleep(300);
 			if (trouble) {
-				record.log("%d connections to the store are silent from now on", proxy.silence());
+				record.log("%d connections to the store are silent from now on",
+						proxy.silence() + addedProxy.silence());
 			}
 		});
 		steps.put(DISK_LOST_AT, () -> {
--- a/review/standins-2/Proxy.java
+++ b/review/standins-2/Proxy.java
@@ -38,6 +38,11 @@
 		return this.socket.getInetAddress().getHostAddress() + ":" + this.socket.getLocalPort();
 	}
 
+	/** Returns how many connections are open. */
+	int open() {
+		return this.links.size();
+	}
+
 	/** Passes no byte on any more on the connections that are open; new ones work. */
 	int silence() {
 		this.links.forEach((link) -> link.silent = true);
