--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-exec timeout 120 java -Xmx512m -cp "$root/target/review-2" Case8 "$root" "$here"
+exec timeout 120 java -Xmx256m -cp "$root/target/review-2" Case8 "$root" "$here"
