Take no status alone for the statement that a request did not run

Cause: whether a request ran was decided by Not-Executed or 421, but the response was passed on with its status in any other case. The same held for 402 of a turn, and on the own interface for services (503, 429, 408) and engines (429 counted as not run, and as free).

Change: NotRunStatus names the statuses once for all paths. Such a response without the statement ends the call with 502 and may_have_run, without the upstream's signature.

--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -114,6 +114,34 @@
 		assertThat(this.upstream.received().stream().map((r) -> r.header("Request-Id"))).doesNotHaveDuplicates();
 	}
 
+	// Guards against telling a caller that a request has not run, because an upstream
+	// responds to a request that it has run with such a status.
+	@ParameterizedTest
+	@CsvSource({ "/write/1, 503, 1", "/write/1, 429, 1", "/write/1, 408, 1", "/turns/1, 503, 1", "/turns/1, 429, 1",
+			"/turns/1, 408, 1", "/turns/1, 402, 1", "/dialog/1, 503, 3", "/dialog/1, 402, 3" })
+	void aStatusAloneDoesNotStateThatARequestDidNotRun(String path, int status, int runs) throws Exception {
+		this.upstream.setScript((request, out, socket) -> {
+			write(out, failure(request, status));
+			return true;
+		});
+		String response = call("POST", path, "r1");
+		assertThat(response).startsWith("HTTP/1.1 502").contains("may_have_run").doesNotContain("Response-Signature");
+		assertThat(this.upstream.received().stream().filter((r) -> r.header("Request-Id").equals("r1"))).hasSize(runs);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "GET, /read/1, 503", "GET, /read/1, 429", "POST, /write/1, 402", "POST, /write/1, 500",
+			"POST, /write/1, 404", "POST, /turns/1, 500" })
+	void otherFailuresOfAnUpstreamArePassedOnUnchanged(String method, String path, int status) throws Exception {
+		this.upstream.setScript((request, out, socket) -> {
+			write(out, failure(request, status));
+			return true;
+		});
+		assertThat(call(method, path, "r1")).startsWith("HTTP/1.1 " + status)
+			.contains("Response-Signature: s")
+			.endsWith("failed");
+	}
+
 	// Guards against taking the response to an earlier attempt for that to a later one.
 	@ParameterizedTest
 	@CsvSource({ "GET, /read/1, 500", "POST, /write/1, 503" })
@@ -324,6 +352,11 @@
 				+ "Not-Executed: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
 	}
 
+	private static String failure(ScriptedUpstream.Received request, int status) {
+		return "HTTP/1.1 " + status + " Failed\r\nRequest-Id: " + request.header("Request-Id")
+				+ "\r\nResponse-Signature: s\r\nKeep-Alive: timeout=5\r\nContent-Length: 6\r\n\r\nfailed";
+	}
+
 	private static void writeEvents(ScriptedUpstream.Received request, OutputStream out, long size, AtomicLong written)
 			throws IOException {
 		write(out, ScriptedUpstream.streamHead(request));
--- a/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
+++ b/mangorack/src/main/java/org/mangorack/program/TurnExecution.java
@@ -24,6 +24,7 @@
 import org.mangorack.config.Upstream;
 import org.mangorack.dispatch.CallMeasurements;
 import org.mangorack.dispatch.ModelSlotClient;
+import org.mangorack.dispatch.NotRunStatus;
 import org.mangorack.dispatch.RetryBudget;
 import org.mangorack.dispatch.Slot;
 import org.mangorack.http.HttpCallException;
@@ -189,13 +190,12 @@
 
 	private boolean handleErrorStatus(Slot slot, HttpReply reply) throws IOException {
 		String text = new String(reply.readAll(MAX_ANSWER_BYTES), StandardCharsets.UTF_8);
-		if (reply.status() >= 500) {
+		if ((reply.status() >= 500) || NotRunStatus.isStatedBy(reply.status(), true)) {
 			slot.recordFailure();
 			return handleFailure(slot.upstream(), Verdict.MAY_HAVE_RUN, "status " + reply.status() + ": " + text,
 					false);
 		}
-		Verdict verdict = (reply.status() == 429) ? Verdict.NOT_RUN : Verdict.RAN;
-		this.lastFailure = new Refusal(reply.status(), "upstream_refused", text, verdict, null)
+		this.lastFailure = new Refusal(reply.status(), "upstream_refused", text, Verdict.RAN, null)
 			.withEarlierAttempts(this.lastFailure);
 		abort(this.lastFailure, 0);
 		return true;
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 
 import org.mangorack.call.Verdict;
+import org.mangorack.dispatch.NotRunStatus;
 import org.mangorack.relay.FleetProtocol.ResponseHead;
 
 /**
@@ -314,6 +315,11 @@
 			this.call.retryOrFail(this.upstream, Verdict.MAY_HAVE_RUN,
 					this.upstream.id() + " answered " + this.responseHead.status());
 		}
+		else if (statesNotRunOnlyByStatus()) {
+			this.upstream.failed(this.server.now(), "status " + this.responseHead.status());
+			this.call.retryOrFail(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + " answered "
+					+ this.responseHead.status() + " without stating that the request did not run");
+		}
 		else if (this.call.isStreamBegun()) {
 			this.call.retryOrFail(this.upstream, Verdict.MAY_HAVE_RUN,
 					this.upstream.id() + " answered " + this.responseHead.status() + " instead of going on");
@@ -323,6 +329,14 @@
 		}
 	}
 
+	// A caller would send the request again, though it may have run. Idempotent requests
+	// may run again in any case.
+	private boolean statesNotRunOnlyByStatus() {
+		RetryPolicy rule = this.call.route().rule();
+		return (rule != RetryPolicy.IDEMPOTENT)
+				&& NotRunStatus.isStatedBy(this.responseHead.status(), rule.isStreamed());
+	}
+
 	private void recordNotRun() {
 		long now = this.server.now();
 		if (this.responseHead.status() == 421) {
--- a/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
+++ b/mangorack/src/main/java/org/mangorack/service/ServiceCaller.java
@@ -22,6 +22,7 @@
 import org.mangorack.config.Upstream;
 import org.mangorack.config.UpstreamKind;
 import org.mangorack.dispatch.Dispatcher;
+import org.mangorack.dispatch.NotRunStatus;
 import org.mangorack.dispatch.RetryBudget;
 import org.mangorack.dispatch.Slot;
 import org.mangorack.http.HttpCallException;
@@ -218,6 +219,11 @@
 		try (HttpReply reply = this.client.send(upstream, call.method(), call.path(), call.headers(),
 				(call.body().length > 0) ? call.body() : null, remaining, call.route().idempotent())) {
 			byte[] body = reply.readAll(MAX_RESPONSE_BYTES);
+			if (!call.route().idempotent() && NotRunStatus.isStatedBy(reply.status(), false)) {
+				slot.recordFailure();
+				return Either.left(failure(upstream, Verdict.MAY_HAVE_RUN,
+						"status " + reply.status() + ", though the call may have run"));
+			}
 			slot.recordSuccess();
 			return Either
 				.right(CallAnswer.of(reply.status(), reply.header("Content-Type", "application/octet-stream"), body));
--- a/mangorack/src/test/java/org/mangorack/program/ProgramExpiryTests.java
+++ b/mangorack/src/test/java/org/mangorack/program/ProgramExpiryTests.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.Test;
 
@@ -11,9 +10,7 @@
 import org.mangorack.call.ProgramKey;
 import org.mangorack.call.WorkspaceId;
 import org.mangorack.config.Workspace;
-import org.mangorack.journal.proto.Entry;
 import org.mangorack.observe.ManualClock;
-import org.mangorack.ownership.ShardLog;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -89,21 +86,4 @@
 		return this.table.view(new ProgramKey(WORKSPACE, program)).orElseThrow().state();
 	}
 
-	/**
-	 * A journal that keeps nothing.
-	 */
-	private static final class DiscardingLog implements ShardLog {
-
-		@Override
-		public CompletableFuture<Void> append(List<Entry> added) {
-			return CompletableFuture.completedFuture(null);
-		}
-
-		@Override
-		public boolean isFirstOwner() {
-			return true;
-		}
-
-	}
-
 }
--- a/mangorack/src/test/java/org/mangorack/service/ServiceCallerTests.java
+++ b/mangorack/src/test/java/org/mangorack/service/ServiceCallerTests.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.Jsons;
 import org.mangorack.call.Refusal;
@@ -38,14 +41,16 @@
 
 	private final AtomicInteger received = new AtomicInteger();
 
+	private volatile String response = "";
+
 	private ServerSocket breaking;
 
 	private Configuration configuration;
 
 	private ServiceCaller caller;
 
-	// The upstream that is asked first breaks off after it has read a request; the other
-	// one cannot be reached.
+	// The upstream that is asked first breaks off after it has read a request, unless a
+	// response is set; the other one cannot be reached.
 	@BeforeEach
 	void start() throws IOException {
 		this.breaking = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
@@ -60,7 +65,8 @@
 				{"upstreams":{
 				"near":{"kind":"service","pool":"desk","address":"127.0.0.1:%d","dataCentre":"dc1"},
 				"far":{"kind":"service","pool":"desk","address":"127.0.0.1:%d","dataCentre":"dc2"}},
-				"routes":{"read":{"pool":"desk","path":"/read","idempotent":true}}}
+				"routes":{"read":{"pool":"desk","path":"/read","idempotent":true},
+				"write":{"pool":"desk","path":"/write"}}}
 				""".formatted(this.breaking.getLocalPort(), unreachable)), Map.of()).get();
 		this.caller = new ServiceCaller(new Dispatcher(() -> this.configuration, "dc1", MonotonicClock.SYSTEM),
 				new RetryBudget(), new UpstreamClient(this.http), () -> false);
@@ -87,10 +93,36 @@
 		assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
+	// Guards against telling a caller that a call has not run, because the service
+	// responds to a call that it has run with such a status.
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 429, 503 })
+	void aStatusAloneDoesNotStateThatACallDidNotRun(int status) {
+		this.response = response(status);
+		Refusal refusal = this.caller.call(call("POST", "/write"), Optional::empty).getLeft();
+		assertThat(refusal.status()).isEqualTo(502);
+		assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.received).hasValue(1);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "POST, /write, 402", "POST, /write, 409", "POST, /write, 500", "GET, /read, 429", "GET, /read, 503" })
+	void otherFailuresOfAServiceArePassedOn(String method, String path, int status) {
+		this.response = response(status);
+		assertThat(this.caller.call(call(method, path), Optional::empty).get().status()).isEqualTo(status);
+	}
+
 	private Refusal call(SendGuard guard) {
-		ServiceCall call = new ServiceCall(this.configuration.route("desk", "GET", "/read").orElseThrow(), "GET",
-				"/read", Map.of(), new byte[0]);
-		return this.caller.call(call, guard).getLeft();
+		return this.caller.call(call("GET", "/read"), guard).getLeft();
+	}
+
+	private ServiceCall call(String method, String path) {
+		return new ServiceCall(this.configuration.route("desk", method, path).orElseThrow(), method, path, Map.of(),
+				new byte[0]);
+	}
+
+	private static String response(int status) {
+		return "HTTP/1.1 " + status + " Failed\r\nContent-Length: 0\r\n\r\n";
 	}
 
 	private void serve() {
@@ -106,6 +138,7 @@
 					head.append(new String(bytes, 0, n, StandardCharsets.ISO_8859_1));
 				}
 				this.received.incrementAndGet();
+				socket.getOutputStream().write(this.response.getBytes(StandardCharsets.ISO_8859_1));
 			}
 			catch (IOException ex) {
 				// The test has ended.
