Follow the group of keepers by the store's responses too

After the connections to the store went silent, a new keeper wrote the change of the group that adds it, did not see it, tried to join again (409) every half second and copied nothing until its watch was opened anew, up to 30.7 s later.

Cause, first part: a keeper knew the object of the group only from its watch. The response to its own write was ignored, a conflict was not followed by a read, and a newer epoch that other keepers passed on changed what it accepts but not what it works on.

Change: GroupObject takes the newest of what the watch, the responses to own writes and reads say. It reads the object after a conflict, and if the epoch that is known from others is ahead of it for 500 ms (event 2016).

Evidence: GroupMembershipTests#aDiskJoinsThoughTheWatchesOfAllKeepersAreSilent and #aMemberLearnsOfAChangeFromTheKeeperThatMadeIt; both failed with the watch as the only source.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -81,6 +81,8 @@
 
 	private final KindCache groups;
 
+	private final GroupObject groupObject;
+
 	private final KindCache keepers;
 
 	private final RetirementBoard retirements;
@@ -127,6 +129,7 @@
 		this.firstStart = firstStart;
 		this.store = store;
 		this.groups = groups;
+		this.groupObject = new GroupObject(store, groups, clock);
 		this.keepers = keepers;
 		this.retirements = retirements;
 		this.service = service;
@@ -197,10 +200,16 @@
 		}
 	}
 
-	private void step() throws StoreException, InterruptedException {
-		Optional<StoredObject> object = this.groups.object(GroupDocument.NAME);
-		if (object.isPresent()) {
-			step(object.get());
+	/**
+	 * Forms the group, or continues from what this keeper knows of it.
+	 * @throws StoreException if the group cannot be changed, for example because another
+	 * keeper changed it
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void step() throws StoreException, InterruptedException {
+		Optional<StoredObject> known = this.groupObject.newest(this.service.view().epoch());
+		if (known.isPresent()) {
+			step(known.get());
 		}
 		else {
 			form();
@@ -280,7 +289,7 @@
 			return;
 		}
 		EventLog.log(Event.GROUP_CHANGE, "change", "form", "members", view.members().size());
-		this.store.create(ObjectKind.KEEPER_GROUP, GroupDocument.NAME, GroupDocument.write(view));
+		this.groupObject.create(GroupDocument.write(view));
 	}
 
 	private void register() throws StoreException {
@@ -638,8 +647,7 @@
 
 	private void write(StoredObject object, GroupView view, Joiners joiners)
 			throws StoreException, InterruptedException {
-		this.store.update(ObjectKind.KEEPER_GROUP, GroupDocument.NAME, object.version(),
-				GroupDocument.write(view, joiners));
+		this.groupObject.update(object, GroupDocument.write(view, joiners));
 		adopt(view);
 	}
 
--- a/mangorack/src/main/java/org/mangorack/observe/Event.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Event.java
@@ -157,6 +157,9 @@
 	/** Enough members of the keeper group lack a turn for it to be reported as absent. */
 	TURN_ABSENT(2015, Level.INFO, "turn absent"),
 
+	/** This keeper reads the object of the group, because the known one is outdated. */
+	GROUP_READ(2016, Level.INFO, "group read"),
+
 	/** The log of a keeper ends in a partially written entry. */
 	LOG_TORN(2021, Level.INFO, "log ends in a torn entry"),
 
--- a/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
@@ -157,6 +157,46 @@
 		assertThat(outcomes()).containsOnly("found");
 	}
 
+	// Guards against a keeper that stays out of the group while its watch is silent.
+	@Test
+	void aDiskJoinsThoughTheWatchesOfAllKeepersAreSilent() throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		storeTurns();
+		for (String name : List.of("k1", "k2", "k3")) {
+			this.group.watchSilently(name);
+		}
+		this.group.kill("k0");
+		this.group.add("k4");
+		this.group.watchSilently("k4");
+		stepFromOwnKnowledge(12, "k4");
+		this.group.awaitConnected();
+		assertThat(this.group.presentMembers()).as("group %s", this.group.view()).contains("k4");
+		this.group.loseDisk("k1");
+		this.group.watchSilently("k1");
+		stepFromOwnKnowledge(12, "k1", "k2", "k3", "k4");
+		assertThat(this.group.isComplete()).as("group %s", this.group.view()).isTrue();
+		this.group.awaitConnected();
+		assertThat(outcomes()).containsOnly("found");
+	}
+
+	// Guards against a change that nobody calls off, as the watches of the members are
+	// silent.
+	@Test
+	void aMemberLearnsOfAChangeFromTheKeeperThatMadeIt() throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		this.group.watchSilently("k2");
+		this.group.kill("k0");
+		this.group.add("k4");
+		this.group.step("k4");
+		this.group.advance(GroupMembership.UNRESPONSIVE_TIMEOUT.multipliedBy(2));
+		this.group.step("k4");
+		assertThat(this.group.view().isChanging()).isTrue();
+		this.group.kill("k4");
+		this.group.step("k3");
+		stepFromOwnKnowledge(12, "k2");
+		assertThat(this.group.view().isChanging()).as("group %s", this.group.view()).isFalse();
+	}
+
 	// Guards against a group that is short of a disk while another one joins.
 	@Test
 	void disksThatWereLostTogetherJoinInOneChange() throws Exception {
@@ -346,6 +386,14 @@
 		return names;
 	}
 
+	// Lets time pass before each step, so that unresponsive keepers are replaced.
+	private void stepFromOwnKnowledge(int rounds, String... names) throws Exception {
+		for (int i = 0; i < rounds; i++) {
+			this.group.advance(Duration.ofSeconds(1));
+			this.group.stepFromOwnKnowledge(names);
+		}
+	}
+
 	private void storeTurns() throws Exception {
 		this.group.awaitConnected();
 		for (int i = 0; i < PROGRAMS; i++) {
--- a/mangorack/src/test/java/org/mangorack/keeper/TestGroup.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TestGroup.java
@@ -65,6 +65,8 @@
 
 	private final Map<String, GroupMembership> memberships = new HashMap<>();
 
+	private final Map<String, KindCache> watches = new HashMap<>();
+
 	private final KeeperClient client;
 
 	private int disks;
@@ -168,10 +170,27 @@
 		TestKeeper keeper = this.keepers.get(name);
 		KindCache unused = new KindCache(this.store, ObjectKind.KEEPER, this.clock, () -> {
 		});
-		this.memberships.put(name, new GroupMembership(keeper.member(), this.tolerance, false, this.store, unused,
+		KindCache watch = new KindCache(this.store, ObjectKind.KEEPER_GROUP, this.clock, () -> {
+		});
+		this.watches.put(name, watch);
+		this.memberships.put(name, new GroupMembership(keeper.member(), this.tolerance, false, this.store, watch,
 				unused, this.retirements, keeper.service(), keeper.loop(), this.clock));
 	}
 
+	/**
+	 * Lets a keeper list the group, after which its watch reports nothing any more.
+	 * @param name the name of its instance
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void watchSilently(String name) throws InterruptedException {
+		this.store.silenceWatches();
+		KindCache watch = this.watches.get(name);
+		watch.start();
+		if (!watch.awaitListed(Duration.ofSeconds(TIMEOUT_SECONDS))) {
+			throw new IllegalStateException("the group was not listed");
+		}
+	}
+
 	// ---- Group
 
 	GroupView view() throws StoreException {
@@ -200,6 +219,24 @@
 		}
 	}
 
+	/**
+	 * Lets some keepers take one step each from what they know of the group themselves.
+	 * @param names the names of their instances
+	 * @throws Exception if a step fails for another reason than a concurrent change
+	 */
+	void stepFromOwnKnowledge(String... names) throws Exception {
+		for (String name : names) {
+			try {
+				this.memberships.get(name).step();
+			}
+			catch (StoreException ex) {
+				if (ex.reason() != StoreException.Reason.CONFLICT) {
+					throw ex;
+				}
+			}
+		}
+	}
+
 	/**
 	 * Lets keepers take steps until a condition is met. Connections that were lost are
 	 * made again meanwhile.
@@ -347,6 +384,7 @@
 	@Override
 	public void close() throws IOException {
 		this.memberships.values().forEach(GroupMembership::close);
+		this.watches.values().forEach(KindCache::close);
 		for (TestKeeper keeper : this.keepers.values()) {
 			keeper.close();
 		}
--- a/mangorack/src/test/java/org/mangorack/platform/FakeStore.java
+++ b/mangorack/src/test/java/org/mangorack/platform/FakeStore.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -25,6 +26,8 @@
 
 	private int responsesToLose;
 
+	private volatile boolean watchesSilent;
+
 	/**
 	 * Makes the store unreachable or reachable.
 	 * @param value {@code true} to fail every call
@@ -41,6 +44,13 @@
 		this.responsesToLose = count;
 	}
 
+	/**
+	 * Makes watches report nothing for good, as on a connection that has gone silent.
+	 */
+	public void silenceWatches() {
+		this.watchesSilent = true;
+	}
+
 	/**
 	 * Returns the status of an object.
 	 * @param kind the kind
@@ -108,6 +118,14 @@
 
 	@Override
 	public void watch(ObjectKind kind, String from, WatchListener listener) throws StoreException {
+		try {
+			while (this.watchesSilent) {
+				TimeUnit.SECONDS.sleep(1);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 		throw new StoreException(Reason.TOO_OLD, "this store can only be listed");
 	}
 
