--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -209,6 +209,8 @@
 	void step() throws StoreException, InterruptedException {
 		Optional<StoredObject> known = this.groupObject.newest(this.service.view().epoch());
 		if (known.isPresent()) {
+			// Registrations matter only until the group is formed.
+			this.keepers.close();
 			step(known.get());
 		}
 		else {
