Give up all idle connections to a server when one has gone silent

Connections may go silent for good all at once, while new ones work. A call that may be repeated waited for its whole time (1.5 s at the platform's store) on one idle connection after another, as only the one that had timed out was given up.

Change: a time-out on a pooled connection closes all idle connections to that server.

--- a/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
+++ b/mangorack/src/main/java/org/mangorack/http/PooledHttpClient.java
@@ -111,6 +111,8 @@
 			catch (IOException | HttpException ex) {
 				discard(pooled);
 				if (ex instanceof SocketTimeoutException) {
+					// The others may have gone silent at the same time.
+					discardIdle(address);
 					throw new HttpCallException("no answer from " + address + " within " + readTimeout,
 							Verdict.MAY_HAVE_RUN, ex);
 				}
@@ -163,6 +165,10 @@
 		logged.addAll(Arrays.asList(fields));
 		EventLog.log(Event.STRAY_ANSWER, logged.toArray());
 		this.singleUseUntil.put(address, this.clock.nanoTime() + ResponseRules.SINGLE_USE_PERIOD.toNanos());
+		discardIdle(address);
+	}
+
+	private void discardIdle(HttpAddress address) {
 		Deque<ClientConnection> queue = this.idle.computeIfAbsent(address, (a) -> new ArrayDeque<>());
 		synchronized (queue) {
 			queue.forEach(this::discard);
--- a/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/PooledHttpClientTests.java
@@ -7,7 +7,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -203,6 +206,53 @@
 		}
 	}
 
+	// Guards against one request after another that waits in vain, as all connections
+	// that
+	// were open have gone silent.
+	@Test
+	void onlyTheFirstRequestWaitsForConnectionsThatHaveGoneSilent() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 4, InetAddress.getLoopbackAddress())) {
+			HttpAddress target = new HttpAddress("127.0.0.1", listener.getLocalPort());
+			List<Socket> silent = openIdleConnections(listener, target, 3);
+			assertThatExceptionOfType(HttpCallException.class)
+				.isThrownBy(() -> this.client.send(target, "GET", "/", Map.of(), null, Duration.ofMillis(200),
+						ConnectionUse.POOLED))
+				.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+			Thread server = new Thread(() -> answerOnce(listener), "server");
+			server.setDaemon(true);
+			server.start();
+			get(target, ConnectionUse.POOLED);
+			server.join();
+			for (Socket s : silent) {
+				s.close();
+			}
+		}
+	}
+
+	// The connections are released only when all of them are open.
+	private List<Socket> openIdleConnections(ServerSocket listener, HttpAddress target, int count) throws Exception {
+		List<Socket> accepted = new ArrayList<>();
+		List<HttpReply> replies = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			CompletableFuture<HttpReply> reply = CompletableFuture.supplyAsync(() -> {
+				try {
+					return this.client.send(target, "GET", "/", Map.of(), null, TIMEOUT, ConnectionUse.POOLED);
+				}
+				catch (HttpCallException ex) {
+					throw new UncheckedIOException(ex);
+				}
+			});
+			accepted.add(listener.accept());
+			answer(accepted.get(i));
+			replies.add(reply.get());
+		}
+		for (HttpReply r : replies) {
+			r.readAll(1024);
+			r.close();
+		}
+		return accepted;
+	}
+
 	// Accepts one connection, responds to the first request, reads the second one and
 	// closes the connection after a delay without responding.
 	private static void answerOnceThenClose(ServerSocket listener, Duration after) {
