Take no response whose status is not from 100 to 599

On the own interface 600 and 999 ended the caller's connection without a response.

Cause: the status was read as a number, any number was accepted, and those below 200 were skipped as interim responses.

Change: ResponseRules.isStatusCode judges the text: three digits, 100 to 599. Any other response is malformed for entries, the own interface and calls of the platform, so the connection is closed, the request may have run, and a read goes to another upstream. The check for a head that holds a second status line finds invalid ones too.

--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -142,6 +142,20 @@
 			.endsWith("failed");
 	}
 
+	// Guards against a caller that gets an invalid status, or waits for its deadline.
+	@ParameterizedTest
+	@CsvSource({ "GET, /read/1, 000", "POST, /write/1, 000", "POST, /turns/1, 000", "POST, /write/1, 999" })
+	void aResponseWithAnInvalidStatusIsNeverPassedOn(String method, String path, String status) throws Exception {
+		this.upstream.setScript((request, out, socket) -> {
+			String response = new String(ScriptedUpstream.plain(request, "done"), StandardCharsets.ISO_8859_1);
+			write(out, response.replace("200 OK", status + " X"));
+			return true;
+		});
+		assertThat(call(method, path, "r1")).startsWith("HTTP/1.1 502")
+			.contains("may_have_run")
+			.doesNotContain("Response-Signature");
+	}
+
 	// Guards against taking the response to an earlier attempt for that to a later one.
 	@ParameterizedTest
 	@CsvSource({ "GET, /read/1, 500", "POST, /write/1, 503" })
--- a/mangorack/src/main/java/org/mangorack/http/ResponseHeadParser.java
+++ b/mangorack/src/main/java/org/mangorack/http/ResponseHeadParser.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
  * Parses response heads and rejects those that break off or violate the
@@ -75,6 +76,15 @@
 		return response;
 	}
 
+	@Override
+	protected ClassicHttpResponse createMessage(CharArrayBuffer statusLine) throws IOException, HttpException {
+		String[] parts = statusLine.toString().split(" ", 3);
+		if ((parts.length < 2) || !ResponseRules.isStatusCode(parts[1])) {
+			throw new ProtocolException("the status code is not a number from 100 to 599");
+		}
+		return super.createMessage(statusLine);
+	}
+
 	private static void check(ClassicHttpResponse head) throws ProtocolException {
 		List<Map.Entry<String, String>> headers = new ArrayList<>();
 		for (Header header : head.getHeaders()) {
--- a/mangorack/src/main/java/org/mangorack/http/ResponseRules.java
+++ b/mangorack/src/main/java/org/mangorack/http/ResponseRules.java
@@ -21,7 +21,10 @@
 
 	private static final String PROTOCOL_PREFIX = "HTTP/1.";
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d");
+	// An invalid status line may be torn too.
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d");
+
+	private static final Pattern STATUS_CODE = Pattern.compile("[1-5]\\d\\d");
 
 	private ResponseRules() {
 	}
@@ -52,6 +55,17 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns whether a text is a status code: three digits, from 100 to 599. Parsers of
+	 * numbers accept other texts too, of which callers would take some for a success, for
+	 * an interim response or for a status that their HTTP library rejects.
+	 * @param text the text between the protocol and the reason phrase
+	 * @return {@code true} if it is a status code
+	 */
+	public static boolean isStatusCode(String text) {
+		return STATUS_CODE.matcher(text).matches();
+	}
+
 	private static boolean containsStatusLine(String text) {
 		return (text != null) && text.contains(PROTOCOL_PREFIX) && STATUS_LINE.matcher(text).find();
 	}
--- a/mangorack/src/main/java/org/mangorack/relay/UpstreamDecoder.java
+++ b/mangorack/src/main/java/org/mangorack/relay/UpstreamDecoder.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
+import org.mangorack.http.ResponseRules;
+
 /**
  * Decodes HTTP responses from upstreams, which have no body after a HEAD request.
  */
@@ -49,6 +51,14 @@
 		super.channelRead(ctx, message);
 	}
 
+	@Override
+	protected HttpMessage createMessage(String[] statusLine) {
+		if (!ResponseRules.isStatusCode(statusLine[1])) {
+			throw new IllegalArgumentException("the status code is not a number from 100 to 599");
+		}
+		return super.createMessage(statusLine);
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.headRequest || super.isContentAlwaysEmpty(message);
--- a/mangorack/src/test/java/org/mangorack/http/ResponseRulesTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/ResponseRulesTests.java
@@ -23,7 +23,8 @@
 	@ParameterizedTest
 	@CsvSource({ "HTTP/1.1, InteHTTP/1.1 200 OK, Keep-Alive, timeout=5", "HTTP/1.1, HTTP/1.0 500, X, y",
 			"HTTP/1.1, OK, Keep-Alive, timeHTTP/1.1 200 OK", "HTTP/1.1, OK, ResHTTP/1.1 404, y", "HTHTTP/1.1, OK, X, y",
-			"ICY/1.1, OK, X, y", "HTTP/2.0, OK, X, y" })
+			"HTTP/1.1, OK, Keep-Alive, timeHTTP/1.1 000", "HTTP/1.1, HTTP/1.1 999 X, X, y", "ICY/1.1, OK, X, y",
+			"HTTP/2.0, OK, X, y" })
 	void aHeadThatHoldsAnotherOneIsRejected(String protocol, String reason, String name, String value) {
 		assertThat(ResponseRules.check(protocol, reason, headers(name, value))).isPresent();
 	}
--- a/mangorack/src/test/java/org/mangorack/http/StrayBytesTests.java
+++ b/mangorack/src/test/java/org/mangorack/http/StrayBytesTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.mangorack.call.Verdict;
 import org.mangorack.observe.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -108,6 +109,19 @@
 		}
 	}
 
+	// Guards against an invalid status that is taken for a success or passed on.
+	@ParameterizedTest
+	@ValueSource(strings = { "000 X", "000", "099 X", "1 X", "20 X", "+20 X", "2 00", "2000 OK", "0200 OK", "600 X",
+			"999 X", "-12 X", "200OK" })
+	void aResponseWithAnInvalidStatusIsNoResponse(String status) throws Exception {
+		this.server.setScript((path, out) -> write(out, response(200, "next").replace("200 Reason", status)));
+		try (PooledHttpClient client = new PooledHttpClient(CONNECT_TIMEOUT)) {
+			assertThatExceptionOfType(HttpCallException.class).isThrownBy(() -> get(client, "/", ConnectionUse.FRESH))
+				.withMessageContaining("bytes that are no response")
+				.satisfies((ex) -> assertThat(ex.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+		}
+	}
+
 	private static boolean isError(String got) {
 		return got.startsWith("error ") && !got.contains("Owner") && !got.contains("HTTP/1.1");
 	}
--- a/mangorack/src/test/java/org/mangorack/platform/HttpObjectStoreTests.java
+++ b/mangorack/src/test/java/org/mangorack/platform/HttpObjectStoreTests.java
@@ -16,7 +16,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import org.mangorack.call.Jsons;
 import org.mangorack.http.HttpAddress;
 import org.mangorack.http.PooledHttpClient;
 import org.mangorack.http.ScriptedServer;
@@ -119,6 +121,22 @@
 		assertThat(written.get()).isLessThan(EXCESSIVE_BYTES);
 	}
 
+	// Guards against a write that is taken for done because its status is below 300.
+	@ParameterizedTest
+	@ValueSource(strings = { "000 X", "0200 OK", "+200 OK" })
+	void aWriteWithAnInvalidStatusIsNotTakenForDone(String status) throws IOException {
+		String created = object("\"a\"", "{}");
+		try (ScriptedServer faulty = new ScriptedServer()) {
+			faulty.setScript((path, out) -> out
+				.write(("HTTP/1.1 " + status + "\r\nContent-Length: " + created.length() + "\r\n\r\n" + created)
+					.getBytes(StandardCharsets.ISO_8859_1)));
+			HttpObjectStore failing = new HttpObjectStore(faulty.address(), TIMEOUT, this.client, new Metrics());
+			assertThatExceptionOfType(StoreException.class)
+				.isThrownBy(() -> failing.create(ObjectKind.KEY, "a", Jsons.object()))
+				.satisfies((ex) -> assertThat(ex.reason()).isEqualTo(StoreException.Reason.UNKNOWN));
+		}
+	}
+
 	private static String object(String name, String content) {
 		return "{\"metadata\":{\"name\":" + name + ",\"resourceVersion\":\"8\"},\"spec\":" + content + "}";
 	}
--- a/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
+++ b/mangorack/src/test/java/org/mangorack/relay/StrayResponseTests.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.call.Prompt;
 import org.mangorack.http.HttpAddress;
@@ -72,6 +73,19 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	// Guards against an invalid status that reaches a caller, and against a request that
+	// waits for its deadline because the status is taken for that of an interim response.
+	@ParameterizedTest
+	@ValueSource(strings = { "000 X", "000", "099 X", "1 X", "20 X", "+20 X", "2 00", "2000 OK", "0200 OK", "600 X",
+			"700 X", "999 X", "-12 X", "200OK" })
+	void anInvalidStatusFailsTheRequestAtOnce(String status) {
+		Outcome outcome = new Outcome();
+		open().send(request("GET", "r2"), new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, outcome);
+		receive("HTTP/1.1 " + status + "\r\nX-Id: r2\r\nContent-Length: 6\r\n\r\nfor r2");
+		assertThat(outcome.text()).startsWith("incomplete");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
 	@ParameterizedTest
 	@MethodSource("strays")
 	void aTornResponseIsNeverJoinedWithTheNextOne(String stray, String next, String method) {
