Let the retention go on after a restart

Cause: the retention of all content started anew with each start, so keepers held the turns of before beside the new ones, and their heaps were full.

Change: entries of the log carry its running time, by the steady clock and summed over the starts. It is restored from the newest entry and never ahead of the time that has passed, so no turn is held for less than its retention. Entries without it are retained anew as before.

--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -60,7 +59,7 @@
 
 	private final RecordLog log;
 
-	private final MonotonicClock clock;
+	private final RunningTime time;
 
 	private final LongSupplier wallClockMillis;
 
@@ -77,30 +76,32 @@
 	 */
 	TurnStore(RecordLog log, MonotonicClock clock, LongSupplier wallClockMillis) {
 		this.log = log;
-		this.clock = clock;
+		this.time = new RunningTime(clock);
 		this.wallClockMillis = wallClockMillis;
 	}
 
 	// ---- Life-cycle
 
 	/**
-	 * Loads the content of the log into memory. The retention of all content starts anew,
-	 * because the time since it was written cannot be told from an error of the clock.
+	 * Loads the content of the log into memory. Its retention goes on from the last entry
+	 * of the log: the time since then cannot be told from an error of the clock.
 	 * @return what was read of the log
 	 * @throws IOException if the log cannot be read
 	 */
 	RecordLog.Replay load() throws IOException {
 		RecordLog.Replay replay = this.log.replay((segment, entry) -> {
+			long storedAt = this.time.restore(entry.getRunningMs());
 			if (entry.hasTurn()) {
-				StoredTurn turn = addIfAbsent(entry.getTurn(), segment);
+				StoredTurn turn = addIfAbsent(entry.getTurn(), segment, storedAt);
 				this.turns.move(turn, segment);
 				this.turns.synced(turn);
 			}
 			else {
 				ProgramCharges charges = entry.getCharges();
-				program(charges.getProgram()).merge(charges, clockMillis(), entry.getStoredMs(), segment);
+				program(charges.getProgram()).merge(charges, storedAt, entry.getStoredMs(), segment);
 			}
 		});
+		this.turns.expire(this.time.now());
 		long timeOfDay = this.wallClockMillis.getAsLong();
 		this.turns.expireIf((turn) -> isOutdated(timeOfDay, turn.getStoredMs(), turn.getRetentionMs()));
 		this.programs.values().removeIf((p) -> isOutdated(timeOfDay, p.storedMs, p.retention().toMillis()));
@@ -228,9 +229,11 @@
 			done.accept(rejection);
 			return false;
 		}
-		long now = this.wallClockMillis.getAsLong();
-		program(charges.getProgram()).merge(charges, clockMillis(), now, this.log.segment());
-		this.log.append(LogEntry.newBuilder().setStoredMs(now).setCharges(charges).build(), done);
+		long timeOfDay = this.wallClockMillis.getAsLong();
+		long now = this.time.now();
+		program(charges.getProgram()).merge(charges, now, timeOfDay, this.log.segment());
+		this.log.append(LogEntry.newBuilder().setStoredMs(timeOfDay).setRunningMs(now).setCharges(charges).build(),
+				done);
 		return true;
 	}
 
@@ -251,7 +254,7 @@
 		}
 		long now = this.wallClockMillis.getAsLong();
 		Turn stampedTurn = (turn.getStoredMs() != 0) ? turn : turn.toBuilder().setStoredMs(now).build();
-		append(addIfAbsent(stampedTurn, this.log.segment()), done);
+		append(addIfAbsent(stampedTurn, this.log.segment(), this.time.now()), done);
 	}
 
 	/**
@@ -262,7 +265,7 @@
 	 * segment, and so are turns if too much of the log is content that is not retained.
 	 */
 	void expire() {
-		long now = clockMillis();
+		long now = this.time.now();
 		this.turns.expire(now);
 		this.programs.values().removeIf((p) -> now > p.changedAt + p.retention().toMillis());
 		compact();
@@ -282,20 +285,20 @@
 
 	// ---- Helpers
 
-	private StoredTurn addIfAbsent(Turn turn, long segment) {
+	private StoredTurn addIfAbsent(Turn turn, long segment, long storedAt) {
 		StoredTurn known = this.turns.get(turn.getId());
 		if (known != null) {
 			return known;
 		}
-		return this.turns.add(turn, segment, clockMillis() + turn.getRetentionMs() + RETENTION_MARGIN.toMillis());
+		return this.turns.add(turn, segment, storedAt + heldMillis(turn));
 	}
 
-	private static boolean isOutdated(long timeOfDay, long storedMs, long retentionMs) {
-		return timeOfDay - storedMs > retentionMs + RETENTION_MARGIN.toMillis() + MAX_CLOCK_ERROR.toMillis();
+	private static long heldMillis(Turn turn) {
+		return turn.getRetentionMs() + RETENTION_MARGIN.toMillis();
 	}
 
-	private long clockMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime());
+	private static boolean isOutdated(long timeOfDay, long storedMs, long retentionMs) {
+		return timeOfDay - storedMs > retentionMs + RETENTION_MARGIN.toMillis() + MAX_CLOCK_ERROR.toMillis();
 	}
 
 	// Segments are deleted from the oldest one on. A turn of a chain that lives for long
@@ -328,6 +331,7 @@
 	private void append(StoredTurn turn, Consumer<IOException> done) {
 		LogEntry entry = LogEntry.newBuilder()
 			.setStoredMs(this.wallClockMillis.getAsLong())
+			.setRunningMs(turn.expiresAt() - heldMillis(turn.turn()))
 			.setTurn(turn.turn())
 			.build();
 		turn.setLost(false);
@@ -342,7 +346,11 @@
 
 	private void rewrite(String name, ProgramLedger program) {
 		long segment = this.log.segment();
-		LogEntry entry = LogEntry.newBuilder().setStoredMs(program.storedMs).setCharges(program.toProto(name)).build();
+		LogEntry entry = LogEntry.newBuilder()
+			.setStoredMs(program.storedMs)
+			.setRunningMs(program.changedAt)
+			.setCharges(program.toProto(name))
+			.build();
 		this.log.append(entry, (failure) -> {
 			if (failure == null) {
 				program.oldestSegment = segment;
@@ -361,7 +369,7 @@
 
 		private final BudgetLedger ledger = new BudgetLedger();
 
-		// By the clock of this process, in milliseconds.
+		// By the running time of the log, in milliseconds.
 		private long changedAt;
 
 		// The time of day of the latest change.
@@ -375,7 +383,7 @@
 		private void merge(ProgramCharges charges, long now, long timeOfDay, long segment) {
 			charges.getChargeList().forEach(this.ledger::merge);
 			this.retentionMs = Math.max(this.retentionMs, charges.getRetentionMs());
-			this.changedAt = now;
+			this.changedAt = Math.max(this.changedAt, now);
 			this.storedMs = Math.max(this.storedMs, timeOfDay);
 			this.oldestSegment = Math.min(this.oldestSegment, segment);
 		}
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/KeeperProto.java
@@ -314,14 +314,14 @@
       "\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper.Turn\"`" +
       "\n\005Store\022$\n\004turn\030\001 \003(\0132\026.mangorack.keeper" +
       ".Turn\0221\n\007program\030\002 \003(\0132 .mangorack.keepe" +
-      "r.ProgramCharges\"\202\001\n\010LogEntry\022\021\n\tstored_" +
-      "ms\030\001 \001(\003\022&\n\004turn\030\002 \001(\0132\026.mangorack.keepe" +
-      "r.TurnH\000\0223\n\007charges\030\003 \001(\0132 .mangorack.ke" +
-      "eper.ProgramChargesH\000B\006\n\004body*N\n\006Status\022" +
-      "\006\n\002OK\020\000\022\016\n\nSTALE_VIEW\020\001\022\020\n\014UNKNOWN_VIEW\020" +
-      "\002\022\n\n\006FAILED\020\003\022\016\n\nWRONG_DISK\020\004B+\n\032org.man" +
-      "gorack.keeper.protoB\013KeeperProtoP\001b\006prot" +
-      "o3"
+      "r.ProgramCharges\"\226\001\n\010LogEntry\022\021\n\tstored_" +
+      "ms\030\001 \001(\003\022\022\n\nrunning_ms\030\004 \001(\003\022&\n\004turn\030\002 \001" +
+      "(\0132\026.mangorack.keeper.TurnH\000\0223\n\007charges\030" +
+      "\003 \001(\0132 .mangorack.keeper.ProgramChargesH" +
+      "\000B\006\n\004body*N\n\006Status\022\006\n\002OK\020\000\022\016\n\nSTALE_VIE" +
+      "W\020\001\022\020\n\014UNKNOWN_VIEW\020\002\022\n\n\006FAILED\020\003\022\016\n\nWRO" +
+      "NG_DISK\020\004B+\n\032org.mangorack.keeper.protoB" +
+      "\013KeeperProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -530,7 +530,7 @@
     internal_static_mangorack_keeper_LogEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_mangorack_keeper_LogEntry_descriptor,
-        new java.lang.String[] { "StoredMs", "Turn", "Charges", "Body", });
+        new java.lang.String[] { "StoredMs", "RunningMs", "Turn", "Charges", "Body", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/LogEntry.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/LogEntry.java
@@ -100,6 +100,21 @@
     return storedMs_;
   }
 
+  public static final int RUNNING_MS_FIELD_NUMBER = 4;
+  private long runningMs_ = 0L;
+  /**
+   * <pre>
+   * Running time of the log when the turn or the latest charge was stored, in milliseconds; 0 if unknown.
+   * </pre>
+   *
+   * <code>int64 running_ms = 4;</code>
+   * @return The runningMs.
+   */
+  @java.lang.Override
+  public long getRunningMs() {
+    return runningMs_;
+  }
+
   public static final int TURN_FIELD_NUMBER = 2;
   /**
    * <code>.mangorack.keeper.Turn turn = 2;</code>
@@ -185,6 +200,9 @@
     if (bodyCase_ == 3) {
       output.writeMessage(3, (org.mangorack.keeper.proto.ProgramCharges) body_);
     }
+    if (runningMs_ != 0L) {
+      output.writeInt64(4, runningMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -206,6 +224,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, (org.mangorack.keeper.proto.ProgramCharges) body_);
     }
+    if (runningMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, runningMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -223,6 +245,8 @@
 
     if (getStoredMs()
         != other.getStoredMs()) return false;
+    if (getRunningMs()
+        != other.getRunningMs()) return false;
     if (!getBodyCase().equals(other.getBodyCase())) return false;
     switch (bodyCase_) {
       case 2:
@@ -250,6 +274,9 @@
     hash = (37 * hash) + STORED_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStoredMs());
+    hash = (37 * hash) + RUNNING_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRunningMs());
     switch (bodyCase_) {
       case 2:
         hash = (37 * hash) + TURN_FIELD_NUMBER;
@@ -398,6 +425,7 @@
       super.clear();
       bitField0_ = 0;
       storedMs_ = 0L;
+      runningMs_ = 0L;
       if (turnBuilder_ != null) {
         turnBuilder_.clear();
       }
@@ -443,6 +471,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.storedMs_ = storedMs_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.runningMs_ = runningMs_;
+      }
     }
 
     private void buildPartialOneofs(org.mangorack.keeper.proto.LogEntry result) {
@@ -473,6 +504,9 @@
       if (other.getStoredMs() != 0L) {
         setStoredMs(other.getStoredMs());
       }
+      if (other.getRunningMs() != 0L) {
+        setRunningMs(other.getRunningMs());
+      }
       switch (other.getBodyCase()) {
         case TURN: {
           mergeTurn(other.getTurn());
@@ -531,6 +565,11 @@
               bodyCase_ = 3;
               break;
             } // case 26
+            case 32: {
+              runningMs_ = input.readInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -595,6 +634,50 @@
       return this;
     }
 
+    private long runningMs_ ;
+    /**
+     * <pre>
+     * Running time of the log when the turn or the latest charge was stored, in milliseconds; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 running_ms = 4;</code>
+     * @return The runningMs.
+     */
+    @java.lang.Override
+    public long getRunningMs() {
+      return runningMs_;
+    }
+    /**
+     * <pre>
+     * Running time of the log when the turn or the latest charge was stored, in milliseconds; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 running_ms = 4;</code>
+     * @param value The runningMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRunningMs(long value) {
+
+      runningMs_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Running time of the log when the turn or the latest charge was stored, in milliseconds; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 running_ms = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRunningMs() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      runningMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.mangorack.keeper.proto.Turn, org.mangorack.keeper.proto.Turn.Builder, org.mangorack.keeper.proto.TurnOrBuilder> turnBuilder_;
     /**
--- a/mangorack/src/main/java/org/mangorack/keeper/proto/LogEntryOrBuilder.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/proto/LogEntryOrBuilder.java
@@ -16,6 +16,16 @@
    */
   long getStoredMs();
 
+  /**
+   * <pre>
+   * Running time of the log when the turn or the latest charge was stored, in milliseconds; 0 if unknown.
+   * </pre>
+   *
+   * <code>int64 running_ms = 4;</code>
+   * @return The runningMs.
+   */
+  long getRunningMs();
+
   /**
    * <code>.mangorack.keeper.Turn turn = 2;</code>
    * @return Whether the turn field is set.
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
@@ -145,6 +145,41 @@
 		assertThat(this.store.charges("p").getChargeCount()).isEqualTo(1);
 	}
 
+	// Guards against keepers that hold the turns of before a restart beside the new ones
+	// for another retention, and run out of memory.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 5 })
+	void theRetentionGoesOnAfterARestart(int restarts) throws Exception {
+		Duration held = RETENTION.plus(TurnStore.RETENTION_MARGIN);
+		store("t1", "");
+		charge("p", "t1");
+		for (int i = 0; i < restarts; i++) {
+			advance(held.dividedBy(restarts + 1));
+			store("later" + i, "");
+			close();
+			open();
+		}
+		assertThat(chain("t1")).containsExactly("t1");
+		advance(held.dividedBy(restarts + 1).plusSeconds(1));
+		assertThat(this.store.turnIds()).doesNotContain("t1").contains("later" + (restarts - 1));
+		advance(TurnStore.MIN_LEDGER_RETENTION.minus(held).minusSeconds(2));
+		assertThat(this.store.programCount()).isEqualTo(1);
+		advance(Duration.ofSeconds(2));
+		assertThat(this.store.programCount()).isZero();
+	}
+
+	// Guards against 404 after a restart that takes the time for which the keeper was
+	// down for a part of the retention.
+	@Test
+	void theTimeForWhichAKeeperIsDownIsNoPartOfTheRetention() throws Exception {
+		store("t1", "");
+		close();
+		this.clock.advance(RETENTION.multipliedBy(3));
+		open();
+		advance(RETENTION.minusSeconds(1));
+		assertThat(chain("t1")).containsExactly("t1");
+	}
+
 	@Test
 	void contentThatIsMuchOlderThanItsRetentionIsNotRetainedAfterARestart() throws Exception {
 		store("t1", "");
