Form the group without a keeper that was lost before

Cause: only the disk that came first by name among all that ever registered could form the group, and only a keeper that was started with firstStart took part.

Change: the first registered keeper that answers from its disk forms the group; a disk whose instance answers from another one is left out. A keeper that was started again takes part once any disk is registered and no group is known. A keeper that ever knew a group forms no other.

--- a/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/GroupMembership.java
@@ -113,6 +113,8 @@
 
 	private long supervisedEpoch;
 
+	private boolean watchingKeepers;
+
 	private boolean registered;
 
 	private long retiringSince;
@@ -266,34 +268,63 @@
 
 	/**
 	 * Registers the disk of this keeper on the first start of the system, and creates the
-	 * group if this keeper is the first by name and enough disks are registered.
+	 * group if enough disks are registered and no keeper before this one by name answers.
+	 * A keeper that was started again takes part as soon as any disk is registered: until
+	 * there is a group, nothing that it may have lost was ever confirmed.
 	 * @throws StoreException if the disk cannot be registered or the group not be created
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	void form() throws StoreException, InterruptedException {
-		boolean delayElapsed = this.clock.elapsed(this.startedAt).compareTo(FORMATION_DELAY) > 0;
-		if (!this.firstStart || !this.groups.awaitListed(Duration.ofMillis(1))) {
+		boolean formed = (this.service.view().epoch() > 0) || this.groups.object(GroupDocument.NAME).isPresent();
+		if (formed || !this.groups.awaitListed(Duration.ofMillis(1))) {
+			return;
+		}
+		if (!this.watchingKeepers) {
+			this.watchingKeepers = true;
+			this.keepers.start();
+		}
+		if (!this.firstStart && this.keepers.objects().isEmpty()) {
 			return;
 		}
 		if (!this.registered) {
 			register();
 			return;
 		}
+		if (this.clock.elapsed(this.startedAt).compareTo(FORMATION_DELAY) > 0) {
+			formFrom(findRegistered());
+		}
+	}
+
+	private List<Member> findRegistered() {
 		List<Member> all = new ArrayList<>();
 		this.keepers.objects().values().forEach((o) -> GroupDocument.findMember(o.spec()).ifPresent(all::add));
-		all.sort(Comparator.comparing(Member::getName));
-		boolean first = !all.isEmpty() && all.get(0).getDisk().equals(this.self.getDisk());
-		if (!delayElapsed || !first) {
+		all.sort(Comparator.comparing(Member::getName).thenComparing(Member::getDisk));
+		return all;
+	}
+
+	private void formFrom(List<Member> registered) throws StoreException, InterruptedException {
+		Set<String> answering = new HashSet<>(sendView(GroupView.unknown(this.tolerance), registered).keySet());
+		answering.add(this.self.getDisk());
+		Optional<Member> first = registered.stream().filter((m) -> answering.contains(m.getDisk())).findFirst();
+		if (!first.map(Member::getDisk).equals(Optional.of(this.self.getDisk()))) {
 			return;
 		}
-		GroupView view = new GroupView(1, selectInitialMembers(all), List.of(), this.tolerance);
+		List<Member> present = registered.stream().filter((m) -> !isReplaced(m, registered, answering)).toList();
+		GroupView view = new GroupView(1, selectInitialMembers(present), List.of(), this.tolerance);
 		if (!view.canConfirmTurns()) {
 			return;
 		}
-		EventLog.log(Event.GROUP_CHANGE, "change", "form", "members", view.members().size());
+		EventLog.log(Event.GROUP_CHANGE, "change", "form", "members", view.members().size(), "registered",
+				registered.size(), "answering", answering.size());
 		this.groupObject.create(GroupDocument.write(view));
 	}
 
+	// An instance that answers from one disk has lost the others that it registered.
+	private static boolean isReplaced(Member member, List<Member> registered, Set<String> answering) {
+		return !answering.contains(member.getDisk()) && registered.stream()
+			.anyMatch((m) -> m.getName().equals(member.getName()) && answering.contains(m.getDisk()));
+	}
+
 	private void register() throws StoreException {
 		try {
 			this.store.create(ObjectKind.KEEPER, this.self.getDisk(), GroupDocument.write(this.self));
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -115,9 +115,6 @@
 		groups.start();
 		upstreams.start();
 		KindCache keepers = cache(ObjectKind.KEEPER);
-		if (this.settings.firstStart()) {
-			keepers.start();
-		}
 		Member self = Member.newBuilder()
 			.setName(this.settings.instance())
 			.setDisk(disk)
--- a/mangorack/src/test/java/org/mangorack/keeper/GroupFormationTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupFormationTests.java
@@ -1,7 +1,10 @@
 package org.mangorack.keeper;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -11,6 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.mangorack.keeper.proto.Member;
@@ -46,7 +50,6 @@
 	@BeforeEach
 	void start() {
 		this.groups.start();
-		this.keepers.start();
 	}
 
 	@AfterEach
@@ -81,6 +84,57 @@
 		}
 	}
 
+	// Guards against a system that never serves, as the disk that was to form the group
+	// was
+	// lost before.
+	@ParameterizedTest
+	@EnumSource
+	void theGroupIsFormedThoughTheFirstStartWasDisturbed(Disturbance disturbance) throws Exception {
+		List<Registering> keepers = new ArrayList<>();
+		try {
+			for (int i = 0; i < 4; i++) {
+				keepers.add(new Registering("k" + i, "d" + i, true));
+			}
+			for (Registering keeper : keepers) {
+				formUntil(keeper.membership, () -> isRegistered(keeper.keeper));
+			}
+			for (Registering keeper : keepers) {
+				formUntil(keeper.membership, () -> keeper.registrations.objects().size() == keepers.size());
+			}
+			disturbance.apply(this, keepers);
+			this.elapsed = GroupMembership.FORMATION_DELAY.multipliedBy(2);
+			long startedAt = System.nanoTime();
+			while (group().isEmpty()) {
+				assertThat(System.nanoTime() - startedAt).isLessThan(LIMIT.toNanos());
+				for (Registering keeper : keepers) {
+					formOnce(keeper.membership);
+				}
+			}
+			GroupView view = GroupDocument.read(group().orElseThrow().spec(), 1);
+			assertThat(view.members()).hasSizeGreaterThanOrEqualTo(3);
+			assertThat(view.members().stream().map(Member::getName)).doesNotHaveDuplicates();
+		}
+		finally {
+			for (Registering keeper : keepers) {
+				keeper.close();
+			}
+		}
+	}
+
+	// Guards against a second group, without the turns that the first one confirmed.
+	@Test
+	void aKeeperThatKnewAGroupFormsNoOther() throws Exception {
+		try (TestKeeper keeper = startKeeper(0); GroupMembership membership = membership(keeper, 0)) {
+			formUntil(membership, () -> group().isPresent());
+			keeper.adopt(GroupDocument.read(group().orElseThrow().spec(), 0));
+			this.store.delete(ObjectKind.KEEPER_GROUP, GroupDocument.NAME, null);
+			for (int i = 0; i < 5; i++) {
+				formOnce(membership);
+			}
+			assertThat(group()).isEmpty();
+		}
+	}
+
 	// Guards against turns that are confirmed while the group is still too small.
 	@ParameterizedTest
 	@CsvSource({ "1, 1", "2, 1", "2, 2" })
@@ -130,6 +184,20 @@
 		this.store.create(ObjectKind.KEEPER, member.getDisk(), GroupDocument.write(member));
 	}
 
+	private boolean isRegistered(TestKeeper keeper) throws StoreException {
+		return this.store.get(ObjectKind.KEEPER, keeper.member().getDisk()).isPresent();
+	}
+
+	private static void formOnce(GroupMembership membership) throws Exception {
+		try {
+			membership.form();
+		}
+		catch (StoreException ex) {
+			assertThat(ex.reason()).isEqualTo(StoreException.Reason.CONFLICT);
+		}
+		TimeUnit.MILLISECONDS.sleep(10);
+	}
+
 	private Optional<StoredObject> group() throws StoreException {
 		return this.store.get(ObjectKind.KEEPER_GROUP, GroupDocument.NAME);
 	}
@@ -153,4 +221,73 @@
 
 	}
 
+	/**
+	 * What happens between the registration of all disks and the formation of the group.
+	 */
+	enum Disturbance {
+
+		/** The first keeper loses its disk and is back. */
+		DISK_LOST {
+			@Override
+			void apply(GroupFormationTests test, List<Registering> keepers) throws Exception {
+				keepers.remove(0).close();
+				keepers.add(test.new Registering("k0", "lost-d0", false));
+			}
+		},
+
+		/** The first keeper is removed. */
+		REMOVED {
+			@Override
+			void apply(GroupFormationTests test, List<Registering> keepers) throws Exception {
+				keepers.remove(0).close();
+			}
+		},
+
+		/** All keepers are killed and started again, with their disks. */
+		ALL_RESTARTED {
+			@Override
+			void apply(GroupFormationTests test, List<Registering> keepers) throws Exception {
+				for (Registering keeper : List.copyOf(keepers)) {
+					keepers.remove(keeper);
+					keeper.close();
+					Member member = keeper.keeper.member();
+					keepers.add(test.new Registering(member.getName(), member.getDisk(), false));
+				}
+			}
+		};
+
+		abstract void apply(GroupFormationTests test, List<Registering> keepers) throws Exception;
+
+	}
+
+	/**
+	 * A keeper that takes part in the formation of the group.
+	 */
+	private final class Registering {
+
+		private final TestKeeper keeper;
+
+		private final KindCache registrations = KindCache.withLongRetryDelay(GroupFormationTests.this.store,
+				ObjectKind.KEEPER, MonotonicClock.SYSTEM);
+
+		private final GroupMembership membership;
+
+		private Registering(String name, String disk, boolean firstStart) throws IOException {
+			this.keeper = new TestKeeper(name, disk, GroupFormationTests.this.folder.resolve(disk),
+					new FixedConfiguration(null), 1)
+				.start();
+			this.membership = new GroupMembership(this.keeper.member(), 1, firstStart, GroupFormationTests.this.store,
+					GroupFormationTests.this.groups, this.registrations, new TestGroup.Retirements(),
+					this.keeper.service(), this.keeper.loop(),
+					() -> System.nanoTime() + GroupFormationTests.this.elapsed.toNanos());
+		}
+
+		private void close() throws IOException {
+			this.membership.close();
+			this.registrations.close();
+			this.keeper.close();
+		}
+
+	}
+
 }
