Limit the number of timers of calls

Cause: a timer with a histogram, some 1.5 kB, for each workspace, route and outcome that ever occurred.

--- a/mangorack/src/main/java/org/mangorack/observe/Metrics.java
+++ b/mangorack/src/main/java/org/mangorack/observe/Metrics.java
@@ -25,6 +25,11 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+	private final LimitedTimers calls = new LimitedTimers(this, "mangorack.calls", 2, "workspace", "class", "outcome");
+
+	private final LimitedTimers firstBytes = new LimitedTimers(this, "mangorack.calls.first.byte", 2, "workspace",
+			"class");
+
 	private boolean processMetricsBound;
 
 	public Metrics() {
@@ -43,14 +48,15 @@
 	}
 
 	/**
-	 * Records the duration of a call.
+	 * Records the duration of a call. The number of combinations of workspace and class
+	 * that are told apart is limited.
 	 * @param workspace the workspace, or {@code none} for calls without a key
 	 * @param type the class of the call, such as {@code chat}
 	 * @param outcome {@code ok} or the code of the refusal
 	 * @param time the duration of the call
 	 */
 	public void recordCall(String workspace, String type, String outcome, Duration time) {
-		timer("mangorack.calls", "workspace", workspace, "class", type, "outcome", outcome).record(time);
+		this.calls.get(workspace, type, outcome).record(time);
 	}
 
 	/**
@@ -60,7 +66,7 @@
 	 * @param time the time to the first byte
 	 */
 	public void recordFirstByte(String workspace, String type, Duration time) {
-		timer("mangorack.calls.first.byte", "workspace", workspace, "class", type).record(time);
+		this.firstBytes.get(workspace, type).record(time);
 	}
 
 	/**
