Let no upstream state that a turn is absent

A 404 or 410 of an upstream was passed on to the caller of a turn that continues another one. To callers these statuses say that the turn to continue does not exist, and they end its program, though the keepers hold the turn (LOST).

Cause: as with the statuses that promise "not run", the status of an upstream was taken for a statement that only the system can make.

Change: such a turn ends with 502 and may_have_run. A first turn still gets the upstream's status.

Evidence: UpstreamFaultTests#anUpstreamDoesNotStateThatATurnIsAbsent failed in 2 of 2 cases before.

--- a/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
+++ b/bench/src/test/java/org/mangorack/bench/fleet/UpstreamFaultTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -129,6 +130,21 @@
 		assertThat(this.upstream.received().stream().filter((r) -> r.header("Request-Id").equals("r1"))).hasSize(runs);
 	}
 
+	// Guards against telling a caller that a turn that is kept does not exist.
+	@ParameterizedTest
+	@ValueSource(ints = { 404, 410 })
+	void anUpstreamDoesNotStateThatATurnIsAbsent(int status) throws Exception {
+		assertThat(call("POST", "/turns/1", "t1")).startsWith("HTTP/1.1 200");
+		this.upstream.setScript((request, out, socket) -> {
+			write(out, failure(request, status));
+			return true;
+		});
+		assertThat(this.fleet.exchange(TestFleetNodes.request("POST", "/turns/1", "t2", "Previous-Turn: t1\r\n", "x")))
+			.startsWith("HTTP/1.1 502")
+			.contains("may_have_run");
+		assertThat(call("POST", "/turns/1", "t3")).startsWith("HTTP/1.1 " + status).contains("Response-Signature: s");
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "GET, /read/1, 503", "GET, /read/1, 429", "POST, /write/1, 402", "POST, /write/1, 500",
 			"POST, /write/1, 404", "POST, /turns/1, 500" })
--- a/mangorack/src/main/java/org/mangorack/relay/Attempt.java
+++ b/mangorack/src/main/java/org/mangorack/relay/Attempt.java
@@ -1,6 +1,7 @@
 package org.mangorack.relay;
 
 import java.time.Duration;
+import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,6 +26,9 @@
 	 */
 	static final long NOT_MEASURED = -1;
 
+	// The statuses by which a caller learns that there is no such turn to continue.
+	private static final Set<Integer> TURN_ABSENT = Set.of(404, 410);
+
 	// Fewer events say too little about the time between them.
 	private static final int MIN_MEASURED_EVENTS = 3;
 
@@ -320,6 +324,11 @@
 			this.call.retryOrFail(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + " answered "
 					+ this.responseHead.status() + " without stating that the request did not run");
 		}
+		else if (this.call.continuesTurn() && TURN_ABSENT.contains(this.responseHead.status())) {
+			// The keepers hold the turn, so the caller must not take it for absent.
+			this.call.retryOrFail(this.upstream, Verdict.MAY_HAVE_RUN, this.upstream.id() + " answered "
+					+ this.responseHead.status() + " to a turn that continues another");
+		}
 		else if (this.call.isStreamBegun()) {
 			this.call.retryOrFail(this.upstream, Verdict.MAY_HAVE_RUN,
 					this.upstream.id() + " answered " + this.responseHead.status() + " instead of going on");
--- a/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
+++ b/mangorack/src/main/java/org/mangorack/relay/RelayCall.java
@@ -311,6 +311,14 @@
 		return this.route.storesTurns() && (this.head.previousTurn() == null);
 	}
 
+	/**
+	 * Returns whether the call is a turn that continues another one.
+	 * @return {@code true} if the keepers hold the turn that it continues
+	 */
+	boolean continuesTurn() {
+		return this.route.storesTurns() && (this.head.previousTurn() != null);
+	}
+
 	private Duration timeLimit() {
 		Duration remaining = this.head.remainingTime();
 		Duration limit = this.route.timeout();
