--- a/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/GroupMembershipTests.java
@@ -179,6 +179,37 @@
 		assertThat(outcomes()).containsOnly("found");
 	}
 
+	// Guards against single losses, one after the other, that leave the group in a change
+	// for good.
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3 })
+	void singleLossesNeverBlockTheGroupThoughAllWatchesAreSilent(long seed) throws Exception {
+		this.group = new TestGroup(this.folder, 1);
+		storeTurns();
+		for (String name : this.group.running()) {
+			this.group.watchSilently(name);
+		}
+		Random random = new Random(seed);
+		for (int loss = 0; loss < 6; loss++) {
+			String name = this.group.running().get(random.nextInt(4));
+			if (random.nextBoolean()) {
+				this.group.loseDisk(name);
+				this.group.watchSilently(name);
+			}
+			else {
+				this.group.kill(name);
+				this.group.add("new" + loss);
+				this.group.watchSilently("new" + loss);
+			}
+			for (int i = 0; (i < 20) && !this.group.isComplete(); i++) {
+				stepFromOwnKnowledge(1, this.group.running().toArray(String[]::new));
+			}
+			assertThat(this.group.isComplete()).as("loss %d: group %s", loss, this.group.view()).isTrue();
+		}
+		this.group.awaitConnected();
+		assertThat(outcomes()).containsOnly("found");
+	}
+
 	// Guards against a change that nobody calls off, as the watches of the members are
 	// silent.
 	@Test
