Keep the content of older turns on the disk only

Keepers held all turns that are retained on their heaps, without a bound.

Change: the log tells the position of each entry. A keeper keeps the content of written turns in memory up to a third of its heap; beyond that the content of those that were written first is released, and read from the log when a turn is continued, copied or moved. A turn that cannot be read fails the request (FAILED: undetermined), it is never called absent.

Tests of TurnIndex pass a position now.

--- a/mangorack/src/main/java/org/mangorack/keeper/DiskFiles.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/DiskFiles.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
 
@@ -59,6 +60,20 @@
 	 */
 	byte[] read(Path file) throws IOException;
 
+	/**
+	 * Reads a part of a file.
+	 * @param file the file
+	 * @param offset where the part begins, in bytes
+	 * @param length its length in bytes
+	 * @return the part, which is shorter if the file ends before
+	 * @throws IOException if the file cannot be read
+	 */
+	default byte[] read(Path file, long offset, int length) throws IOException {
+		byte[] content = read(file);
+		int from = (int) Math.min(content.length, offset);
+		return Arrays.copyOfRange(content, from, Math.min(content.length, from + length));
+	}
+
 	/**
 	 * Creates a file, or empties it if it exists.
 	 * @param file the file
@@ -167,6 +182,18 @@
 			return Files.readAllBytes(file);
 		}
 
+		@Override
+		public byte[] read(Path file, long offset, int length) throws IOException {
+			ByteBuffer part = ByteBuffer.allocate(length);
+			try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+				int read = 0;
+				while (part.hasRemaining() && (read >= 0)) {
+					read = channel.read(part, offset + part.position());
+				}
+			}
+			return Arrays.copyOf(part.array(), part.position());
+		}
+
 		@Override
 		public OpenFile create(Path file) throws IOException {
 			return new SystemFile(FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperNode.java
@@ -192,6 +192,7 @@
 		}
 		this.metrics.gauge("mangorack.keeper.turns", turns::turnCount);
 		this.metrics.gauge("mangorack.keeper.turns.bytes", turns::turnBytes);
+		this.metrics.gauge("mangorack.keeper.turns.resident.bytes", turns::residentBytes);
 		this.metrics.gauge("mangorack.keeper.log.bytes", turns::logBytes);
 		this.metrics.gauge("mangorack.keeper.log.failing.seconds", () -> this.log.failingTime().toMillis() / 1000.0);
 		this.metrics.gauge("mangorack.keeper.log.pending.bytes", this.log::pendingBytes);
--- a/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/KeeperService.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
@@ -250,6 +251,16 @@
 				.setView(this.view.toProto()));
 			return;
 		}
+		try {
+			handleCurrent(request, out);
+		}
+		catch (UncheckedIOException ex) {
+			EventLog.log(Event.LOG_FAILED, ex, "operation", "read");
+			out.accept(Reply.newBuilder().setStatus(Status.FAILED));
+		}
+	}
+
+	private void handleCurrent(Request request, Consumer<Reply.Builder> out) {
 		switch (request.getBodyCase()) {
 			case RESERVE -> reserve(request.getReserve(), out);
 			case SETTLE -> settle(request.getSettle(), out);
--- a/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/RecordLog.java
@@ -140,11 +140,11 @@
 	 * written entry ends its segment: nothing that follows was confirmed, and the content
 	 * of a turn may look like an entry. What is read is on disk, also if the earlier
 	 * start was killed before a sync.
-	 * @param reader receives each entry with the number of its segment
+	 * @param reader receives each entry with its position
 	 * @return what was read
 	 * @throws IOException if a segment cannot be read, or the last one not be synced
 	 */
-	Replay replay(BiConsumer<Long, LogEntry> reader) throws IOException {
+	Replay replay(BiConsumer<EntryPosition, LogEntry> reader) throws IOException {
 		long startedAt = this.clock.nanoTime();
 		if (!this.olderSegments.isEmpty()) {
 			this.files.sync(file(this.olderSegments.lastKey()));
@@ -152,11 +152,12 @@
 		for (long number : this.olderSegments.keySet()) {
 			ByteBuffer bytes = ByteBuffer.wrap(this.files.read(file(number)));
 			while (bytes.remaining() >= HEADER_BYTES) {
+				int offset = bytes.position();
 				byte[] entry = readEntry(bytes);
 				if (entry == null) {
 					break;
 				}
-				reader.accept(number, LogEntry.parseFrom(entry));
+				reader.accept(new EntryPosition(number, offset, bytes.position() - offset), LogEntry.parseFrom(entry));
 			}
 			if (bytes.hasRemaining()) {
 				reportTorn(number, bytes);
@@ -219,9 +220,19 @@
 	 * Always called by the executor of callbacks
 	 */
 	void append(LogEntry entry, Consumer<IOException> done) {
+		appendAt(entry, (position, failure) -> done.accept(failure));
+	}
+
+	/**
+	 * Appends an entry, or rejects it at once.
+	 * @param entry the entry
+	 * @param done receives the position of the entry once it is synced to disk, or
+	 * {@code null} and the failure. Always called by the executor of callbacks
+	 */
+	void appendAt(LogEntry entry, BiConsumer<EntryPosition, IOException> done) {
 		IOException rejection = rejection(entry.getSerializedSize());
 		if (rejection != null) {
-			this.callbackExecutor.accept(() -> done.accept(rejection));
+			this.callbackExecutor.accept(() -> done.accept(null, rejection));
 			return;
 		}
 		PendingEntry pending = new PendingEntry(entry.toByteArray(), done);
@@ -232,6 +243,22 @@
 		}
 	}
 
+	/**
+	 * Reads an entry.
+	 * @param position the position of the entry
+	 * @return the entry
+	 * @throws IOException if it cannot be read
+	 */
+	LogEntry read(EntryPosition position) throws IOException {
+		ByteBuffer bytes = ByteBuffer
+			.wrap(this.files.read(file(position.segment()), position.offset(), position.bytes()));
+		byte[] entry = (bytes.remaining() == position.bytes()) ? readEntry(bytes) : null;
+		if (entry == null) {
+			throw new IOException("no whole entry at " + position + " of the log in " + this.folder);
+		}
+		return LogEntry.parseFrom(entry);
+	}
+
 	/**
 	 * Writes some of the entries that are waiting and reports the outcome. After a
 	 * failure all entries that are waiting fail. Called by the writer thread.
@@ -242,14 +269,19 @@
 			return;
 		}
 		long segment = segment();
-		Throwable failure = write(batch);
+		List<EntryPosition> positions = new ArrayList<>();
+		Throwable failure = write(batch, positions);
 		if (failure != null) {
 			startOutage(failure);
 			batch.addAll(takeBatch(Long.MAX_VALUE));
 		}
 		release(batch);
 		IOException outcome = (failure != null) ? this.outage.cause() : null;
-		execute(() -> batch.forEach((p) -> report(p, outcome)));
+		execute(() -> {
+			for (int i = 0; i < batch.size(); i++) {
+				report(batch.get(i), (outcome != null) ? null : positions.get(i), outcome);
+			}
+		});
 		logOutcome(segment, failure);
 	}
 
@@ -380,9 +412,9 @@
 	}
 
 	// Errors are caught as well: entries would wait forever if the writer thread ended.
-	private Throwable write(List<PendingEntry> batch) {
+	private Throwable write(List<PendingEntry> batch, List<EntryPosition> positions) {
 		try {
-			this.segments.write(batch.stream().map(PendingEntry::bytes).toList());
+			positions.addAll(this.segments.write(batch.stream().map(PendingEntry::bytes).toList()));
 			return null;
 		}
 		catch (IOException | RuntimeException | Error ex) {
@@ -413,9 +445,9 @@
 		}
 	}
 
-	private static void report(PendingEntry entry, IOException outcome) {
+	private static void report(PendingEntry entry, EntryPosition position, IOException outcome) {
 		try {
-			entry.done().accept(outcome);
+			entry.done().accept(position, outcome);
 		}
 		catch (RuntimeException ex) {
 			EventLog.log(Event.INTERNAL_ERROR, ex, "task", "log callback");
@@ -551,9 +583,10 @@
 	 * An entry that is waiting to be written.
 	 *
 	 * @param bytes the encoded entry
-	 * @param done receives {@code null} once the entry is synced to disk, or the failure
+	 * @param done receives the position of the entry once it is synced to disk, or the
+	 * failure
 	 */
-	private record PendingEntry(byte[] bytes, Consumer<IOException> done) {
+	private record PendingEntry(byte[] bytes, BiConsumer<EntryPosition, IOException> done) {
 
 		int size() {
 			return HEADER_BYTES + this.bytes.length;
--- a/mangorack/src/main/java/org/mangorack/keeper/SegmentWriter.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/SegmentWriter.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongFunction;
 
@@ -62,24 +63,29 @@
 	/**
 	 * Writes entries and syncs them to disk.
 	 * @param entries the encoded entries
+	 * @return where the entries are, in the same order
 	 * @throws IOException if they may not be on disk. The next call writes to another
 	 * segment
 	 */
-	void write(List<byte[]> entries) throws IOException {
+	List<EntryPosition> write(List<byte[]> entries) throws IOException {
 		if (this.syncedBytes > RecordLog.SEGMENT_BYTES) {
 			completeSegment();
 		}
 		boolean synced = false;
 		try {
 			openFile();
-			long written = 0;
+			List<EntryPosition> positions = new ArrayList<>();
+			long end = this.syncedBytes;
 			for (byte[] entry : entries) {
-				written += put(entry);
+				int bytes = put(entry);
+				positions.add(new EntryPosition(this.segment, end, bytes));
+				end += bytes;
 			}
 			flush();
 			this.file.sync();
-			this.syncedBytes += written;
+			this.syncedBytes = end;
 			synced = true;
+			return positions;
 		}
 		finally {
 			if (!synced) {
--- a/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/StoredTurn.java
@@ -11,10 +11,15 @@
  */
 final class StoredTurn {
 
-	private final Turn turn;
+	private Turn turn;
+
+	private final int bytes;
 
 	private final long expiresAt;
 
+	// Null until the turn is synced to disk.
+	private EntryPosition position;
+
 	private long segment;
 
 	private StoredTurn predecessor;
@@ -24,6 +29,8 @@
 
 	private int continuations;
 
+	private boolean released;
+
 	private boolean expired;
 
 	private boolean moving;
@@ -43,16 +50,38 @@
 	 */
 	StoredTurn(Turn turn, long segment, long expiresAt) {
 		this.turn = turn;
+		this.bytes = turn.getInput().size() + turn.getOutput().size();
 		this.segment = segment;
 		this.expiresAt = expiresAt;
 	}
 
 	// ---- Accessors
 
+	/**
+	 * Returns the turn.
+	 * @return the turn, without its input and output if {@link #hasContent()} is
+	 * {@code false}
+	 */
 	Turn turn() {
 		return this.turn;
 	}
 
+	/**
+	 * Returns whether the input and output are in memory.
+	 * @return {@code false} if they have to be read from {@link #position()}
+	 */
+	boolean hasContent() {
+		return !this.released;
+	}
+
+	/**
+	 * Returns where the turn is on disk.
+	 * @return the position, or {@code null} if it is not synced yet
+	 */
+	EntryPosition position() {
+		return this.position;
+	}
+
 	String id() {
 		return this.turn.getId();
 	}
@@ -78,7 +107,7 @@
 	 * @return the size in bytes
 	 */
 	int bytes() {
-		return this.turn.getInput().size() + this.turn.getOutput().size();
+		return this.bytes;
 	}
 
 	long segment() {
@@ -146,6 +175,14 @@
 		}
 	}
 
+	/**
+	 * Releases the input and output of a turn that is synced to disk.
+	 */
+	void releaseContent() {
+		this.released = true;
+		this.turn = this.turn.toBuilder().clearInput().clearOutput().build();
+	}
+
 	void setSegment(long segment) {
 		this.segment = segment;
 	}
@@ -165,8 +202,10 @@
 	/**
 	 * Records that the turn is synced to disk. Its chain is synced once the predecessors
 	 * are as well; the turns that wait for that are then told.
+	 * @param syncedAt where it is on disk
 	 */
-	void setSynced() {
+	void setSynced(EntryPosition syncedAt) {
+		this.position = syncedAt;
 		this.synced = true;
 		updateChain();
 	}
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnIndex.java
@@ -33,8 +33,19 @@
 	// The number of turns in each log segment.
 	private final TreeMap<Long, Integer> segments = new TreeMap<>();
 
+	private final ResidentTurns resident;
+
 	private long bytes;
 
+	/**
+	 * Creates an empty index.
+	 * @param maxResidentBytes the size of the content to keep in memory, in bytes,
+	 * besides what is not synced to disk
+	 */
+	TurnIndex(long maxResidentBytes) {
+		this.resident = new ResidentTurns(maxResidentBytes);
+	}
+
 	// ---- Accessors
 
 	int size() {
@@ -70,6 +81,14 @@
 		return this.bytes;
 	}
 
+	/**
+	 * Returns the size of the content that is in memory and on disk.
+	 * @return the size in bytes
+	 */
+	long residentBytes() {
+		return this.resident.bytes();
+	}
+
 	/**
 	 * Returns a turn.
 	 * @param id the id of the turn
@@ -85,10 +104,10 @@
 	 * @param consumer receives each turn up to the first one that is missing
 	 * @return the id of the missing turn, or an empty string if the chain is whole
 	 */
-	String forEachOfChain(String id, Consumer<Turn> consumer) {
+	String forEachOfChain(String id, Consumer<StoredTurn> consumer) {
 		String next = id;
 		for (StoredTurn turn = this.turns.get(id); turn != null; turn = turn.predecessor()) {
-			consumer.accept(turn.turn());
+			consumer.accept(turn);
 			next = turn.previous();
 		}
 		return next;
@@ -164,9 +183,13 @@
 	/**
 	 * Records that a turn is synced to disk.
 	 * @param turn the turn
+	 * @param position where it is on disk
 	 */
-	void synced(StoredTurn turn) {
-		turn.setSynced();
+	void synced(StoredTurn turn, EntryPosition position) {
+		turn.setSynced(position);
+		if (this.turns.get(turn.id()) == turn) {
+			this.resident.add(turn);
+		}
 	}
 
 	/**
@@ -235,6 +258,7 @@
 
 	private void remove(StoredTurn turn) {
 		this.turns.remove(turn.id());
+		this.resident.remove(turn);
 		this.bytes -= turn.bytes();
 		leaveSegment(turn);
 		turn.releasePredecessor();
--- a/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
+++ b/mangorack/src/main/java/org/mangorack/keeper/TurnStore.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +17,8 @@
 import org.mangorack.keeper.proto.LogEntry;
 import org.mangorack.keeper.proto.ProgramCharges;
 import org.mangorack.keeper.proto.Turn;
+import org.mangorack.observe.Event;
+import org.mangorack.observe.EventLog;
 import org.mangorack.observe.MonotonicClock;
 
 /**
@@ -57,13 +60,19 @@
 	 */
 	static final int MAX_MOVED_BYTES = 1024 * 1024;
 
+	/**
+	 * The content of turns that is kept in memory, as a fraction of the largest heap. The
+	 * rest is for what is being written, copied and sent.
+	 */
+	static final double MAX_RESIDENT_FRACTION = 0.33;
+
 	private final RecordLog log;
 
 	private final RunningTime time;
 
 	private final LongSupplier wallClockMillis;
 
-	private final TurnIndex turns = new TurnIndex();
+	private final TurnIndex turns;
 
 	private final Map<String, ProgramLedger> programs = new HashMap<>();
 
@@ -75,6 +84,20 @@
 	 * change suddenly, but unlike the clock can be compared across restarts
 	 */
 	TurnStore(RecordLog log, MonotonicClock clock, LongSupplier wallClockMillis) {
+		this(log, clock, wallClockMillis, (long) (Runtime.getRuntime().maxMemory() * MAX_RESIDENT_FRACTION));
+	}
+
+	/**
+	 * Creates an empty store.
+	 * @param log the log that changes are written to
+	 * @param clock measures the retention
+	 * @param wallClockMillis supplies the time of day in milliseconds. It may be wrong or
+	 * change suddenly, but unlike the clock can be compared across restarts
+	 * @param maxResidentBytes the size of the content of turns to keep in memory, in
+	 * bytes
+	 */
+	TurnStore(RecordLog log, MonotonicClock clock, LongSupplier wallClockMillis, long maxResidentBytes) {
+		this.turns = new TurnIndex(maxResidentBytes);
 		this.log = log;
 		this.time = new RunningTime(clock);
 		this.wallClockMillis = wallClockMillis;
@@ -89,12 +112,13 @@
 	 * @throws IOException if the log cannot be read
 	 */
 	RecordLog.Replay load() throws IOException {
-		RecordLog.Replay replay = this.log.replay((segment, entry) -> {
+		RecordLog.Replay replay = this.log.replay((position, entry) -> {
+			long segment = position.segment();
 			long storedAt = this.time.restore(entry.getRunningMs());
 			if (entry.hasTurn()) {
 				StoredTurn turn = addIfAbsent(entry.getTurn(), segment, storedAt);
 				this.turns.move(turn, segment);
-				this.turns.synced(turn);
+				this.turns.synced(turn, position);
 			}
 			else {
 				ProgramCharges charges = entry.getCharges();
@@ -122,6 +146,14 @@
 		return this.turns.bytes();
 	}
 
+	/**
+	 * Returns the size of the content that is in memory and on disk.
+	 * @return the size in bytes
+	 */
+	long residentBytes() {
+		return this.turns.residentBytes();
+	}
+
 	/**
 	 * Returns the size of the log before its current segment.
 	 * @return the size in bytes
@@ -167,6 +199,7 @@
 	 * @param maxBytes the size of the result in bytes. A single turn may be larger
 	 * @return those of the turns that are held, in the order of the ids, up to the first
 	 * one that there is no room for; empty only if none is held
+	 * @throws UncheckedIOException if a turn cannot be read from the disk
 	 */
 	List<Turn> turns(List<String> ids, int maxBytes) {
 		List<Turn> found = new ArrayList<>();
@@ -174,11 +207,11 @@
 		for (String id : ids) {
 			StoredTurn turn = this.turns.get(id);
 			if (turn != null) {
-				bytes += turn.turn().getSerializedSize();
+				bytes += turn.turn().getSerializedSize() + (turn.hasContent() ? 0 : turn.bytes());
 				if ((bytes > maxBytes) && !found.isEmpty()) {
 					return found;
 				}
-				found.add(turn.turn());
+				found.add(content(turn));
 			}
 		}
 		return found;
@@ -188,10 +221,11 @@
 	 * Collects a turn and its predecessors.
 	 * @param id the id of the newest turn
 	 * @return the turns of the chain up to the first one that is missing from this store
+	 * @throws UncheckedIOException if a turn cannot be read from the disk
 	 */
 	Chain.Builder chain(String id) {
 		Chain.Builder chain = Chain.newBuilder();
-		return chain.setMissing(this.turns.forEachOfChain(id, chain::addTurn));
+		return chain.setMissing(this.turns.forEachOfChain(id, (turn) -> chain.addTurn(content(turn))));
 	}
 
 	/**
@@ -254,7 +288,8 @@
 		}
 		long now = this.wallClockMillis.getAsLong();
 		Turn stampedTurn = (turn.getStoredMs() != 0) ? turn : turn.toBuilder().setStoredMs(now).build();
-		append(addIfAbsent(stampedTurn, this.log.segment(), this.time.now()), done);
+		StoredTurn stored = addIfAbsent(stampedTurn, this.log.segment(), this.time.now());
+		append(stored, stored.turn(), done);
 	}
 
 	/**
@@ -268,7 +303,12 @@
 		long now = this.time.now();
 		this.turns.expire(now);
 		this.programs.values().removeIf((p) -> now > p.changedAt + p.retention().toMillis());
-		compact();
+		try {
+			compact();
+		}
+		catch (UncheckedIOException ex) {
+			EventLog.log(Event.LOG_FAILED, ex, "operation", "read");
+		}
 		long oldestTurnSegment = this.turns.oldestSegment(this.log.segment());
 		this.programs.forEach((name, p) -> {
 			if (p.oldestSegment < oldestTurnSegment) {
@@ -293,6 +333,19 @@
 		return this.turns.add(turn, segment, storedAt + heldMillis(turn));
 	}
 
+	// What was released is read again; it is not kept, as it is rarely needed twice.
+	private Turn content(StoredTurn turn) {
+		if (turn.hasContent()) {
+			return turn.turn();
+		}
+		try {
+			return this.log.read(turn.position()).getTurn();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private static long heldMillis(Turn turn) {
 		return turn.getRetentionMs() + RETENTION_MARGIN.toMillis();
 	}
@@ -318,9 +371,10 @@
 	}
 
 	private void move(StoredTurn turn) {
+		Turn content = content(turn);
 		long segment = this.log.segment();
 		turn.setMoving(true);
-		append(turn, (failure) -> {
+		append(turn, content, (failure) -> {
 			turn.setMoving(false);
 			if (failure == null) {
 				this.turns.move(turn, segment);
@@ -328,16 +382,16 @@
 		});
 	}
 
-	private void append(StoredTurn turn, Consumer<IOException> done) {
+	private void append(StoredTurn turn, Turn content, Consumer<IOException> done) {
 		LogEntry entry = LogEntry.newBuilder()
 			.setStoredMs(this.wallClockMillis.getAsLong())
 			.setRunningMs(turn.expiresAt() - heldMillis(turn.turn()))
-			.setTurn(turn.turn())
+			.setTurn(content)
 			.build();
 		turn.setLost(false);
-		this.log.append(entry, (failure) -> {
+		this.log.appendAt(entry, (position, failure) -> {
 			if (failure == null) {
-				this.turns.synced(turn);
+				this.turns.synced(turn, position);
 			}
 			turn.setLost((failure != null) && !turn.isSynced());
 			done.accept(failure);
--- a/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/RecordLogFaultTests.java
@@ -1,6 +1,7 @@
 package org.mangorack.keeper;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -397,6 +398,15 @@
 			this.clock.advance(RecordLog.RETRY_DELAY);
 		}
 
+		private LogEntry read(EntryPosition position) {
+			try {
+				return this.log.read(position);
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
 		// What a restart has read counts as confirmed, as it is not written again. A log
 		// whose last segment cannot be synced is not started.
 		private void restart() throws IOException {
@@ -405,9 +415,10 @@
 			this.log = new RecordLog(FOLDER, Runnable::run, this.disk, this.clock);
 			List<Integer> replayed = new ArrayList<>();
 			List<Long> segments = new ArrayList<>();
-			this.log.replay((segment, entry) -> {
+			this.log.replay((position, entry) -> {
 				replayed.add(Integer.parseInt(entry.getTurn().getId()));
-				segments.add(segment);
+				segments.add(position.segment());
+				assertThat(read(position)).isEqualTo(entry);
 			});
 			assertThat(replayed).isSorted().doesNotHaveDuplicates().containsAll(this.confirmed.keySet());
 			assertThat(replayed).allMatch((number) -> number <= this.appended);
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnIndexTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnIndexTests.java
@@ -23,12 +23,14 @@
  */
 class TurnIndexTests {
 
+	private static final EntryPosition POSITION = new EntryPosition(1, 0, 1);
+
 	private static final int STEPS = 60;
 
 	@Property(seed = "3301", tries = 200)
 	void aTurnIsHeldWhileItOrATurnThatContinuesItIsRetained(@ForAll long seed) {
 		Random random = new Random(seed);
-		TurnIndex index = new TurnIndex();
+		TurnIndex index = new TurnIndex(Long.MAX_VALUE);
 		List<Held> all = new ArrayList<>();
 		for (int now = 0; now < STEPS; now++) {
 			List<String> held = index.ids();
@@ -49,16 +51,16 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "abc", "cba", "bac", "cab" })
 	void aChainIsWholeOnceItsTurnsAreSyncedInAnyOrder(String order) {
-		TurnIndex index = new TurnIndex();
+		TurnIndex index = new TurnIndex(Long.MAX_VALUE);
 		Map<String, String> previous = Map.of("a", "", "b", "a", "c", "b");
 		for (String id : order.split("")) {
 			assertThat(index.newestMissing("c")).isNotEmpty();
 			Turn turn = Turn.newBuilder().setId(id).setPrevious(previous.get(id)).build();
-			index.synced(index.add(turn, 1, 10));
+			index.synced(index.add(turn, 1, 10), POSITION);
 		}
 		assertThat(index.newestMissing("c")).isEmpty();
 		List<String> chain = new ArrayList<>();
-		assertThat(index.forEachOfChain("c", (t) -> chain.add(t.getId()))).isEmpty();
+		assertThat(index.forEachOfChain("c", (t) -> chain.add(t.id()))).isEmpty();
 		assertThat(chain).containsExactly("c", "b", "a");
 		index.expire(11);
 		assertThat(index.size()).isZero();
@@ -66,8 +68,8 @@
 
 	@Test
 	void theChainOfATurnThatNamesItselfEnds() {
-		TurnIndex index = new TurnIndex();
-		index.synced(index.add(Turn.newBuilder().setId("a").setPrevious("a").build(), 1, 10));
+		TurnIndex index = new TurnIndex(Long.MAX_VALUE);
+		index.synced(index.add(Turn.newBuilder().setId("a").setPrevious("a").build(), 1, 10), POSITION);
 		assertThat(index.newestMissing("a")).isEqualTo("a");
 		assertThat(index.forEachOfChain("a", (t) -> {
 		})).isEqualTo("a");
--- a/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
+++ b/mangorack/src/test/java/org/mangorack/keeper/TurnStoreTests.java
@@ -60,16 +60,57 @@
 	@BeforeEach
 	void open() throws IOException {
 		this.log = new RecordLog(this.folder, this.callbacks::add);
-		this.store = new TurnStore(this.log, this.clock, this.wallClock::get);
+		this.store = new TurnStore(this.log, this.clock, this.wallClock::get, maxResidentBytes());
 		this.store.load();
 		this.log.start();
 	}
 
+	/**
+	 * Returns how much content the store keeps in memory.
+	 * @return the size in bytes
+	 */
+	long maxResidentBytes() {
+		return Long.MAX_VALUE;
+	}
+
 	@AfterEach
 	void close() throws IOException {
 		this.log.close();
 	}
 
+	// Guards against a turn that is continued with the content of another one, wherever
+	// the log holds it: as written, moved to another segment, or read by a restart.
+	@Test
+	void aTurnKeepsItsContent() throws Exception {
+		for (int i = 0; i < STEPS; i++) {
+			store("t" + i, (i > 0) ? ("t" + (i - 1)) : "", OTHER_TURN_BYTES + i);
+			store("other" + i, "", 3 * OTHER_TURN_BYTES);
+			advance(STEP);
+			assertContent(i);
+		}
+		close();
+		this.callbacks.clear();
+		open();
+		assertContent(STEPS - 1);
+		assertThat(this.store.residentBytes()).isLessThanOrEqualTo(maxResidentBytes());
+	}
+
+	private void assertContent(int newest) {
+		List<Turn> turns = this.store.chain("t" + newest).getTurnList();
+		assertThat(turns).hasSize(newest + 1);
+		for (int i = 0; i <= newest; i++) {
+			Turn turn = turns.get(newest - i);
+			assertThat(turn.getId()).isEqualTo("t" + i);
+			assertThat(turn.getInput()).isEqualTo(content(turn.getId(), OTHER_TURN_BYTES + i));
+		}
+		assertThat(this.store.turns(List.of("t" + newest), 1)).singleElement()
+			.satisfies((t) -> assertThat(t.getInput()).isEqualTo(turns.get(0).getInput()));
+	}
+
+	private static ByteString content(String id, int bytes) {
+		return ByteString.copyFromUtf8(id + "/".repeat(bytes - id.length()));
+	}
+
 	// Guards against 404 for a turn whose chain began longer ago than its retention.
 	@ParameterizedTest
 	@ValueSource(ints = { 2, 3, 20 })
@@ -256,7 +297,7 @@
 		this.store.storeTurn(Turn.newBuilder()
 			.setId(id)
 			.setPrevious(previous)
-			.setInput(ByteString.copyFrom(new byte[bytes]))
+			.setInput((bytes > id.length()) ? content(id, bytes) : ByteString.copyFrom(new byte[bytes]))
 			.setRetentionMs(RETENTION.toMillis())
 			.build(), done::complete);
 		await(done);
