--- a/review/standins-3/FirstStart.java
+++ b/review/standins-3/FirstStart.java
@@ -8,7 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * Case 11: all processes on the machines that count are killed while the system starts
+ * Case 12: all processes on the machines that count are killed while the system starts
  * for the first time, and are back within a second.
  */
 public final class FirstStart {
--- a/review/standins-3/RawTarget.java
+++ b/review/standins-3/RawTarget.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Case 12: the path and the query of a request hold UTF-8 text that the client did not
+ * Case 13: the path and the query of a request hold UTF-8 text that the client did not
  * encode with percent signs.
  */
 public final class RawTarget {
--- a/review/standins-3/Rig.java
+++ b/review/standins-3/Rig.java
@@ -211,6 +211,20 @@
 			return "127.0.0.1:" + this.callers;
 		}
 
+		/** Starts on a machine that was added to the running system. */
+		void startAsNew() throws IOException {
+			this.startedBefore = true;
+			start();
+		}
+
+		/** Starts again on the same machine with an empty disk. */
+		void startWithoutDisk() throws IOException {
+			try (Stream<Path> files = Files.walk(this.data)) {
+				files.sorted(Comparator.reverseOrder()).filter((f) -> !f.equals(this.data)).forEach((f) -> f.toFile().delete());
+			}
+			start();
+		}
+
 		void start() throws IOException {
 			String deploy = Files.readString(Path.of("deploy/system.toml"));
 			Matcher run = Pattern.compile("run = \"(.*)\"").matcher(deploy.substring(deploy.indexOf("[roles." + this.role + "]")));
