--- a/review/standins-3/Rig.java
+++ b/review/standins-3/Rig.java
@@ -58,6 +58,9 @@
 
 	private final List<Server> servers = new ArrayList<>();
 
+	/** How many disks may be lost at once. */
+	int tolerance = 1;
+
 	/** The address of the store in the settings, if it is not the store itself. */
 	String storeAddress;
 
@@ -241,7 +244,7 @@
 			values.put("platform.address", Rig.this.storeAddress);
 			values.put("seed_nodes", (this.seeds != null) ? this.seeds
 					: keepers().stream().limit(3).map((k) -> "127.0.0.1:" + k.control).toList());
-			values.put("fault_tolerance.machines", 1);
+			values.put("fault_tolerance.machines", Rig.this.tolerance);
 			values.put("bounds.revocation_ms", 5000);
 			values.put("bounds.configuration_apply_ms", 2000);
 			values.put("bounds.grace_s", 8);
